Lay out the workspace with core types, ports and error kinds

Cause: three programs' worth of packages need one set of types, one closed list of error kinds and one set of platform Protocols before parts of the work can go on side by side.

--- /dev/null
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Walnutpoint: the command line of operators and callers."""
--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/__init__.py
@@ -0,0 +1,1 @@
+"""Walnutpoint: the types, errors and platform clients its programs share."""
--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/logs.py
@@ -0,0 +1,38 @@
+"""Structured logs: one line of key=value pairs for each event."""
+
+from __future__ import annotations
+
+import logging
+import sys
+import typing
+
+import structlog
+
+__all__ = (
+    'configure',
+    'get_logger',
+)
+
+
+def configure(level: str) -> None:
+    """Write every event at or above a level to standard error."""
+    minimum = logging.getLevelNamesMapping()[level.upper()]
+    structlog.configure(
+        processors=[
+            structlog.processors.add_log_level,
+            structlog.processors.TimeStamper(fmt='iso', utc=True),
+            structlog.processors.format_exc_info,
+            structlog.processors.LogfmtRenderer(
+                key_order=['timestamp', 'level', 'event'],
+                bool_as_flag=False,
+            ),
+        ],
+        wrapper_class=structlog.make_filtering_bound_logger(minimum),
+        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        cache_logger_on_first_use=True,
+    )
+
+
+def get_logger(name: str) -> typing.Any:
+    """Return the logger of one module."""
+    return structlog.get_logger(logger=name)
--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/model.py
@@ -0,0 +1,91 @@
+"""Domain types that the request path shares."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+from walnutpoint_core import errors
+
+__all__ = (
+    'Answer',
+    'Header',
+    'HostListing',
+    'HostState',
+    'ListedHost',
+    'Request',
+    'WorkClass',
+)
+
+
+class WorkClass(enum.IntEnum):
+    """The class of a request; a lower value is placed first."""
+
+    URGENT = 0
+    STANDARD = 1
+    BATCH = 2
+
+
+class HostState(enum.Enum):
+    """Whether a listed host may get new work."""
+
+    LIVE = 'live'
+    LEAVING = 'leaving'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Header:
+    """One HTTP header field."""
+
+    name: str
+    value: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """One caller's request; its deadline is in the local timer's time."""
+
+    request_id: str
+    team: str
+    work_class: WorkClass
+    method: str
+    path: str
+    headers: tuple[Header, ...]
+    body: bytes
+    received_at_s: float
+    deadline_at_s: float
+    idempotent: bool
+    key: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Answer:
+    """One whole answer of an endpoint."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+    endpoint: str
+    owner: str
+    waited_s: float
+    outcome: errors.Outcome = errors.Outcome.DONE
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedHost:
+    """One endpoint as the platform's host list shows it."""
+
+    address: str
+    domain: str
+    rack: str
+    slots: int
+    connections: int
+    state: HostState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HostListing:
+    """The hosts that were listed at one version of the host list."""
+
+    version: int
+    hosts: tuple[ListedHost, ...]
--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/ports.py
@@ -0,0 +1,114 @@
+"""Protocols of the outside systems that walnutpoint speaks to."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import model
+
+__all__ = (
+    'Batch',
+    'CommitReply',
+    'Guard',
+    'HostList',
+    'KeyRevision',
+    'Listing',
+    'Put',
+    'Store',
+    'StoredValue',
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StoredValue:
+    """A value in the store with the revision that wrote it."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyRevision:
+    """A key in the store with the revision that last wrote it."""
+
+    key: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """The keys below a prefix at one revision of the store."""
+
+    revision: int
+    keys: tuple[KeyRevision, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Guard:
+    """Require a key's revision; zero means that the key is absent."""
+
+    key: str
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Put:
+    """Write a value under a key."""
+
+    key: str
+    value: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Batch:
+    """Writes that take effect together, and only if every guard holds."""
+
+    guards: tuple[Guard, ...]
+    puts: tuple[Put, ...]
+    deletes: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CommitReply:
+    """Whether a batch was applied, and the store's revision after it."""
+
+    applied: bool
+    revision: int
+
+
+class Store(typing.Protocol):
+    """The platform's key-value service; every read is linearizable."""
+
+    async def get(
+        self, key: str
+    ) -> expression.Result[StoredValue | None, errors.Failure]:
+        """Read one key."""
+
+    async def list_keys(
+        self, prefix: str
+    ) -> expression.Result[Listing, errors.Failure]:
+        """List the keys below a prefix without their values."""
+
+    async def list_values(
+        self, prefix: str
+    ) -> expression.Result[tuple[StoredValue, ...], errors.Failure]:
+        """Read every key below a prefix."""
+
+    async def commit(
+        self, batch: Batch
+    ) -> expression.Result[CommitReply, errors.Failure]:
+        """Apply a batch; STORE_ANSWER_LOST says that it may have applied."""
+
+
+class HostList(typing.Protocol):
+    """The platform's lagging list of live and leaving hosts."""
+
+    async def fetch(
+        self, known_version: int | None
+    ) -> expression.Result[model.HostListing | None, errors.Failure]:
+        """Read the list, or None when the known version still stands."""
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Walnutpoint: the entry process between callers and endpoints."""
