--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/hosts/_client.py
@@ -0,0 +1,121 @@
+"""The host list over HTTP."""
+
+from __future__ import annotations
+
+import typing
+
+import expression
+import httpx
+import msgspec
+
+from walnutpoint_core import _link
+from walnutpoint_core import errors
+from walnutpoint_core import model
+
+__all__ = ('HttpHostList',)
+
+_HOSTS_PATH: typing.Final = '/v1/hosts'
+_COUNT_MAX: typing.Final = 65_536
+
+_Name = typing.Annotated[str, msgspec.Meta(min_length=1, max_length=255)]
+_Address = typing.Annotated[
+    str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
+]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
+_Version = typing.Annotated[int, msgspec.Meta(ge=0)]
+
+
+class _Host(msgspec.Struct, frozen=True):
+    """One host as it goes on the wire."""
+
+    address: _Address
+    domain: _Name
+    rack: _Name
+    slots: _Count
+    connections: _Count
+    state: model.HostState
+
+
+class _Listing(msgspec.Struct, frozen=True):
+    """The host list as it goes on the wire."""
+
+    version: _Version
+    hosts: tuple[_Host, ...]
+
+
+class HttpHostList:
+    """A client of the platform's host list."""
+
+    __slots__ = ('_link', '_timeout_s', '_url')
+
+    def __init__(self, url: str, timeout_s: float) -> None:
+        self._url = url.rstrip('/') + _HOSTS_PATH
+        self._timeout_s = timeout_s
+        self._link = _link.Link()
+
+    @property
+    def calls(self) -> int:
+        """Return how many requests were sent."""
+        return self._link.calls
+
+    async def fetch(
+        self, known_version: int | None
+    ) -> expression.Result[model.HostListing | None, errors.Failure]:
+        """Read the list, or None when the known version still stands."""
+        headers = {}
+        if known_version is not None:
+            headers['If-None-Match'] = f'"{known_version}"'
+        answer = await self._link.exchange(
+            _link.Call('GET', self._url, headers), self._timeout_s
+        )
+        if answer.is_error():
+            return _unavailable(answer.error.detail)
+        return _decode(answer.ok, known_version)
+
+    async def aclose(self) -> None:
+        """Close the connections to the service."""
+        await self._link.aclose()
+
+
+def _decode(
+    response: httpx.Response, known_version: int | None
+) -> expression.Result[model.HostListing | None, errors.Failure]:
+    status = response.status_code
+    if status == httpx.codes.NOT_MODIFIED and known_version is not None:
+        return expression.Ok(None)
+    if status != httpx.codes.OK:
+        return _unavailable(f'{response.url}: status {status}')
+    try:
+        listing = msgspec.json.decode(response.content, type=_Listing)
+    except msgspec.MsgspecError as error:
+        return _unavailable(f'{response.url}: unreadable answer: {error}')
+    addresses = {host.address for host in listing.hosts}
+    if len(addresses) != len(listing.hosts):
+        # Two entries for one address would double its slots and overload it.
+        return _unavailable(f'{response.url}: an address is listed twice')
+    return expression.Ok(_listing(listing))
+
+
+def _listing(listing: _Listing) -> model.HostListing:
+    return model.HostListing(
+        listing.version,
+        tuple(
+            model.ListedHost(
+                host.address,
+                host.domain,
+                host.rack,
+                host.slots,
+                host.connections,
+                host.state,
+            )
+            for host in listing.hosts
+        ),
+    )
+
+
+def _unavailable(
+    detail: str,
+) -> expression.Result[typing.Any, errors.Failure]:
+    return expression.Error(
+        errors.Failure(errors.ErrorKind.HOST_LIST_UNAVAILABLE, detail)
+    )
--- /dev/null
+++ b/tests/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform's services and for endpoints."""
--- /dev/null
+++ b/tests/standins/endpoint.py
@@ -0,0 +1,257 @@
+"""Stand-in for workers' endpoints; it counts and never refuses by itself."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections
+import dataclasses
+import hashlib
+import http
+import time
+import typing
+
+import msgspec
+
+from tests.standins import serving
+
+__all__ = (
+    'EndpointStandin',
+    'Worker',
+)
+
+_NOT_RUN: typing.Final = {'walnutpoint-outcome': 'not-run'}
+_RUN_MAX_S: typing.Final = 3600.0
+
+
+class _Faults(serving.Faults):
+    """An endpoint's switches."""
+
+    refuse: bool = False
+    fail_all: bool = False
+    cut_body: bool = False
+    leaving: bool = False
+    silent_connections: bool = False
+    usage_lag_s: float = 0.0
+
+
+class _Counts(msgspec.Struct):
+    """What one endpoint has seen."""
+
+    running: int = 0
+    max_running: int = 0
+    runs: int = 0
+    over_capacity: int = 0
+    max_connections: int = 0
+    over_connections: int = 0
+    fenced: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class Worker:
+    """What the endpoints of one process count together."""
+
+    slots: int = 8
+    connections: int = 64
+    run_s: float = 0.0
+    check_epochs: bool = False
+    endpoints: dict[int, EndpointStandin] = dataclasses.field(
+        default_factory=dict
+    )
+    runs: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    keys: set[str] = dataclasses.field(default_factory=set)
+    duplicates: int = 0
+
+    def note(self, request_id: str, key: str | None) -> None:
+        """Note the start of a run."""
+        self.runs[request_id] += 1
+        if key is None:
+            return
+        if key in self.keys:
+            self.duplicates += 1
+        self.keys.add(key)
+
+
+@dataclasses.dataclass(slots=True)
+class _Sample:
+    """The runs of one moment."""
+
+    taken_at_s: float
+    running_ids: list[str]
+
+
+class EndpointStandin(serving.Service[_Faults]):
+    """One endpoint of a worker."""
+
+    def __init__(self, worker: Worker, address: str) -> None:
+        super().__init__(_Faults())
+        self.seen = _Counts()
+        self._address = address
+        self._worker = worker
+        self._epoch = 0
+        self._running: dict[int, str] = {}
+        self._sample = _Sample(float('-inf'), [])
+
+    def set_faults(self, changes: dict[str, object]) -> None:
+        """Change some switches, on the given ports or on all."""
+        changes = dict(changes)
+        ports = changes.pop('ports', None)
+        for port, endpoint in self._worker.endpoints.items():
+            if ports is None or port in typing.cast(list[int], ports):
+                endpoint.switch(changes)
+
+    def switch(self, changes: dict[str, object]) -> None:
+        """Change some switches of this endpoint."""
+        changes = dict(changes)
+        if 'refuse' in changes:
+            changes['down'] = changes['refuse']
+        if 'silent_connections' in changes:
+            changes['silent'] = changes['silent_connections']
+        super().set_faults(changes)
+        self.faults.silent_connections = False
+
+    def opened(self) -> None:
+        """Note a new connection that is not for control."""
+        count = len(self.connections)
+        self.seen.max_connections = max(self.seen.max_connections, count)
+        if count > self._worker.connections:
+            self.seen.over_connections += 1
+
+    def counts(self) -> dict[str, object]:
+        """Return the counts of every port of the process."""
+        endpoints = self._worker.endpoints
+        return {
+            'duplicates': self._worker.duplicates,
+            'runs': sum(each.seen.runs for each in endpoints.values()),
+            'ports': {
+                str(port): msgspec.to_builtins(each.seen)
+                | {'connections': len(each.connections)}
+                for port, each in endpoints.items()
+            },
+        }
+
+    async def control(self, request: serving.Request) -> serving.Answer:
+        """Serve a request to the stand-in itself, whatever the faults."""
+        if request.path == '/standin/runs':
+            return serving.json_answer(self._worker.runs)
+        return await super().control(request)
+
+    async def answer(
+        self, connection: serving.Connection, request: serving.Request
+    ) -> serving.Answer | serving.Loss:
+        """Run one request or report the usage."""
+        if request.path.startswith('/walnutpoint/'):
+            answer: serving.Answer | serving.Loss = self._usage(request)
+        else:
+            answer = self._refusal(request) or await self._work(request)
+        return serving.Loss.SILENT if connection.silent else answer
+
+    def _refusal(self, request: serving.Request) -> serving.Answer | None:
+        epoch = request.headers.get('walnutpoint-epoch')
+        if self._worker.check_epochs and epoch is not None:
+            if int(epoch) < self._epoch:
+                self.seen.fenced += 1
+                return _not_run(http.HTTPStatus.CONFLICT)
+            self._epoch = int(epoch)
+        if self.faults.leaving:
+            return _not_run(http.HTTPStatus.SERVICE_UNAVAILABLE)
+        return None
+
+    async def _work(
+        self, request: serving.Request
+    ) -> serving.Answer | serving.Loss:
+        request_id = request.headers.get('walnutpoint-request-id', '')
+        run_s = float(request.headers.get('x-run-s', self._worker.run_s))
+        failing = self.faults.fail_all
+        self._begin(request, request_id)
+        run_s = 0.0 if failing else min(run_s, _RUN_MAX_S)
+        run_s += self.faults.slow_s
+        if run_s > 0.0:
+            await asyncio.sleep(run_s)
+        self.seen.running -= 1
+        del self._running[id(request)]
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return serving.Loss.CLOSE
+        if failing:
+            return serving.Answer(
+                b'failing', http.HTTPStatus.INTERNAL_SERVER_ERROR
+            )
+        answer = self._echo(request, request_id)
+        answer.cut = self.faults.cut_body
+        return answer
+
+    def _begin(self, request: serving.Request, request_id: str) -> None:
+        seen = self.seen
+        seen.runs += 1
+        seen.running += 1
+        seen.max_running = max(seen.max_running, seen.running)
+        if seen.running > self._worker.slots:
+            seen.over_capacity += 1
+        self._running[id(request)] = request_id
+        self._worker.note(request_id, request.headers.get('idempotency-key'))
+
+    def _echo(
+        self, request: serving.Request, request_id: str
+    ) -> serving.Answer:
+        return serving.json_answer(
+            {
+                'endpoint': self._address,
+                'echo': hashlib.sha256(request.body).hexdigest(),
+                'request_id': request_id,
+            }
+        )
+
+    def _usage(self, request: serving.Request) -> serving.Answer:
+        if request.path != '/walnutpoint/usage':
+            return serving.Answer(status=http.HTTPStatus.NOT_FOUND)
+        now_s = time.monotonic()
+        if now_s - self._sample.taken_at_s >= self.faults.usage_lag_s:
+            self._sample = _Sample(now_s, list(self._running.values()))
+        return serving.json_answer(
+            {
+                'running': len(self._sample.running_ids),
+                'sampled_age_s': now_s - self._sample.taken_at_s,
+                'running_ids': self._sample.running_ids,
+            }
+        )
+
+
+def _not_run(status: http.HTTPStatus) -> serving.Answer:
+    return serving.Answer(status=status, headers=dict(_NOT_RUN))
+
+
+def _parse_ports(text: str) -> tuple[int, ...]:
+    ports: list[int] = []
+    for part in text.split(','):
+        first, _dash, last = part.partition('-')
+        ports.extend(range(int(first), int(last or first) + 1))
+    return tuple(ports)
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    serving.add_arguments(parser)
+    parser.add_argument('--ports', type=_parse_ports, required=True)
+    parser.add_argument('--slots', type=int, default=8)
+    parser.add_argument('--connections', type=int, default=64)
+    parser.add_argument('--run-s', type=float, default=0.0)
+    parser.add_argument('--check-epochs', action='store_true')
+    arguments = parser.parse_args()
+    worker = Worker(
+        arguments.slots,
+        arguments.connections,
+        arguments.run_s,
+        arguments.check_epochs,
+    )
+    for port in arguments.ports:
+        address = f'{arguments.host}:{port}'
+        worker.endpoints[port] = EndpointStandin(worker, address)
+    serving.run(worker.endpoints, arguments)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/standins/hosts.py
@@ -0,0 +1,146 @@
+"""Stand-in for the platform's host list."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import http
+import pathlib
+import typing
+
+import msgspec
+
+from tests.standins import serving
+
+__all__ = (
+    'Host',
+    'HostsStandin',
+)
+
+
+class _Faults(serving.Faults):
+    """The host list's switches; lag_s delays the sight of changes."""
+
+    lag_s: float = 0.0
+
+
+class Host(msgspec.Struct):
+    """One listed host."""
+
+    address: str
+    domain: str
+    rack: str
+    slots: int
+    connections: int
+    state: typing.Literal['live', 'leaving'] = 'live'
+
+
+class _Change(msgspec.Struct):
+    """A new list."""
+
+    hosts: tuple[Host, ...]
+
+
+class _Listing(msgspec.Struct):
+    """A list with its version."""
+
+    version: int
+    hosts: tuple[Host, ...]
+
+
+class HostsStandin(serving.Service[_Faults]):
+    """A list of hosts that shows its changes after a lag."""
+
+    def __init__(self, hosts: tuple[Host, ...] = ()) -> None:
+        super().__init__(_Faults())
+        self._version = 1
+        self._shown = _Listing(1, hosts)
+        self._calls = 0
+        self._unchanged = 0
+
+    def change(self, hosts: tuple[Host, ...]) -> None:
+        """Set a new list, shown after the lag."""
+        self._version += 1
+        listing = _Listing(self._version, hosts)
+        asyncio.get_running_loop().call_later(
+            self.faults.lag_s, self._show, listing
+        )
+
+    def counts(self) -> dict[str, int]:
+        """Return the calls, the unchanged answers and the bytes."""
+        return {
+            'calls': self._calls,
+            'unchanged': self._unchanged,
+            'bytes': self.size_bytes,
+            'version': self._version,
+        }
+
+    async def control(self, request: serving.Request) -> serving.Answer:
+        """Serve a request to the stand-in itself, whatever the faults."""
+        if request.path != '/standin/hosts':
+            return await super().control(request)
+        change = msgspec.json.decode(request.body, type=_Change)
+        self.change(change.hosts)
+        return serving.json_answer({'version': self._version})
+
+    async def answer(
+        self, connection: serving.Connection, request: serving.Request
+    ) -> serving.Answer | serving.Loss:
+        """Serve the list."""
+        if connection.silent:
+            return serving.Loss.SILENT
+        self._calls += 1
+        answer = self._listing(request)
+        if self.faults.slow_s:
+            await asyncio.sleep(self.faults.slow_s)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return serving.Loss.CLOSE
+        return answer
+
+    def _listing(self, request: serving.Request) -> serving.Answer:
+        if request.path != '/v1/hosts':
+            return serving.Answer(status=http.HTTPStatus.NOT_FOUND)
+        tag = f'"{self._shown.version}"'
+        if request.headers.get('if-none-match') == tag:
+            self._unchanged += 1
+            return serving.Answer(
+                status=http.HTTPStatus.NOT_MODIFIED, headers={'etag': tag}
+            )
+        answer = serving.json_answer(self._shown)
+        answer.headers['etag'] = tag
+        return answer
+
+    def _show(self, listing: _Listing) -> None:
+        if listing.version > self._shown.version:
+            self._shown = listing
+
+
+def _parse_endpoint(text: str) -> Host:
+    address, domain, rack, slots, connections = text.split(',')
+    return Host(address, domain, rack, int(slots), int(connections))
+
+
+def main() -> None:
+    """Run the stand-in."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    serving.add_arguments(parser)
+    parser.add_argument('--port', type=int, default=0)
+    parser.add_argument('--hosts', type=pathlib.Path, metavar='FILE.json')
+    parser.add_argument(
+        '--endpoint',
+        action='append',
+        default=[],
+        type=_parse_endpoint,
+        metavar='ADDRESS,DOMAIN,RACK,SLOTS,CONNECTIONS',
+    )
+    arguments = parser.parse_args()
+    hosts = tuple(arguments.endpoint)
+    if arguments.hosts:
+        content = arguments.hosts.read_bytes()
+        hosts += msgspec.json.decode(content, type=_Change).hosts
+    serving.run({arguments.port: HostsStandin(hosts)}, arguments)
+
+
+if __name__ == '__main__':
+    main()
--- /dev/null
+++ b/tests/standins/serving.py
@@ -0,0 +1,339 @@
+"""The HTTP/1.1 server under the stand-ins, made for speed and faults."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import collections.abc
+import dataclasses
+import enum
+import http
+import signal
+import typing
+
+import msgspec
+
+__all__ = (
+    'Answer',
+    'Connection',
+    'Faults',
+    'Listener',
+    'Loss',
+    'Request',
+    'Scripted',
+    'Service',
+    'add_arguments',
+    'json_answer',
+    'run',
+    'start',
+)
+
+_BACKLOG: typing.Final = 1024
+_CONTROL_PATH: typing.Final = '/standin/'
+_CONTROL_STARTS: typing.Final = (b'GET /standin/', b'POST /standin/')
+_GRACE_S: typing.Final = 0.05
+_HEAD_END: typing.Final = b'\r\n\r\n'
+FaultsT = typing.TypeVar('FaultsT', bound='Faults')
+
+
+class Faults(msgspec.Struct, forbid_unknown_fields=True, kw_only=True):
+    """The switches that every stand-in has."""
+
+    down: bool = False
+    stall: bool = False
+    silent: bool = False
+    slow_s: float = 0.0
+    lose_answers: int = 0
+
+
+class Loss(enum.Enum):
+    """How a connection fails to answer."""
+
+    CLOSE = 'close'
+    SILENT = 'silent'
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One HTTP request; header names are in lower case."""
+
+    method: str
+    path: str
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclasses.dataclass(slots=True)
+class Answer:
+    """One HTTP answer; a cut answer ends in the middle of its body."""
+
+    body: bytes = b''
+    status: int = 200
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    cut: bool = False
+
+
+def json_answer(value: object, status: int = 200) -> Answer:
+    """Return an answer with a JSON body."""
+    return Answer(
+        msgspec.json.encode(value),
+        status,
+        {'content-type': 'application/json'},
+    )
+
+
+class Service(typing.Generic[FaultsT]):
+    """What a stand-in serves on one port."""
+
+    def __init__(self, faults: FaultsT) -> None:
+        self.faults = faults
+        self.connections: set[Connection] = set()
+        self.size_bytes = 0
+
+    async def answer(
+        self, connection: Connection, request: Request
+    ) -> Answer | Loss:
+        """Serve one request."""
+        raise NotImplementedError
+
+    def counts(self) -> object:
+        """Return what GET /standin/counts shows."""
+        raise NotImplementedError
+
+    def opened(self) -> None:
+        """Note a new connection that is not for control."""
+
+    async def control(self, request: Request) -> Answer:
+        """Serve a request to the stand-in itself, whatever the faults."""
+        if request.path == '/standin/counts':
+            return json_answer(self.counts())
+        if request.path == '/standin/faults':
+            if request.method == 'POST':
+                self.set_faults(msgspec.json.decode(request.body, type=dict))
+            return json_answer(self.faults)
+        return Answer(status=404)
+
+    def set_faults(self, changes: dict[str, object]) -> None:
+        """Change some switches and apply them to open connections."""
+        merged = msgspec.to_builtins(self.faults) | changes
+        self.faults = msgspec.convert(merged, type(self.faults))
+        for connection in tuple(self.connections):
+            if self.faults.down:
+                connection.close()
+            elif changes.get('silent'):
+                connection.silent = True
+        # Silence strikes the connections of one moment, not later ones.
+        self.faults.silent = False
+
+
+class Scripted(Service[Faults]):
+    """A service that gives one fixed answer."""
+
+    def __init__(self, answer: Answer) -> None:
+        super().__init__(Faults())
+        self._answer = answer
+
+    async def answer(
+        self, connection: Connection, request: Request
+    ) -> Answer | Loss:
+        """Give the answer."""
+        return self._answer
+
+    def counts(self) -> object:
+        """Return nothing."""
+        return {}
+
+
+class Connection(asyncio.Protocol):
+    """One keep-alive connection; its requests are served one at a time."""
+
+    def __init__(self, service: Service[typing.Any]) -> None:
+        self.silent = False
+        self._service = service
+        self._buffer = b''
+        self._busy = False
+        self._settled = False
+        self._task: asyncio.Task[None] | None = None
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Wait for the first bytes, which tell control from work."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        self._grace = asyncio.get_running_loop().call_later(
+            _GRACE_S, self._settle
+        )
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Forget the connection; a request that runs goes on."""
+        self._grace.cancel()
+        self._service.connections.discard(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of requests."""
+        self._buffer += data
+        if not self._settled:
+            self._settle()
+        if not self._busy and not self._transport.is_closing():
+            self._take()
+
+    def close(self) -> None:
+        """Close at once, without what is still to be sent."""
+        self._transport.abort()
+
+    def _settle(self) -> None:
+        self._grace.cancel()
+        self._settled = True
+        if self._buffer.startswith(_CONTROL_STARTS):
+            return
+        self._service.connections.add(self)
+        self._service.opened()
+        if self._service.faults.down:
+            self.close()
+
+    def _take(self) -> None:
+        head, found, rest = self._buffer.partition(_HEAD_END)
+        if not found:
+            return
+        request = _parse_head(head)
+        length = int(request.headers.get('content-length', '0'))
+        if 'transfer-encoding' in request.headers:
+            self._write(Answer(status=http.HTTPStatus.LENGTH_REQUIRED))
+            self._transport.close()
+            return
+        if len(rest) < length:
+            return
+        request.body, self._buffer = rest[:length], rest[length:]
+        self._busy = True
+        self._task = asyncio.get_running_loop().create_task(
+            self._serve(request)
+        )
+
+    async def _serve(self, request: Request) -> None:
+        if request.path.startswith(_CONTROL_PATH):
+            answer: Answer | Loss = await self._control(request)
+        elif self._service.faults.stall:
+            answer = Loss.SILENT
+        else:
+            answer = await self._work(request)
+        if answer is Loss.SILENT:
+            return
+        if self._transport.is_closing():
+            return
+        if answer is Loss.CLOSE:
+            self.close()
+            return
+        self._write(answer)
+        self._busy = False
+        if self._buffer:
+            self._take()
+
+    async def _work(self, request: Request) -> Answer | Loss:
+        self._service.size_bytes += len(request.body)
+        try:
+            return await self._service.answer(self, request)
+        except ValueError as error:
+            return Answer(str(error).encode(), http.HTTPStatus.BAD_REQUEST)
+
+    async def _control(self, request: Request) -> Answer:
+        try:
+            return await self._service.control(request)
+        except (msgspec.MsgspecError, TypeError) as error:
+            return Answer(str(error).encode(), http.HTTPStatus.BAD_REQUEST)
+
+    def _write(self, answer: Answer) -> None:
+        reason = http.HTTPStatus(answer.status).phrase
+        lines = [f'HTTP/1.1 {answer.status} {reason}']
+        lines += [f'{name}: {value}' for name, value in answer.headers.items()]
+        lines.append(f'content-length: {len(answer.body)}\r\n\r\n')
+        body = answer.body
+        if answer.cut:
+            body = body[: len(body) // 2]
+        self._service.size_bytes += len(body)
+        self._transport.write('\r\n'.join(lines).encode('latin-1') + body)
+        if answer.cut:
+            self._transport.close()
+
+
+def _parse_head(head: bytes) -> Request:
+    first, *lines = head.decode('latin-1').split('\r\n')
+    method, path, _version = first.split(' ')
+    headers = {}
+    for line in lines:
+        name, _colon, value = line.partition(':')
+        headers[name.lower()] = value.strip()
+    return Request(method, path, headers, b'')
+
+
+@dataclasses.dataclass(slots=True)
+class Listener:
+    """A stand-in that listens."""
+
+    service: Service[typing.Any]
+    host: str
+    port: int
+    _server: asyncio.Server
+
+    @property
+    def url(self) -> str:
+        """Return the base URL."""
+        return f'http://{self.host}:{self.port}'
+
+    def close(self) -> None:
+        """Refuse new connections and close the open ones."""
+        self._server.close()
+        for connection in tuple(self.service.connections):
+            connection.close()
+
+
+async def start(
+    service: Service[typing.Any], host: str = '127.0.0.1', port: int = 0
+) -> Listener:
+    """Listen on a port; zero takes a free one."""
+    server = await asyncio.get_running_loop().create_server(
+        lambda: Connection(service), host, port, backlog=_BACKLOG
+    )
+    return Listener(service, host, server.sockets[0].getsockname()[1], server)
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Add the flags that every stand-in has."""
+    parser.add_argument('--host', default='127.0.0.1')
+    parser.add_argument(
+        '--fault',
+        action='append',
+        default=[],
+        type=_parse_fault,
+        metavar='NAME=JSON',
+        help='a fault at start, such as slow_s=0.2 or down=true',
+    )
+
+
+def _parse_fault(text: str) -> tuple[str, object]:
+    name, _equals, value = text.partition('=')
+    return name, msgspec.json.decode(value)
+
+
+def run(
+    services: collections.abc.Mapping[int, Service[typing.Any]],
+    arguments: argparse.Namespace,
+) -> None:
+    """Serve each port until the process is told to stop."""
+    asyncio.run(_run(services, arguments))
+
+
+async def _run(
+    services: collections.abc.Mapping[int, Service[typing.Any]],
+    arguments: argparse.Namespace,
+) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    listeners = []
+    for port, service in services.items():
+        service.set_faults(dict(arguments.fault))
+        listeners.append(await start(service, arguments.host, port))
+    for listener in listeners:
+        print(f'listening {listener.host}:{listener.port}', flush=True)
+    await stopped.wait()
+    for listener in listeners:
+        listener.close()
