Remember idempotency keys in memory, with blind periods

Cause: a repeat of a non-idempotent request must get the first answer or join the run in flight. Ruled out: a flag alone for "started" (a request closed while it waited could still be written); ending the blind period at a planned release (keys lost before it would run twice); decoding keys leniently (one key in two spellings would run twice); NOT_OWNER for a shard that isn't open here (it promises not-run). Change: the home of a key's shard records a key before its request is placed, and forgets it only if the request did not run. A home without the memory refuses keys minted before its epoch, and foreign ones, as unknown until remember_s has passed. A planned release hands the records over.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of single parts."""
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_memory.py
@@ -0,0 +1,332 @@
+"""The at-most-once memory of keys (Liskov, Shrira, Wroclawski 1991)."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import model
+from walnutpoint_core import settings
+from walnutpoint_entry.keys import _blind
+from walnutpoint_entry.keys import _entry
+from walnutpoint_entry.keys import _finished
+from walnutpoint_entry.keys import _mint
+from walnutpoint_entry.keys import _record
+
+__all__ = (
+    'KeyCounts',
+    'KeyMemory',
+)
+
+WAITERS_MAX = 64
+_RETRY_S = 1.0
+_KIND = errors.ErrorKind
+_STATE = _record.KeyState
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeyCounts:
+    """How much a memory holds."""
+
+    keys: int
+    in_flight: int
+    answers_size_bytes: int
+
+
+class _Shard:
+    """The keys of one shard."""
+
+    __slots__ = ('blind', 'is_open', 'keys')
+
+    def __init__(self) -> None:
+        self.blind: _blind.BlindPeriod | None = None
+        self.is_open = False
+        self.keys: dict[str, _entry.Entry | _finished.Finished] = {}
+
+
+class KeyMemory:
+    """Remember the keys of the shards that this process is home of."""
+
+    __slots__ = ('_finished', '_in_flight', '_key_count', '_limits', '_shards')
+
+    def __init__(self, limits: settings.KeySettings) -> None:
+        # A key forgotten while it is still valid would run a second time.
+        valid_s = limits.valid_s * (1.0 + _mint.CLOCK_AHEAD_RATIO)
+        if limits.remember_s < valid_s:
+            raise ValueError(f'remember_s must be at least {valid_s:g}')
+        self._limits = limits
+        self._shards: dict[int, _Shard] = {}
+        self._finished = _finished.FinishedQueue(
+            limits.remember_s, limits.answers_size_bytes
+        )
+        self._key_count = 0
+        self._in_flight = 0
+
+    def counts(self) -> KeyCounts:
+        """Return how much the memory holds."""
+        return KeyCounts(
+            self._key_count,
+            self._in_flight,
+            self._finished.answers_size_bytes,
+        )
+
+    def is_open(self, shard: int) -> bool:
+        """Return whether this process is home of a shard."""
+        return shard in self._shards and self._shards[shard].is_open
+
+    def blind_rest(self, shard: int, now_s: float) -> _blind.BlindRest | None:
+        """Return what the next home must keep up of the blind period."""
+        held = self._shards.get(shard)
+        if held is None or held.blind is None:
+            return None
+        return held.blind.rest(now_s)
+
+    def open_shard(
+        self,
+        shard: int,
+        epoch: int,
+        now_s: float,
+        blind_until_s: float,
+        first_epoch: int | None = None,
+    ) -> expression.Result[None, errors.Failure]:
+        """Become home of a shard; its memory is whole since first_epoch.
+
+        After a planned release, pass on the former home's blind rest.
+        """
+        held = self._shards.setdefault(shard, _Shard())
+        if held.blind is not None and epoch < held.blind.epoch:
+            return expression.Error(
+                errors.Failure(
+                    _KIND.NOT_OWNER, f'epoch {epoch} of shard {shard} is over'
+                )
+            )
+        if held.blind is not None and epoch == held.blind.epoch:
+            # A home that only lost touch for a while is no less blind.
+            blind_until_s = max(blind_until_s, held.blind.until_s)
+            first_epoch = held.blind.first_epoch
+        if first_epoch is None:
+            first_epoch = epoch
+        held.blind = _blind.BlindPeriod(epoch, first_epoch, blind_until_s)
+        held.is_open = True
+        self.expire(now_s)
+        return expression.Ok(None)
+
+    def close_shard(
+        self, shard: int, now_s: float
+    ) -> tuple[_entry.Entry, ...]:
+        """Answer what has not started as unknown, and return it.
+
+        The keys stay for export; started entries finish as usual.
+        """
+        held = self._shards.get(shard)
+        if held is None:
+            return ()
+        held.is_open = False
+        waiting = tuple(
+            known
+            for known in held.keys.values()
+            if isinstance(known, _entry.Entry) and not known.started
+        )
+        lost = errors.Failure(_KIND.ANSWER_LOST, 'the home of the key moved')
+        for entry in waiting:
+            self.finish(entry, expression.Error(lost), now_s)
+        return waiting
+
+    def discard_shard(self, shard: int) -> None:
+        """Forget a closed shard once its next home has the records."""
+        held = self._shards.get(shard)
+        if held is None or held.is_open:
+            return
+        del self._shards[shard]
+        self._key_count -= len(held.keys)
+        self._finished.discard(shard)
+
+    def begin(
+        self,
+        shard: int,
+        key: _mint.MintedKey | _mint.ForeignKey,
+        fingerprint: bytes,
+        now_s: float,
+    ) -> expression.Result[_entry.Verdict, errors.Failure]:
+        """Decide whether a request may run, waits, or has its answer."""
+        self.expire(now_s)
+        held = self._shards.get(shard)
+        if held is None or held.blind is None or not held.is_open:
+            # Its repeat may run elsewhere, so not-run can't be promised.
+            return _error(_KIND.KEY_BLIND, 'not the home of the key', _RETRY_S)
+        known = held.keys.get(key.text)
+        if known is None:
+            return self._admit(
+                held, held.blind, shard, key, fingerprint, now_s
+            )
+        if known.fingerprint != fingerprint:
+            return _error(
+                _KIND.KEY_MISMATCH, 'the key came with another request'
+            )
+        if isinstance(known, _entry.Entry):
+            return _join(known)
+        return _replay(known)
+
+    def finish(
+        self,
+        entry: _entry.Entry,
+        result: expression.Result[model.Answer, errors.Failure],
+        now_s: float,
+    ) -> None:
+        """Give an entry its result, and remember it unless it did not run."""
+        if entry.result is not None:
+            return
+        entry.settle(result)
+        self._in_flight -= 1
+        held = self._shards.get(entry.shard)
+        if held is None:
+            return
+        if held.keys.get(entry.key) is entry:
+            del held.keys[entry.key]
+            self._key_count -= 1
+            if _entry.state_of(result) is not _STATE.NOT_RUN:
+                self._insert(held, entry.shard, entry.to_record(), now_s)
+        elif entry.key in held.keys:
+            # The shard was released and came back while the request ran.
+            self._import(held, entry.shard, entry.to_record(), now_s)
+
+    def expire(self, now_s: float) -> None:
+        """Forget a bounded number of keys whose time is over."""
+        for finished in self._finished.take_expired(now_s):
+            held = self._shards.get(finished.shard)
+            if held is not None and held.keys.get(finished.key) is finished:
+                del held.keys[finished.key]
+                self._key_count -= 1
+
+    def export_shard(
+        self, shard: int, now_s: float
+    ) -> collections.abc.Iterator[_record.KeyRecord]:
+        """Return the records of a shard for its next home."""
+        held = self._shards.get(shard)
+        known = () if held is None else tuple(held.keys.values())
+        return (_to_record(item, now_s) for item in known)
+
+    def import_records(
+        self,
+        shard: int,
+        records: collections.abc.Iterable[_record.KeyRecord],
+        now_s: float,
+    ) -> expression.Result[None, errors.Failure]:
+        """Take over records; after an error the shard must open blind."""
+        held = self._shards.setdefault(shard, _Shard())
+        for record in records:
+            is_new = record.key not in held.keys
+            if is_new and self._key_count >= self._limits.keys_max:
+                return _error(
+                    _KIND.KEY_MEMORY_FULL, 'no room for the keys of a shard'
+                )
+            self._import(held, shard, record, now_s)
+        return expression.Ok(None)
+
+    def _admit(
+        self,
+        held: _Shard,
+        blind: _blind.BlindPeriod,
+        shard: int,
+        key: _mint.MintedKey | _mint.ForeignKey,
+        fingerprint: bytes,
+        now_s: float,
+    ) -> expression.Result[_entry.Verdict, errors.Failure]:
+        key_epoch = key.epoch if isinstance(key, _mint.MintedKey) else None
+        refusal = blind.refusal(key_epoch, now_s)
+        if refusal is not None:
+            return expression.Error(refusal)
+        if self._key_count >= self._limits.keys_max:
+            return _error(_KIND.KEY_MEMORY_FULL, 'too many keys are held')
+        entry = _entry.Entry(key.text, shard, blind.epoch, fingerprint)
+        held.keys[key.text] = entry
+        self._key_count += 1
+        self._in_flight += 1
+        return expression.Ok(_entry.Fresh(entry))
+
+    def _import(
+        self,
+        held: _Shard,
+        shard: int,
+        record: _record.KeyRecord,
+        now_s: float,
+    ) -> None:
+        known = held.keys.get(record.key)
+        if known is None:
+            if record.state is not _STATE.NOT_RUN:
+                self._insert(held, shard, record, now_s)
+            return
+        if not _may_replace(known, record):
+            return
+        del held.keys[record.key]
+        self._key_count -= 1
+        if record.state is not _STATE.NOT_RUN:
+            self._insert(held, shard, record, now_s)
+
+    def _insert(
+        self,
+        held: _Shard,
+        shard: int,
+        record: _record.KeyRecord,
+        now_s: float,
+    ) -> None:
+        finished = _finished.Finished.from_record(shard, record, now_s)
+        held.keys[record.key] = finished
+        self._key_count += 1
+        self._finished.append(finished)
+
+
+# A late or doubled record could put a finished key back in flight, or free
+# a key that runs here for a second run. So only a key that was in flight at
+# the former home is replaced, and only that home's own run frees it.
+def _may_replace(
+    known: _entry.Entry | _finished.Finished, record: _record.KeyRecord
+) -> bool:
+    if isinstance(known, _entry.Entry) or known.state is not _STATE.IN_FLIGHT:
+        return False
+    if record.state is _STATE.NOT_RUN:
+        return record.epoch == known.epoch
+    return record.state is not _STATE.IN_FLIGHT
+
+
+def _to_record(
+    known: _entry.Entry | _finished.Finished, now_s: float
+) -> _record.KeyRecord:
+    if isinstance(known, _entry.Entry):
+        return known.to_record()
+    return known.to_record(now_s)
+
+
+def _join(
+    entry: _entry.Entry,
+) -> expression.Result[_entry.Verdict, errors.Failure]:
+    if entry.waiters >= WAITERS_MAX:
+        # The first request may run, so not-run would be untrue.
+        return _error(_KIND.KEY_BLIND, 'too many wait for this key', _RETRY_S)
+    entry.waiters += 1
+    return expression.Ok(_entry.Join(entry))
+
+
+def _replay(
+    finished: _finished.Finished,
+) -> expression.Result[_entry.Verdict, errors.Failure]:
+    if finished.state is _STATE.IN_FLIGHT:
+        return _error(
+            _KIND.ANSWER_LOST, 'in flight at the former home', _RETRY_S
+        )
+    if finished.state is _STATE.FORGOTTEN:
+        return _error(_KIND.ANSWER_FORGOTTEN, 'it ran; its answer is gone')
+    failure = finished.failure()
+    if failure is not None:
+        return expression.Ok(_entry.Replay(expression.Error(failure)))
+    return expression.Ok(_entry.Replay(expression.Ok(finished.answer())))
+
+
+def _error(
+    kind: errors.ErrorKind, detail: str, retry_after_s: float | None = None
+) -> expression.Result[typing.Any, errors.Failure]:
+    return expression.Error(errors.Failure(kind, detail, retry_after_s))
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_mint.py
@@ -0,0 +1,158 @@
+"""Minted idempotency keys, authenticated by a keyed hash (RFC 2104)."""
+
+from __future__ import annotations
+
+import base64
+import dataclasses
+import hashlib
+import hmac
+import secrets
+
+import expression
+import msgspec
+
+from walnutpoint_core import errors
+
+__all__ = (
+    'CLOCK_AHEAD_RATIO',
+    'ForeignKey',
+    'KeyMint',
+    'MintedKey',
+)
+
+CLOCK_AHEAD_RATIO = 0.1
+_PREFIX = 'wp1.'
+_FOREIGN_LENGTH_MAX = 256
+_NONCE_SIZE_BYTES = 12
+_TAG_SIZE_BYTES = 16
+_HASH_SIZE_BYTES = 8
+
+
+class _Payload(msgspec.Struct, frozen=True, array_like=True):
+    shard: int
+    epoch: int
+    minted_wall_s: float
+    nonce: bytes
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MintedKey:
+    """A key that this cluster minted under one epoch of its shard."""
+
+    text: str
+    shard: int
+    epoch: int
+    minted_wall_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ForeignKey:
+    """A key that a caller made itself."""
+
+    text: str
+    shard: int
+
+
+class KeyMint:
+    """Mint keys, and read the keys that callers send."""
+
+    __slots__ = ('_secret', '_shards', '_valid_s')
+
+    def __init__(self, secret: str, shards: int, valid_s: float) -> None:
+        self._secret = secret.encode()
+        self._shards = shards
+        self._valid_s = valid_s
+
+    def mint(self, shard: int, epoch: int, wall_now_s: float) -> str:
+        """Return a new key of a shard under its present epoch."""
+        if not 0 <= shard < self._shards:
+            raise ValueError(f'shard {shard} is not one of {self._shards}')
+        nonce = secrets.token_bytes(_NONCE_SIZE_BYTES)
+        payload = msgspec.msgpack.encode(
+            _Payload(shard, epoch, float(wall_now_s), nonce)
+        )
+        return _PREFIX + _to_text(payload + self._tag(payload))
+
+    def read(
+        self, key: str, wall_now_s: float
+    ) -> expression.Result[MintedKey | ForeignKey, errors.Failure]:
+        """Check a caller's key."""
+        if not 1 <= len(key) <= _FOREIGN_LENGTH_MAX or not key.isprintable():
+            return _error(
+                errors.ErrorKind.BAD_REQUEST,
+                f'a key is 1 to {_FOREIGN_LENGTH_MAX} printable characters',
+            )
+        if not key.startswith(_PREFIX):
+            return expression.Ok(ForeignKey(key, self._hash_shard(key)))
+        payload = self._verify(key)
+        if payload is None:
+            return _error(
+                errors.ErrorKind.KEY_FORGED, 'the key was not minted here'
+            )
+        return self._check_age(key, payload, wall_now_s)
+
+    def shard_of(self, key: str) -> int:
+        """Return the shard whose home remembers a key."""
+        if key.startswith(_PREFIX):
+            payload = self._verify(key)
+            if payload is not None and payload.shard < self._shards:
+                return payload.shard
+        return self._hash_shard(key)
+
+    def _check_age(
+        self, key: str, payload: _Payload, wall_now_s: float
+    ) -> expression.Result[MintedKey | ForeignKey, errors.Failure]:
+        age_s = wall_now_s - payload.minted_wall_s
+        # A key outlives the memory of its answer, and a repeat runs twice,
+        # when the reader's clock is behind the minter's by more than
+        # remember_s - valid_s. A key from the future shows such a clock; a
+        # key first sent late does not, so hosts' clocks must agree that far.
+        if not -CLOCK_AHEAD_RATIO * self._valid_s <= age_s <= self._valid_s:
+            return _error(
+                errors.ErrorKind.KEY_EXPIRED,
+                f'a key is valid for {self._valid_s:g} s',
+            )
+        if payload.shard >= self._shards:
+            return _error(
+                errors.ErrorKind.KEY_EXPIRED, 'the key is of a former layout'
+            )
+        return expression.Ok(
+            MintedKey(key, payload.shard, payload.epoch, payload.minted_wall_s)
+        )
+
+    def _verify(self, key: str) -> _Payload | None:
+        text = key.removeprefix(_PREFIX)
+        try:
+            data = base64.urlsafe_b64decode(text + '=' * (-len(text) % 4))
+        except ValueError:
+            return None
+        payload, tag = data[:-_TAG_SIZE_BYTES], data[-_TAG_SIZE_BYTES:]
+        if not hmac.compare_digest(tag, self._tag(payload)):
+            return None
+        # The decoder skips stray characters and unused bits: two texts of
+        # one key would be remembered as two keys, and both would run. Only
+        # the text that the mint made is taken.
+        if _to_text(data) != text:
+            return None
+        return msgspec.msgpack.decode(payload, type=_Payload)
+
+    def _tag(self, payload: bytes) -> bytes:
+        message = _PREFIX.encode() + payload
+        tag = hmac.digest(self._secret, message, hashlib.sha256)
+        return tag[:_TAG_SIZE_BYTES]
+
+    def _hash_shard(self, key: str) -> int:
+        digest = hashlib.blake2b(
+            key.encode(errors='surrogatepass'), digest_size=_HASH_SIZE_BYTES
+        ).digest()
+        return int.from_bytes(digest) % self._shards
+
+
+def _to_text(data: bytes) -> str:
+    return base64.urlsafe_b64encode(data).decode().rstrip('=')
+
+
+def _error(
+    kind: errors.ErrorKind, detail: str
+) -> expression.Result[MintedKey | ForeignKey, errors.Failure]:
+    return expression.Error(errors.Failure(kind, detail))
--- /dev/null
+++ b/tests/walnutpoint_entry/keys/test_memory.py
@@ -0,0 +1,247 @@
+"""Tests of the memory of keys."""
+
+from __future__ import annotations
+
+import unittest
+
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import model
+from walnutpoint_core import settings
+from walnutpoint_entry import keys
+
+_KIND = errors.ErrorKind
+_ANSWER = model.Answer(
+    200, (model.Header('a', 'b'),), b'x' * 200, '127.0.0.1:1', 'one', 0.5
+)
+_DONE = expression.Ok(_ANSWER)
+_NOT_RUN = expression.Error(errors.Failure(_KIND.QUEUE_FULL, 'full'))
+_LATE = expression.Error(errors.Failure(_KIND.ANSWER_LATE, 'late'))
+
+
+def _key(text: str = 'k', epoch: int = 1) -> keys.MintedKey:
+    return keys.MintedKey(text, 0, epoch, 0.0)
+
+
+def _memory(**limits: int) -> keys.KeyMemory:
+    memory = keys.KeyMemory(
+        settings.KeySettings(valid_s=10.0, remember_s=20.0, **limits)
+    )
+    memory.open_shard(0, 1, 0.0, 0.0)
+    return memory
+
+
+def _begin(
+    memory: keys.KeyMemory,
+    key: keys.MintedKey | keys.ForeignKey | None = None,
+    now_s: float = 0.0,
+) -> keys.Verdict | errors.Failure:
+    result = memory.begin(0, key or _key(), b'print', now_s)
+    return result.ok if result.is_ok() else result.error
+
+
+def _run(
+    memory: keys.KeyMemory, result: expression.Result, text: str = 'k'
+) -> keys.Entry:
+    entry = _begin(memory, _key(text)).entry
+    entry.start()
+    memory.finish(entry, result, 0.0)
+    return entry
+
+
+def _hand_over(old: keys.KeyMemory, new: keys.KeyMemory) -> None:
+    old.close_shard(0, 1.0)
+    for batch in keys.encode_records(old.export_shard(0, 1.0)):
+        records = keys.decode_records(batch).ok
+        new.import_records(0, records, 1.0)
+    new.open_shard(0, 2, 1.0, 0.0)
+
+
+class MemoryTest(unittest.IsolatedAsyncioTestCase):
+    def _assert_kind(self, got: object, kind: errors.ErrorKind) -> None:
+        self.assertIsInstance(got, errors.Failure)
+        self.assertEqual(got.kind, kind)
+
+    async def test_repeat_joins_the_request_in_flight(self) -> None:
+        memory = _memory()
+        first, second = _begin(memory), _begin(memory)
+        self.assertIsInstance(first, keys.Fresh)
+        self.assertIsInstance(second, keys.Join)
+        self.assertIs(first.entry, second.entry)
+        event = second.entry.finished
+        memory.finish(first.entry, _DONE, 0.0)
+        await event.wait()
+        self.assertEqual(second.entry.result, _DONE)
+        self.assertEqual(_begin(memory), keys.Replay(_DONE))
+
+    def test_waiters_are_bounded_and_never_told_not_run(self) -> None:
+        memory = _memory()
+        _begin(memory)
+        joined = [_begin(memory) for _ in range(64)]
+        self.assertEqual(_begin(memory).outcome, errors.Outcome.UNKNOWN)
+        joined[0].entry.leave()
+        self.assertIsInstance(_begin(memory), keys.Join)
+
+    def test_request_that_did_not_run_may_be_repeated(self) -> None:
+        memory = _memory()
+        entry = _run(memory, _NOT_RUN)
+        self.assertEqual(entry.result, _NOT_RUN)
+        self.assertTrue(entry.finished.is_set())
+        self.assertIsInstance(_begin(memory), keys.Fresh)
+
+    def test_unknown_outcome_is_never_run_again(self) -> None:
+        # An endpoint got the request and its answer didn't come in time.
+        # The caller repeats; whether the first ran can't be known, so the
+        # repeat gets the same unknown failure.
+        memory = _memory()
+        _run(memory, _LATE)
+        self.assertEqual(_begin(memory), keys.Replay(_LATE))
+
+    def test_other_request_under_the_key_is_refused(self) -> None:
+        memory = _memory()
+        _begin(memory)
+        failure = memory.begin(0, _key(), b'other', 0.0).error
+        self.assertEqual(failure.kind, _KIND.KEY_MISMATCH)
+
+    def test_keys_are_forgotten_in_time(self) -> None:
+        memory = _memory()
+        _run(memory, _DONE)
+        self.assertIsInstance(_begin(memory, now_s=19.9), keys.Replay)
+        self.assertIsInstance(_begin(memory, now_s=20.0), keys.Fresh)
+        self.assertEqual(memory.counts(), keys.KeyCounts(1, 1, 0))
+
+    def test_full_memory_refuses_new_keys_only(self) -> None:
+        memory = _memory(keys_max=1)
+        _run(memory, _DONE)
+        self._assert_kind(_begin(memory, _key('l')), _KIND.KEY_MEMORY_FULL)
+        self.assertIsInstance(_begin(memory), keys.Replay)
+
+    def test_oldest_answers_go_first_and_their_keys_stay(self) -> None:
+        memory = _memory(answers_size_bytes=1024)
+        for number in range(10):
+            _run(memory, _DONE, str(number))
+        counts = memory.counts()
+        self.assertLessEqual(counts.answers_size_bytes, 1024)
+        self.assertEqual(counts.keys, 10)
+        self._assert_kind(_begin(memory, _key('0')), _KIND.ANSWER_FORGOTTEN)
+        self.assertIsInstance(_begin(memory, _key('9')), keys.Replay)
+
+    def test_closing_stops_what_has_not_started(self) -> None:
+        # The home loses its shard while one request waits for a slot and
+        # another runs. The waiting one is answered unknown, and must not be
+        # written to an endpoint afterwards: the next home may run its key.
+        memory = _memory()
+        waiting = _begin(memory, _key('w')).entry
+        running = _begin(memory, _key('r')).entry
+        running.start()
+        self.assertEqual(memory.close_shard(0, 1.0), (waiting,))
+        self.assertTrue(waiting.start().is_error())
+        self.assertFalse(waiting.started)
+        self.assertEqual(waiting.result.error.outcome, errors.Outcome.UNKNOWN)
+        self.assertIsNone(running.result)
+        self._assert_kind(_begin(memory), _KIND.KEY_BLIND)
+
+    def test_blind_home_runs_its_own_keys_only(self) -> None:
+        # A home takes over without the memory; see test_blind. Losing touch
+        # and coming back under the same epoch must not end the period.
+        memory = _memory()
+        memory.open_shard(0, 3, 0.0, 20.0)
+        memory.close_shard(0, 1.0)
+        memory.open_shard(0, 3, 1.0, 0.0)
+        for key in (_key('o', 2), keys.ForeignKey('f', 0)):
+            self._assert_kind(_begin(memory, key, 19.0), _KIND.KEY_BLIND)
+        self.assertIsInstance(_begin(memory, _key('n', 3)), keys.Fresh)
+        self.assertEqual(memory.blind_rest(0, 5.0), keys.BlindRest(15.0, 3))
+        self.assertTrue(memory.open_shard(0, 2, 5.0, 0.0).is_error())
+
+    def test_hand_over_carries_the_memory(self) -> None:
+        old, new = _memory(), _memory()
+        _run(old, _DONE, 'done')
+        _run(old, _LATE, 'late')
+        _hand_over(old, new)
+        self.assertEqual(_begin(new, _key('done')), keys.Replay(_DONE))
+        self.assertEqual(_begin(new, _key('late')), keys.Replay(_LATE))
+        self.assertIsInstance(_begin(new, _key('done'), 20.0), keys.Fresh)
+        old.discard_shard(0)
+        self.assertEqual(old.counts(), keys.KeyCounts(0, 0, 0))
+
+    def test_running_request_finishes_at_the_former_home(self) -> None:
+        # A shard is handed over while a request runs. A repeat at the new
+        # home must neither run nor be promised not-run, until the old home
+        # sends the result; late copies of records must change nothing.
+        for result, verdict in ((_DONE, keys.Replay), (_NOT_RUN, keys.Fresh)):
+            old, new = _memory(), _memory()
+            entry = _begin(old).entry
+            entry.start()
+            _hand_over(old, new)
+            running = entry.to_record()
+            self._assert_kind(_begin(new), _KIND.ANSWER_LOST)
+            old.finish(entry, result, 2.0)
+            new.import_records(0, (entry.to_record(),), 2.0)
+            self.assertIsInstance(_begin(new), verdict)
+            late = (running, entry.to_record())
+            new.import_records(0, late, 3.0)
+            self.assertNotIsInstance(_begin(new), errors.Failure)
+            self.assertEqual(new.counts().keys, 1)
+
+    def test_former_run_does_not_free_a_later_one(self) -> None:
+        # The first home's run did not run; the second home ran the key and
+        # handed it on in flight. A late copy of the first record reaches
+        # the third home, and must not let a repeat run there.
+        memory = _memory()
+        for epoch, state in ((2, 'IN_FLIGHT'), (1, 'NOT_RUN')):
+            record = keys.KeyRecord('k', epoch, b'print', keys.KeyState[state])
+            memory.import_records(0, (record,), 1.0)
+        self._assert_kind(_begin(memory), _KIND.ANSWER_LOST)
+
+    def test_fingerprint_keeps_parts_apart(self) -> None:
+        prints = {
+            keys.fingerprint(
+                model.Request(
+                    *('1', 'team', model.WorkClass.URGENT, method, path),
+                    *((), b'', 0.0, 1.0, False),
+                )
+            )
+            for method, path in (('GET', '/a'), ('GET/', 'a'))
+        }
+        self.assertEqual(len(prints), 2)
+
+    def test_result_finds_a_shard_that_came_back(self) -> None:
+        memory, other = _memory(), _memory()
+        entry = _begin(memory).entry
+        entry.start()
+        _hand_over(memory, other)
+        memory.discard_shard(0)
+        _hand_over(other, memory)
+        self._assert_kind(_begin(memory), _KIND.ANSWER_LOST)
+        memory.finish(entry, _DONE, 2.0)
+        self.assertEqual(_begin(memory), keys.Replay(_DONE))
+        self.assertEqual(memory.counts().in_flight, 0)
+
+    def test_import_beyond_the_bound_is_an_error(self) -> None:
+        old, new = _memory(), _memory(keys_max=1)
+        for text in 'ab':
+            _run(old, _DONE, text)
+        got = new.import_records(0, old.export_shard(0, 1.0), 1.0)
+        self.assertEqual(got.error.kind, _KIND.KEY_MEMORY_FULL)
+
+    def test_batches_are_bounded(self) -> None:
+        memory = _memory()
+        for text in 'abcde':
+            _run(memory, _DONE, text)
+        for size_bytes, state in (
+            (900, keys.KeyState.ANSWERED),
+            (200, keys.KeyState.FORGOTTEN),
+        ):
+            records = memory.export_shard(0, 1.0)
+            batches = list(keys.encode_records(records, size_bytes))
+            self.assertLessEqual(max(map(len, batches)), size_bytes)
+            got = [r for b in batches for r in keys.decode_records(b).ok]
+            self.assertEqual([r.key for r in got], list('abcde'))
+            self.assertEqual({r.state for r in got}, {state})
+        self.assertTrue(keys.decode_records(b'\x91\x80').is_error())
+
+    def test_memory_shorter_than_the_keys_is_refused(self) -> None:
+        with self.assertRaises(ValueError):
+            keys.KeyMemory(settings.KeySettings(valid_s=10, remember_s=10.5))
