Add connections to endpoints and the ledger of slots in doubt

Cause: the first byte of a request must be guarded by ownership, and what is known of a request after a failure must be exact. Ruled out: httpx, httpcore and anyio's SocketStream.send, which yield between a check and the write; uvloop, whose transports may write later. Change: h11 directly over asyncio transports, guard and write with no await between them. One task for each connection; a call takes the newest idle one or opens a new one and never waits behind another. A connection closed unseen, idle for long (for non-idempotent calls), late, cut or cancelled is not reused. Given-up requests are reset, since a plain close would have the kernel deliver them after a usage report that settled their slot. Not tested: the wait for closing sockets at the limit of connections, eviction at it, expiry of idle connections, the connect timeout, and the kernel's timeouts on silent connections.

--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/__init__.py
@@ -0,0 +1,22 @@
+"""HTTP/1.1 connections to endpoints, and what is known of their slots."""
+
+from __future__ import annotations
+
+from walnutpoint_entry.endpoints import _call
+from walnutpoint_entry.endpoints import _client
+from walnutpoint_entry.endpoints import _doubt
+from walnutpoint_entry.endpoints import _usage
+
+__all__ = (
+    'DoubtLedger',
+    'EndpointCall',
+    'EndpointClient',
+    'EndpointReply',
+    'UsageReport',
+)
+
+DoubtLedger = _doubt.DoubtLedger
+EndpointCall = _call.EndpointCall
+EndpointClient = _client.EndpointClient
+EndpointReply = _call.EndpointReply
+UsageReport = _usage.UsageReport
