--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/placement/_outlier.py
@@ -0,0 +1,171 @@
+"""Detection of endpoints that fail what they are given."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+__all__ = ('OutlierDetector',)
+
+_WINDOW_S: typing.Final = 1.0
+_WINDOW_FAILURES_FACTOR: typing.Final = 2
+_EJECTED_SHARE: typing.Final = 3
+_RECOVERED_AFTER: typing.Final = 10
+_DOUBLINGS_MAX: typing.Final = 32
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Health:
+    """What was observed of one endpoint."""
+
+    failures_in_row: int = 0
+    successes_in_row: int = 0
+    window_start_s: float = 0.0
+    window_failures: int = 0
+    window_results: int = 0
+    doublings: int = 0
+
+    def record(self, ok: bool, now_s: float) -> None:
+        if now_s - self.window_start_s > _WINDOW_S:
+            self.window_start_s = now_s
+            self.window_failures = self.window_results = 0
+        self.window_results += 1
+        if ok:
+            self.failures_in_row = 0
+            self.successes_in_row += 1
+        else:
+            self.window_failures += 1
+            self.failures_in_row += 1
+            self.successes_in_row = 0
+        if self.successes_in_row >= _RECOVERED_AFTER:
+            self.doublings = 0
+
+    def clear(self) -> None:
+        self.failures_in_row = self.successes_in_row = 0
+        self.window_failures = self.window_results = 0
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Ejection:
+    """The time out of one endpoint."""
+
+    until_s: float
+    probing: bool = False
+
+
+class OutlierDetector:
+    """Eject endpoints that fail, a third at most, and probe them later."""
+
+    __slots__ = (
+        '_eject_after',
+        '_eject_max_s',
+        '_eject_s',
+        '_ejections',
+        '_healths',
+    )
+
+    def __init__(
+        self, eject_after_failures: int, eject_s: float, eject_max_s: float
+    ) -> None:
+        """Create a detector that watches no endpoint."""
+        self._eject_after = eject_after_failures
+        self._eject_s = eject_s
+        self._eject_max_s = eject_max_s
+        self._healths: dict[str, _Health] = {}
+        self._ejections: dict[str, _Ejection] = {}
+
+    def watch(self, endpoint: str) -> None:
+        """Count an endpoint among those that can be ejected."""
+        self._healths.setdefault(endpoint, _Health())
+
+    def forget(self, endpoint: str) -> None:
+        """Drop an endpoint; this may reinstate others."""
+        self._healths.pop(endpoint, None)
+        self._ejections.pop(endpoint, None)
+        # When the sound ones leave, the ejected would be all that is left
+        # and nothing would be served: keep the bound as the number falls.
+        while len(self._ejections) * _EJECTED_SHARE > len(self._healths):
+            self._reinstate(
+                min(
+                    self._ejections,
+                    key=lambda name: self._ejections[name].until_s,
+                )
+            )
+
+    def observe(self, endpoint: str, ok: bool, now_s: float) -> None:
+        """Learn the result of one request or probe."""
+        health = self._healths.get(endpoint)
+        if health is None:
+            return
+        ejection = self._ejections.get(endpoint)
+        if ejection is not None:
+            self._observe_ejected(endpoint, ejection, ok, now_s)
+            return
+        health.record(ok, now_s)
+        if not ok and self._is_outlier(health) and self._has_room():
+            self._eject(endpoint, health, now_s)
+
+    def begin_probe(self, endpoint: str, now_s: float) -> None:
+        """Take the next result of an ejected endpoint for its probe's."""
+        ejection = self._ejections.get(endpoint)
+        if ejection is None:
+            return
+        ejection.probing = True
+        # A probe whose result never comes must not be the last one.
+        ejection.until_s = now_s + self._time_out_s(self._healths[endpoint])
+
+    def due_probes(self, now_s: float) -> tuple[str, ...]:
+        """Return the ejected endpoints that may get one probe now."""
+        return tuple(
+            endpoint
+            for endpoint, ejection in self._ejections.items()
+            if ejection.until_s <= now_s
+        )
+
+    def ejected(self) -> frozenset[str]:
+        """Return the endpoints that should get no new work."""
+        return frozenset(self._ejections)
+
+    def is_ejected(self, endpoint: str) -> bool:
+        """Return whether one endpoint should get no new work."""
+        return endpoint in self._ejections
+
+    def _observe_ejected(
+        self, endpoint: str, ejection: _Ejection, ok: bool, now_s: float
+    ) -> None:
+        # Results of requests from before the ejection still arrive; taken
+        # for a probe's they would lengthen it or end it at once.
+        if not ejection.probing:
+            return
+        if ok:
+            self._reinstate(endpoint)
+            return
+        self._eject(endpoint, self._healths[endpoint], now_s)
+
+    def _is_outlier(self, health: _Health) -> bool:
+        if health.failures_in_row >= self._eject_after:
+            return True
+        # Fast failures free their slots at once and so draw most of the
+        # requests; a rare success between them must not hide that.
+        enough = _WINDOW_FAILURES_FACTOR * self._eject_after
+        return (
+            health.window_failures >= enough
+            and 2 * health.window_failures > health.window_results
+        )
+
+    def _has_room(self) -> bool:
+        wanted = len(self._ejections) + 1
+        return wanted * _EJECTED_SHARE <= len(self._healths)
+
+    def _eject(self, endpoint: str, health: _Health, now_s: float) -> None:
+        time_out_s = self._time_out_s(health)
+        self._ejections[endpoint] = _Ejection(now_s + time_out_s)
+        health.doublings = min(health.doublings + 1, _DOUBLINGS_MAX)
+        health.clear()
+
+    def _reinstate(self, endpoint: str) -> None:
+        del self._ejections[endpoint]
+        self._healths[endpoint].clear()
+
+    def _time_out_s(self, health: _Health) -> float:
+        return min(self._eject_s * 2**health.doublings, self._eject_max_s)
