--- a/packages/walnutpoint-core/src/walnutpoint_core/logs.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/logs.py
@@ -13,9 +13,13 @@
     'get_logger',
 )
 
+_QUIET_LIBRARIES: typing.Final = ('httpcore', 'httpx', 'hypercorn')
+
 
 def configure(level: str) -> None:
     """Write every event at or above a level to standard error."""
+    for library in _QUIET_LIBRARIES:
+        logging.getLogger(library).setLevel(logging.WARNING)
     minimum = logging.getLevelNamesMapping()[level.upper()]
     structlog.configure(
         processors=[
@@ -35,4 +39,4 @@
 
 def get_logger(name: str) -> typing.Any:
     """Return the logger of one module."""
-    return structlog.get_logger(logger=name)
+    return structlog.get_logger(part=name)
--- a/packages/walnutpoint-core/src/walnutpoint_core/timer.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/timer.py
@@ -9,11 +9,39 @@
 import anyio
 
 __all__ = (
+    'Subscription',
     'SystemTimer',
     'Timer',
 )
 
 
+class Subscription:
+    """Periodic wake-ups of one subscriber."""
+
+    __slots__ = ('_period_s', '_timer', '_woken')
+
+    def __init__(
+        self,
+        timer: Timer,
+        period_s: collections.abc.Callable[[], float],
+    ) -> None:
+        self._timer = timer
+        self._period_s = period_s
+        self._woken = anyio.Event()
+
+    def wake(self) -> None:
+        """Yield the next time at once."""
+        self._woken.set()
+
+    async def __aiter__(self) -> collections.abc.AsyncIterator[float]:
+        """Yield the time once per period; the period is asked each time."""
+        while True:
+            yield self._timer.now_s()
+            with anyio.move_on_after(self._period_s()):
+                await self._woken.wait()
+            self._woken = anyio.Event()
+
+
 class Timer(typing.Protocol):
     """A clock that counts suspended time, and wake-ups from it."""
 
@@ -25,8 +53,8 @@
 
     def subscribe(
         self, period_s: collections.abc.Callable[[], float]
-    ) -> collections.abc.AsyncIterator[float]:
-        """Yield the time once per period; the period is asked each time."""
+    ) -> Subscription:
+        """Return periodic wake-ups."""
 
 
 class SystemTimer:
@@ -44,10 +72,8 @@
         """Return after the duration has passed."""
         await anyio.sleep(duration_s)
 
-    async def subscribe(
+    def subscribe(
         self, period_s: collections.abc.Callable[[], float]
-    ) -> collections.abc.AsyncIterator[float]:
-        """Yield the time once per period; the period is asked each time."""
-        while True:
-            yield self.now_s()
-            await anyio.sleep(period_s())
+    ) -> Subscription:
+        """Return periodic wake-ups."""
+        return Subscription(self, period_s)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/__init__.py
@@ -0,0 +1,7 @@
+"""The entry process as a whole."""
+
+from __future__ import annotations
+
+from walnutpoint_entry.daemon._daemon import serve
+
+__all__ = ('serve',)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_assets.py
@@ -0,0 +1,59 @@
+"""The parts that use endpoints and shards while they are owned here."""
+
+from __future__ import annotations
+
+import collections.abc
+
+from walnutpoint_entry import ownership
+from walnutpoint_entry import peers
+from walnutpoint_entry import routing
+
+__all__ = ('Assets',)
+
+
+class Assets:
+    """Pass changes of ownership to the fleet or to the shards."""
+
+    __slots__ = ('_fleet', '_links', '_shards')
+
+    def __init__(
+        self,
+        fleet: routing.Fleet,
+        shards: routing.Shards,
+        links: peers.Links,
+    ) -> None:
+        self._links = links
+        self._fleet = fleet
+        self._shards = shards
+
+    def follow(
+        self, members: collections.abc.Iterable[ownership.Member]
+    ) -> None:
+        """Follow the other members of a newer table."""
+        self._links.follow(members)
+
+    def gain(self, gain: ownership.Gain) -> None:
+        """Start to use an asset."""
+        self._part(gain.asset).gain(gain)
+
+    def lose(self, loss: ownership.Loss) -> None:
+        """Stop to start anything on an asset."""
+        self._part(loss.asset).lose(loss)
+
+    def lower_in_use(self, asset: str, in_use: int) -> None:
+        """Take the old owner's word on the slots that it still uses."""
+        self._part(asset).lower_in_use(asset, in_use)
+
+    def in_use(self, asset: str) -> int:
+        """Return the slots of an asset that this process still uses."""
+        return self._part(asset).in_use(asset)
+
+    async def hand_over(
+        self, asset: str, epoch: int, successor: ownership.Member
+    ) -> None:
+        """Send what the next owner needs before it takes the asset."""
+        if ownership.is_shard(asset):
+            await self._shards.hand_over(asset, epoch, successor)
+
+    def _part(self, asset: str) -> routing.Fleet | routing.Shards:
+        return self._shards if ownership.is_shard(asset) else self._fleet
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_parts.py
@@ -0,0 +1,154 @@
+"""The parts of one entry process, made and connected."""
+
+from __future__ import annotations
+
+import secrets
+
+import anyio.abc
+
+from walnutpoint_core import hosts
+from walnutpoint_core import settings as settings_module
+from walnutpoint_core import store
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.daemon import _assets
+from walnutpoint_entry.daemon import _peer_handler
+from walnutpoint_entry.daemon import _progress
+from walnutpoint_entry import endpoints
+from walnutpoint_entry import keys
+from walnutpoint_entry import ownership
+from walnutpoint_entry import peers
+from walnutpoint_entry import placement
+from walnutpoint_entry import routing
+
+__all__ = ('Parts',)
+
+_INCARNATION_BITS = 62
+
+
+class Parts:
+    """Every part of one process; read by the daemon and its surfaces."""
+
+    def __init__(
+        self,
+        settings: settings_module.Settings,
+        timer: timers.Timer,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        self.settings = settings
+        self.timer = timer
+        self.member = _member(settings.addresses)
+        self.progress = _progress.Progress()
+        self._make_platform()
+        self._make_peers()
+        self._make_routing()
+        self._connect(tasks)
+
+    def _make_platform(self) -> None:
+        platform = self.settings.platform
+        self.store = store.EtcdStore(
+            platform.store_urls, platform.store_timeout_s
+        )
+        self.host_list = hosts.HttpHostList(
+            platform.host_list_url, platform.host_list_timeout_s
+        )
+        self.client = endpoints.EndpointClient(
+            self.timer,
+            self.settings.placement,
+            self.settings.limits.answer_size_bytes,
+        )
+
+    def _make_peers(self) -> None:
+        settings = self.settings
+        self.activity = ownership.Activity(
+            self.timer, settings.ownership.rest_after_s
+        )
+        self.hints = routing.Hints()
+        self.peer_part = _peer_handler.PeerPart(
+            self.activity, self.hints, self.progress
+        )
+        self.links = peers.Links(
+            self.member,
+            self.timer,
+            settings.ownership,
+            settings.limits.body_size_bytes,
+            settings.security.peer_token,
+            self.activity,
+            self.peer_part,
+        )
+
+    def _make_routing(self) -> None:
+        settings = self.settings
+        self.estimate = placement.WaitEstimate()
+        self.waiting = routing.WaitingRoom(
+            self.timer, settings.placement, self.estimate
+        )
+        self.journal = routing.Journal()
+        self.fleet = routing.Fleet(
+            self.timer,
+            settings.placement,
+            settings.ownership.fence_s,
+            self.client,
+            self._on_free,
+        )
+        self.memory = keys.KeyMemory(settings.keys)
+        self.shards = routing.Shards(
+            self.timer, settings.keys, self.memory, self.links
+        )
+
+    def _connect(self, tasks: anyio.abc.TaskGroup) -> None:
+        settings = self.settings
+        shards = settings.ownership.key_shards
+        self.ownership = ownership.OwnershipService(
+            self.member,
+            settings.ownership,
+            self.timer,
+            ownership.Control(self.store, settings.platform.store_prefix),
+            self.activity,
+            _assets.Assets(self.fleet, self.shards, self.links),
+            self.links,
+            tasks,
+        )
+        self.dispatcher = routing.Dispatcher(
+            self.timer,
+            settings.placement,
+            self.ownership,
+            self.fleet,
+            self.client,
+            self.links,
+            self.hints,
+            self.journal,
+            self.estimate,
+            self.waiting,
+        )
+        self.router = routing.Router(
+            self.timer,
+            self.ownership,
+            self.dispatcher,
+            self.links,
+            keys.KeyMint(
+                settings.security.key_secret, shards, settings.keys.valid_s
+            ),
+            self.memory,
+            self.shards,
+            ownership.shard_names(shards),
+        )
+        self.peer_part.connect(
+            self.ownership, self.dispatcher, self.router, self.shards
+        )
+
+    def _on_free(self) -> None:
+        self.dispatcher.drain()
+        if self.dispatcher.free_slots and not self.dispatcher.backlog:
+            self.links.nudge(self.hints.backlogged())
+
+
+def _member(
+    addresses: settings_module.AddressSettings,
+) -> ownership.Member:
+    return ownership.Member(
+        address=addresses.peer_address,
+        incarnation=secrets.randbits(_INCARNATION_BITS),
+        name=addresses.name,
+        domain=addresses.domain,
+        region=addresses.region,
+    )
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/__init__.py
@@ -0,0 +1,37 @@
+"""Which process owns each endpoint and key shard."""
+
+from __future__ import annotations
+
+from walnutpoint_entry.ownership._activity import Activity
+from walnutpoint_entry.ownership._assets import AssetListener
+from walnutpoint_entry.ownership._control import Control
+from walnutpoint_entry.ownership._peers import PeerState
+from walnutpoint_entry.ownership._peers import ReleasedAsset
+from walnutpoint_entry.ownership._peers import ReleaseSender
+from walnutpoint_entry.ownership._service import OwnershipService
+from walnutpoint_entry.ownership._succession import Gain
+from walnutpoint_entry.ownership._succession import Loss
+from walnutpoint_entry.ownership._table import AssignmentTable
+from walnutpoint_entry.ownership._table import is_shard
+from walnutpoint_entry.ownership._table import Member
+from walnutpoint_entry.ownership._table import PlacedTable
+from walnutpoint_entry.ownership._table import shard_index
+from walnutpoint_entry.ownership._table import shard_names
+
+__all__ = (
+    'Activity',
+    'AssetListener',
+    'AssignmentTable',
+    'Control',
+    'Gain',
+    'Loss',
+    'Member',
+    'OwnershipService',
+    'PeerState',
+    'PlacedTable',
+    'ReleaseSender',
+    'ReleasedAsset',
+    'is_shard',
+    'shard_index',
+    'shard_names',
+)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_activity.py
@@ -0,0 +1,66 @@
+"""Whether the entry processes have work, so that quiet ones rest."""
+
+from __future__ import annotations
+
+from walnutpoint_core import timer as timers
+
+__all__ = ('Activity',)
+
+
+class Activity:
+    """Wake the periodic parts when work arrives after a rest."""
+
+    __slots__ = (
+        '_busy_until_s',
+        '_peer_busy_until_s',
+        '_rest_after_s',
+        '_subscriptions',
+        '_timer',
+    )
+
+    def __init__(self, timer: timers.Timer, rest_after_s: float) -> None:
+        self._timer = timer
+        self._rest_after_s = rest_after_s
+        self._busy_until_s = timer.now_s() + rest_after_s
+        self._peer_busy_until_s = float('-inf')
+        self._subscriptions: list[timers.Subscription] = []
+
+    def subscribe(self, fast_s: float, rest_s: float) -> timers.Subscription:
+        """Return wake-ups that are slow while all processes rest."""
+        subscription = self._timer.subscribe(
+            lambda: fast_s if self.is_fast() else rest_s
+        )
+        self._subscriptions.append(subscription)
+        return subscription
+
+    def unsubscribe(self, subscription: timers.Subscription) -> None:
+        """End the wake-ups of one subscriber."""
+        self._subscriptions.remove(subscription)
+
+    def touch(self) -> None:
+        """Note that this process has work."""
+        was_fast = self.is_fast()
+        self._busy_until_s = self._timer.now_s() + self._rest_after_s
+        if not was_fast:
+            self.wake()
+
+    def touch_peer(self) -> None:
+        """Note that another process has work."""
+        was_fast = self.is_fast()
+        self._peer_busy_until_s = self._timer.now_s() + self._rest_after_s
+        if not was_fast:
+            self.wake()
+
+    def wake(self) -> None:
+        """Wake every subscriber now."""
+        for subscription in self._subscriptions:
+            subscription.wake()
+
+    def is_busy(self) -> bool:
+        """Tell whether this process has work of its own."""
+        return self._timer.now_s() < self._busy_until_s
+
+    def is_fast(self) -> bool:
+        """Tell whether any process is known to have work."""
+        now_s = self._timer.now_s()
+        return now_s < max(self._busy_until_s, self._peer_busy_until_s)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_control.py
@@ -0,0 +1,147 @@
+"""The keys in the platform's store that entry processes agree by."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import expression
+import msgspec
+
+from walnutpoint_core import errors
+from walnutpoint_core import ports
+from walnutpoint_entry.ownership import _table
+
+__all__ = (
+    'Control',
+    'ControlListing',
+)
+
+_CHALLENGE_PREFIX: typing.Final = 'challenge/'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Challenge:
+    """A standing challenge of one incarnation at an address."""
+
+    address: str
+    incarnation: int
+    revision: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ControlListing:
+    """The control keys at one time; a revision of zero means no table."""
+
+    table_revision: int
+    config_revision: int
+    challenges: tuple[Challenge, ...]
+
+
+class Control:
+    """Read and write the control keys."""
+
+    __slots__ = ('_config_key', '_prefix', '_store', '_table_key')
+
+    def __init__(self, store: ports.Store, prefix: str) -> None:
+        self._store = store
+        self._prefix = f'{prefix}control/'
+        self._table_key = f'{self._prefix}table'
+        self._config_key = f'{self._prefix}config'
+
+    async def listing(
+        self,
+    ) -> expression.Result[ControlListing, errors.Failure]:
+        """Read which control keys stand, without the table itself."""
+        listed = await self._store.list_keys(self._prefix)
+        return listed.map(self._listing)
+
+    async def table(
+        self,
+    ) -> expression.Result[_table.PlacedTable | None, errors.Failure]:
+        """Read the newest table."""
+        read = await self._store.get(self._table_key)
+        if read.is_error():
+            return expression.Error(read.error)
+        if read.ok is None:
+            return expression.Ok(None)
+        try:
+            table = msgspec.json.decode(
+                read.ok.value, type=_table.AssignmentTable
+            )
+        except msgspec.MsgspecError as error:
+            return expression.Error(
+                errors.Failure(
+                    errors.ErrorKind.STORE_UNAVAILABLE,
+                    f'the table in the store is broken: {error}',
+                )
+            )
+        return expression.Ok(_table.PlacedTable(read.ok.revision, table))
+
+    async def propose(
+        self,
+        table: _table.AssignmentTable,
+        current_revision: int,
+        answered: dict[_table.Member, int],
+    ) -> expression.Result[ports.CommitReply, errors.Failure]:
+        """Replace the table if neither it nor a challenge has changed."""
+        challenges = {
+            self._challenge_key(member): revision
+            for member, revision in answered.items()
+            if revision
+        }
+        guards = [ports.Guard(self._table_key, current_revision)]
+        # A member that deletes its challenge just now is alive: the guard
+        # makes the proposal fail rather than take its endpoints.
+        guards.extend(
+            ports.Guard(key, revision) for key, revision in challenges.items()
+        )
+        put = ports.Put(self._table_key, msgspec.json.encode(table))
+        return await self._store.commit(
+            ports.Batch(tuple(guards), (put,), tuple(challenges))
+        )
+
+    async def challenge(
+        self, member: _table.Member
+    ) -> expression.Result[ports.CommitReply, errors.Failure]:
+        """Ask a silent member for a sign of life in the store."""
+        key = self._challenge_key(member)
+        return await self._store.commit(
+            ports.Batch((ports.Guard(key, 0),), (ports.Put(key, b'?'),))
+        )
+
+    async def answer_challenge(
+        self, member: _table.Member
+    ) -> expression.Result[ports.CommitReply, errors.Failure]:
+        """Give a sign of life by deleting one's own challenge."""
+        return await self._store.commit(
+            ports.Batch((), (), (self._challenge_key(member),))
+        )
+
+    def _challenge_key(self, member: _table.Member) -> str:
+        return (
+            f'{self._prefix}{_CHALLENGE_PREFIX}'
+            f'{member.address}/{member.incarnation}'
+        )
+
+    def _listing(self, listing: ports.Listing) -> ControlListing:
+        table_revision = 0
+        config_revision = 0
+        challenges = []
+        for entry in listing.keys:
+            if entry.key == self._table_key:
+                table_revision = entry.revision
+            elif entry.key == self._config_key:
+                config_revision = entry.revision
+            else:
+                challenges.extend(self._challenge(entry))
+        return ControlListing(
+            table_revision, config_revision, tuple(challenges)
+        )
+
+    def _challenge(self, entry: ports.KeyRevision) -> list[Challenge]:
+        name = entry.key.removeprefix(f'{self._prefix}{_CHALLENGE_PREFIX}')
+        address, _, incarnation = name.partition('/')
+        if not incarnation.isdigit():
+            return []
+        return [Challenge(address, int(incarnation), entry.revision)]
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_proposer.py
@@ -0,0 +1,200 @@
+"""When this process proposes the next assignment table, and which."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import uuid
+
+from walnutpoint_core import logs
+from walnutpoint_core import model
+from walnutpoint_core import settings as settings_module
+from walnutpoint_entry.ownership import _activity
+from walnutpoint_entry.ownership import _control
+from walnutpoint_entry.ownership import _liveness
+from walnutpoint_entry.ownership import _table
+
+__all__ = (
+    'Proposal',
+    'Proposer',
+)
+
+_RANK_DELAY_S = 0.3
+_REST_FACTOR = 2.5
+
+_LOG = logs.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Proposal:
+    """The next table, what it replaces, and the challenges it rests on."""
+
+    table: _table.AssignmentTable
+    current_revision: int
+    answered: dict[_table.Member, int]
+
+
+class Proposer:
+    """Challenge silent members and propose tables without the dead ones."""
+
+    __slots__ = (
+        '_activity',
+        '_control',
+        '_listing',
+        '_liveness',
+        '_member',
+        '_settings',
+        '_stopping',
+        '_wanted_since_s',
+    )
+
+    def __init__(
+        self,
+        member: _table.Member,
+        settings: settings_module.OwnershipSettings,
+        control: _control.Control,
+        liveness: _liveness.Liveness,
+        activity: _activity.Activity,
+    ) -> None:
+        self._member = member
+        self._settings = settings
+        self._control = control
+        self._liveness = liveness
+        self._activity = activity
+        self._listing: model.HostListing | None = None
+        self._stopping = False
+        self._wanted_since_s: float | None = None
+
+    def take_hosts(self, listing: model.HostListing) -> None:
+        """Note the newest host list."""
+        self._listing = listing
+
+    def stop(self) -> None:
+        """Leave the table at the next proposal."""
+        self._stopping = True
+
+    async def challenge(self, now_s: float) -> None:
+        """Challenge every member that has been silent too long."""
+        for member in self._liveness.unchallenged(self._silence_s(), now_s):
+            reply = await self._control.challenge(member)
+            _LOG.info(
+                'member_challenged',
+                member=member.name,
+                address=member.address,
+                written=reply.is_ok() and reply.ok.applied,
+            )
+
+    def proposal(
+        self, placed: _table.PlacedTable | None, now_s: float
+    ) -> Proposal | None:
+        """Return the next table when it is this process's turn."""
+        current = None if placed is None else placed.table
+        dead = self._dead(now_s)
+        wanted = self._wanted(current, dead, now_s)
+        if wanted is None or not wanted.differs(current):
+            self._wanted_since_s = None
+            return None
+        if self._wanted_since_s is None:
+            self._wanted_since_s = now_s
+        delay_s = _RANK_DELAY_S * self._rank(current, dead)
+        if now_s < self._wanted_since_s + delay_s:
+            return None
+        return Proposal(
+            _table.next_table(current, wanted, uuid.uuid4().hex),
+            0 if placed is None else placed.revision,
+            dead,
+        )
+
+    def _dead(self, now_s: float) -> dict[_table.Member, int]:
+        settings = self._settings
+        challenge_s = (
+            settings.challenge_s
+            if self._activity.is_fast()
+            else settings.rest_challenge_s
+        )
+        return self._liveness.dead(self._silence_s(), challenge_s, now_s)
+
+    def _silence_s(self) -> float:
+        settings = self._settings
+        if self._activity.is_fast():
+            return settings.suspect_after_s
+        return max(
+            settings.suspect_after_s,
+            settings.rest_heartbeat_period_s * _REST_FACTOR,
+        )
+
+    def _wanted(
+        self,
+        current: _table.AssignmentTable | None,
+        dead: collections.abc.Collection[_table.Member],
+        now_s: float,
+    ) -> _table.WantedTable | None:
+        members = self._wanted_members(current, dead, now_s)
+        if not members:
+            return None
+        version, endpoints = self._wanted_endpoints(current)
+        return _table.WantedTable(
+            tuple(sorted(members, key=lambda member: member.address)),
+            endpoints,
+            self._settings.key_shards,
+            version,
+        )
+
+    def _wanted_members(
+        self,
+        current: _table.AssignmentTable | None,
+        dead: collections.abc.Collection[_table.Member],
+        now_s: float,
+    ) -> set[_table.Member]:
+        members = set() if current is None else set(current.members)
+        members -= set(dead)
+        members -= self._liveness.leavers()
+        members |= set(self._liveness.joiners(now_s))
+        members = {
+            member
+            for member in members
+            if member.address != self._member.address
+        }
+        if not self._stopping:
+            members.add(self._member)
+        return members
+
+    def _wanted_endpoints(
+        self, current: _table.AssignmentTable | None
+    ) -> tuple[int, tuple[str, ...]]:
+        listing = self._listing
+        # The list lags differently at each process: one that sees an older
+        # version would undo the newer one's changes, and the owners of new
+        # endpoints would change back and forth.
+        if listing is None or (
+            current is not None and listing.version < current.hosts_version
+        ):
+            if current is None:
+                return 0, ()
+            endpoints = (
+                asset
+                for asset in current.holdings
+                if not _table.is_shard(asset)
+            )
+            return current.hosts_version, tuple(sorted(endpoints))
+        addresses = {host.address for host in listing.hosts}
+        return listing.version, tuple(sorted(addresses))
+
+    def _rank(
+        self,
+        current: _table.AssignmentTable | None,
+        dead: collections.abc.Collection[_table.Member],
+    ) -> int:
+        """Return how many others are to propose before this process."""
+        if current is None:
+            return 0
+        others = [
+            member
+            for member in current.members
+            if member not in dead and member not in self._liveness.leavers()
+        ]
+        if self._member in current.members:
+            return sum(
+                member.address < self._member.address for member in others
+            )
+        return len(others)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_service.py
@@ -0,0 +1,329 @@
+"""The ownership of endpoints and key shards by this process."""
+
+from __future__ import annotations
+
+import collections.abc
+
+import anyio.abc
+
+from walnutpoint_core import errors
+from walnutpoint_core import logs
+from walnutpoint_core import model
+from walnutpoint_core import settings as settings_module
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.ownership import _activity
+from walnutpoint_entry.ownership import _assets
+from walnutpoint_entry.ownership import _confirmation
+from walnutpoint_entry.ownership import _control
+from walnutpoint_entry.ownership import _handover
+from walnutpoint_entry.ownership import _liveness
+from walnutpoint_entry.ownership import _peers
+from walnutpoint_entry.ownership import _proposer
+from walnutpoint_entry.ownership import _succession
+from walnutpoint_entry.ownership import _table
+
+__all__ = ('OwnershipService',)
+
+_LOG = logs.get_logger(__name__)
+
+
+class OwnershipService:
+    """Keep the newest table, confirm it, and act on what it says."""
+
+    __slots__ = (
+        '_activity',
+        '_config_revision',
+        '_confirmation',
+        '_control',
+        '_handover',
+        '_listener',
+        '_liveness',
+        '_member',
+        '_placed',
+        '_polls',
+        '_proposer',
+        '_settings',
+        '_stopping',
+        '_succession',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        member: _table.Member,
+        settings: settings_module.OwnershipSettings,
+        timer: timers.Timer,
+        control: _control.Control,
+        activity: _activity.Activity,
+        listener: _assets.AssetListener,
+        sender: _peers.ReleaseSender,
+        tasks: anyio.abc.TaskGroup,
+    ) -> None:
+        self._member = member
+        self._settings = settings
+        self._timer = timer
+        self._control = control
+        self._activity = activity
+        self._listener = listener
+        self._liveness = _liveness.Liveness()
+        self._confirmation = _confirmation.Confirmation(
+            member, settings.confirm_s
+        )
+        self._succession = _succession.Succession(member, settings.fence_s)
+        self._handover = _handover.Handover(timer, listener, sender, tasks)
+        self._proposer = _proposer.Proposer(
+            member, settings, control, self._liveness, activity
+        )
+        self._placed: _table.PlacedTable | None = None
+        self._config_revision = 0
+        self._stopping = False
+        self._polls = activity.subscribe(
+            settings.poll_period_s, settings.rest_poll_period_s
+        )
+
+    @property
+    def member(self) -> _table.Member:
+        """Return this process as a member."""
+        return self._member
+
+    @property
+    def placed(self) -> _table.PlacedTable | None:
+        """Return the newest table that this process has read."""
+        return self._placed
+
+    @property
+    def table_revision(self) -> int:
+        """Return the revision of the newest table read, or zero."""
+        return 0 if self._placed is None else self._placed.revision
+
+    @property
+    def config_revision(self) -> int:
+        """Return the newest revision seen of the configuration."""
+        return self._config_revision
+
+    def is_member(self) -> bool:
+        """Tell whether the newest table lists this process."""
+        placed = self._placed
+        return placed is not None and self._member in placed.table.members
+
+    def is_confirmed(self) -> bool:
+        """Tell whether no newer table can be in use now."""
+        return self._confirmation.is_confirmed(self._timer.now_s())
+
+    def is_active(self, asset: str) -> bool:
+        """Tell whether an asset is active here, confirmed or not."""
+        return self._succession.is_active(asset)
+
+    def may_act(self, asset: str) -> bool:
+        """Tell whether this process may act on an asset at this moment."""
+        return self._succession.is_active(asset) and self.is_confirmed()
+
+    def epoch(self, asset: str) -> int:
+        """Return the epoch of an asset in the newest table."""
+        return 0 if self._placed is None else self._placed.table.epoch(asset)
+
+    def owner(self, asset: str) -> _table.Member | None:
+        """Return the owner of an asset in the newest table."""
+        return (
+            None if self._placed is None else self._placed.table.owner(asset)
+        )
+
+    def active(self) -> collections.abc.Mapping[str, int]:
+        """Return the assets that are active here."""
+        return self._succession.active()
+
+    def pending(self) -> collections.abc.Mapping[str, int]:
+        """Return the assets that are to become active here."""
+        return self._succession.pending()
+
+    def others(self) -> tuple[_table.Member, ...]:
+        """Return the other members of the newest table."""
+        if self._placed is None:
+            return ()
+        return tuple(
+            member
+            for member in self._placed.table.members
+            if member.address != self._member.address
+        )
+
+    def has_successors(self) -> bool:
+        """Tell whether some other member is to go on when this one stops."""
+        leavers = self._liveness.leavers()
+        return any(member not in leavers for member in self.others())
+
+    def is_handed_over(self) -> bool:
+        """Tell whether nothing is active here and every release is done."""
+        return not self._succession.active() and self._handover.is_done()
+
+    def take_hosts(self, listing: model.HostListing) -> None:
+        """Note the newest host list."""
+        self._proposer.take_hosts(listing)
+
+    def stop(self) -> None:
+        """Leave the table as planned."""
+        self._stopping = True
+        self._proposer.stop()
+        self._activity.touch()
+        self._activity.wake()
+
+    def observe_answer(self, state: _peers.PeerState, sent_s: float) -> None:
+        """Take the answer to a heartbeat that was sent at a time."""
+        self._observe(state)
+        self._confirmation.observe_peer(
+            state.member, state.table_revision, sent_s
+        )
+
+    def observe_question(self, state: _peers.PeerState) -> None:
+        """Take a heartbeat that a peer sent."""
+        self._observe(state)
+
+    def receive_release(
+        self,
+        table_revision: int,
+        released: collections.abc.Iterable[_peers.ReleasedAsset],
+    ) -> None:
+        """Take assets over from an owner that has stopped placing."""
+        active = self._succession.active()
+        for item in released:
+            if active.get(item.asset) == item.epoch:
+                self._listener.lower_in_use(item.asset, item.in_use)
+            else:
+                self._succession.release(item.asset, item.epoch, item.in_use)
+        if table_revision > self.table_revision:
+            self._activity.wake()
+        self._activate()
+
+    async def run(self) -> None:
+        """Poll the store, activate assets and propose tables for ever."""
+        async for _ in self._polls:
+            await self.poll()
+
+    async def run_fences(self) -> None:
+        """Activate assets when their fence ends."""
+        period_s = self._settings.poll_period_s / 4
+        fences = self._activity.subscribe(period_s, self._settings.fence_s)
+        async for _ in fences:
+            self._activate()
+
+    async def poll(self) -> None:
+        """Read the control keys once and act on what they say."""
+        sent_s = self._timer.now_s()
+        listed = await self._control.listing()
+        if listed.is_error():
+            _LOG.warning('store_poll_failed', detail=listed.error.detail)
+            return
+        listing = listed.ok
+        self._config_revision = max(
+            self._config_revision, listing.config_revision
+        )
+        self._confirmation.observe_store(listing.table_revision, sent_s)
+        if listing.table_revision > self.table_revision:
+            await self._fetch()
+        elif listing.table_revision < self.table_revision:
+            _LOG.error(
+                'store_went_back',
+                known=self.table_revision,
+                read=listing.table_revision,
+            )
+            return
+        await self._take_challenges(listing)
+        await self._propose()
+
+    def _observe(self, state: _peers.PeerState) -> None:
+        now_s = self._timer.now_s()
+        self._liveness.hear(state.member, state.is_stopping, now_s)
+        self._succession.acknowledge(
+            state.member.address, state.table_revision, now_s
+        )
+        if state.is_busy:
+            self._activity.touch_peer()
+        if state.table_revision > self.table_revision:
+            self._polls.wake()
+        self._activate()
+
+    async def _fetch(self) -> None:
+        sent_s = self._timer.now_s()
+        read = await self._control.table()
+        if read.is_error() or read.ok is None:
+            return
+        self._adopt(read.ok, sent_s)
+
+    def _adopt(self, placed: _table.PlacedTable, sent_s: float) -> None:
+        if placed.revision <= self.table_revision:
+            return
+        now_s = self._timer.now_s()
+        self._placed = placed
+        self._confirmation.adopt(placed, sent_s)
+        losses = self._succession.adopt(placed, now_s)
+        self._liveness.adopt(
+            [
+                member
+                for member in placed.table.members
+                if member != self._member
+            ],
+            now_s,
+        )
+        self._listener.follow(self.others())
+        for loss in losses:
+            self._listener.lose(loss)
+        self._handover.begin(placed, losses)
+        _LOG.info(
+            'table_adopted',
+            revision=placed.revision,
+            generation=placed.table.generation,
+            members=len(placed.table.members),
+            lost=len(losses),
+            pending=len(self._succession.pending()),
+        )
+        self._activate()
+
+    def _activate(self) -> None:
+        gains = self._succession.activate(self._timer.now_s())
+        for gain in gains:
+            self._listener.gain(gain)
+        if gains:
+            _LOG.info(
+                'assets_active',
+                assets=len(gains),
+                released=sum(gain.in_use is not None for gain in gains),
+                revision=self.table_revision,
+            )
+
+    async def _take_challenges(self, listing: _control.ControlListing) -> None:
+        revisions = {}
+        members = () if self._placed is None else self._placed.table.members
+        by_identity = {
+            (member.address, member.incarnation): member for member in members
+        }
+        for challenge in listing.challenges:
+            identity = (challenge.address, challenge.incarnation)
+            if identity == (self._member.address, self._member.incarnation):
+                reply = await self._control.answer_challenge(self._member)
+                _LOG.info('challenge_answered', written=reply.is_ok())
+            elif identity in by_identity:
+                revisions[by_identity[identity]] = challenge.revision
+        self._liveness.list_challenges(revisions, self._timer.now_s())
+
+    async def _propose(self) -> None:
+        now_s = self._timer.now_s()
+        await self._proposer.challenge(now_s)
+        if not self._succession.is_settled():
+            return
+        proposal = self._proposer.proposal(self._placed, now_s)
+        if proposal is None:
+            return
+        reply = await self._control.propose(
+            proposal.table, proposal.current_revision, proposal.answered
+        )
+        _LOG.info(
+            'table_proposed',
+            generation=proposal.table.generation,
+            members=len(proposal.table.members),
+            applied=reply.is_ok() and reply.ok.applied,
+            error=reply.error.kind.value if reply.is_error() else '',
+        )
+        # A lost answer is resolved by reading the table back.
+        if reply.is_ok() or (
+            reply.error.kind is errors.ErrorKind.STORE_ANSWER_LOST
+        ):
+            await self._fetch()
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_table.py
@@ -0,0 +1,200 @@
+"""The assignment table and the rule that makes the next one."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import typing
+
+import msgspec
+
+__all__ = (
+    'AssignmentTable',
+    'Holding',
+    'Member',
+    'PlacedTable',
+    'WantedTable',
+    'ack_count',
+    'attest_count',
+    'is_shard',
+    'next_table',
+    'shard_index',
+    'shard_names',
+)
+
+_SHARD_PREFIX: typing.Final = 'shard-'
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One entry process; a restarted one has another incarnation."""
+
+    address: str
+    incarnation: int
+    name: str
+    domain: str
+    region: str
+
+
+class Holding(msgspec.Struct, frozen=True, array_like=True):
+    """Which member owns an asset, and since which generation."""
+
+    owner: int
+    epoch: int
+
+
+class AssignmentTable(msgspec.Struct, frozen=True):
+    """The owner of each endpoint and key shard, as kept in the store."""
+
+    generation: int
+    hosts_version: int
+    members: tuple[Member, ...]
+    previous_members: tuple[Member, ...]
+    holdings: dict[str, Holding]
+    proposal_id: str
+
+    def owner(self, asset: str) -> Member | None:
+        """Return the member that owns an asset."""
+        holding = self.holdings.get(asset)
+        return None if holding is None else self.members[holding.owner]
+
+    def epoch(self, asset: str) -> int:
+        """Return the epoch of an asset, or zero when it is not held."""
+        holding = self.holdings.get(asset)
+        return 0 if holding is None else holding.epoch
+
+    def owned_by(self, member: Member) -> dict[str, int]:
+        """Return the assets of one member with their epochs."""
+        return {
+            asset: holding.epoch
+            for asset, holding in self.holdings.items()
+            if self.members[holding.owner] == member
+        }
+
+
+class WantedTable(msgspec.Struct, frozen=True):
+    """What the next table is to hold; members and endpoints are sorted."""
+
+    members: tuple[Member, ...]
+    endpoints: tuple[str, ...]
+    shards: int
+    hosts_version: int
+
+    def differs(self, current: AssignmentTable | None) -> bool:
+        """Tell whether the current table holds anything else."""
+        if current is None or current.members != self.members:
+            return True
+        wanted = {*self.endpoints, *shard_names(self.shards)}
+        return current.holdings.keys() != wanted
+
+
+class PlacedTable(msgspec.Struct, frozen=True):
+    """A table with the store revision that wrote it."""
+
+    revision: int
+    table: AssignmentTable
+
+
+def ack_count(members: int) -> int:
+    """Return how many members must know a new table before its fence."""
+    return members // 3 + 1
+
+
+def attest_count(members: int) -> int:
+    """Return how many members must know of no newer table."""
+    return members - ack_count(members) + 1
+
+
+def shard_names(count: int) -> tuple[str, ...]:
+    """Return the names of the key shards."""
+    return tuple(f'{_SHARD_PREFIX}{index}' for index in range(count))
+
+
+def is_shard(asset: str) -> bool:
+    """Tell whether an asset is a key shard."""
+    return asset.startswith(_SHARD_PREFIX)
+
+
+def shard_index(asset: str) -> int:
+    """Return the number of a key shard."""
+    return int(asset.removeprefix(_SHARD_PREFIX))
+
+
+def next_table(
+    current: AssignmentTable | None,
+    wanted: WantedTable,
+    proposal_id: str,
+) -> AssignmentTable:
+    """Balance all assets over the members, moving as few as possible."""
+    ordered = wanted.members
+    generation = 1 if current is None else current.generation + 1
+    holdings: dict[str, Holding] = {}
+    for assets in (wanted.endpoints, shard_names(wanted.shards)):
+        holdings.update(_balance(current, ordered, assets, generation))
+    return AssignmentTable(
+        generation=generation,
+        hosts_version=wanted.hosts_version,
+        members=ordered,
+        previous_members=() if current is None else current.members,
+        holdings=holdings,
+        proposal_id=proposal_id,
+    )
+
+
+def _balance(
+    current: AssignmentTable | None,
+    members: tuple[Member, ...],
+    assets: collections.abc.Sequence[str],
+    generation: int,
+) -> dict[str, Holding]:
+    kept = _kept(current, members, assets)
+    shares = _shares(kept, members, len(assets))
+    holdings: dict[str, Holding] = {}
+    orphans: list[str] = []
+    counts = collections.Counter[int]()
+    for asset in assets:
+        owner = kept.get(asset)
+        if owner is None or counts[owner] >= shares[owner]:
+            orphans.append(asset)
+            continue
+        counts[owner] += 1
+        epoch = generation if current is None else current.epoch(asset)
+        holdings[asset] = Holding(owner, epoch)
+    gaps = [
+        owner
+        for owner in range(len(members))
+        for _ in range(shares[owner] - counts[owner])
+    ]
+    for asset, owner in zip(orphans, gaps, strict=True):
+        holdings[asset] = Holding(owner, generation)
+    return holdings
+
+
+def _kept(
+    current: AssignmentTable | None,
+    members: tuple[Member, ...],
+    assets: collections.abc.Iterable[str],
+) -> dict[str, int]:
+    if current is None:
+        return {}
+    positions = {member: index for index, member in enumerate(members)}
+    kept = {}
+    for asset in assets:
+        owner = current.owner(asset)
+        if owner in positions:
+            kept[asset] = positions[owner]
+    return kept
+
+
+def _shares(
+    kept: dict[str, int], members: tuple[Member, ...], assets: int
+) -> list[int]:
+    """Give the odd assets to those who hold most, so that fewest move."""
+    low, odd = divmod(assets, len(members))
+    held = collections.Counter(kept.values())
+    by_held = sorted(
+        range(len(members)), key=lambda owner: (-held[owner], owner)
+    )
+    shares = [low] * len(members)
+    for owner in by_held[:odd]:
+        shares[owner] += 1
+    return shares
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from peer.proto; see tools/generate.sh."""
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_links.py
@@ -0,0 +1,150 @@
+"""The links to all peers, kept in step with the assignment table."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from walnutpoint_core import settings as settings_module
+from walnutpoint_core import timer as timers
+from walnutpoint_entry import ownership
+from walnutpoint_entry.peers import _codec
+from walnutpoint_entry.peers import _link
+from walnutpoint_entry.peers import messages
+
+__all__ = ('Links',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Running:
+    link: _link.Link
+    task: asyncio.Task[None]
+    ticks: timers.Subscription
+
+
+class Links:
+    """One link and one task for each other member."""
+
+    __slots__ = (
+        '_activity',
+        '_member',
+        '_message_size_bytes',
+        '_observer',
+        '_running',
+        '_settings',
+        '_timer',
+        '_token',
+    )
+
+    def __init__(
+        self,
+        member: ownership.Member,
+        timer: timers.Timer,
+        settings: settings_module.OwnershipSettings,
+        message_size_bytes: int,
+        token: str,
+        activity: ownership.Activity,
+        observer: _link.LinkObserver,
+    ) -> None:
+        self._member = member
+        self._timer = timer
+        self._settings = settings
+        self._message_size_bytes = message_size_bytes
+        self._token = token
+        self._activity = activity
+        self._observer = observer
+        self._running: dict[str, _Running] = {}
+
+    def follow(
+        self, members: collections.abc.Iterable[ownership.Member]
+    ) -> None:
+        """Open links to new members and close those of former ones."""
+        wanted = {member.address: member for member in members}
+        for address in list(self._running):
+            member = wanted.get(address)
+            if member != self._running[address].link.member:
+                self._stop(address)
+        for address, member in wanted.items():
+            if address not in self._running:
+                self._start(member)
+
+    def find(self, member: ownership.Member) -> _link.Link | None:
+        """Return the link to exactly this incarnation of a member."""
+        running = self._running.get(member.address)
+        if running is None or running.link.member != member:
+            return None
+        return running.link
+
+    def heard(self) -> tuple[_link.Link, ...]:
+        """Return the links whose last heartbeat was answered."""
+        return tuple(
+            running.link
+            for running in self._running.values()
+            if running.link.is_heard()
+        )
+
+    def nudge(
+        self, members: collections.abc.Iterable[ownership.Member]
+    ) -> None:
+        """Send a heartbeat to some members now."""
+        for member in members:
+            running = self._running.get(member.address)
+            if running is not None:
+                running.ticks.wake()
+
+    async def send_release(
+        self,
+        successor: ownership.Member,
+        table_revision: int,
+        released: tuple[ownership.ReleasedAsset, ...],
+    ) -> bool:
+        """Hand assets over and tell whether the successor has taken them."""
+        link = self.find(successor)
+        if link is None:
+            return False
+        return await link.release(
+            messages.ReleaseMessage(
+                sender=_codec.encode_member(self._member),
+                table_revision=table_revision,
+                assets=[
+                    messages.Released(
+                        asset=item.asset, epoch=item.epoch, in_use=item.in_use
+                    )
+                    for item in released
+                ],
+            )
+        )
+
+    async def send_keys(
+        self, successor: ownership.Member, batch: messages.KeyBatch
+    ) -> bool:
+        """Send a part of a released shard's key memory."""
+        link = self.find(successor)
+        return link is not None and await link.import_keys(batch)
+
+    def close(self) -> None:
+        """Close every link."""
+        for address in list(self._running):
+            self._stop(address)
+
+    def _start(self, member: ownership.Member) -> None:
+        link = _link.Link(
+            member,
+            self._timer,
+            self._settings,
+            self._message_size_bytes,
+            self._token,
+            self._observer,
+        )
+        ticks = self._activity.subscribe(
+            self._settings.heartbeat_period_s,
+            self._settings.rest_heartbeat_period_s,
+        )
+        task = asyncio.ensure_future(link.run(ticks))
+        self._running[member.address] = _Running(link, task, ticks)
+
+    def _stop(self, address: str) -> None:
+        running = self._running.pop(address)
+        self._activity.unsubscribe(running.ticks)
+        running.task.cancel()
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_server.py
@@ -0,0 +1,158 @@
+"""The gRPC server that peers speak to."""
+
+from __future__ import annotations
+
+import hmac
+import typing
+
+import expression
+import grpc
+import grpc.aio
+
+from walnutpoint_core import errors
+from walnutpoint_core import logs
+from walnutpoint_core import model
+from walnutpoint_core import timer as timers
+from walnutpoint_entry import ownership
+from walnutpoint_entry.peers import _channel
+from walnutpoint_entry.peers import _codec
+from walnutpoint_entry.peers._generated import peer_pb2
+from walnutpoint_entry.peers._generated import peer_pb2_grpc
+
+__all__ = (
+    'PeerHandler',
+    'PeerServer',
+)
+
+_LOG = logs.get_logger(__name__)
+
+
+class PeerHandler(typing.Protocol):
+    """The parts of this process that answer peers."""
+
+    def own_state(self) -> ownership.PeerState:
+        """Return the state of this process."""
+
+    def observe_question(self, state: ownership.PeerState) -> None:
+        """Take a heartbeat that a peer sent."""
+
+    async def place(
+        self, request: model.Request
+    ) -> expression.Result[model.Answer, errors.Failure]:
+        """Place a request at once on an endpoint owned here."""
+
+    async def serve(
+        self, request: model.Request
+    ) -> expression.Result[model.Answer, errors.Failure]:
+        """Serve a request as the home of its key."""
+
+    def receive_release(
+        self,
+        table_revision: int,
+        released: tuple[ownership.ReleasedAsset, ...],
+    ) -> None:
+        """Take assets over."""
+
+    def import_keys(self, batch: peer_pb2.KeyBatch) -> bool:
+        """Take a part of a released shard's key memory."""
+
+    def free_slots(self) -> int:
+        """Return the free slots of this process."""
+
+    def count_refused_token(self) -> None:
+        """Count a call with a wrong token or none."""
+
+
+class PeerServer:
+    """Serve peers that know the shared token."""
+
+    __slots__ = ('_server',)
+
+    def __init__(
+        self,
+        address: str,
+        token: str,
+        message_size_bytes: int,
+        timer: timers.Timer,
+        handler: PeerHandler,
+    ) -> None:
+        self._server = grpc.aio.server(
+            interceptors=(_TokenInterceptor(token, handler),),
+            options=_channel.server_options(message_size_bytes),
+        )
+        peer_pb2_grpc.add_PeerServicer_to_server(
+            _Servicer(timer, handler), self._server
+        )
+        self._server.add_insecure_port(address)
+
+    async def start(self) -> None:
+        """Listen."""
+        await self._server.start()
+
+    async def stop(self, grace_s: float) -> None:
+        """Refuse new calls and end the others after a grace period."""
+        await self._server.stop(grace_s)
+
+
+class _TokenInterceptor(grpc.aio.ServerInterceptor):
+    """Refuse calls that do not carry the shared token."""
+
+    def __init__(self, token: str, handler: PeerHandler) -> None:
+        self._token = token.encode()
+        self._handler = handler
+
+    async def intercept_service(self, continuation, details):
+        """Let a call pass only with the right token."""
+        given = dict(details.invocation_metadata).get(
+            _channel.TOKEN_HEADER, ''
+        )
+        if hmac.compare_digest(str(given).encode(), self._token):
+            return await continuation(details)
+        self._handler.count_refused_token()
+        _LOG.warning('peer_refused', method=details.method)
+        return grpc.unary_unary_rpc_method_handler(_refuse)
+
+
+async def _refuse(request, context: grpc.aio.ServicerContext) -> None:
+    await context.abort(grpc.StatusCode.UNAUTHENTICATED, 'wrong token')
+
+
+class _Servicer(peer_pb2_grpc.PeerServicer):
+    """Translate peers' messages to calls of the handler."""
+
+    def __init__(self, timer: timers.Timer, handler: PeerHandler) -> None:
+        self._timer = timer
+        self._handler = handler
+
+    async def Heartbeat(self, request, context) -> peer_pb2.Beat:
+        """Answer a heartbeat."""
+        self._handler.observe_question(_codec.decode_state(request))
+        return _codec.encode_state(self._handler.own_state())
+
+    async def Place(self, request, context) -> peer_pb2.ResultMessage:
+        """Place a request of a peer."""
+        result = await self._handler.place(
+            _codec.decode_request(request, self._timer.now_s())
+        )
+        return _codec.encode_result(result, self._handler.free_slots())
+
+    async def Serve(self, request, context) -> peer_pb2.ResultMessage:
+        """Serve a keyed request of a peer."""
+        result = await self._handler.serve(
+            _codec.decode_request(request, self._timer.now_s())
+        )
+        return _codec.encode_result(result, self._handler.free_slots())
+
+    async def Release(self, request, context) -> peer_pb2.ReleaseReply:
+        """Take assets over from a peer."""
+        released = tuple(
+            ownership.ReleasedAsset(item.asset, item.epoch, item.in_use)
+            for item in request.assets
+        )
+        self._handler.receive_release(request.table_revision, released)
+        return peer_pb2.ReleaseReply(accepted=True)
+
+    async def ImportKeys(self, request, context) -> peer_pb2.ReleaseReply:
+        """Take a part of a shard's key memory from a peer."""
+        is_taken = self._handler.import_keys(request)
+        return peer_pb2.ReleaseReply(accepted=is_taken)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_fleet.py
@@ -0,0 +1,223 @@
+"""The endpoints that this process owns, with their slots and health."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+
+import anyio
+
+from walnutpoint_core import errors
+from walnutpoint_core import logs
+from walnutpoint_core import model
+from walnutpoint_core import settings as settings_module
+from walnutpoint_core import timer as timers
+from walnutpoint_entry import endpoints as endpoints_module
+from walnutpoint_entry import ownership
+from walnutpoint_entry import placement
+
+__all__ = ('Fleet',)
+
+_NOT_ACTIVE = placement.ClosedReason.NOT_ACTIVE
+_LEAVING = placement.ClosedReason.LEAVING
+_EJECTED = placement.ClosedReason.EJECTED
+
+_LOG = logs.get_logger(__name__)
+
+
+class Fleet:
+    """Give out slots of owned endpoints, and learn which are taken."""
+
+    __slots__ = (
+        '_client',
+        '_ejected',
+        '_hosts',
+        '_ledger',
+        '_on_free',
+        '_outliers',
+        '_owned',
+        '_pool',
+        '_release_margin_s',
+        '_running',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        settings: settings_module.PlacementSettings,
+        release_margin_s: float,
+        client: endpoints_module.EndpointClient,
+        on_free: collections.abc.Callable[[], None],
+    ) -> None:
+        self._timer = timer
+        self._release_margin_s = release_margin_s
+        self._client = client
+        self._on_free = on_free
+        self._pool = placement.SlotPool(placement.make_policy(settings))
+        self._ledger = endpoints_module.DoubtLedger(settings.longest_run_s)
+        self._outliers = placement.OutlierDetector(
+            settings.eject_after_failures,
+            settings.eject_s,
+            settings.eject_max_s,
+        )
+        self._hosts: dict[str, model.ListedHost] = {}
+        self._owned: set[str] = set()
+        self._ejected: frozenset[str] = frozenset()
+        self._running: collections.defaultdict[str, set[str]] = (
+            collections.defaultdict(set)
+        )
+
+    @property
+    def free_slots(self) -> int:
+        """Return the free slots of the open endpoints."""
+        return self._pool.free_slots
+
+    @property
+    def total_slots(self) -> int:
+        """Return the slots of all owned endpoints."""
+        return self._pool.total_slots
+
+    def snapshot(self) -> tuple[placement.EndpointView, ...]:
+        """Return the state of every endpoint."""
+        return self._pool.snapshot()
+
+    def connections_max(self, endpoint: str) -> int:
+        """Return how many connections an endpoint takes."""
+        return self._hosts[endpoint].connections
+
+    def acquire(self, exclude: frozenset[str]) -> placement.SlotLease | None:
+        """Take a slot: a due probe's first, then the preferred one."""
+        now_s = self._timer.now_s()
+        for endpoint in self._outliers.due_probes(now_s):
+            lease = self._pool.acquire_probe(endpoint)
+            if lease is not None:
+                self._outliers.begin_probe(endpoint, now_s)
+                return lease
+        return self._pool.acquire(exclude)
+
+    def give_back(self, lease: placement.SlotLease) -> None:
+        """Free a lease on which nothing was started."""
+        self._pool.release(lease)
+
+    def begin(self, lease: placement.SlotLease, request_id: str) -> None:
+        """Note that a request is about to run on a lease."""
+        self._running[lease.endpoint].add(request_id)
+
+    def end(
+        self,
+        lease: placement.SlotLease,
+        request_id: str,
+        failure: errors.Failure | None,
+    ) -> None:
+        """Free a lease's slot, or keep it while its request may run."""
+        self._running[lease.endpoint].discard(request_id)
+        if failure is None or failure.outcome is errors.Outcome.NOT_RUN:
+            self._pool.release(lease)
+            self._on_free()
+            return
+        # The endpoint may still run the request: a second one in its slot
+        # would take the endpoint over its capacity. The slot stays taken
+        # until a usage report shows it free.
+        self._ledger.add(lease.endpoint, request_id, self._timer.now_s())
+        self._pool.doubt(lease)
+
+    def observe(self, endpoint: str, is_sound: bool) -> None:
+        """Learn whether an endpoint has served a request."""
+        self._outliers.observe(endpoint, is_sound, self._timer.now_s())
+        self._apply_ejections()
+
+    def gain(self, gain: ownership.Gain) -> None:
+        """Start to place on an endpoint."""
+        self._owned.add(gain.asset)
+        self._outliers.watch(gain.asset)
+        self._add(gain.asset)
+        now_s = self._timer.now_s()
+        slots = self._slots(gain.asset)
+        if gain.in_use is not None:
+            # What the old owner has just sent may reach the endpoint after
+            # a report is sampled there.
+            self._inherit(
+                gain.asset, gain.in_use, now_s + self._release_margin_s
+            )
+        elif not gain.is_first:
+            self._inherit(gain.asset, slots, now_s)
+        self._on_free()
+
+    def lose(self, loss: ownership.Loss) -> None:
+        """Stop to place on an endpoint."""
+        self._owned.discard(loss.asset)
+        self._pool.remove(loss.asset)
+        self._outliers.forget(loss.asset)
+        self._ejected -= {loss.asset}
+        self._client.forget(loss.asset)
+
+    def in_use(self, asset: str) -> int:
+        """Return the slots of an endpoint that are still used here."""
+        return self._pool.in_use(asset)
+
+    def lower_in_use(self, asset: str, in_use: int) -> None:
+        """Take the old owner's word on the slots that it still uses."""
+        self._ledger.lower(asset, in_use)
+        self._settle(asset)
+
+    def take_hosts(self, listing: model.HostListing) -> None:
+        """Open, close and resize endpoints by the newest host list."""
+        self._hosts = {host.address: host for host in listing.hosts}
+        for endpoint in self._owned:
+            self._add(endpoint)
+        self._on_free()
+
+    async def run(self, ticks: collections.abc.AsyncIterable[float]) -> None:
+        """Settle the slots in doubt by usage reports for ever."""
+        async for now_s in ticks:
+            async with anyio.create_task_group() as tasks:
+                for endpoint in self._pool.doubtful_endpoints():
+                    self._ledger.expire(endpoint, now_s)
+                    self._settle(endpoint)
+                    tasks.start_soon(self._ask_usage, endpoint)
+            self._apply_ejections()
+
+    async def _ask_usage(self, endpoint: str) -> None:
+        report = await self._client.usage(endpoint)
+        if report.is_error():
+            return
+        active_ids = frozenset(self._running[endpoint])
+        self._ledger.observe(endpoint, report.ok, active_ids)
+        self._settle(endpoint)
+
+    def _settle(self, endpoint: str) -> None:
+        self._pool.settle(endpoint, self._ledger.count(endpoint))
+        self._on_free()
+
+    def _inherit(self, endpoint: str, count: int, not_before_s: float) -> None:
+        self._ledger.inherit(endpoint, count, not_before_s)
+        self._pool.inherit(endpoint, count)
+
+    def _slots(self, endpoint: str) -> int:
+        host = self._hosts.get(endpoint)
+        return 0 if host is None else host.slots
+
+    def _add(self, endpoint: str) -> None:
+        host = self._hosts.get(endpoint)
+        if host is None:
+            self._pool.close(endpoint, _LEAVING)
+            return
+        self._pool.add(endpoint, host.domain, host.slots)
+        if host.state is model.HostState.LIVE:
+            self._pool.open(endpoint, _LEAVING)
+        else:
+            self._pool.close(endpoint, _LEAVING)
+
+    def _apply_ejections(self) -> None:
+        ejected = self._outliers.ejected()
+        if ejected == self._ejected:
+            return
+        for endpoint in ejected - self._ejected:
+            _LOG.warning('endpoint_ejected', endpoint=endpoint)
+            self._pool.close(endpoint, _EJECTED)
+        for endpoint in self._ejected - ejected:
+            _LOG.info('endpoint_reinstated', endpoint=endpoint)
+            self._pool.open(endpoint, _EJECTED)
+        self._ejected = ejected
+        self._on_free()
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_gate.py
@@ -0,0 +1,51 @@
+"""Whether a request may still start, asked just before its first byte."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+from walnutpoint_entry import keys
+
+__all__ = (
+    'KeyedGate',
+    'OpenGate',
+    'StartGate',
+)
+
+
+class StartGate(typing.Protocol):
+    """The last word on whether a request may start."""
+
+    def start(self) -> bool:
+        """Mark the request as started, or say that it may not start."""
+
+
+class OpenGate:
+    """Let every request start."""
+
+    __slots__ = ()
+
+    def start(self) -> bool:
+        """Let the request start."""
+        return True
+
+
+class KeyedGate:
+    """Let a keyed request start while its home may act on its shard."""
+
+    __slots__ = ('_entry', '_may_act')
+
+    def __init__(
+        self,
+        entry: keys.Entry,
+        may_act: collections.abc.Callable[[], bool],
+    ) -> None:
+        self._entry = entry
+        self._may_act = may_act
+
+    def start(self) -> bool:
+        """Mark the request as started, or say that it may not start."""
+        # A home that was paused may have lost the shard to another one,
+        # which runs the repeat: this request would be its second run.
+        return self._may_act() and self._entry.start().is_ok()
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_router.py
@@ -0,0 +1,173 @@
+"""The way of a request to the process that may decide on it."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+import time
+import typing
+
+import anyio
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import model
+from walnutpoint_core import timer as timers
+from walnutpoint_entry import keys
+from walnutpoint_entry import ownership
+from walnutpoint_entry import peers
+from walnutpoint_entry.routing import _dispatcher
+from walnutpoint_entry.routing import _gate
+from walnutpoint_entry.routing import _shards
+
+__all__ = ('Router',)
+
+_RETRY_S: typing.Final = 0.1
+_KIND = errors.ErrorKind
+# The home did not take the request, or can tell a repeat from it.
+_ASK_AGAIN: typing.Final = frozenset(
+    {
+        _KIND.NOT_OWNER,
+        _KIND.PEER_ANSWER_LOST,
+        _KIND.PEER_UNREACHABLE,
+    }
+)
+
+_Served: typing.TypeAlias = expression.Result[model.Answer, errors.Failure]
+
+
+class Router:
+    """Serve requests without a key here, and the others at their homes."""
+
+    __slots__ = (
+        '_dispatcher',
+        '_links',
+        '_memory',
+        '_mint',
+        '_ownership',
+        '_shard_names',
+        '_shards',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        owner: ownership.OwnershipService,
+        dispatcher: _dispatcher.Dispatcher,
+        links: peers.Links,
+        mint: keys.KeyMint,
+        memory: keys.KeyMemory,
+        shards: _shards.Shards,
+        shard_names: collections.abc.Sequence[str],
+    ) -> None:
+        self._timer = timer
+        self._ownership = owner
+        self._dispatcher = dispatcher
+        self._links = links
+        self._mint = mint
+        self._memory = memory
+        self._shards = shards
+        self._shard_names = shard_names
+
+    def mint_key(self) -> expression.Result[str, errors.Failure]:
+        """Return a new idempotency key, of a shard at home here if any."""
+        placed = self._ownership.placed
+        if placed is None:
+            return expression.Error(errors.Failure(_KIND.NOT_CONFIRMED))
+        shard = self._shard_to_mint()
+        epoch = placed.table.epoch(self._shard_names[shard])
+        return expression.Ok(self._mint.mint(shard, epoch, time.time()))
+
+    async def route(self, request: model.Request) -> _Served:
+        """Serve a caller's request."""
+        if request.key is None:
+            return await self._dispatcher.serve(request, _gate.OpenGate())
+        asset = self._shard_names[self._mint.shard_of(request.key)]
+        while True:
+            result = await self._ask_home(asset, request)
+            if result.is_ok() or result.error.kind not in _ASK_AGAIN:
+                return result
+            # Asking the home again is safe: it knows the key. A new home
+            # that does not says so, and runs nothing.
+            if self._timer.now_s() + _RETRY_S >= request.deadline_at_s:
+                return result
+            await self._timer.sleep(_RETRY_S)
+
+    async def serve_as_home(self, request: model.Request) -> _Served:
+        """Serve a keyed request at the home of its key, at most once."""
+        assert request.key is not None
+        read = self._mint.read(request.key, time.time())
+        if read.is_error():
+            return expression.Error(read.error)
+        asset = self._shard_names[read.ok.shard]
+        if not await self._is_home(asset):
+            return expression.Error(errors.Failure(_KIND.NOT_OWNER))
+        begun = self._memory.begin(
+            read.ok.shard,
+            read.ok,
+            keys.fingerprint(request),
+            self._timer.now_s(),
+        )
+        if begun.is_error():
+            return expression.Error(begun.error)
+        verdict = begun.ok
+        if isinstance(verdict, keys.Replay):
+            return verdict.result
+        if isinstance(verdict, keys.Join):
+            return await self._join(verdict.entry, request)
+        return await self._run(verdict.entry, asset, request)
+
+    async def _ask_home(self, asset: str, request: model.Request) -> _Served:
+        home = self._ownership.owner(asset)
+        if home is None:
+            return expression.Error(errors.Failure(_KIND.NOT_OWNER))
+        if home == self._ownership.member:
+            return await self.serve_as_home(request)
+        link = self._links.find(home)
+        if link is None:
+            return expression.Error(errors.Failure(_KIND.PEER_UNREACHABLE))
+        return await link.serve(request)
+
+    async def _is_home(self, asset: str) -> bool:
+        if self._ownership.may_act(asset):
+            return True
+        if self._ownership.is_active(asset):
+            await self._ownership.poll()
+        return self._ownership.may_act(asset)
+
+    async def _run(
+        self, entry: keys.Entry, asset: str, request: model.Request
+    ) -> _Served:
+        gate = _gate.KeyedGate(entry, lambda: self._ownership.may_act(asset))
+        result: _Served = expression.Error(errors.Failure(_KIND.ANSWER_LOST))
+        try:
+            result = await self._dispatcher.serve(request, gate)
+        finally:
+            self._memory.finish(entry, result, self._timer.now_s())
+            self._shards.finished(entry)
+        assert entry.result is not None
+        return entry.result
+
+    async def _join(
+        self, entry: keys.Entry, request: model.Request
+    ) -> _Served:
+        try:
+            left_s = request.deadline_at_s - self._timer.now_s()
+            with anyio.move_on_after(left_s):
+                await entry.finished.wait()
+        finally:
+            entry.leave()
+        if entry.result is None:
+            return expression.Error(
+                errors.Failure(_KIND.ANSWER_LATE, 'the first one still runs')
+            )
+        return entry.result
+
+    def _shard_to_mint(self) -> int:
+        at_home = [
+            index
+            for index, name in enumerate(self._shard_names)
+            if self._ownership.is_active(name)
+        ]
+        return random.choice(at_home or range(len(self._shard_names)))
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_shards.py
@@ -0,0 +1,171 @@
+"""The key shards that this process is home of, and their hand-over."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import dataclasses
+
+from walnutpoint_core import logs
+from walnutpoint_core import settings as settings_module
+from walnutpoint_core import timer as timers
+from walnutpoint_entry import keys
+from walnutpoint_entry import ownership
+from walnutpoint_entry import peers
+from walnutpoint_entry.peers import messages
+
+__all__ = ('Shards',)
+
+_LOG = logs.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _NextHome:
+    asset: str
+    epoch: int
+    member: ownership.Member
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Received:
+    epoch: int
+    rest: keys.BlindRest
+
+
+class Shards:
+    """Open and close the shards of the key memory with their ownership."""
+
+    __slots__ = (
+        '_links',
+        '_memory',
+        '_next_homes',
+        '_received',
+        '_settings',
+        '_tasks',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        settings: settings_module.KeySettings,
+        memory: keys.KeyMemory,
+        links: peers.Links,
+    ) -> None:
+        self._timer = timer
+        self._settings = settings
+        self._memory = memory
+        self._links = links
+        self._next_homes: dict[int, _NextHome] = {}
+        self._received: dict[int, _Received] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def gain(self, gain: ownership.Gain) -> None:
+        """Become home of a shard, blind unless its memory came along."""
+        shard = ownership.shard_index(gain.asset)
+        self._next_homes.pop(shard, None)
+        received = self._received.pop(shard, None)
+        now_s = self._timer.now_s()
+        blind_until_s = now_s + self._settings.remember_s
+        first_epoch = None
+        if gain.is_first:
+            blind_until_s = now_s
+        elif (
+            gain.in_use is not None
+            and received is not None
+            and received.epoch == gain.epoch
+        ):
+            blind_until_s = now_s + received.rest.left_s
+            first_epoch = received.rest.first_epoch
+        opened = self._memory.open_shard(
+            shard, gain.epoch, now_s, blind_until_s, first_epoch
+        )
+        if opened.is_error():
+            _LOG.error('shard_not_opened', detail=opened.error.detail)
+
+    def lose(self, loss: ownership.Loss) -> None:
+        """Stop to be home of a shard."""
+        shard = ownership.shard_index(loss.asset)
+        self._memory.close_shard(shard, self._timer.now_s())
+
+    def lower_in_use(self, asset: str, in_use: int) -> None:
+        """Ignore slots; a shard has none."""
+
+    def in_use(self, asset: str) -> int:
+        """Return no slots; a shard has none."""
+        return 0
+
+    async def hand_over(
+        self, asset: str, epoch: int, successor: ownership.Member
+    ) -> None:
+        """Send the key memory of a lost shard to its next home."""
+        shard = ownership.shard_index(asset)
+        now_s = self._timer.now_s()
+        rest = self._memory.blind_rest(shard, now_s)
+        if rest is None:
+            return
+        self._next_homes[shard] = _NextHome(asset, epoch, successor)
+        exported = self._memory.export_shard(shard, now_s)
+        batches = list(keys.encode_records(exported)) or [b'']
+        for records in batches:
+            batch = messages.KeyBatch(
+                asset=asset, epoch=epoch, records=records
+            )
+            if records is batches[-1]:
+                batch.is_last = True
+                batch.blind_left_s = rest.left_s
+                batch.first_epoch = rest.first_epoch
+            if not await self._links.send_keys(successor, batch):
+                # The next home opens blind then, and refuses old keys.
+                _LOG.warning('keys_not_sent', shard=shard)
+                return
+
+    def receive(self, batch: messages.KeyBatch) -> bool:
+        """Take a part of the key memory of a shard that is to come here."""
+        shard = ownership.shard_index(batch.asset)
+        if batch.records:
+            decoded = keys.decode_records(batch.records)
+            if decoded.is_error():
+                return False
+            imported = self._memory.import_records(
+                shard, decoded.ok, self._timer.now_s()
+            )
+            if imported.is_error():
+                return False
+        if batch.is_last:
+            self._received[shard] = _Received(
+                batch.epoch,
+                keys.BlindRest(batch.blind_left_s, batch.first_epoch),
+            )
+        return True
+
+    def finished(self, entry: keys.Entry) -> None:
+        """Tell the next home the result of what it knew as in flight."""
+        next_home = self._next_homes.get(entry.shard)
+        if next_home is None or self._memory.is_open(entry.shard):
+            return
+        task = asyncio.ensure_future(self._send_late(entry, next_home))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def is_quiet(self) -> bool:
+        """Tell whether no late result is on its way."""
+        return not self._tasks
+
+    async def run(self, ticks: collections.abc.AsyncIterable[float]) -> None:
+        """Forget the keys whose time is over, for ever."""
+        async for now_s in ticks:
+            self._memory.expire(now_s)
+
+    async def _send_late(
+        self, entry: keys.Entry, next_home: _NextHome
+    ) -> None:
+        for records in keys.encode_records((entry.to_record(),)):
+            await self._links.send_keys(
+                next_home.member,
+                messages.KeyBatch(
+                    asset=next_home.asset,
+                    epoch=next_home.epoch,
+                    records=records,
+                ),
+            )
