Load checked settings, add the command line and the check run

Cause: a process had no way to read its settings, callers and operators had no program, and nothing counted the checks of the whole tree. Ruled out: reading YAML without its node tree (loses lines and hides duplicate keys); calling every lost connection a refusal (only one that was never made proves that nothing ran); judging by nose2's exit code alone (a known red test and a crash outside any test look the same).

--- /dev/null
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_flags.py
@@ -0,0 +1,177 @@
+"""The flags of the command line."""
+
+from __future__ import annotations
+
+import collections.abc
+import os
+import pathlib
+import re
+import typing
+
+from absl import flags
+import httpx
+
+from walnutpoint_cli import _options
+
+__all__ = (
+    'TOKEN_VARIABLE',
+    'help_text',
+    'operator_options',
+    'parse',
+    'request_options',
+)
+
+TOKEN_VARIABLE: typing.Final = 'WALNUTPOINT_OPERATOR_TOKEN'
+_PORT_MAX: typing.Final = 65535
+_URL = re.compile(r'https?://[^/?#\s]+/?')
+_FIELD = re.compile(r'[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?')
+
+_OUTPUT = flags.DEFINE_enum(
+    'output', 'text', ['text', 'json'], 'Form of the output.'
+)
+_ENTRY = flags.DEFINE_multi_string(
+    'entry',
+    ['http://127.0.0.1:8080'],
+    'request: URL of an entry process; repeat it to spread --count.',
+)
+_PATH = flags.DEFINE_string('path', '/', "request: the endpoint's path.")
+_METHOD = flags.DEFINE_string('method', 'POST', 'request: HTTP method.')
+_BODY = flags.DEFINE_string('body', None, 'request: the body as text.')
+_BODY_FILE = flags.DEFINE_string(
+    'body_file', None, 'request: file that holds the body.'
+)
+_TEAM = flags.DEFINE_string('team', None, 'request: the team to count.')
+_CLASS = flags.DEFINE_enum(
+    'class', None, ['urgent', 'standard', 'batch'], 'request: its class.'
+)
+_DEADLINE_S = flags.DEFINE_float(
+    'deadline_s',
+    None,
+    'request: seconds until the answer is of no more use.',
+    lower_bound=0.001,
+)
+_IDEMPOTENT = flags.DEFINE_bool(
+    'idempotent', False, 'request: declare that it may run more than once.'
+)
+_KEY = flags.DEFINE_string('key', None, 'request: its Idempotency-Key.')
+_MINT_KEY = flags.DEFINE_bool(
+    'mint_key', False, 'request: fetch a fresh Idempotency-Key for each.'
+)
+_COUNT = flags.DEFINE_integer(
+    'count', 1, 'request: how many to send.', lower_bound=1
+)
+_CONCURRENCY = flags.DEFINE_integer(
+    'concurrency',
+    8,
+    'request: how many to have in progress at once.',
+    lower_bound=1,
+    upper_bound=1024,
+)
+_OPERATOR = flags.DEFINE_string(
+    'operator',
+    'http://127.0.0.1:9090',
+    'status, endpoints, owners, explain: URL of an operator address.',
+)
+_TOKEN_FILE = flags.DEFINE_string(
+    'token_file',
+    None,
+    f'File that holds the operator token; default: {TOKEN_VARIABLE}.',
+)
+
+
+def parse(argv: collections.abc.Sequence[str]) -> list[str]:
+    """Set the flags and return the positional arguments."""
+    flags.FLAGS.set_gnu_getopt(True)
+    return list(flags.FLAGS(list(argv)))
+
+
+def help_text() -> str:
+    """Return what each flag does."""
+    return str(flags.FLAGS.module_help(__name__))
+
+
+def request_options() -> _options.RequestOptions:
+    """Return what the flags of a request ask for."""
+    _refuse_both(_BODY, _BODY_FILE)
+    if _MINT_KEY.value and _KEY.value is not None:
+        raise flags.IllegalFlagValueError('give --key or --mint_key, not both')
+    return _options.RequestOptions(
+        entries=tuple(_url(entry) for entry in _ENTRY.value),
+        path=_field(_PATH.value, 'path') or '/',
+        method=_field(_METHOD.value, 'method') or 'POST',
+        body=_body(),
+        team=_field(_TEAM.value, 'team'),
+        work_class=_CLASS.value,
+        deadline_s=_DEADLINE_S.value,
+        idempotent=_IDEMPOTENT.value,
+        key=_field(_KEY.value, 'key'),
+        mint_key=_MINT_KEY.value,
+        count=_COUNT.value,
+        concurrency=_CONCURRENCY.value,
+        output=_options.Output(_OUTPUT.value),
+    )
+
+
+def operator_options() -> _options.OperatorOptions:
+    """Return which operator address the flags name."""
+    return _options.OperatorOptions(
+        operator=_url(_OPERATOR.value),
+        token=_token(),
+        output=_options.Output(_OUTPUT.value),
+    )
+
+
+def _refuse_both(
+    first: flags.FlagHolder[typing.Any], second: flags.FlagHolder[typing.Any]
+) -> None:
+    if first.value is not None and second.value is not None:
+        raise flags.IllegalFlagValueError(
+            f'give --{first.name} or --{second.name}, not both'
+        )
+
+
+def _url(text: str) -> str:
+    try:
+        port = httpx.URL(text).port or 0
+        good = _URL.fullmatch(text) is not None and port <= _PORT_MAX
+    except httpx.InvalidURL:
+        good = False
+    if not good:
+        raise flags.IllegalFlagValueError(
+            f'{text!r} is not a URL like http://127.0.0.1:8080'
+        )
+    return text.rstrip('/')
+
+
+def _field(text: str | None, name: str) -> str | None:
+    # A line break would end the HTTP field and start one of its own.
+    if text is not None and not _FIELD.fullmatch(text):
+        raise flags.IllegalFlagValueError(
+            f'--{name} must be printable ASCII text'
+        )
+    return text
+
+
+def _body() -> bytes:
+    if _BODY_FILE.value is not None:
+        return _read(_BODY_FILE.value)
+    return (_BODY.value or '').encode()
+
+
+def _token() -> str:
+    if _TOKEN_FILE.value is not None:
+        token = _read(_TOKEN_FILE.value).decode('ascii', 'replace').strip()
+    else:
+        token = os.environ.get(TOKEN_VARIABLE, '').strip()
+    if not _FIELD.fullmatch(token):
+        raise flags.IllegalFlagValueError(
+            f'give an operator token by --token_file or {TOKEN_VARIABLE}'
+        )
+    return token
+
+
+def _read(path: str) -> bytes:
+    try:
+        return pathlib.Path(path).read_bytes()
+    except OSError as fault:
+        raise flags.IllegalFlagValueError(str(fault)) from fault
--- /dev/null
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_options.py
@@ -0,0 +1,47 @@
+"""What a command was asked to do."""
+
+from __future__ import annotations
+
+import dataclasses
+import enum
+
+__all__ = (
+    'OperatorOptions',
+    'Output',
+    'RequestOptions',
+)
+
+
+class Output(enum.Enum):
+    """The form of a command's output."""
+
+    TEXT = 'text'
+    JSON = 'json'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestOptions:
+    """What to send, how often, and where to."""
+
+    entries: tuple[str, ...]
+    path: str = '/'
+    method: str = 'POST'
+    body: bytes = b''
+    team: str | None = None
+    work_class: str | None = None
+    deadline_s: float | None = None
+    idempotent: bool = False
+    key: str | None = None
+    mint_key: bool = False
+    count: int = 1
+    concurrency: int = 8
+    output: Output = Output.TEXT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OperatorOptions:
+    """Which operator address to ask, and with what token."""
+
+    operator: str
+    token: str
+    output: Output = Output.TEXT
--- /dev/null
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_sender.py
@@ -0,0 +1,131 @@
+"""Send requests to entry processes, a bounded number at once."""
+
+from __future__ import annotations
+
+import collections.abc
+import itertools
+import time
+import typing
+
+import anyio
+import httpx
+import msgspec
+
+from walnutpoint_cli import _answer
+from walnutpoint_cli import _options
+
+__all__ = (
+    'Sender',
+    'open_client',
+)
+
+_CONNECT_TIMEOUT_S: typing.Final = 2.0
+# Above the longest deadline that an entry process takes by default.
+_READ_TIMEOUT_S: typing.Final = 90.0
+_READ_MARGIN_S: typing.Final = 5.0
+# An older idle connection may be dead without a sign, and a request on it
+# would be of unknown outcome.
+_IDLE_CONNECTION_S: typing.Final = 1.0
+
+
+class _MintedKey(msgspec.Struct, frozen=True):
+    key: str
+
+
+def open_client(
+    options: _options.RequestOptions,
+    transport: httpx.AsyncBaseTransport | None = None,
+) -> httpx.AsyncClient:
+    """Return a client that never makes a request wait for a connection."""
+    read_s = _READ_TIMEOUT_S
+    if options.deadline_s is not None:
+        read_s = options.deadline_s + _READ_MARGIN_S
+    return httpx.AsyncClient(
+        transport=transport,
+        trust_env=False,
+        timeout=httpx.Timeout(read_s, connect=_CONNECT_TIMEOUT_S),
+        limits=httpx.Limits(
+            max_connections=None, keepalive_expiry=_IDLE_CONNECTION_S
+        ),
+    )
+
+
+class Sender:
+    """Send the requests of one command and keep their answers."""
+
+    __slots__ = ('_answers', '_client', '_options')
+
+    def __init__(
+        self, client: httpx.AsyncClient, options: _options.RequestOptions
+    ) -> None:
+        """Prepare to send what the options ask for."""
+        self._client = client
+        self._options = options
+        self._answers: list[_answer.Answer] = []
+
+    @property
+    def answers(self) -> tuple[_answer.Answer, ...]:
+        """Return the answers so far."""
+        return tuple(self._answers)
+
+    async def send_all(self) -> None:
+        """Send every request and wait for its answer."""
+        options = self._options
+        entries = itertools.islice(
+            itertools.cycle(options.entries), options.count
+        )
+        async with anyio.create_task_group() as group:
+            for _ in range(min(options.concurrency, options.count)):
+                group.start_soon(self._work, entries)
+
+    async def _work(self, entries: collections.abc.Iterator[str]) -> None:
+        for entry in entries:
+            self._answers.append(await self._send(entry))
+
+    async def _send(self, entry: str) -> _answer.Answer:
+        options, start_s = self._options, time.monotonic()
+        key = options.key
+        if options.mint_key:
+            minted = await self._mint(entry)
+            if isinstance(minted, _answer.Answer):
+                return minted
+            key = minted
+        try:
+            response = await self._client.request(
+                options.method,
+                f'{entry}/v1/requests/{options.path.lstrip("/")}',
+                content=options.body,
+                headers=self._headers(key),
+            )
+        except httpx.HTTPError as fault:
+            return _answer.failed(fault, entry, time.monotonic() - start_s)
+        return _answer.read(response, entry, time.monotonic() - start_s)
+
+    async def _mint(self, entry: str) -> str | _answer.Answer:
+        start_s = time.monotonic()
+        try:
+            response = await self._client.post(f'{entry}/v1/keys')
+            response.raise_for_status()
+            return msgspec.json.decode(response.content, type=_MintedKey).key
+        except httpx.TransportError as fault:
+            verdict = _answer.Verdict.UNREACHABLE
+            detail = f'no key: {type(fault).__name__}: {fault}'
+        except (httpx.HTTPError, msgspec.MsgspecError) as fault:
+            verdict = _answer.Verdict.REFUSED
+            detail = f'no key: {fault}'
+        # The request itself was not sent: its outcome is certain.
+        return _answer.Answer(
+            verdict, entry, time.monotonic() - start_s, detail=detail
+        )
+
+    def _headers(self, key: str | None) -> dict[str, str]:
+        options = self._options
+        deadline_s = options.deadline_s
+        fields = {
+            'Walnutpoint-Team': options.team,
+            'Walnutpoint-Class': options.work_class,
+            'Walnutpoint-Deadline-S': deadline_s and f'{deadline_s:g}',
+            'Walnutpoint-Idempotent': 'true' if options.idempotent else None,
+            'Idempotency-Key': key,
+        }
+        return {name: text for name, text in fields.items() if text}
--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/settings/__init__.py
@@ -0,0 +1,35 @@
+"""Settings of a process: their shape, defaults, ranges and loader."""
+
+from __future__ import annotations
+
+from walnutpoint_core.settings import _loader
+from walnutpoint_core.settings import _problem
+from walnutpoint_core.settings import _schema
+
+__all__ = (
+    'AddressSettings',
+    'KeySettings',
+    'LimitSettings',
+    'OwnershipSettings',
+    'PlacementSettings',
+    'PlatformSettings',
+    'RequestSettings',
+    'SecuritySettings',
+    'Settings',
+    'SettingsError',
+    'check',
+    'load',
+)
+
+AddressSettings = _schema.AddressSettings
+KeySettings = _schema.KeySettings
+LimitSettings = _schema.LimitSettings
+OwnershipSettings = _schema.OwnershipSettings
+PlacementSettings = _schema.PlacementSettings
+PlatformSettings = _schema.PlatformSettings
+RequestSettings = _schema.RequestSettings
+SecuritySettings = _schema.SecuritySettings
+Settings = _schema.Settings
+SettingsError = _problem.SettingsError
+check = _loader.check
+load = _loader.load
--- a/packages/walnutpoint-core/src/walnutpoint_core/settings.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/settings/_schema.py
@@ -1,4 +1,4 @@
-"""Settings of a process: their shape, defaults and ranges."""
+"""The shape, defaults and ranges of the settings."""
 
 from __future__ import annotations
 
--- /dev/null
+++ b/tests/tools/test_verdict.py
@@ -0,0 +1,76 @@
+"""Tests of the verdict on a check run."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import pathlib
+import tempfile
+import unittest
+
+from tools import verdict
+
+_REPORT = """<testsuite>
+<testcase classname="t.A" name="good"/>
+<testcase classname="t.A" name="bad"><failure/></testcase>
+<testcase classname="t.A" name="sub (i=1.5)"><error/></testcase>
+<testcase classname="t.A" name="sub"/>
+<testcase classname="t.A" name="skip"><skipped message="later"/></testcase>
+<testcase classname="t.A" name="odd">
+<skipped message="test passes unexpectedly"/></testcase>
+</testsuite>"""
+_PASSING = '<testsuite><testcase classname="t.A" name="good"/></testsuite>'
+
+
+class VerdictTest(unittest.TestCase):
+    """The counts are those of the report, and no fault is hidden."""
+
+    def _judge(
+        self, report: str, red: str = '', test_exit: int = 0, lint: int = 0
+    ) -> tuple[int, list[str]]:
+        with tempfile.TemporaryDirectory() as place:
+            junit = pathlib.Path(place, 'junit.xml')
+            junit.write_text(report)
+            known = pathlib.Path(place, 'KNOWN-RED.txt')
+            if red:
+                known.write_text(red)
+            out = io.StringIO()
+            with contextlib.redirect_stdout(out):
+                code = verdict.main(
+                    [
+                        f'--junit={junit}',
+                        f'--known-red={known}',
+                        f'--test-exit={test_exit}',
+                        f'--part=lint={lint}',
+                    ]
+                )
+        return code, out.getvalue().splitlines()
+
+    def test_counts(self) -> None:
+        code, lines = self._judge(_PASSING)
+        self.assertEqual((code, lines), (0, ['2 passed, 0 failed']))
+        code, lines = self._judge(_REPORT, test_exit=1, lint=1)
+        self.assertEqual((code, lines[-1]), (1, '1 passed, 4 failed'))
+        self.assertIn('FAILED test t.A.sub', lines)
+        self.assertIn('SKIPPED test t.A.skip', lines)
+
+    def test_known_red_is_printed_and_passed_over(self) -> None:
+        red = ''.join(f't.A.{n} | cause | #1\n' for n in ('bad', 'sub', 'odd'))
+        code, lines = self._judge(_REPORT, red, test_exit=1)
+        self.assertEqual((code, lines[-1]), (0, '2 passed, 0 failed'))
+        self.assertIn('KNOWN RED t.A.bad | cause | #1', lines)
+
+    def test_nothing_hides_a_failure(self) -> None:
+        for name, report, red, test_exit in (
+            ('no test ran', '<testsuite/>', '', 0),
+            ('broken report', '<testsuite>', '', 1),
+            ('crash outside a test', _PASSING, '', 1),
+            ('failures but exit code 0', _REPORT, 't.A.bad | c | i', 0),
+            ('listed test is gone', _PASSING, 't.A.gone | c | i', 0),
+            ('four listed', _PASSING, 't.A.good | c | i\n' * 4, 0),
+            ('no issue', _PASSING, 't.A.good | c |', 0),
+        ):
+            with self.subTest(name):
+                code, lines = self._judge(report, red, test_exit)
+                self.assertEqual(code, 1)
+                self.assertNotIn(', 0 failed', lines[-1])
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Tools of the workspace."""
--- /dev/null
+++ b/tools/generate.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Generate the peer protocol's code; its output is committed.
+set -eu
+cd "$(dirname "$0")/../packages/walnutpoint-entry/src"
+python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
+    walnutpoint_entry/peers/_generated/peer.proto
