Specify and check the core protocol

Cause: the ownership and key-memory protocol had only a trial of one takeover. The specification adds competing proposals, a quorum of four, two successive tables with release and getting back, slots in doubt and the key's memory, with a mutant of each guard. Ruled out: "stop on a newer table" as a guard of its own; its mutant is not refuted, the fence covers it, so it is folded into STOP_BEFORE_RELEASE. Equal blind period and deadline is refuted; it must be longer. Guards the first design lacked: reports count only transit_s after the handover, a release serves only the next epoch, keys of a newer epoch refused, not-run remembered, a refused key unknown, one live incarnation at an address. Conclusion: within the stated bounds no two owners place, capacity holds, no key runs twice and no not-run is false. Progress, clock rates and the freeze between check and write are left out (docs/specification.md).

--- /dev/null
+++ b/specs/_cases.py
@@ -0,0 +1,91 @@
+"""List every model with the mutants of its guards and its goals."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import dataclasses
+import enum
+import functools
+import typing
+
+import minicheck
+from minicheck import verdict
+
+from specs import _check
+from specs import confirmation
+from specs import doubt
+from specs import memory
+from specs import proposal
+from specs import quorum
+from specs import succession
+
+
+class Build(typing.Protocol):
+    """Build a model, or its mutant without one guard."""
+
+    def __call__(self, dropped: typing.Any = None) -> minicheck.Protocol:
+        """Return the model without the guard named."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Model:
+    """Name a model, its builder, its guards and what it must reach."""
+
+    name: str
+    build: Build
+    guards: type[enum.Enum]
+    goals: tuple[_check.Predicate, ...]
+
+
+MODELS = (
+    Model('proposal', proposal.build, proposal.Guard, proposal.GOALS),
+    Model(
+        'confirmation',
+        confirmation.build,
+        confirmation.Guard,
+        confirmation.GOALS,
+    ),
+    Model('quorum', quorum.build, quorum.Guard, quorum.GOALS),
+    Model('succession', succession.build, succession.Guard, succession.GOALS),
+    Model('doubt', doubt.build, doubt.Guard, doubt.GOALS),
+    Model('memory', memory.build, memory.Guard, memory.GOALS),
+)
+
+
+def _mutant(model: Model, guard: enum.Enum) -> _check.Case:
+    build: Callable[[], minicheck.Protocol]
+    build = functools.partial(model.build, guard)
+    name = f'{model.name} without {guard.name}'
+    return _check.Case(name, build, verdict.Verdict.REFUTED)
+
+
+def _goal(model: Model, goal: _check.Predicate) -> _check.Case:
+    """Return a case that fails if a goal is out of reach.
+
+    A model that can do nothing keeps every property; refuting that a goal is
+    never reached shows that the proof is not empty.
+    """
+
+    def never(fields: dict[str, typing.Any]) -> bool:
+        return not goal(fields)
+
+    def build() -> minicheck.Protocol:
+        whole = model.build()
+        return dataclasses.replace(whole, invariants={'never': never})
+
+    name = f'{model.name} never {goal.__name__}'
+    return _check.Case(name, build, verdict.Verdict.REFUTED)
+
+
+def cases_of(model: Model) -> list[_check.Case]:
+    """Return the case of a model, its goals and its mutants."""
+    return [
+        _check.Case(model.name, model.build, verdict.Verdict.PROVED),
+        *(_goal(model, goal) for goal in model.goals),
+        *(_mutant(model, guard) for guard in model.guards),
+    ]
+
+
+def all_cases() -> list[_check.Case]:
+    """Return the cases of all models in a fixed order."""
+    return [case for model in MODELS for case in cases_of(model)]
--- /dev/null
+++ b/specs/proposal.py
@@ -0,0 +1,129 @@
+"""Model two proposers of one table, whose answers and writes come late.
+
+B may send two different tables, C one; each write takes effect at any later
+time or never, and its answer may be lost.
+
+| guard | code module |
+|---|---|
+| COMPARE | walnutpoint_entry.ownership._table |
+| READ_BACK | walnutpoint_entry.ownership._table |
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+import minicheck
+
+from specs import _check
+
+B, C = 0, 1
+NAMES = 'BC'
+T1 = 0
+PROPOSERS = (B, B, C)
+
+
+class Guard(enum.Enum):
+    """Name each guard that a mutant drops."""
+
+    COMPARE = 'the write compares the revision'
+    READ_BACK = 'a lost answer is resolved by reading back'
+
+
+class Write(enum.IntEnum):
+    """Name how far a write has come."""
+
+    UNSENT = 0
+    SENT = 1
+    DONE = 2
+    REFUSED = 3
+    CLOSED = 4
+
+
+class World(typing.NamedTuple):
+    """Hold the stored table, the writes and what each proposer knows."""
+
+    stored: int = T1
+    writes: tuple[Write, Write, Write] = (Write.UNSENT,) * 3
+    known: tuple[int, int] = (T1, T1)
+
+
+def _put(
+    values: tuple[typing.Any, ...], index: int, value: typing.Any
+) -> tuple[typing.Any, ...]:
+    return values[:index] + (value,) + values[index + 1 :]
+
+
+class Proposals:
+    """Generate the steps of competing proposals, without a guard."""
+
+    def __init__(self, dropped: Guard | None) -> None:
+        self._dropped = dropped
+
+    def steps(self, state: _check.State) -> _check.Steps:
+        """Return every step possible in a state."""
+        world = World(*state)
+        found: _check.Steps = []
+        for index, proposer in enumerate(PROPOSERS):
+            self._write(world, index, proposer, found)
+        for member in (B, C):
+            for table in {world.stored, *world.known} - {T1}:
+                if world.known[member] == T1:
+                    known = _put(world.known, member, table)
+                    label = f'{NAMES[member]} learns {table}'
+                    found.append((label, world._replace(known=known)))
+        return found
+
+    def _write(
+        self, world: World, index: int, proposer: int, found: _check.Steps
+    ) -> None:
+        table = index + 1
+        write = world.writes[index]
+        named = f'{NAMES[proposer]} table {table}'
+        knows = world._replace(
+            writes=_put(world.writes, index, Write.CLOSED),
+            known=_put(world.known, proposer, table),
+        )
+        if write is Write.UNSENT and world.known[proposer] == T1:
+            writes = _put(world.writes, index, Write.SENT)
+            found.append((f'{named} sent', world._replace(writes=writes)))
+        if write is Write.SENT:
+            found.append((f'{named} at store', self._apply(world, index)))
+        if write is Write.DONE:
+            found.append((f'{named} answered', knows))
+        lost = write in (Write.SENT, Write.DONE, Write.REFUSED)
+        if lost and self._dropped is Guard.READ_BACK:
+            found.append((f'{named} taken as written', knows))
+
+    def _apply(self, world: World, index: int) -> World:
+        if world.stored == T1 or self._dropped is Guard.COMPARE:
+            writes = _put(world.writes, index, Write.DONE)
+            return world._replace(stored=index + 1, writes=writes)
+        writes = _put(world.writes, index, Write.REFUSED)
+        return world._replace(writes=writes)
+
+
+def one_table(fields: dict[str, typing.Any]) -> bool:
+    """Hold while nobody knows two different tables of one revision."""
+    return len(set(fields['known']) - {T1}) <= 1
+
+
+def both_know(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether both proposers know the table that was written."""
+    return T1 not in fields['known']
+
+
+GOALS = (both_know,)
+
+
+def build(dropped: Guard | None = None) -> minicheck.Protocol:
+    """Return the model, or the mutant without one guard."""
+    return minicheck.Protocol(
+        name='proposal',
+        candidate=True,
+        fields=World._fields,
+        initial=World(),
+        transitions=Proposals(dropped).steps,
+        invariants={'one_table': one_table},
+    )
--- /dev/null
+++ b/tests/specs/__init__.py
@@ -0,0 +1,3 @@
+"""Test the specification's runner."""
+
+from __future__ import annotations
