Take operators' documents from text to the configuration in force

Cause: operators need one change to be accepted whole or refused with every fault, once, and never undone. Ruled out: msgspec alone, which stops at the first fault; a validator of our own. Submission ids stand in the head, so that a lost answer is resolved by reading back; names of ended jobs stay taken, so that a late repeat does not run a job again. Left: history keeps ids and revisions only; seconds until a document is in force are unmeasured until the daemon polls.

--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/documents/_ending.py
@@ -0,0 +1,74 @@
+"""Jobs and services that ended, whose names stay taken for a while."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import operator
+import types
+import typing
+
+import msgspec
+
+from walnutpoint_core.documents import _state
+
+__all__ = ('finish', 'service_key', 'with_ended')
+
+ENDED_MAX: typing.Final = 1000
+
+
+def finish(
+    configuration: _state.Configuration, jobs: tuple[str, ...], revision: int
+) -> _state.Configuration:
+    """Return the configuration without jobs that have ended."""
+    names: dict[str, set[str]] = collections.defaultdict(set)
+    for job in jobs:
+        team, name = _state.split_name(job)
+        names[team].add(name)
+    teams = dict(configuration.teams)
+    for team in names.keys() & teams.keys():
+        teams[team] = _without_jobs(teams[team], names[team], revision)
+    if all(teams[name] is part for name, part in configuration.teams.items()):
+        return configuration
+    return dataclasses.replace(
+        configuration, revision=revision, teams=types.MappingProxyType(teams)
+    )
+
+
+def _without_jobs(
+    part: _state.TeamPart, names: set[str], revision: int
+) -> _state.TeamPart:
+    ended: list[str] = []
+    sections = {}
+    for section in _state.JOB_SECTIONS:
+        entries = getattr(part, section)
+        ended.extend(name for name in entries if name in names)
+        sections[section] = {
+            name: one for name, one in entries.items() if name not in names
+        }
+    if not ended:
+        return part
+    part = msgspec.structs.replace(part, revision=revision, **sections)
+    return with_ended(part, tuple(ended), revision)
+
+
+def service_key(name: str) -> str:
+    """Return the name under which an ended service is remembered."""
+    # Services and jobs may share a name; a job's has no slash.
+    return f'services/{name}'
+
+
+def with_ended(
+    part: _state.TeamPart, names: tuple[str, ...], revision: int
+) -> _state.TeamPart:
+    """Return a part that remembers more ended names, and not too many."""
+    ended = dict(part.ended)
+    ended.update(dict.fromkeys(names, revision))
+    oldest_first = sorted(ended.items(), key=operator.itemgetter(1))
+    dropped = oldest_first[: max(0, len(ended) - ENDED_MAX)]
+    forgotten = max((part.ended_forgotten, *(at for _, at in dropped)))
+    return msgspec.structs.replace(
+        part,
+        ended=dict(oldest_first[len(dropped) :]),
+        ended_forgotten=forgotten,
+    )
--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/documents/_fault.py
@@ -0,0 +1,30 @@
+"""The fault that is reported of one field of a document."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from walnutpoint_core import errors
+
+__all__ = ('FieldFault', 'shorten')
+
+_GIVEN_LENGTH_MAX = 80
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FieldFault:
+    """One refused field: its dotted path, its value and what is allowed."""
+
+    field: str
+    given: str
+    allowed: str
+    kind: errors.ErrorKind = errors.ErrorKind.DOCUMENT_INVALID
+    in_force: str = ''
+
+
+def shorten(value: object) -> str:
+    """Return a value as text that is short enough for one line."""
+    text = repr(value)
+    if len(text) <= _GIVEN_LENGTH_MAX:
+        return text
+    return text[: _GIVEN_LENGTH_MAX - 3] + '...'
