Accept only the next owner's release, and reports after transit

Cause: the checker found two holes in the ownership protocol as first written. A release by an owner that skipped a table activated the owner after the next, while the one between could place. A usage report sampled before the last bytes of the old owner arrived freed slots that they then took: three runs on two slots. Ruled out: comparing the worker's clock with ours; a release that names only the successor's epoch. Change: a holding keeps the epoch before it, and a release counts only if it releases that one. Reports count only when sampled transit_s after the asset became active; endpoint connections carry that time as TCP_USER_TIMEOUT, so that the kernel delivers by then or never.

--- a/packages/walnutpoint-core/src/walnutpoint_core/settings/_schema.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/settings/_schema.py
@@ -50,6 +50,8 @@
     peer_address: _Address
     caller_address: _Address
     operator_address: _Address
+    # Where the peer port listens, if peers reach it by another address.
+    peer_listen_address: _Address | None = None
     region: _Name = 'home'
 
 
@@ -106,6 +108,7 @@
     idle_connection_s: _ShortTime = 30.0
     fresh_connection_s: _ShortTime = 1.0
     connect_timeout_s: _ShortTime = 0.5
+    transit_s: _ShortTime = 0.6
     usage_period_s: _ShortTime = 0.5
 
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_daemon.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_daemon.py
@@ -55,8 +55,9 @@
         self._ended = anyio.Event()
         self._status = 0
         settings = parts.settings
+        addresses = settings.addresses
         self._peer_server = peers.PeerServer(
-            settings.addresses.peer_address,
+            addresses.peer_listen_address or addresses.peer_address,
             settings.security.peer_token,
             settings.limits.body_size_bytes,
             parts.timer,
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_parts.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_parts.py
@@ -86,7 +86,6 @@
         self.fleet = routing.Fleet(
             self.timer,
             settings.placement,
-            settings.ownership.fence_s,
             self.client,
             self._on_free,
         )
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_connection.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_connection.py
@@ -16,7 +16,6 @@
 from walnutpoint_entry.endpoints import _call
 from walnutpoint_entry.endpoints import _message
 
-_UNACKNOWLEDGED_MAX_S: typing.Final = 3.0
 _KEEPALIVE_IDLE_S: typing.Final = 1
 _KEEPALIVE_PERIOD_S: typing.Final = 1
 _KEEPALIVE_PROBES: typing.Final = 3
@@ -41,12 +40,16 @@
         '_result',
         '_size_max_bytes',
         '_timer',
+        '_transit_s',
         '_transport',
         '_written_at_s',
         'idle_since_s',
     )
 
-    def __init__(self, timer_: timer.Timer, size_max_bytes: int) -> None:
+    def __init__(
+        self, timer_: timer.Timer, size_max_bytes: int, transit_s: float
+    ) -> None:
+        self._transit_s = transit_s
         self.idle_since_s = -math.inf
         self._timer = timer_
         self._size_max_bytes = size_max_bytes
@@ -163,7 +166,8 @@
         sock = self._socket()
         self._poll.register(sock.fileno(), _CLOSED_EVENTS)
         # A middlebox can lose track of a connection; its packets then vanish
-        # and the sender waits for minutes. The kernel gives up early instead.
+        # and the sender waits for minutes. The kernel gives up early instead,
+        # so that a request is delivered within transit_s or never.
         for level, option, value in (
             (socket.IPPROTO_TCP, socket.TCP_NODELAY, 1),
             (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
@@ -173,7 +177,7 @@
             (
                 socket.IPPROTO_TCP,
                 socket.TCP_USER_TIMEOUT,
-                int(_UNACKNOWLEDGED_MAX_S * 1000),
+                int(self._transit_s * 1000),
             ),
         ):
             sock.setsockopt(level, option, value)
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_pool.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_pool.py
@@ -135,7 +135,9 @@
         if self._closing:
             # Their sockets close first, or the limit would be passed.
             await asyncio.wait(set(self._closing))
-        connection = _connection.Connection(self._timer, self._size_max_bytes)
+        connection = _connection.Connection(
+            self._timer, self._size_max_bytes, self._settings.transit_s
+        )
         try:
             await self._serve(carrier, connection, first)
         except asyncio.CancelledError:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_handover.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_handover.py
@@ -55,11 +55,13 @@
         """Start to hand lost assets over, one task for each successor."""
         # Endpoints go apart from shards: they are free at once, while the
         # key memory of a shard has to be sent first.
-        groups = collections.defaultdict(list)
+        groups: collections.defaultdict[
+            tuple[_table.Member, bool], dict[str, int]
+        ] = collections.defaultdict(dict)
         for loss in losses:
             if loss.successor is not None:
                 kind = _table.is_shard(loss.asset)
-                groups[loss.successor, kind].append(loss.asset)
+                groups[loss.successor, kind][loss.asset] = loss.epoch
         for (successor, _), assets in groups.items():
             self._draining += 1
             self._tasks.start_soon(self._run, placed, successor, assets)
@@ -68,22 +70,22 @@
         self,
         placed: _table.PlacedTable,
         successor: _table.Member,
-        assets: list[str],
+        epochs: dict[str, int],
     ) -> None:
         try:
-            for asset in assets:
+            for asset in epochs:
                 await self._listener.hand_over(
                     asset, placed.table.epoch(asset), successor
                 )
-            is_taken = await self._send(placed, successor, assets)
+            is_taken = await self._send(placed, successor, epochs)
             _LOG.info(
                 'assets_released',
                 successor=successor.name,
-                assets=len(assets),
+                assets=len(epochs),
                 taken=is_taken,
             )
             if is_taken:
-                await self._report(placed, successor, assets)
+                await self._report(placed, successor, epochs)
         finally:
             self._draining -= 1
 
@@ -91,10 +93,10 @@
         self,
         placed: _table.PlacedTable,
         successor: _table.Member,
-        assets: list[str],
+        epochs: dict[str, int],
     ) -> bool:
         for _ in range(_ATTEMPTS):
-            released = self._released(placed, assets)
+            released = self._released(placed, epochs)
             if await self._sender.send_release(
                 successor, placed.revision, released
             ):
@@ -107,16 +109,16 @@
         self,
         placed: _table.PlacedTable,
         successor: _table.Member,
-        assets: list[str],
+        epochs: dict[str, int],
     ) -> None:
         reported = {
-            item.asset: item.in_use for item in self._released(placed, assets)
+            item.asset: item.in_use for item in self._released(placed, epochs)
         }
         while any(reported.values()):
             await self._timer.sleep(_REPORT_PERIOD_S)
             changed = tuple(
                 item
-                for item in self._released(placed, list(reported))
+                for item in self._released(placed, epochs)
                 if item.in_use < reported[item.asset]
             )
             if changed and await self._sender.send_release(
@@ -127,11 +129,14 @@
                 return
 
     def _released(
-        self, placed: _table.PlacedTable, assets: list[str]
+        self, placed: _table.PlacedTable, epochs: dict[str, int]
     ) -> tuple[_peers.ReleasedAsset, ...]:
         return tuple(
             _peers.ReleasedAsset(
-                asset, placed.table.epoch(asset), self._listener.in_use(asset)
+                asset,
+                placed.table.epoch(asset),
+                released_epoch,
+                self._listener.in_use(asset),
             )
-            for asset in assets
+            for asset, released_epoch in epochs.items()
         )
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_peers.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_peers.py
@@ -28,10 +28,14 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ReleasedAsset:
-    """An asset handed over, with the slots its old owner still uses."""
+    """An asset handed over, with the slots its old owner still uses.
+
+    The epoch is the successor's, the released one that of the old owner.
+    """
 
     asset: str
     epoch: int
+    released_epoch: int
     in_use: int
 
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_service.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_service.py
@@ -188,7 +188,9 @@
             if active.get(item.asset) == item.epoch:
                 self._listener.lower_in_use(item.asset, item.in_use)
             else:
-                self._succession.release(item.asset, item.epoch, item.in_use)
+                self._succession.release(
+                    item.asset, item.epoch, item.released_epoch, item.in_use
+                )
         if table_revision > self.table_revision:
             self._activity.wake()
         self._activate()
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_succession.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_succession.py
@@ -36,6 +36,7 @@
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Release:
     epoch: int
+    released_epoch: int
     in_use: int
 
 
@@ -114,9 +115,11 @@
         if self._fence_from_s is None and self._has_acknowledgements():
             self._fence_from_s = now_s
 
-    def release(self, asset: str, epoch: int, in_use: int) -> None:
+    def release(
+        self, asset: str, epoch: int, released_epoch: int, in_use: int
+    ) -> None:
         """Note that the old owner has stopped placing on an asset."""
-        self._releases[asset] = _Release(epoch, in_use)
+        self._releases[asset] = _Release(epoch, released_epoch, in_use)
 
     def activate(self, now_s: float) -> tuple[Gain, ...]:
         """Make active what was released or fenced, and return it."""
@@ -187,6 +190,12 @@
 
     def _released_in_use(self, asset: str, epoch: int) -> int | None:
         release = self._releases.get(asset)
-        if release is None or release.epoch != epoch:
+        if release is None or release.epoch != epoch or self._placed is None:
+            return None
+        # An owner that skipped a table releases to the one after the next:
+        # the owner between them may still place, and both would. Only the
+        # release of the directly preceding epoch counts.
+        previous_epoch = self._placed.table.previous_epoch(asset)
+        if release.released_epoch != previous_epoch:
             return None
         return release.in_use
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_table.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_table.py
@@ -36,10 +36,15 @@
 
 
 class Holding(msgspec.Struct, frozen=True, array_like=True):
-    """Which member owns an asset, and since which generation."""
+    """Which member owns an asset since which epoch, and what came before.
+
+    An epoch is the generation of the table that changed the owner; the
+    previous epoch is zero when the table before did not hold the asset.
+    """
 
     owner: int
     epoch: int
+    previous_epoch: int = 0
 
 
 class AssignmentTable(msgspec.Struct, frozen=True):
@@ -62,6 +67,11 @@
         holding = self.holdings.get(asset)
         return 0 if holding is None else holding.epoch
 
+    def previous_epoch(self, asset: str) -> int:
+        """Return the epoch of an asset's owner before the present one."""
+        holding = self.holdings.get(asset)
+        return 0 if holding is None else holding.previous_epoch
+
     def owned_by(self, member: Member) -> dict[str, int]:
         """Return the assets of one member with their epochs."""
         return {
@@ -157,15 +167,18 @@
             orphans.append(asset)
             continue
         counts[owner] += 1
-        epoch = generation if current is None else current.epoch(asset)
-        holdings[asset] = Holding(owner, epoch)
+        assert current is not None
+        holdings[asset] = Holding(
+            owner, current.epoch(asset), current.previous_epoch(asset)
+        )
     gaps = [
         owner
         for owner in range(len(members))
         for _ in range(shares[owner] - counts[owner])
     ]
     for asset, owner in zip(orphans, gaps, strict=True):
-        holdings[asset] = Holding(owner, generation)
+        previous_epoch = 0 if current is None else current.epoch(asset)
+        holdings[asset] = Holding(owner, generation, previous_epoch)
     return holdings
 
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_links.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_links.py
@@ -109,7 +109,10 @@
                 table_revision=table_revision,
                 assets=[
                     messages.Released(
-                        asset=item.asset, epoch=item.epoch, in_use=item.in_use
+                        asset=item.asset,
+                        epoch=item.epoch,
+                        released_epoch=item.released_epoch,
+                        in_use=item.in_use,
                     )
                     for item in released
                 ],
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_server.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_server.py
@@ -146,7 +146,9 @@
     async def Release(self, request, context) -> peer_pb2.ReleaseReply:
         """Take assets over from a peer."""
         released = tuple(
-            ownership.ReleasedAsset(item.asset, item.epoch, item.in_use)
+            ownership.ReleasedAsset(
+                item.asset, item.epoch, item.released_epoch, item.in_use
+            )
             for item in request.assets
         )
         self._handler.receive_release(request.table_revision, released)
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_fleet.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_fleet.py
@@ -37,21 +37,20 @@
         '_outliers',
         '_owned',
         '_pool',
-        '_release_margin_s',
         '_running',
         '_timer',
+        '_transit_s',
     )
 
     def __init__(
         self,
         timer: timers.Timer,
         settings: settings_module.PlacementSettings,
-        release_margin_s: float,
         client: endpoints_module.EndpointClient,
         on_free: collections.abc.Callable[[], None],
     ) -> None:
         self._timer = timer
-        self._release_margin_s = release_margin_s
+        self._transit_s = settings.transit_s
         self._client = client
         self._on_free = on_free
         self._pool = placement.SlotPool(placement.make_policy(settings))
@@ -134,14 +133,15 @@
         self._add(gain.asset)
         now_s = self._timer.now_s()
         slots = self._slots(gain.asset)
+        # What the old owner wrote last may still be on its way, in a socket
+        # buffer or behind a cut: a report sampled before it arrives shows
+        # free slots, and the endpoint would get more than it can run. After
+        # transit_s its kernel has given that connection up.
+        not_before_s = now_s + self._transit_s
         if gain.in_use is not None:
-            # What the old owner has just sent may reach the endpoint after
-            # a report is sampled there.
-            self._inherit(
-                gain.asset, gain.in_use, now_s + self._release_margin_s
-            )
+            self._inherit(gain.asset, gain.in_use, not_before_s)
         elif not gain.is_first:
-            self._inherit(gain.asset, slots, now_s)
+            self._inherit(gain.asset, slots, not_before_s)
         self._on_free()
 
     def lose(self, loss: ownership.Loss) -> None:
