Remember not-run, and promise it for a key only at its home

A repeat overtook the first attempt, was refused, and the home forgot the key: the first attempt then ran. And an entry process that could not ask the home answered not-run although an earlier attempt may have run. Ruled out: forgetting after transit_s only: an attempt may wait longer at the entry that forwards it. Change: not-run is remembered as the answer of its key, so that new work takes a new key; refusals of keyed requests without the home's word are key_undecided, unknown. Keys that teams choose are scoped by team.

--- a/packages/walnutpoint-core/src/walnutpoint_core/errors.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/errors.py
@@ -46,6 +46,7 @@
     KEY_FORGED = 'key_forged'
     KEY_MEMORY_FULL = 'key_memory_full'
     KEY_MISMATCH = 'key_mismatch'
+    KEY_UNDECIDED = 'key_undecided'
     NOT_CONFIRMED = 'not_confirmed'
     NOT_FOUND = 'not_found'
     NOT_OWNER = 'not_owner'
@@ -134,9 +135,12 @@
         ErrorKind.KEY_EXPIRED: _rule(_STATUS.CONFLICT, _UNKNOWN),
         ErrorKind.KEY_FORGED: _rule(_STATUS.BAD_REQUEST, _NOT_RUN),
         ErrorKind.KEY_MEMORY_FULL: _rule(
-            _STATUS.SERVICE_UNAVAILABLE, _NOT_RUN, 5.0
+            _STATUS.SERVICE_UNAVAILABLE, _UNKNOWN, 5.0
         ),
         ErrorKind.KEY_MISMATCH: _rule(_STATUS.UNPROCESSABLE_ENTITY, _NOT_RUN),
+        ErrorKind.KEY_UNDECIDED: _rule(
+            _STATUS.SERVICE_UNAVAILABLE, _UNKNOWN, 1.0
+        ),
         ErrorKind.NOT_CONFIRMED: _rule(
             _STATUS.SERVICE_UNAVAILABLE, _NOT_RUN, 1.0
         ),
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/callers/_app.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/callers/_app.py
@@ -106,12 +106,13 @@
     ) -> starlette.responses.Response:
         now_s = self._timer.now_s()
         if self._handler.in_progress() >= self._limits.requests_in_progress:
-            return _refusal(
-                errors.Failure(
-                    errors.ErrorKind.QUEUE_FULL, 'too many in progress'
-                ),
-                '',
+            # An earlier attempt under the same key may have run.
+            kind = (
+                errors.ErrorKind.KEY_UNDECIDED
+                if _headers.IDEMPOTENCY_KEY in http.headers
+                else errors.ErrorKind.QUEUE_FULL
             )
+            return _refusal(errors.Failure(kind, 'too many in progress'), '')
         parsed = await _parser.parse(http, self._requests, self._limits, now_s)
         if parsed.is_error():
             return _refusal(parsed.error, '')
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/keys/__init__.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/__init__.py
@@ -28,6 +28,7 @@
     'decode_records',
     'encode_records',
     'fingerprint',
+    'is_minted',
 )
 
 BATCH_SIZE_BYTES = _record.BATCH_SIZE_BYTES
@@ -48,3 +49,4 @@
 decode_records = _record.decode_records
 encode_records = _record.encode_records
 fingerprint = _fingerprint.fingerprint
+is_minted = _mint.is_minted
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_finished.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_finished.py
@@ -68,8 +68,8 @@
         return msgspec.msgpack.decode(self.payload, type=model.Answer)
 
     def failure(self) -> errors.Failure | None:
-        """Return the failure of a request whose outcome is unknown."""
-        if self.state is not _record.KeyState.UNKNOWN:
+        """Return the failure of a request without an answer."""
+        if self.state not in _record.FAILED_STATES:
             return None
         return msgspec.msgpack.decode(self.payload, type=errors.Failure)
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_memory.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_memory.py
@@ -177,7 +177,12 @@
         result: expression.Result[model.Answer, errors.Failure],
         now_s: float,
     ) -> None:
-        """Give an entry its result, and remember it unless it did not run."""
+        """Give an entry its result, and remember it.
+
+        That it did not run is final too: an earlier attempt under the key
+        may still be on its way, would run when it comes, and the caller
+        has been told that its request did not run.
+        """
         if entry.result is not None:
             return
         entry.settle(result)
@@ -188,8 +193,7 @@
         if held.keys.get(entry.key) is entry:
             del held.keys[entry.key]
             self._key_count -= 1
-            if _entry.state_of(result) is not _STATE.NOT_RUN:
-                self._insert(held, entry.shard, entry.to_record(), now_s)
+            self._insert(held, entry.shard, entry.to_record(), now_s)
         elif entry.key in held.keys:
             # The shard was released and came back while the request ran.
             self._import(held, entry.shard, entry.to_record(), now_s)
@@ -257,15 +261,13 @@
     ) -> None:
         known = held.keys.get(record.key)
         if known is None:
-            if record.state is not _STATE.NOT_RUN:
-                self._insert(held, shard, record, now_s)
+            self._insert(held, shard, record, now_s)
             return
         if not _may_replace(known, record):
             return
         del held.keys[record.key]
         self._key_count -= 1
-        if record.state is not _STATE.NOT_RUN:
-            self._insert(held, shard, record, now_s)
+        self._insert(held, shard, record, now_s)
 
     def _insert(
         self,
@@ -280,9 +282,9 @@
         self._finished.append(finished)
 
 
-# A late or doubled record could put a finished key back in flight, or free
-# a key that runs here for a second run. So only a key that was in flight at
-# the former home is replaced, and only that home's own run frees it.
+# A late or doubled record could put a finished key back in flight, or call
+# a key not run that runs here. So only a key that was in flight at the
+# former home is replaced, and only that home's own run can be not run.
 def _may_replace(
     known: _entry.Entry | _finished.Finished, record: _record.KeyRecord
 ) -> bool:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_mint.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_mint.py
@@ -18,6 +18,7 @@
     'ForeignKey',
     'KeyMint',
     'MintedKey',
+    'is_minted',
 )
 
 CLOCK_AHEAD_RATIO = 0.1
@@ -148,6 +149,11 @@
         return int.from_bytes(digest) % self._shards
 
 
+def is_minted(key: str) -> bool:
+    """Tell whether a key claims to be minted by this cluster."""
+    return key.startswith(_PREFIX)
+
+
 def _to_text(data: bytes) -> str:
     return base64.urlsafe_b64encode(data).decode().rstrip('=')
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_record.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_record.py
@@ -14,6 +14,7 @@
 
 __all__ = (
     'BATCH_SIZE_BYTES',
+    'FAILED_STATES',
     'KeyRecord',
     'KeyState',
     'decode_records',
@@ -34,6 +35,9 @@
     NOT_RUN = 4
 
 
+FAILED_STATES = (KeyState.UNKNOWN, KeyState.NOT_RUN)
+
+
 class KeyRecord(msgspec.Struct, frozen=True):
     """One key with its state and the time since it finished."""
 
@@ -49,8 +53,8 @@
         """Refuse a state without what it stands for."""
         if self.state is KeyState.ANSWERED and self.answer is None:
             raise ValueError('an answered key has an answer')
-        if self.state is KeyState.UNKNOWN and self.failure is None:
-            raise ValueError('an unknown outcome has a failure')
+        if self.state in FAILED_STATES and self.failure is None:
+            raise ValueError('an outcome without an answer has a failure')
 
 
 def encode_records(
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_router.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import random
 import time
 import typing
@@ -83,6 +84,7 @@
         """Serve a caller's request."""
         if request.key is None:
             return await self._dispatcher.serve(request, _gate.OpenGate())
+        request = _scoped(request)
         asset = self._shard_names[self._mint.shard_of(request.key)]
         while True:
             result = await self._ask_home(asset, request)
@@ -91,7 +93,7 @@
             # Asking the home again is safe: it knows the key. A new home
             # that does not says so, and runs nothing.
             if self._timer.now_s() + _RETRY_S >= request.deadline_at_s:
-                return result
+                return _undecided(result.error)
             await self._timer.sleep(_RETRY_S)
 
     async def serve_as_home(self, request: model.Request) -> _Served:
@@ -171,3 +173,19 @@
             if self._ownership.is_active(name)
         ]
         return random.choice(at_home or range(len(self._shard_names)))
+
+
+def _scoped(request: model.Request) -> model.Request:
+    """Keep the keys that teams choose themselves apart from each other."""
+    assert request.key is not None
+    if keys.is_minted(request.key):
+        return request
+    return dataclasses.replace(request, key=f'{request.team}:{request.key}')
+
+
+def _undecided(failure: errors.Failure) -> _Served:
+    # An earlier attempt under the same key may have run: without the home's
+    # word, not even a request that was never sent on is known not to have.
+    return expression.Error(
+        errors.Failure(_KIND.KEY_UNDECIDED, failure.kind.value)
+    )
