--- /dev/null
+++ b/tests/docs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that pages agree with the code."""
