--- a/packages/walnutpoint-core/src/walnutpoint_core/hosts/_client.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/hosts/_client.py
@@ -22,6 +22,9 @@
     str, msgspec.Meta(pattern=r'^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$')
 ]
 _Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
+_CpuCores = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1024.0)]
+_MemoryMb = typing.Annotated[int, msgspec.Meta(ge=0, le=16_777_216)]
+_Accelerators = typing.Annotated[int, msgspec.Meta(ge=0, le=64)]
 _Version = typing.Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -34,6 +37,9 @@
     slots: _Count
     connections: _Count
     state: model.HostState
+    cpu_cores: _CpuCores = 16.0
+    memory_mb: _MemoryMb = 65_536
+    accelerators: _Accelerators = 0
 
 
 class _Listing(msgspec.Struct, frozen=True):
@@ -107,6 +113,9 @@
                 host.slots,
                 host.connections,
                 host.state,
+                host.cpu_cores,
+                host.memory_mb,
+                host.accelerators,
             )
             for host in listing.hosts
         ),
--- a/packages/walnutpoint-core/src/walnutpoint_core/model.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/model.py
@@ -81,6 +81,9 @@
     slots: int
     connections: int
     state: HostState
+    cpu_cores: float = 16.0
+    memory_mb: int = 65_536
+    accelerators: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_boards.py
@@ -0,0 +1,157 @@
+"""The boards of all owners in the table."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import timer as timers
+from walnutpoint_entry import ownership
+from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _owner
+from walnutpoint_entry.tasks import _ports
+from walnutpoint_entry.tasks import _remote
+from walnutpoint_entry.tasks import _service
+
+__all__ = (
+    'PeerBoards',
+    'PeerLinks',
+)
+
+
+class PeerLinks(typing.Protocol):
+    """What the boards need of the links to peers."""
+
+    def find(self, member: ownership.Member) -> _remote.PeerLink | None:
+        """Return the link to exactly this incarnation of a member."""
+
+
+class PeerBoards:
+    """This process's board and those of the peers that answer.
+
+    The boards of one call are bound to one revision of the table: an
+    inventory is of use when all that were returned together are complete.
+    """
+
+    __slots__ = ('_hints', '_links', '_owner', '_service', '_timer')
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        owner: _owner.Owner,
+        service: _service.TaskService,
+        links: PeerLinks,
+    ) -> None:
+        self._timer = timer
+        self._owner = owner
+        self._service = service
+        self._links = links
+        self._hints: dict[ownership.Member, _remote.RoomHint] = {}
+
+    def boards(self) -> tuple[_ports.Board, ...]:
+        """Return the boards that can be reached, this process's first."""
+        revision = self._owner.table_revision
+        others = self._others()
+        self._hints = {
+            member: self._hints.get(member) or _remote.RoomHint()
+            for member in others
+        }
+        boards: list[_ports.Board] = [_LocalBoard(self._service, revision)]
+        for member in others:
+            link = self._link(member)
+            if link is not None:
+                boards.append(
+                    _remote.RemoteBoard(
+                        self._timer, link, revision, self._hints[member]
+                    )
+                )
+        return tuple(boards)
+
+    def are_all(self) -> bool:
+        """Tell whether every owner in the table can be reached."""
+        return self._owner.placed is not None and all(
+            self._link(member) is not None for member in self._others()
+        )
+
+    def _others(self) -> tuple[ownership.Member, ...]:
+        placed = self._owner.placed
+        if placed is None:
+            return ()
+        return tuple(
+            member
+            for member in placed.table.members
+            if member != self._owner.member
+        )
+
+    def _link(self, member: ownership.Member) -> _remote.PeerLink | None:
+        link = self._links.find(member)
+        return link if link is not None and link.is_heard() else None
+
+
+class _LocalBoard:
+    """The own workers, as seen at one revision of the table."""
+
+    __slots__ = ('_service', '_table_revision')
+
+    def __init__(
+        self, service: _service.TaskService, table_revision: int
+    ) -> None:
+        self._service = service
+        self._table_revision = table_revision
+
+    @property
+    def owner(self) -> str:
+        """Return the owner's name."""
+        return self._service.owner
+
+    def free_tasks(self, spec: _model.TaskSpec) -> int:
+        """Return about how many such tasks could start now."""
+        return self._service.free_tasks(spec)
+
+    async def hold(
+        self,
+        spec: _model.TaskSpec,
+        hold_s: float,
+        avoid_domains: frozenset[str] = frozenset(),
+    ) -> expression.Result[_model.TaskReport, errors.Failure]:
+        """Reserve room for a task; the hold expires by itself."""
+        return await self._service.hold(spec, hold_s, avoid_domains)
+
+    async def start(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str] = frozenset(),
+    ) -> expression.Result[_model.TaskReport, errors.Failure]:
+        """Start a task where it is held, or wherever there is room."""
+        return await self._service.start(spec, avoid_domains)
+
+    async def stop(
+        self,
+        key: _model.TaskKey,
+        attempt: int,
+        mode: _model.StopMode,
+    ) -> expression.Result[_model.TaskReport, errors.Failure]:
+        """End a hold or a running task; STOPPED says that it has ended."""
+        return await self._service.stop(key, attempt, mode)
+
+    async def inventory(
+        self, shard: int, shard_epoch: int
+    ) -> expression.Result[_model.Inventory, errors.Failure]:
+        """Return a shard's tasks, and refuse older epochs from now on."""
+        taken = await self._service.inventory(shard, shard_epoch)
+        return taken.map(
+            lambda inventory: _remote.at_revision(
+                inventory, self._table_revision, self._service.table_revision
+            )
+        )
+
+    async def acknowledge(
+        self,
+        shard: int,
+        ended: collections.abc.Collection[_model.TaskReport],
+    ) -> expression.Result[None, errors.Failure]:
+        """Forget ended tasks whose end the job owner has recorded."""
+        return await self._service.acknowledge(shard, ended)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_cell.py
@@ -0,0 +1,359 @@
+"""The attempts on the own workers with the room that they take."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+
+from walnutpoint_core import logs
+from walnutpoint_core import model
+from walnutpoint_entry.tasks import _amount
+from walnutpoint_entry.tasks import _choice
+from walnutpoint_entry.tasks import _entry
+from walnutpoint_entry.tasks import _health
+from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _room
+from walnutpoint_entry.tasks import _slots
+from walnutpoint_entry.tasks import _wire
+
+__all__ = (
+    'Cell',
+    'Ended',
+)
+
+_LOG = logs.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Ended:
+    """An attempt that has ended and is not acknowledged."""
+
+    shard: int
+    report: _model.TaskReport
+
+
+class Cell:
+    """Place attempts on workers; room and slot are taken and freed as one."""
+
+    __slots__ = (
+        '_by_job',
+        '_by_worker',
+        '_ended',
+        '_hosts',
+        '_live',
+        '_slots',
+        'health',
+        'room',
+    )
+
+    def __init__(
+        self, slots: _slots.SlotKeeper, health: _health.WorkerHealth
+    ) -> None:
+        self.room = _room.Room()
+        self.health = health
+        self._slots = slots
+        self._hosts: dict[str, model.ListedHost] = {}
+        self._live: dict[_model.TaskKey, _entry.Entry] = {}
+        self._by_worker: dict[str, set[_entry.Entry]] = {}
+        self._by_job: collections.defaultdict[str, set[_entry.Entry]] = (
+            collections.defaultdict(set)
+        )
+        self._ended: dict[_wire.Attempt, Ended] = {}
+
+    def add_worker(self, worker: str) -> None:
+        """Add a gained worker, of which nothing is known yet."""
+        self.room.add(worker)
+        self.health.watch(worker)
+        self._by_worker[worker] = set()
+        self._apply_host(worker)
+
+    def remove_worker(self, worker: str) -> None:
+        """Forget a lost worker; its next owner asks what it runs."""
+        for entry in tuple(self._by_worker.get(worker, ())):
+            self.drop(entry)
+        self._by_worker.pop(worker, None)
+        self.room.remove(worker)
+        self.health.forget(worker)
+
+    def open_worker(self, worker: str) -> None:
+        """Let new tasks start on a worker that has said what it runs."""
+        self.room.open(worker, _room.Closure.UNKNOWN)
+
+    def mute_worker(self, worker: str) -> None:
+        """Start no new task on a worker that does not answer."""
+        self.room.close(worker, _room.Closure.SILENT)
+
+    def unmute_worker(self, worker: str) -> None:
+        """Start tasks again on a worker that has answered."""
+        self.room.open(worker, _room.Closure.SILENT)
+
+    def open_slots(self, worker: str) -> None:
+        """Let requests start on a worker whose tasks have their slots."""
+        self._slots.open_slots(worker)
+
+    def take_hosts(self, listing: model.HostListing) -> None:
+        """Resize and close workers by the newest host list."""
+        self._hosts = {host.address: host for host in listing.hosts}
+        for worker in self._by_worker:
+            self._apply_host(worker)
+
+    def place(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+        now_s: float,
+    ) -> _entry.Entry | None:
+        """Take room and a slot for an attempt on the preferred worker."""
+        need = _amount.of_size(spec.size)
+        worker = self._probe(spec, need, avoid_domains, exclude, now_s)
+        if worker is None:
+            worker = self._preferred(spec, need, avoid_domains, exclude)
+        if worker is None or not self._slots.take_slot(worker):
+            return None
+        entry = _entry.from_spec(spec, worker, self.room.domain(worker))
+        self.room.take(worker, _token(entry), need)
+        self._insert(entry)
+        entry.is_proved = False
+        self.health.begin(worker, now_s)
+        return entry
+
+    def adopt(
+        self, worker: str, task: _wire.WorkerTask, now_s: float
+    ) -> _entry.Entry | None:
+        """Note an attempt that was found running on a worker."""
+        if task.size is None or task.note is None or task.key in self._live:
+            return None
+        entry = _entry.Entry(
+            key=task.key,
+            attempt=task.attempt,
+            worker=worker,
+            domain=self.room.domain(worker),
+            size=task.size,
+            note=task.note,
+            phase=_entry.Phase.RUNNING,
+        )
+        entry.take_usage(task, now_s)
+        self._slots.claim_slot(worker)
+        self.room.claim(worker, _token(entry), entry.need)
+        self._insert(entry)
+        return entry
+
+    def drop(self, entry: _entry.Entry) -> None:
+        """Free what an attempt took and forget it."""
+        if self._live.get(entry.key) is not entry:
+            return
+        del self._live[entry.key]
+        self._by_worker[entry.worker].discard(entry)
+        siblings = self._by_job[entry.key.job]
+        siblings.discard(entry)
+        if not siblings:
+            del self._by_job[entry.key.job]
+        self.room.give_back(entry.worker, _token(entry))
+        self._slots.free_slot(entry.worker)
+        if not entry.is_proved:
+            self.health.withdraw(entry.worker)
+
+    def end(
+        self,
+        entry: _entry.Entry,
+        state: _model.TaskState,
+        exit_code: int | None,
+        now_s: float,
+    ) -> _model.TaskReport:
+        """Free what an attempt took and keep its end."""
+        self._judge(entry, state, now_s)
+        self.drop(entry)
+        report = _with_exit(entry.report(state), exit_code)
+        self._ended[entry.name] = Ended(entry.note.shard, report)
+        _LOG.info(
+            'task_ended',
+            job=entry.key.job,
+            index=entry.key.index,
+            attempt=entry.attempt,
+            worker=entry.worker,
+            state=state.value,
+            run_s=round(entry.run_s, 3),
+        )
+        return report
+
+    def keep_ended(self, shard: int, report: _model.TaskReport) -> None:
+        """Keep the end of an attempt that was found on a worker."""
+        name = _wire.Attempt(report.key, report.attempt)
+        self._ended.setdefault(name, Ended(shard, report))
+
+    def acknowledge(self, name: _wire.Attempt) -> bool:
+        """Forget the end of an attempt, and tell whether it was known."""
+        return self._ended.pop(name, None) is not None
+
+    def prove(self, entry: _entry.Entry, now_s: float) -> None:
+        """Note that an attempt has run long enough to trust its worker."""
+        if not entry.is_proved and self.health.is_proved(entry.run_s):
+            entry.is_proved = True
+            self.health.prove(entry.worker, entry.key.job, now_s)
+
+    def live(self, key: _model.TaskKey) -> _entry.Entry | None:
+        """Return the attempt of a task that may run or is held."""
+        return self._live.get(key)
+
+    def is_live(self, entry: _entry.Entry) -> bool:
+        """Tell whether an attempt still takes room here."""
+        return self._live.get(entry.key) is entry
+
+    def ended(self, name: _wire.Attempt) -> _model.TaskReport | None:
+        """Return the end of an attempt, until it is acknowledged."""
+        kept = self._ended.get(name)
+        return None if kept is None else kept.report
+
+    def entries(self, worker: str | None = None) -> tuple[_entry.Entry, ...]:
+        """Return the attempts on one worker or on all."""
+        if worker is None:
+            return tuple(self._live.values())
+        return tuple(self._by_worker.get(worker, ()))
+
+    def has_holds(self) -> bool:
+        """Tell whether some attempt is held and not started."""
+        return any(
+            entry.phase is _entry.Phase.HELD for entry in self._live.values()
+        )
+
+    def reports(self, shard: int) -> tuple[_model.TaskReport, ...]:
+        """Return all that is known of a shard's attempts."""
+        ended = (
+            kept.report for kept in self._ended.values() if kept.shard == shard
+        )
+        live = (
+            entry.report()
+            for entry in self._live.values()
+            if entry.note.shard == shard
+        )
+        return (*live, *ended)
+
+    def free_tasks(self, spec: _model.TaskSpec) -> int:
+        """Return about how many such tasks could start now."""
+        need = _amount.of_size(spec.size)
+        return sum(
+            min(
+                candidate.free.times(need),
+                self._slots.free_slots(candidate.worker),
+            )
+            for candidate in self.room.fitting(need, frozenset())
+            if self.health.may_start(candidate.worker)
+        )
+
+    def free_amounts(self) -> tuple[_amount.Amount, ...]:
+        """Return what is free on each worker that may get new tasks."""
+        one = _amount.Amount(slots=1)
+        return tuple(
+            dataclasses.replace(
+                candidate.free,
+                slots=min(
+                    candidate.free.slots,
+                    self._slots.free_slots(candidate.worker),
+                ),
+            )
+            for candidate in self.room.fitting(one, frozenset())
+            if self.health.may_start(candidate.worker)
+        )
+
+    def _insert(self, entry: _entry.Entry) -> None:
+        self._live[entry.key] = entry
+        self._by_worker[entry.worker].add(entry)
+        self._by_job[entry.key.job].add(entry)
+
+    def _judge(
+        self, entry: _entry.Entry, state: _model.TaskState, now_s: float
+    ) -> None:
+        if entry.is_proved:
+            return
+        if state is _model.TaskState.FINISHED:
+            entry.is_proved = True
+            self.health.prove(entry.worker, entry.key.job, now_s)
+        elif state is _model.TaskState.FAILED:
+            entry.is_proved = True
+            self.health.fail(entry.worker, entry.key.job, entry.run_s, now_s)
+
+    def _probe(
+        self,
+        spec: _model.TaskSpec,
+        need: _amount.Amount,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+        now_s: float,
+    ) -> str | None:
+        # A service or gang would be lost with the probe that fails.
+        if spec.task_class is not _model.TaskClass.BATCH:
+            return None
+        for worker in self.health.due_probes(now_s):
+            if (
+                worker not in exclude
+                and self.room.is_open(worker)
+                and self.room.domain(worker) not in avoid_domains
+                and self.room.free(worker).covers(need)
+                and self._slots.free_slots(worker) > 0
+            ):
+                return worker
+        return None
+
+    def _preferred(
+        self,
+        spec: _model.TaskSpec,
+        need: _amount.Amount,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+    ) -> str | None:
+        choice = _choice.choice_for(spec.task_class)
+        neighbours = _choice.Neighbours()
+        for sibling in self._by_job.get(spec.key.job, ()):
+            neighbours.add(sibling.worker, sibling.domain)
+        best = min(
+            (
+                candidate
+                for candidate in self.room.fitting(need, avoid_domains)
+                if candidate.worker not in exclude
+                and self.health.may_start(candidate.worker)
+                and self._slots.free_slots(candidate.worker) > 0
+            ),
+            key=lambda candidate: (
+                self.health.is_suspect(candidate.worker),
+                choice.rank(candidate, neighbours),
+            ),
+            default=None,
+        )
+        return None if best is None else best.worker
+
+    def _apply_host(self, worker: str) -> None:
+        host = self._hosts.get(worker)
+        if host is None:
+            self.room.close(worker, _room.Closure.UNLISTED)
+            return
+        self.room.resize(worker, host.domain, _amount.of_host(host))
+        self.room.open(worker, _room.Closure.UNLISTED)
+        if host.state is model.HostState.LIVE:
+            self.room.open(worker, _room.Closure.LEAVING)
+        else:
+            self.room.close(worker, _room.Closure.LEAVING)
+
+
+def _token(entry: _entry.Entry) -> str:
+    return f'{entry.key.job}/{entry.key.index}/{entry.attempt}'
+
+
+def _with_exit(
+    report: _model.TaskReport, exit_code: int | None
+) -> _model.TaskReport:
+    if exit_code is None:
+        return report
+    return _model.TaskReport(
+        key=report.key,
+        attempt=report.attempt,
+        worker=report.worker,
+        domain=report.domain,
+        state=report.state,
+        run_s=report.run_s,
+        exit_code=exit_code,
+        checkpoint=report.checkpoint,
+        used_cpu_cores=report.used_cpu_cores,
+        used_memory_mb=report.used_memory_mb,
+    )
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_choice.py
@@ -0,0 +1,115 @@
+"""Policies that choose a worker for a task."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import typing
+
+from walnutpoint_entry.tasks import _amount
+from walnutpoint_entry.tasks import _model
+
+__all__ = (
+    'Candidate',
+    'Choice',
+    'Neighbours',
+    'PackTightly',
+    'SpreadOverDomains',
+    'choice_for',
+)
+
+
+class Candidate(typing.Protocol):
+    """A worker on which a task fits."""
+
+    @property
+    def worker(self) -> str:
+        """Return the worker's name."""
+
+    @property
+    def domain(self) -> str:
+        """Return the worker's failure domain."""
+
+    @property
+    def capacity(self) -> _amount.Amount:
+        """Return all that the worker has."""
+
+    @property
+    def free(self) -> _amount.Amount:
+        """Return what is left."""
+
+
+@dataclasses.dataclass(slots=True)
+class Neighbours:
+    """Where the other tasks of the same job are."""
+
+    by_domain: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    by_worker: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+    def add(self, worker: str, domain: str) -> None:
+        """Count one task."""
+        self.by_worker[worker] += 1
+        self.by_domain[domain] += 1
+
+
+class Choice(typing.Protocol):
+    """An order of preference over the workers on which a task fits."""
+
+    def rank(
+        self, candidate: Candidate, neighbours: Neighbours
+    ) -> tuple[float, ...]:
+        """Return a rank; the lowest is chosen."""
+
+
+class PackTightly:
+    """Prefer the worker with the least left (best fit)."""
+
+    __slots__ = ()
+
+    def rank(
+        self, candidate: Candidate, neighbours: Neighbours
+    ) -> tuple[float, ...]:
+        """Return the free shares of the worker."""
+        return (free_share(candidate),)
+
+
+class SpreadOverDomains:
+    """Prefer the failure domain, then the worker with fewest of the job."""
+
+    __slots__ = ()
+
+    def rank(
+        self, candidate: Candidate, neighbours: Neighbours
+    ) -> tuple[float, ...]:
+        """Return the neighbours in the domain and on the worker."""
+        return (
+            neighbours.by_domain[candidate.domain],
+            neighbours.by_worker[candidate.worker],
+            -free_share(candidate),
+        )
+
+
+def free_share(candidate: Candidate) -> float:
+    """Return the sum of the free shares of slots, processors and memory."""
+    free = candidate.free
+    capacity = candidate.capacity
+    return (
+        free.slots / max(capacity.slots, 1)
+        + free.cpu_millicores / max(capacity.cpu_millicores, 1)
+        + free.memory_mb / max(capacity.memory_mb, 1)
+    )
+
+
+def choice_for(task_class: _model.TaskClass) -> Choice:
+    """Return the policy of a class of tasks."""
+    if task_class is _model.TaskClass.SERVICE:
+        return _SPREAD
+    return _PACK
+
+
+_PACK: typing.Final = PackTightly()
+_SPREAD: typing.Final = SpreadOverDomains()
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_generated/__init__.py
@@ -0,0 +1,1 @@
+"""Code generated from tasks.proto; see tools/generate.sh."""
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_health.py
@@ -0,0 +1,119 @@
+"""Workers that fail the tasks which they start."""
+
+from __future__ import annotations
+
+import collections
+import dataclasses
+import typing
+
+from walnutpoint_entry import placement
+
+__all__ = ('WorkerHealth',)
+
+_FAST_FAILURE_S: typing.Final = 5.0
+_BAD_JOB_WORKERS: typing.Final = 3
+_JOBS_MAX: typing.Final = 10_000
+
+
+@dataclasses.dataclass(slots=True)
+class _JobRecord:
+    has_run_well: bool = False
+    failed_on: set[str] = dataclasses.field(default_factory=set)
+
+
+class WorkerHealth:
+    """Give failing workers one task at a time, then none, then probes.
+
+    A worker that fails at once is always free and so draws all that waits;
+    without a bound it would fail every task of the cell.
+    """
+
+    __slots__ = ('_jobs', '_outliers', '_starting', '_suspects')
+
+    def __init__(self, outliers: placement.OutlierDetector) -> None:
+        self._outliers = outliers
+        self._suspects: set[str] = set()
+        self._starting: collections.Counter[str] = collections.Counter()
+        self._jobs: collections.OrderedDict[str, _JobRecord] = (
+            collections.OrderedDict()
+        )
+
+    def watch(self, worker: str) -> None:
+        """Count a worker among those that are judged."""
+        self._outliers.watch(worker)
+
+    def forget(self, worker: str) -> None:
+        """Drop a worker."""
+        self._outliers.forget(worker)
+        self._suspects.discard(worker)
+        del self._starting[worker]
+
+    def may_start(self, worker: str) -> bool:
+        """Tell whether a worker may get a task that is not a probe."""
+        if self._outliers.is_ejected(worker):
+            return False
+        return worker not in self._suspects or not self._starting[worker]
+
+    def is_suspect(self, worker: str) -> bool:
+        """Tell whether a worker's last tasks have failed."""
+        return worker in self._suspects
+
+    def due_probes(self, now_s: float) -> tuple[str, ...]:
+        """Return the workers that may get one probe now."""
+        return tuple(
+            worker
+            for worker in self._outliers.due_probes(now_s)
+            if not self._starting[worker]
+        )
+
+    def begin(self, worker: str, now_s: float) -> None:
+        """Note the start of a task that has proved nothing yet."""
+        self._starting[worker] += 1
+        if self._outliers.is_ejected(worker):
+            self._outliers.begin_probe(worker, now_s)
+
+    def withdraw(self, worker: str) -> None:
+        """Note that a started task will prove nothing."""
+        self._starting[worker] = max(0, self._starting[worker] - 1)
+
+    def is_proved(self, run_s: float) -> bool:
+        """Tell whether a run is long enough to speak for its worker."""
+        return run_s >= _FAST_FAILURE_S
+
+    def prove(self, worker: str, job: str, now_s: float) -> None:
+        """Learn that a task ran well on a worker."""
+        self.withdraw(worker)
+        self._job(job).has_run_well = True
+        self._suspects.discard(worker)
+        self._outliers.observe(worker, True, now_s)
+
+    def fail(self, worker: str, job: str, run_s: float, now_s: float) -> None:
+        """Learn that a task failed on a worker."""
+        self.withdraw(worker)
+        if self.is_proved(run_s) or not self._is_to_blame(worker, job):
+            return
+        self.fail_start(worker, now_s)
+
+    def fail_start(self, worker: str, now_s: float) -> None:
+        """Learn that a worker has not taken a task."""
+        self._suspects.add(worker)
+        self._outliers.observe(worker, False, now_s)
+
+    def _is_to_blame(self, worker: str, job: str) -> bool:
+        """Tell whether a failure speaks against the worker."""
+        # A job that can't run fails everywhere: its attempts would eject
+        # one sound worker after another.
+        record = self._job(job)
+        if record.has_run_well:
+            return True
+        if worker in record.failed_on:
+            return False
+        record.failed_on.add(worker)
+        return len(record.failed_on) < _BAD_JOB_WORKERS
+
+    def _job(self, job: str) -> _JobRecord:
+        record = self._jobs.setdefault(job, _JobRecord())
+        self._jobs.move_to_end(job)
+        while len(self._jobs) > _JOBS_MAX:
+            self._jobs.popitem(last=False)
+        return record
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_messages.py
@@ -0,0 +1,121 @@
+"""The messages between job owners and the owners of workers."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from walnutpoint_core import errors
+from walnutpoint_entry.tasks import _amount
+from walnutpoint_entry.tasks import _model
+
+__all__ = (
+    'AcknowledgeCall',
+    'Call',
+    'Done',
+    'Envelope',
+    'Failed',
+    'HoldCall',
+    'InventoryCall',
+    'Inventoried',
+    'Reply',
+    'Reported',
+    'RoomCall',
+    'RoomReply',
+    'StartCall',
+    'StopCall',
+)
+
+
+class HoldCall(msgspec.Struct, frozen=True, tag='hold'):
+    """Reserve room for a task."""
+
+    spec: _model.TaskSpec
+    hold_s: float
+    avoid_domains: frozenset[str]
+
+
+class StartCall(msgspec.Struct, frozen=True, tag='start'):
+    """Start a task."""
+
+    spec: _model.TaskSpec
+    avoid_domains: frozenset[str]
+
+
+class StopCall(msgspec.Struct, frozen=True, tag='stop'):
+    """End a hold or a running task."""
+
+    key: _model.TaskKey
+    attempt: int
+    mode: _model.StopMode
+
+
+class InventoryCall(msgspec.Struct, frozen=True, tag='inventory'):
+    """Return a shard's tasks, complete only at one revision of the table."""
+
+    shard: int
+    shard_epoch: int
+    table_revision: int
+
+
+class AcknowledgeCall(msgspec.Struct, frozen=True, tag='acknowledge'):
+    """Forget ended tasks."""
+
+    shard: int
+    ended: tuple[_model.TaskReport, ...]
+
+
+class RoomCall(msgspec.Struct, frozen=True, tag='room'):
+    """Return what is free."""
+
+
+Call: typing.TypeAlias = (
+    HoldCall
+    | StartCall
+    | StopCall
+    | InventoryCall
+    | AcknowledgeCall
+    | RoomCall
+)
+
+
+class Envelope(msgspec.Struct, frozen=True):
+    """A call to exactly one incarnation of a peer."""
+
+    incarnation: int
+    call: Call
+
+
+class Reported(msgspec.Struct, frozen=True, tag='reported'):
+    """The newest knowledge of a task."""
+
+    report: _model.TaskReport
+
+
+class Inventoried(msgspec.Struct, frozen=True, tag='inventoried'):
+    """The tasks of a shard."""
+
+    inventory: _model.Inventory
+
+
+class Done(msgspec.Struct, frozen=True, tag='done'):
+    """The call was carried out."""
+
+
+class RoomReply(msgspec.Struct, frozen=True, tag='room'):
+    """What is free on each worker that may get new tasks."""
+
+    amounts: tuple[_amount.Amount, ...]
+    is_for_batch: bool
+
+
+class Failed(msgspec.Struct, frozen=True, tag='failed'):
+    """The call has failed."""
+
+    kind: errors.ErrorKind
+    detail: str
+    retry_after_s: float | None
+
+
+Reply: typing.TypeAlias = Reported | Inventoried | Done | RoomReply | Failed
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_remote.py
@@ -0,0 +1,343 @@
+"""The board of a peer, over gRPC."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import dataclasses
+import math
+import typing
+
+import expression
+import grpc.aio
+import msgspec
+
+from walnutpoint_core import errors
+from walnutpoint_core import logs
+from walnutpoint_core import timer as timers
+from walnutpoint_entry import ownership
+from walnutpoint_entry.tasks import _amount
+from walnutpoint_entry.tasks._generated import tasks_pb2
+from walnutpoint_entry.tasks._generated import tasks_pb2_grpc
+from walnutpoint_entry.tasks import _messages
+from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _service
+
+__all__ = (
+    'PeerLink',
+    'RemoteBoard',
+    'RoomHint',
+    'add_to_server',
+)
+
+_TIMEOUT_S: typing.Final = 8.0
+_HINT_AGE_S: typing.Final = 1.0
+
+_KIND = errors.ErrorKind
+_ENCODER: typing.Final = msgspec.msgpack.Encoder()
+_ENVELOPES: typing.Final = msgspec.msgpack.Decoder(_messages.Envelope)
+_REPLIES: typing.Final = msgspec.msgpack.Decoder(_messages.Reply)
+_LOG = logs.get_logger(__name__)
+
+
+class PeerLink(typing.Protocol):
+    """What a board needs of the link to its peer."""
+
+    @property
+    def member(self) -> ownership.Member:
+        """Return the peer."""
+
+    def is_heard(self) -> bool:
+        """Tell whether the last heartbeat was answered."""
+
+    async def call(
+        self,
+        stub: collections.abc.Callable[[grpc.aio.Channel], typing.Any],
+        method: str,
+        message: typing.Any,
+        timeout_s: float,
+    ) -> expression.Result[typing.Any, errors.Failure]:
+        """Call a method of a stub on the newest channel.
+
+        PEER_UNREACHABLE says that nothing was sent, PEER_ANSWER_LOST that
+        the call may have been carried out.
+        """
+
+
+@dataclasses.dataclass(slots=True)
+class RoomHint:
+    """What was last heard to be free at a peer."""
+
+    asked_s: float = -math.inf
+    amounts: list[_amount.Amount] = dataclasses.field(default_factory=list)
+    is_for_batch: bool = True
+    asking: asyncio.Task[None] | None = None
+
+    def spend(self, need: _amount.Amount) -> None:
+        """Take a started task off what is free."""
+        for index, amount in enumerate(self.amounts):
+            if amount.covers(need):
+                self.amounts[index] = amount - need
+                return
+
+    def refuse(self, need: _amount.Amount) -> None:
+        """Expect no room for a need until the next answer."""
+        self.amounts = [
+            amount for amount in self.amounts if not amount.covers(need)
+        ]
+
+
+class RemoteBoard:
+    """The workers of a peer, as seen at one revision of the table."""
+
+    __slots__ = ('_hint', '_link', '_table_revision', '_timer')
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        link: PeerLink,
+        table_revision: int,
+        hint: RoomHint,
+    ) -> None:
+        self._timer = timer
+        self._link = link
+        self._table_revision = table_revision
+        self._hint = hint
+
+    @property
+    def owner(self) -> str:
+        """Return the owner's name."""
+        return self._link.member.name
+
+    def free_tasks(self, spec: _model.TaskSpec) -> int:
+        """Return about how many such tasks could start now."""
+        self._ask_room()
+        hint = self._hint
+        is_batch = spec.task_class is _model.TaskClass.BATCH
+        if is_batch and not hint.is_for_batch:
+            return 0
+        need = _amount.of_size(spec.size)
+        return sum(amount.times(need) for amount in hint.amounts)
+
+    async def hold(
+        self,
+        spec: _model.TaskSpec,
+        hold_s: float,
+        avoid_domains: frozenset[str] = frozenset(),
+    ) -> expression.Result[_model.TaskReport, errors.Failure]:
+        """Reserve room for a task; the hold expires by itself."""
+        return await self._place(
+            spec, _messages.HoldCall(spec, hold_s, avoid_domains)
+        )
+
+    async def start(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str] = frozenset(),
+    ) -> expression.Result[_model.TaskReport, errors.Failure]:
+        """Start a task where it is held, or wherever there is room."""
+        return await self._place(
+            spec, _messages.StartCall(spec, avoid_domains)
+        )
+
+    async def stop(
+        self,
+        key: _model.TaskKey,
+        attempt: int,
+        mode: _model.StopMode,
+    ) -> expression.Result[_model.TaskReport, errors.Failure]:
+        """End a hold or a running task; STOPPED says that it has ended."""
+        replied = await self._call(_messages.StopCall(key, attempt, mode))
+        return replied.map(lambda reply: reply.report)
+
+    async def inventory(
+        self, shard: int, shard_epoch: int
+    ) -> expression.Result[_model.Inventory, errors.Failure]:
+        """Return a shard's tasks, and refuse older epochs from now on."""
+        replied = await self._call(
+            _messages.InventoryCall(shard, shard_epoch, self._table_revision)
+        )
+        return replied.map(lambda reply: reply.inventory)
+
+    async def acknowledge(
+        self,
+        shard: int,
+        ended: collections.abc.Collection[_model.TaskReport],
+    ) -> expression.Result[None, errors.Failure]:
+        """Forget ended tasks whose end the job owner has recorded."""
+        replied = await self._call(
+            _messages.AcknowledgeCall(shard, tuple(ended))
+        )
+        return replied.map(lambda reply: None)
+
+    async def _place(
+        self,
+        spec: _model.TaskSpec,
+        call: _messages.HoldCall | _messages.StartCall,
+    ) -> expression.Result[_model.TaskReport, errors.Failure]:
+        replied = await self._call(call)
+        need = _amount.of_size(spec.size)
+        if replied.is_ok():
+            self._hint.spend(need)
+        elif replied.error.kind is _KIND.NO_FREE_SLOT:
+            self._hint.refuse(need)
+        return replied.map(lambda reply: reply.report)
+
+    async def _call(
+        self, call: _messages.Call
+    ) -> expression.Result[typing.Any, errors.Failure]:
+        member = self._link.member
+        envelope = _messages.Envelope(member.incarnation, call)
+        called = await self._link.call(
+            tasks_pb2_grpc.TasksStub,
+            'Call',
+            tasks_pb2.TaskCall(payload=_ENCODER.encode(envelope)),
+            _TIMEOUT_S,
+        )
+        return called.bind(_decode)
+
+    def _ask_room(self) -> None:
+        hint = self._hint
+        now_s = self._timer.now_s()
+        if hint.asking is not None or now_s - hint.asked_s < _HINT_AGE_S:
+            return
+        hint.asked_s = now_s
+        hint.asking = asyncio.ensure_future(self._learn_room())
+
+    async def _learn_room(self) -> None:
+        try:
+            replied = await self._call(_messages.RoomCall())
+            if replied.is_ok():
+                self._hint.amounts = list(replied.ok.amounts)
+                self._hint.is_for_batch = replied.ok.is_for_batch
+            else:
+                self._hint.amounts = []
+        finally:
+            self._hint.asking = None
+
+
+class _Servicer(tasks_pb2_grpc.TasksServicer):
+    """Carry out peers' calls on the own workers."""
+
+    def __init__(
+        self, member: ownership.Member, service: _service.TaskService
+    ) -> None:
+        self._member = member
+        self._service = service
+
+    async def Call(self, request, context) -> tasks_pb2.TaskReply:
+        """Carry out one call."""
+        try:
+            envelope = _ENVELOPES.decode(request.payload)
+        except msgspec.MsgspecError as error:
+            _LOG.warning('task_call_refused', detail=str(error))
+            return _reply(_failed(_KIND.BAD_REQUEST, str(error)))
+        # A call to the process that was at this address before would be
+        # taken by one that knows nothing of the epochs told to the former.
+        if envelope.incarnation != self._member.incarnation:
+            return _reply(_failed(_KIND.NOT_OWNER, 'another incarnation'))
+        return _reply(await self._carry_out(envelope.call))
+
+    async def _carry_out(self, call: _messages.Call) -> _messages.Reply:
+        service = self._service
+        match call:
+            case _messages.HoldCall():
+                return _reported(
+                    await service.hold(
+                        call.spec, call.hold_s, call.avoid_domains
+                    )
+                )
+            case _messages.StartCall():
+                return _reported(
+                    await service.start(call.spec, call.avoid_domains)
+                )
+            case _messages.StopCall():
+                return _reported(
+                    await service.stop(call.key, call.attempt, call.mode)
+                )
+            case _messages.InventoryCall():
+                return await self._inventory(call)
+            case _messages.AcknowledgeCall():
+                await service.acknowledge(call.shard, call.ended)
+                return _messages.Done()
+            case _messages.RoomCall():
+                return _messages.RoomReply(
+                    service.free_amounts(), service.is_for_batch()
+                )
+
+    async def _inventory(
+        self, call: _messages.InventoryCall
+    ) -> _messages.Reply:
+        taken = await self._service.inventory(call.shard, call.shard_epoch)
+        if taken.is_error():
+            return _from_failure(taken.error)
+        return _messages.Inventoried(
+            at_revision(
+                taken.ok, call.table_revision, self._service.table_revision
+            )
+        )
+
+
+def add_to_server(
+    server: grpc.aio.Server,
+    member: ownership.Member,
+    service: _service.TaskService,
+) -> None:
+    """Serve peers' calls on a server that checks their token."""
+    tasks_pb2_grpc.add_TasksServicer_to_server(
+        _Servicer(member, service), server
+    )
+
+
+def at_revision(
+    inventory: _model.Inventory, asked_revision: int, revision: int
+) -> _model.Inventory:
+    """Return an inventory that is complete only at the asked revision.
+
+    While a worker moves from one owner to the next, the first may have
+    given it up and the second not yet have heard of it: neither shows its
+    tasks, and they would be started again. At one revision of the table
+    every worker has exactly one owner.
+    """
+    return _model.Inventory(
+        is_complete=inventory.is_complete and revision == asked_revision,
+        reports=inventory.reports,
+    )
+
+
+def _reported(
+    result: expression.Result[_model.TaskReport, errors.Failure],
+) -> _messages.Reply:
+    if result.is_error():
+        return _from_failure(result.error)
+    return _messages.Reported(result.ok)
+
+
+def _failed(kind: errors.ErrorKind, detail: str) -> _messages.Failed:
+    return _messages.Failed(kind, detail, None)
+
+
+def _from_failure(failure: errors.Failure) -> _messages.Failed:
+    return _messages.Failed(
+        failure.kind, failure.detail, failure.retry_after_s
+    )
+
+
+def _reply(reply: _messages.Reply) -> tasks_pb2.TaskReply:
+    return tasks_pb2.TaskReply(payload=_ENCODER.encode(reply))
+
+
+def _decode(
+    message: tasks_pb2.TaskReply,
+) -> expression.Result[typing.Any, errors.Failure]:
+    try:
+        reply = _REPLIES.decode(message.payload)
+    except msgspec.MsgspecError as error:
+        return expression.Error(
+            errors.Failure(_KIND.PEER_ANSWER_LOST, str(error))
+        )
+    if isinstance(reply, _messages.Failed):
+        return expression.Error(
+            errors.Failure(reply.kind, reply.detail, reply.retry_after_s)
+        )
+    return expression.Ok(reply)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_service.py
@@ -0,0 +1,361 @@
+"""The tasks on the own workers, as job owners use them."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import anyio.abc
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import logs
+from walnutpoint_core import model
+from walnutpoint_core import settings as settings_module
+from walnutpoint_core import timer as timers
+from walnutpoint_entry import ownership
+from walnutpoint_entry import placement
+from walnutpoint_entry.tasks import _amount
+from walnutpoint_entry.tasks import _cell
+from walnutpoint_entry.tasks import _contact
+from walnutpoint_entry.tasks import _entry
+from walnutpoint_entry.tasks import _health
+from walnutpoint_entry.tasks import _leases
+from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _owner
+from walnutpoint_entry.tasks import _preemption
+from walnutpoint_entry.tasks import _slots
+from walnutpoint_entry.tasks import _vacancy
+from walnutpoint_entry.tasks import _wire
+from walnutpoint_entry.tasks import _worker
+
+__all__ = ('TaskService',)
+
+_START_ATTEMPTS: typing.Final = 3
+_URGENT_FIRST_S: typing.Final = 1.0
+
+_KIND = errors.ErrorKind
+_PHASE = _entry.Phase
+_LOG = logs.get_logger(__name__)
+# The worker has certainly not started the task: another one may.
+_ELSEWHERE: typing.Final = frozenset(
+    {_KIND.ENDPOINT_REFUSED, _KIND.ENDPOINT_UNREACHABLE}
+)
+
+_Reported: typing.TypeAlias = expression.Result[
+    _model.TaskReport, errors.Failure
+]
+
+
+class TaskService:
+    """Run tasks on the own workers under leases, each in one place."""
+
+    __slots__ = (
+        '_cell',
+        '_leases',
+        '_owner',
+        '_shard_epochs',
+        '_timer',
+        '_times',
+        '_urgent_until_s',
+        '_vacancies',
+    )
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        settings: settings_module.PlacementSettings,
+        owner: _owner.Owner,
+        workers: _worker.Workers,
+        slots: _slots.SlotKeeper,
+        tasks: anyio.abc.TaskGroup,
+        times: _contact.LeaseTimes | None = None,
+    ) -> None:
+        self._timer = timer
+        self._times = times or _contact.LeaseTimes()
+        self._owner = owner
+        outliers = placement.OutlierDetector(
+            settings.eject_after_failures,
+            settings.eject_s,
+            settings.eject_max_s,
+        )
+        self._cell = _cell.Cell(slots, _health.WorkerHealth(outliers))
+        self._leases = _leases.Leases(
+            timer, self._times, owner, workers, self._cell, tasks
+        )
+        self._vacancies = _vacancy.Vacancies(self._times.certain_s)
+        self._shard_epochs: dict[int, int] = {}
+        self._urgent_until_s = float('-inf')
+
+    @property
+    def owner(self) -> str:
+        """Return the owner's name."""
+        return self._owner.member.name
+
+    @property
+    def table_revision(self) -> int:
+        """Return the revision of the table that the inventory is of."""
+        return self._owner.table_revision
+
+    def running(self, worker: str) -> tuple[_model.TaskReport, ...]:
+        """Return what holds room on a worker."""
+        return tuple(entry.report() for entry in self._cell.entries(worker))
+
+    def gain(self, gain: ownership.Gain) -> None:
+        """Ask a gained worker for its tasks before anything starts there."""
+        self._vacancies.follow(self._owner.placed, self._timer.now_s())
+        self._leases.gain(gain.asset, gain.epoch)
+
+    def lose(self, loss: ownership.Loss) -> None:
+        """Renew and start nothing more on a worker."""
+        self._vacancies.follow(self._owner.placed, self._timer.now_s())
+        self._leases.lose(loss.asset)
+
+    def take_hosts(self, listing: model.HostListing) -> None:
+        """Resize and close workers by the newest host list."""
+        self._cell.take_hosts(listing)
+
+    async def run(self) -> None:
+        """Renew leases, repeat stops and note lapses for ever."""
+        await self._leases.run()
+
+    async def tick(self) -> None:
+        """Do at once what is due now."""
+        await self._leases.tick(self._timer.now_s())
+
+    def free_tasks(self, spec: _model.TaskSpec) -> int:
+        """Return about how many such tasks could start now."""
+        if self._yields(spec):
+            return 0
+        return self._cell.free_tasks(spec)
+
+    def free_amounts(self) -> tuple[_amount.Amount, ...]:
+        """Return what is free on each worker that may get new tasks."""
+        return self._cell.free_amounts()
+
+    def is_for_batch(self) -> bool:
+        """Tell whether batch tasks may take what is free."""
+        return self._timer.now_s() >= self._urgent_until_s
+
+    def make_room(self, slots: int) -> int:
+        """Free slots of batch tasks for urgent requests; return how many."""
+        now_s = self._timer.now_s()
+        # Batch tasks that wait would take what has just been made free.
+        self._urgent_until_s = now_s + _URGENT_FIRST_S
+        held = _preemption.holds(self._cell.entries())[:slots]
+        for entry in held:
+            self._cell.drop(entry)
+        chosen = _preemption.victims(self._cell.entries(), slots - len(held))
+        for entry in chosen:
+            mode = _model.StopMode.STOP
+            if entry.note.is_checkpointable:
+                mode = _model.StopMode.CHECKPOINT
+            self._leases.stop_soon(entry, mode, self._times.checkpoint_grace_s)
+            _LOG.info(
+                'task_preempted',
+                job=entry.key.job,
+                index=entry.key.index,
+                attempt=entry.attempt,
+                worker=entry.worker,
+                mode=mode.value,
+            )
+        return len(held) + len(chosen)
+
+    async def hold(
+        self,
+        spec: _model.TaskSpec,
+        hold_s: float,
+        avoid_domains: frozenset[str] = frozenset(),
+    ) -> _Reported:
+        """Reserve room for a task; the hold expires by itself."""
+        await self._leases.confirm()
+        refusal = self._refusal(spec)
+        if refusal is not None:
+            return expression.Error(refusal)
+        now_s = self._timer.now_s()
+        entry = self._current(spec)
+        if entry is None:
+            entry = self._place(spec, avoid_domains, ())
+        if entry is None:
+            return _failed(_KIND.NO_FREE_SLOT)
+        if entry.phase is _PHASE.HELD:
+            entry.hold_until_s = now_s + hold_s
+        return expression.Ok(entry.report())
+
+    async def start(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str] = frozenset(),
+    ) -> _Reported:
+        """Start a task where it is held, or wherever there is room."""
+        await self._leases.confirm()
+        refusal = self._refusal(spec)
+        if refusal is not None:
+            return expression.Error(refusal)
+        ended = self._cell.ended(_wire.Attempt(spec.key, spec.attempt))
+        if ended is not None:
+            return expression.Ok(ended)
+        entry = self._current(spec)
+        if entry is None:
+            return await self._start_anywhere(spec, avoid_domains)
+        if entry.phase is _PHASE.HELD:
+            return await self._start_at(entry, spec, 'held')
+        if entry.phase is _PHASE.RUNNING:
+            return expression.Ok(entry.report())
+        if entry.phase is _PHASE.DOUBTFUL:
+            return await self._leases.resolve(entry)
+        return _failed(_KIND.ANSWER_LOST, 'the start is under way')
+
+    async def stop(
+        self,
+        key: _model.TaskKey,
+        attempt: int,
+        mode: _model.StopMode,
+    ) -> _Reported:
+        """End a hold or a running task; STOPPED says that it has ended."""
+        ended = self._cell.ended(_wire.Attempt(key, attempt))
+        if ended is not None:
+            return expression.Ok(ended)
+        entry = self._cell.live(key)
+        if entry is None or entry.attempt != attempt:
+            if not self._is_complete():
+                return _failed(_KIND.NOT_CONFIRMED, 'tasks are not known yet')
+            return _failed(_KIND.NOT_FOUND, f'{key.job}/{key.index}')
+        if entry.phase is _PHASE.HELD:
+            self._cell.drop(entry)
+            return expression.Ok(entry.report(_model.TaskState.STOPPED))
+        self._leases.wish_stop(entry, mode, self._times.checkpoint_grace_s)
+        await self._leases.confirm()
+        return expression.Ok(await self._leases.stop(entry))
+
+    async def inventory(
+        self, shard: int, shard_epoch: int
+    ) -> expression.Result[_model.Inventory, errors.Failure]:
+        """Return a shard's tasks, and refuse older epochs from now on."""
+        if shard_epoch < self._shard_epochs.get(shard, 0):
+            return _failed(_KIND.NOT_OWNER, f'shard {shard}')
+        self._shard_epochs[shard] = shard_epoch
+        return expression.Ok(
+            _model.Inventory(
+                is_complete=self._is_complete(),
+                reports=self._cell.reports(shard),
+            )
+        )
+
+    async def acknowledge(
+        self,
+        shard: int,
+        ended: collections.abc.Collection[_model.TaskReport],
+    ) -> expression.Result[None, errors.Failure]:
+        """Forget ended tasks whose end the job owner has recorded."""
+        for report in ended:
+            name = _wire.Attempt(report.key, report.attempt)
+            if self._cell.acknowledge(name):
+                self._leases.acknowledge(report.worker, name)
+        return expression.Ok(None)
+
+    def _is_complete(self) -> bool:
+        now_s = self._timer.now_s()
+        self._vacancies.follow(self._owner.placed, now_s)
+        is_pending = any(
+            not ownership.is_shard(asset) for asset in self._owner.pending()
+        )
+        return (
+            not is_pending
+            and self._leases.are_known()
+            and self._vacancies.are_over(now_s)
+        )
+
+    def _refusal(self, spec: _model.TaskSpec) -> errors.Failure | None:
+        # A job owner that was replaced while it was paused would start a
+        # task that its successor has already started elsewhere.
+        known_epoch = self._shard_epochs.get(spec.shard, 0)
+        if spec.shard_epoch < known_epoch:
+            return errors.Failure(_KIND.NOT_OWNER, f'shard {spec.shard}')
+        self._shard_epochs[spec.shard] = spec.shard_epoch
+        if not self._owner.is_confirmed():
+            return errors.Failure(_KIND.NOT_CONFIRMED, self.owner)
+        entry = self._cell.live(spec.key)
+        if entry is None or entry.attempt == spec.attempt:
+            return None
+        if entry.attempt > spec.attempt:
+            return errors.Failure(_KIND.NOT_OWNER, 'a later attempt exists')
+        if entry.phase is not _PHASE.HELD:
+            return errors.Failure(
+                _KIND.NOT_CONFIRMED, 'an earlier attempt may still run'
+            )
+        self._cell.drop(entry)
+        return None
+
+    def _current(self, spec: _model.TaskSpec) -> _entry.Entry | None:
+        entry = self._cell.live(spec.key)
+        if entry is None or entry.phase is not _PHASE.HELD:
+            return entry
+        if (
+            self._timer.now_s() >= entry.hold_until_s
+            or not self._cell.room.is_open(entry.worker)
+        ):
+            self._cell.drop(entry)
+            return None
+        return entry
+
+    def _yields(self, spec: _model.TaskSpec) -> bool:
+        return (
+            spec.task_class is _model.TaskClass.BATCH
+            and not self.is_for_batch()
+        )
+
+    def _place(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+    ) -> _entry.Entry | None:
+        if self._yields(spec):
+            return None
+        return self._cell.place(
+            spec, avoid_domains, exclude, self._timer.now_s()
+        )
+
+    async def _start_anywhere(
+        self, spec: _model.TaskSpec, avoid_domains: frozenset[str]
+    ) -> _Reported:
+        tried: set[str] = set()
+        started: _Reported = _failed(_KIND.NO_FREE_SLOT)
+        for _ in range(_START_ATTEMPTS):
+            # While the first worker was asked, another call may have put
+            # the task somewhere, or a newer job owner may have come.
+            refusal = self._refusal(spec)
+            if refusal is not None or self._cell.live(spec.key) is not None:
+                return started
+            entry = self._place(spec, avoid_domains, tried)
+            if entry is None:
+                return started
+            started = await self._start_at(entry, spec, 'placed')
+            if started.is_ok() or started.error.kind not in _ELSEWHERE:
+                return started
+            tried.add(entry.worker)
+        return started
+
+    async def _start_at(
+        self, entry: _entry.Entry, spec: _model.TaskSpec, reason: str
+    ) -> _Reported:
+        started = await self._leases.start(entry, spec.command)
+        _LOG.info(
+            'task_placement',
+            job=spec.key.job,
+            index=spec.key.index,
+            attempt=spec.attempt,
+            task_class=spec.task_class.name.lower(),
+            worker=entry.worker,
+            domain=entry.domain,
+            reason=reason,
+            error=started.error.kind.value if started.is_error() else '',
+        )
+        return started
+
+
+def _failed(
+    kind: errors.ErrorKind, detail: str = ''
+) -> expression.Result[typing.Any, errors.Failure]:
+    return expression.Error(errors.Failure(kind, detail))
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_vacancy.py
@@ -0,0 +1,46 @@
+"""Workers that have left the table, and the leases that they may hold."""
+
+from __future__ import annotations
+
+import math
+
+from walnutpoint_entry import ownership
+
+__all__ = ('Vacancies',)
+
+
+class Vacancies:
+    """Know until when a worker without an owner may still run tasks.
+
+    No owner shows what runs on a worker that a newer table has dropped: its
+    tasks would look as if they had ended and be started elsewhere while
+    their leases last.
+    """
+
+    __slots__ = ('_certain_s', '_endpoints', '_revision', '_until_s')
+
+    def __init__(self, certain_s: float) -> None:
+        self._certain_s = certain_s
+        self._endpoints: frozenset[str] = frozenset()
+        self._revision = 0
+        self._until_s = -math.inf
+
+    def follow(
+        self, placed: ownership.PlacedTable | None, now_s: float
+    ) -> None:
+        """Compare a newer table with the one before it."""
+        if placed is None or placed.revision == self._revision:
+            return
+        endpoints = frozenset(
+            asset
+            for asset in placed.table.holdings
+            if not ownership.is_shard(asset)
+        )
+        if self._endpoints - endpoints:
+            self._until_s = now_s + self._certain_s
+        self._endpoints = endpoints
+        self._revision = placed.revision
+
+    def are_over(self, now_s: float) -> bool:
+        """Tell whether every lease of a dropped worker has lapsed."""
+        return now_s > self._until_s
--- a/tests/standins/endpoint.py
+++ b/tests/standins/endpoint.py
@@ -14,6 +14,7 @@
 import msgspec
 
 from tests.standins import serving
+from tests.standins import worker_tasks
 
 __all__ = (
     'EndpointStandin',
@@ -33,6 +34,8 @@
     leaving: bool = False
     silent_connections: bool = False
     usage_lag_s: float = 0.0
+    ignore_leases: bool = False
+    checkpoint_s: float = 0.0
 
 
 class _Counts(msgspec.Struct):
@@ -61,12 +64,20 @@
     runs: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    tags: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
     keys: set[str] = dataclasses.field(default_factory=set)
     duplicates: int = 0
+    task_log: worker_tasks.TaskLog = dataclasses.field(
+        default_factory=worker_tasks.TaskLog
+    )
+    size: worker_tasks.Size = worker_tasks.Size(16.0, 65_536)
 
-    def note(self, request_id: str, key: str | None) -> None:
-        """Note the start of a run."""
+    def note(self, request_id: str, key: str | None, tag: str) -> None:
+        """Note the start of a run; a tag names its caller's work."""
         self.runs[request_id] += 1
+        self.tags[tag] += 1
         if key is None:
             return
         if key in self.keys:
@@ -93,6 +104,13 @@
         self._epoch = 0
         self._running: dict[int, str] = {}
         self._sample = _Sample(float('-inf'), [])
+        self._tasks = worker_tasks.WorkerTasks(
+            worker.task_log,
+            address,
+            worker.slots,
+            lambda: self.seen.running,
+            worker.size,
+        )
 
     def set_faults(self, changes: dict[str, object]) -> None:
         """Change some switches, on the given ports or on all."""
@@ -136,18 +154,37 @@
         """Serve a request to the stand-in itself, whatever the faults."""
         if request.path == '/standin/runs':
             return serving.json_answer(self._worker.runs)
+        if request.path == '/standin/tasks':
+            return serving.json_answer(self._worker.task_log.view())
         return await super().control(request)
 
     async def answer(
         self, connection: serving.Connection, request: serving.Request
     ) -> serving.Answer | serving.Loss:
         """Run one request or report the usage."""
-        if request.path.startswith('/walnutpoint/'):
-            answer: serving.Answer | serving.Loss = self._usage(request)
+        answer: serving.Answer | serving.Loss
+        if request.path.startswith('/walnutpoint/tasks/'):
+            answer = await self._order(request)
+        elif request.path.startswith('/walnutpoint/'):
+            answer = self._usage(request)
         else:
             answer = self._refusal(request) or await self._work(request)
         return serving.Loss.SILENT if connection.silent else answer
 
+    async def _order(
+        self, request: serving.Request
+    ) -> serving.Answer | serving.Loss:
+        self._tasks.fail_all = self.faults.fail_all
+        self._tasks.ignore_leases = self.faults.ignore_leases
+        self._tasks.checkpoint_s = self.faults.checkpoint_s
+        answer = self._tasks.answer(request)
+        if self.faults.slow_s > 0.0:
+            await asyncio.sleep(self.faults.slow_s)
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            return serving.Loss.CLOSE
+        return answer
+
     def _refusal(self, request: serving.Request) -> serving.Answer | None:
         epoch = request.headers.get('walnutpoint-epoch')
         if self._worker.check_epochs and epoch is not None:
@@ -188,19 +225,25 @@
         seen.runs += 1
         seen.running += 1
         seen.max_running = max(seen.max_running, seen.running)
-        if seen.running > self._worker.slots:
+        if seen.running + self._tasks.running > self._worker.slots:
             seen.over_capacity += 1
         self._running[id(request)] = request_id
-        self._worker.note(request_id, request.headers.get('idempotency-key'))
+        self._worker.note(
+            request_id,
+            request.headers.get('idempotency-key'),
+            request.headers.get('x-tag', ''),
+        )
 
     def _echo(
         self, request: serving.Request, request_id: str
     ) -> serving.Answer:
+        padding_size_bytes = int(request.headers.get('x-padding-bytes', '0'))
         return serving.json_answer(
             {
                 'endpoint': self._address,
                 'echo': hashlib.sha256(request.body).hexdigest(),
                 'request_id': request_id,
+                'padding': '.' * padding_size_bytes,
             }
         )
 
@@ -240,12 +283,20 @@
     parser.add_argument('--connections', type=int, default=64)
     parser.add_argument('--run-s', type=float, default=0.0)
     parser.add_argument('--check-epochs', action='store_true')
+    parser.add_argument('--cpu-cores', type=float, default=16.0)
+    parser.add_argument('--memory-mb', type=int, default=65_536)
+    parser.add_argument('--accelerators', type=int, default=0)
     arguments = parser.parse_args()
     worker = Worker(
         arguments.slots,
         arguments.connections,
         arguments.run_s,
         arguments.check_epochs,
+        size=worker_tasks.Size(
+            arguments.cpu_cores,
+            arguments.memory_mb,
+            arguments.accelerators,
+        ),
     )
     for port in arguments.ports:
         address = f'{arguments.host}:{port}'
--- a/tests/standins/hosts.py
+++ b/tests/standins/hosts.py
@@ -33,6 +33,9 @@
     slots: int
     connections: int
     state: typing.Literal['live', 'leaving'] = 'live'
+    cpu_cores: float = 16.0
+    memory_mb: int = 65_536
+    accelerators: int = 0
 
 
 class _Change(msgspec.Struct):
--- /dev/null
+++ b/tests/standins/relay.py
@@ -0,0 +1,110 @@
+"""Relay of TCP connections that can be cut, silenced or slowed."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+__all__ = ('Relay',)
+
+_CHUNK_SIZE_BYTES: typing.Final = 65_536
+
+
+class Relay:
+    """Pass bytes between the callers of one address and another address."""
+
+    def __init__(self, target_host: str, target_port: int) -> None:
+        self.delay_s = 0.0
+        self.chunk_size_bytes = _CHUNK_SIZE_BYTES
+        self.delayed = 0
+        self._target = (target_host, target_port)
+        self._is_cut = False
+        self._pairs: set[_Pair] = set()
+        self._server: asyncio.Server | None = None
+        self.port = 0
+
+    async def start(self, host: str, port: int = 0) -> None:
+        """Listen on an address; port zero takes a free one."""
+        self._server = await asyncio.start_server(self._carry, host, port)
+        self.port = self._server.sockets[0].getsockname()[1]
+
+    def cut(self) -> None:
+        """Reset every connection and refuse new ones until mended."""
+        self._is_cut = True
+        for pair in tuple(self._pairs):
+            pair.abort()
+
+    def silence(self) -> None:
+        """Pass nothing more on the present connections; new ones work."""
+        for pair in self._pairs:
+            pair.is_silent = True
+
+    def mend(self) -> None:
+        """Take new connections and pass their bytes without delay."""
+        self._is_cut = False
+        self.delay_s = 0.0
+        self.chunk_size_bytes = _CHUNK_SIZE_BYTES
+
+    def close(self) -> None:
+        """Stop to listen and reset every connection."""
+        self.cut()
+        if self._server is not None:
+            self._server.close()
+
+    async def _carry(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        if self._is_cut:
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                *self._target
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        pair = _Pair(writer, far_writer)
+        self._pairs.add(pair)
+        try:
+            await asyncio.gather(
+                self._copy(pair, reader, far_writer),
+                self._copy(pair, far_reader, writer),
+            )
+        except OSError:
+            pass
+        finally:
+            self._pairs.discard(pair)
+            pair.abort()
+
+    async def _copy(
+        self,
+        pair: _Pair,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+    ) -> None:
+        while data := await reader.read(self.chunk_size_bytes):
+            if self.delay_s:
+                self.delayed += 1
+                await asyncio.sleep(self.delay_s)
+                self.delayed -= 1
+            if not pair.is_silent:
+                writer.write(data)
+                await writer.drain()
+        # The end of one direction ends both: the parts that are tested close
+        # their connections whole.
+        pair.abort()
+
+
+class _Pair:
+    """The two ends of one relayed connection."""
+
+    def __init__(
+        self, near: asyncio.StreamWriter, far: asyncio.StreamWriter
+    ) -> None:
+        self.is_silent = False
+        self._writers = (near, far)
+
+    def abort(self) -> None:
+        for writer in self._writers:
+            writer.transport.abort()
--- a/tests/walnutpoint_core/hosts/test_client.py
+++ b/tests/walnutpoint_core/hosts/test_client.py
@@ -70,6 +70,29 @@
         self.assertGreater(changed.version, listing.version)
         self.assertEqual(3, client.calls)
 
+    async def test_capacity_is_listed_or_taken_as_usual(self) -> None:
+        sized = hosts_standin.Host(
+            '127.0.0.1:9003',
+            'domain-a',
+            'rack',
+            8,
+            64,
+            'live',
+            64.0,
+            262_144,
+            2,
+        )
+        self.standin.change((_HOST, sized))
+        await asyncio.sleep(0)
+        listed = (await self.client(_AMPLE_S).fetch(None)).ok.hosts
+        self.assertEqual(
+            [(16.0, 65_536, 0), (64.0, 262_144, 2)],
+            [
+                (host.cpu_cores, host.memory_mb, host.accelerators)
+                for host in listed
+            ],
+        )
+
     async def test_down_then_back(self) -> None:
         client = self.client(_AMPLE_S)
         self.standin.set_faults({'down': True})
--- /dev/null
+++ b/tests/walnutpoint_entry/tasks/test_remote.py
@@ -0,0 +1,147 @@
+"""Tests of a peer's board over gRPC."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+import unittest
+
+import expression
+import grpc.aio
+
+from walnutpoint_core import errors
+from walnutpoint_entry import tasks
+
+from tests.walnutpoint_entry import manual_timer
+from tests.walnutpoint_entry import samples
+from tests.walnutpoint_entry.tasks import fake
+
+_PATIENCE_S = 10.0
+_STATE = tasks.TaskState
+
+
+class _Link:
+    """A link over a channel of the test's."""
+
+    def __init__(self, member, channel: grpc.aio.Channel) -> None:
+        self.member = member
+        self._channel = channel
+        self.heard = True
+
+    def is_heard(self) -> bool:
+        """Tell what the test says."""
+        return self.heard
+
+    async def call(self, stub, method, message, timeout_s):
+        """Call once."""
+        try:
+            return expression.Ok(
+                await getattr(stub(self._channel), method)(
+                    message, timeout=timeout_s
+                )
+            )
+        except grpc.aio.AioRpcError as error:
+            return expression.Error(
+                errors.Failure(
+                    errors.ErrorKind.PEER_ANSWER_LOST, error.code().name
+                )
+            )
+
+
+class _Links:
+    """One link."""
+
+    def __init__(self, link: _Link) -> None:
+        self.link = link
+
+    def find(self, member):
+        """Return the link to exactly this member."""
+        return self.link if self.link.member == member else None
+
+
+class RemoteTest(unittest.IsolatedAsyncioTestCase):
+    """A job owner at process 2, and workers at process 1."""
+
+    async def asyncSetUp(self) -> None:
+        self.group = fake.Group()
+        self.addAsyncCleanup(self.group.aclose)
+        self.bench = fake.Bench(self.group, 'a', 'b', slots=2)
+        await self.bench.gained('a', 'b')
+        server = grpc.aio.server()
+        tasks.add_to_server(server, samples.member(1), self.bench.service)
+        port = server.add_insecure_port('127.0.0.1:0')
+        await server.start()
+        self.addAsyncCleanup(server.stop, None)
+        self.channel = grpc.aio.insecure_channel(f'127.0.0.1:{port}')
+        self.addAsyncCleanup(self.channel.close)
+        self.timer = manual_timer.ManualTimer()
+        self.boards = self._boards(samples.member(1))
+
+    def _boards(self, peer) -> tasks.PeerBoards:
+        own = fake.Bench(self.group, timer=self.timer)
+        own.owner.member = samples.member(2)
+        own.owner.placed = fake.placed(1, (peer, samples.member(2)))
+        self.own = own.owner
+        self.link = _Link(peer, self.channel)
+        return tasks.PeerBoards(
+            self.timer,
+            typing.cast(typing.Any, own.owner),
+            own.service,
+            _Links(self.link),
+        )
+
+    async def test_every_call_of_a_board(self) -> None:
+        _, board = self.boards.boards()
+        self.assertEqual('entry-1', board.owner)
+        spec = fake.spec(checkpoint='half', is_checkpointable=True)
+        held = await board.hold(spec, 5.0)
+        self.assertIs(_STATE.HELD, held.ok.state)
+        started = await board.start(spec)
+        self.assertIs(_STATE.RUNNING, started.ok.state)
+        inventory = (await board.inventory(0, 1)).ok
+        self.assertTrue(inventory.is_complete)
+        self.assertEqual((started.ok,), inventory.reports)
+        stopped = await board.stop(spec.key, 1, tasks.StopMode.CHECKPOINT)
+        self.assertIs(_STATE.STOPPED, stopped.ok.state)
+        self.assertTrue((await board.acknowledge(0, (stopped.ok,))).is_ok())
+        self.assertEqual((), (await board.inventory(0, 1)).ok.reports)
+        older = await board.inventory(0, 0)
+        self.assertIs(errors.ErrorKind.NOT_OWNER, samples.kind_of(older))
+
+    async def test_free_tasks_are_learnt_and_spent(self) -> None:
+        spec = fake.spec()
+        self.assertEqual(0, self.boards.boards()[1].free_tasks(spec))
+        async with asyncio.timeout(_PATIENCE_S):
+            while not self.boards.boards()[1].free_tasks(spec):
+                await asyncio.sleep(0.01)
+        board = self.boards.boards()[1]
+        self.assertEqual(4, board.free_tasks(spec))
+        await board.start(spec)
+        self.assertEqual(3, board.free_tasks(spec))
+
+    async def test_other_revision_makes_the_inventory_incomplete(
+        self,
+    ) -> None:
+        """A worker moves between two peers while a job owner asks both.
+
+        The one that is ahead has given the worker up, the other one has
+        not heard of it. Neither shows its task; both would be complete,
+        and the caller would see the task run twice.
+        """
+        local, remote = self.boards.boards()
+        self.own.table_revision = 2
+        self.assertFalse((await local.inventory(0, 1)).ok.is_complete)
+        self.assertTrue((await remote.inventory(0, 1)).ok.is_complete)
+        self.bench.owner.table_revision = 2
+        self.assertFalse((await remote.inventory(0, 1)).ok.is_complete)
+
+    async def test_former_incarnation_is_not_spoken_for(self) -> None:
+        boards = self._boards(samples.member(1, incarnation=9))
+        started = await boards.boards()[1].start(fake.spec())
+        self.assertIs(errors.ErrorKind.NOT_OWNER, samples.kind_of(started))
+
+    async def test_silent_peer_is_left_out(self) -> None:
+        self.assertTrue(self.boards.are_all())
+        self.link.heard = False
+        self.assertEqual(1, len(self.boards.boards()))
+        self.assertFalse(self.boards.are_all())
--- /dev/null
+++ b/tests/walnutpoint_entry/tasks/test_room.py
@@ -0,0 +1,167 @@
+"""Tests of the capacity of workers."""
+
+from __future__ import annotations
+
+import unittest
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+
+from walnutpoint_core import documents
+from walnutpoint_core import model
+from walnutpoint_core import settings
+from walnutpoint_entry import placement
+from walnutpoint_entry import tasks
+from walnutpoint_entry.tasks import _amount
+from walnutpoint_entry.tasks import _cell
+from walnutpoint_entry.tasks import _health
+from walnutpoint_entry.tasks import _wire
+
+from tests.walnutpoint_entry.tasks import fake
+
+_WORKERS = ('a', 'b')
+_SLOTS = 3
+_CORES = 4.0
+_MEMORY_MB = 4096
+_PLACEMENT = settings.PlacementSettings()
+
+_sizes = strategies.builds(
+    documents.Size,
+    cpu_cores=strategies.floats(0.01, 3.0),
+    memory_mb=strategies.integers(1, 3000),
+    accelerators=strategies.integers(0, 1),
+)
+
+
+class CellMachine(stateful.RuleBasedStateMachine):
+    """Tasks and requests take and free room in any order."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        outliers = placement.OutlierDetector(
+            _PLACEMENT.eject_after_failures,
+            _PLACEMENT.eject_s,
+            _PLACEMENT.eject_max_s,
+        )
+        self.slots = fake.Slots(_SLOTS)
+        self.cell = _cell.Cell(self.slots, _health.WorkerHealth(outliers))
+        self.index = 0
+        self.requests: list[str] = []
+        for worker in _WORKERS:
+            self.cell.add_worker(worker)
+        self.cell.take_hosts(
+            model.HostListing(
+                1,
+                tuple(
+                    model.ListedHost(
+                        worker,
+                        worker,
+                        'rack',
+                        _SLOTS,
+                        64,
+                        model.HostState.LIVE,
+                        _CORES,
+                        _MEMORY_MB,
+                        1,
+                    )
+                    for worker in _WORKERS
+                ),
+            )
+        )
+
+    @stateful.rule(worker=strategies.sampled_from(_WORKERS), size=_sizes)
+    def adopt(self, worker: str, size: documents.Size) -> None:
+        """Find a task of a former owner, only before the worker opens."""
+        free = self.cell.room.free(worker)
+        fits = free.covers(_amount.of_size(size))
+        if self.cell.room.is_open(worker) or not fits:
+            return
+        if not self.slots.free_slots(worker):
+            return
+        self.index += 1
+        task = _wire.WorkerTask(
+            key=tasks.TaskKey('red/found', self.index),
+            attempt=1,
+            state='running',
+            size=size,
+            note=_wire.TaskNote(0, 1, 'red', tasks.TaskClass.BATCH, 1.0, True),
+        )
+        self.cell.adopt(worker, task, 0.0)
+
+    @stateful.rule(worker=strategies.sampled_from(_WORKERS))
+    def open(self, worker: str) -> None:
+        """Hear what a worker runs."""
+        self.cell.open_worker(worker)
+
+    @stateful.rule(
+        size=_sizes,
+        task_class=strategies.sampled_from(tuple(tasks.TaskClass)),
+    )
+    def place(self, size: documents.Size, task_class: tasks.TaskClass) -> None:
+        """Place a task; what could start does start."""
+        self.index += 1
+        spec = fake.spec(index=self.index, size=size, task_class=task_class)
+        could = self.cell.free_tasks(spec)
+        placed = self.cell.place(spec, frozenset(), (), 0.0)
+        assert (placed is not None) == (could > 0)
+
+    @stateful.rule(data=strategies.data())
+    def end(self, data: strategies.DataObject) -> None:
+        """End a task."""
+        entries = self.cell.entries()
+        if not entries:
+            return
+        entry = data.draw(strategies.sampled_from(entries))
+        state = data.draw(
+            strategies.sampled_from(
+                (tasks.TaskState.FINISHED, tasks.TaskState.STOPPED)
+            )
+        )
+        self.cell.end(entry, state, None, 0.0)
+
+    @stateful.rule(worker=strategies.sampled_from(_WORKERS))
+    def request(self, worker: str) -> None:
+        """Run an urgent request in a slot."""
+        if self.slots.take_slot(worker):
+            self.requests.append(worker)
+
+    @stateful.rule()
+    def answer(self) -> None:
+        """End an urgent request."""
+        if self.requests:
+            self.slots.free_slot(self.requests.pop())
+
+    @stateful.invariant()
+    def is_within_capacity(self) -> None:
+        """Count anew, and compare with the ledger."""
+        for worker in _WORKERS:
+            entries = self.cell.entries(worker)
+            sizes = [entry.size for entry in entries]
+            used = len(entries) + self.requests.count(worker)
+            assert used <= _SLOTS
+            assert used == self.slots.used[worker]
+            assert sum(size.cpu_cores for size in sizes) <= _CORES + 1e-9
+            assert sum(size.memory_mb for size in sizes) <= _MEMORY_MB
+            assert sum(size.accelerators for size in sizes) <= 1
+            if not entries:
+                assert self.cell.room.free(worker) == self.cell.room.capacity(
+                    worker
+                )
+
+
+CellTest = CellMachine.TestCase
+CellTest.settings = hypothesis.settings(
+    derandomize=True, deadline=None, max_examples=60, stateful_step_count=40
+)
+
+
+class AmountTest(unittest.TestCase):
+    """Sums of sizes in floating point."""
+
+    def test_ten_tenths_fill_one_core(self) -> None:
+        need = _amount.of_size(documents.Size(0.1, 1))
+        used = _amount.Amount()
+        for _ in range(10):
+            used = used + need
+        self.assertEqual(1000, used.cpu_millicores)
--- a/tools/generate.sh
+++ b/tools/generate.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# Generate the peer protocol's code; its output is committed.
+# Generate the code of the protocols between peers; its output is committed.
 set -eu
 cd "$(dirname "$0")/../packages/walnutpoint-entry/src"
 python -m grpc_tools.protoc -I . --python_out=. --grpc_python_out=. \
-    walnutpoint_entry/peers/_generated/peer.proto
+    walnutpoint_entry/peers/_generated/peer.proto \
+    walnutpoint_entry/tasks/_generated/tasks.proto
