Follow the operators' configuration, and drive it by HTTP, command line and console

Cause: documents could be checked and stored, but no process put them in force and no operator could send one. Change: the head of the configuration stands among the control keys, so that the poll of ownership shows a change. ConfigurationService reads what changed, tells listeners in order and never an older revision. Checks run in one thread at a time. Every way in makes the same document under a submission id: POST /v1/documents, walnutpoint apply and cancel, and a console of forms without scripts (signed session, form tokens). A lost answer is found out by sending the same id again; after it only "accepted" or "conflict" is believed. Left: no drain, for which a document has no field; no form for policies.

--- /dev/null
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
@@ -0,0 +1,142 @@
+"""The commands by their names, and the arguments that each takes."""
+
+from __future__ import annotations
+
+import collections.abc
+import functools
+import re
+import sys
+import typing
+
+from absl import flags
+
+from walnutpoint_cli import _command_config
+from walnutpoint_cli import _command_document
+from walnutpoint_cli import _command_jobs
+from walnutpoint_cli import _command_request
+from walnutpoint_cli import _command_view
+from walnutpoint_cli import _flags
+from walnutpoint_cli import _options
+from walnutpoint_cli import _report
+from walnutpoint_cli import exit_code
+
+__all__ = (
+    'Command',
+    'NAMES',
+    'find',
+)
+
+Command: typing.TypeAlias = collections.abc.Callable[
+    [], collections.abc.Awaitable[exit_code.ExitCode]
+]
+_Words: typing.TypeAlias = tuple[str, ...]
+
+_REQUEST: typing.Final = 'request'
+_VIEWS: typing.Final = tuple(view.value for view in _command_view.View)
+_JOB: typing.Final = re.compile(r'[^/\s]+/[^/\s]+')
+
+
+def find(name: str, words: _Words) -> Command:
+    """Return a command with its arguments; faulty ones raise flags.Error."""
+    if name == _REQUEST:
+        _take(name, words, 0)
+        return functools.partial(
+            _command_request.execute, _flags.request_options(), sys.stdout
+        )
+    if name in _VIEWS:
+        wanted = int(name == _command_view.View.EXPLAIN.value)
+        _take(name, words, wanted)
+        return functools.partial(
+            _command_view.execute,
+            _command_view.View(name),
+            ''.join(words),
+            _flags.operator_options(),
+            sys.stdout,
+        )
+    options = _flags.document_options()
+    return _DOCUMENT_COMMANDS[name](
+        words, options, _report.Report(options.output)
+    )
+
+
+def _take(name: str, words: _Words, wanted: int) -> None:
+    if len(words) != wanted:
+        raise flags.Error(f'{name} takes {wanted} arguments')
+
+
+def _jobs(words: _Words) -> _Words:
+    for word in words:
+        if not _JOB.fullmatch(word):
+            raise flags.Error(f'{word!r} is not the TEAM/JOB of a job')
+    return words
+
+
+def _apply(
+    words: _Words, options: _options.DocumentOptions, report: _report.Report
+) -> Command:
+    _take('apply', words, 1)
+    text = _flags.document_text(words[0])
+    return functools.partial(_command_document.apply, text, options, report)
+
+
+def _diff(
+    words: _Words, options: _options.DocumentOptions, report: _report.Report
+) -> Command:
+    _take('diff', words, 1)
+    text = _flags.document_text(words[0])
+    return functools.partial(_command_document.compare, text, options, report)
+
+
+def _get(
+    words: _Words, options: _options.DocumentOptions, report: _report.Report
+) -> Command:
+    _take('get', words, 0)
+    return functools.partial(_command_document.fetch, options, report)
+
+
+def _cancel(
+    words: _Words, options: _options.DocumentOptions, report: _report.Report
+) -> Command:
+    if not words:
+        raise flags.Error('cancel takes the TEAM/JOB of one job or more')
+    return functools.partial(
+        _command_document.cancel, _jobs(words), options, report
+    )
+
+
+def _history(
+    words: _Words, options: _options.DocumentOptions, report: _report.Report
+) -> Command:
+    _take('history', words, 0)
+    return functools.partial(_command_config.history, options, report)
+
+
+def _config(
+    words: _Words, options: _options.DocumentOptions, report: _report.Report
+) -> Command:
+    if words != ('status',):
+        raise flags.Error('config takes the word status')
+    return functools.partial(_command_config.status, options, report)
+
+
+def _show_jobs(
+    words: _Words, options: _options.DocumentOptions, report: _report.Report
+) -> Command:
+    if len(words) > 1:
+        raise flags.Error('jobs takes one TEAM/JOB or none')
+    if not words:
+        return functools.partial(_command_jobs.show_all, options, report)
+    job = _jobs(words)[0]
+    return functools.partial(_command_jobs.show_one, job, options, report)
+
+
+_DOCUMENT_COMMANDS: typing.Final = {
+    'apply': _apply,
+    'diff': _diff,
+    'get': _get,
+    'cancel': _cancel,
+    'history': _history,
+    'config': _config,
+    'jobs': _show_jobs,
+}
+NAMES: typing.Final = (_REQUEST, *_VIEWS, *_DOCUMENT_COMMANDS)
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_flags.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_flags.py
@@ -6,6 +6,7 @@
 import os
 import pathlib
 import re
+import sys
 import typing
 
 from absl import flags
@@ -15,6 +16,8 @@
 
 __all__ = (
     'TOKEN_VARIABLE',
+    'document_options',
+    'document_text',
     'help_text',
     'operator_options',
     'parse',
@@ -24,6 +27,7 @@
 TOKEN_VARIABLE: typing.Final = 'WALNUTPOINT_OPERATOR_TOKEN'
 _PORT_MAX: typing.Final = 65535
 _URL = re.compile(r'https?://[^/?#\s]+/?')
+_IDENTITY = re.compile(r'[A-Za-z0-9][A-Za-z0-9._-]{7,63}')
 _FIELD = re.compile(r'[\x21-\x7e]([\x20-\x7e]*[\x21-\x7e])?')
 
 _OUTPUT = flags.DEFINE_enum(
@@ -40,7 +44,9 @@
 _BODY_FILE = flags.DEFINE_string(
     'body_file', None, 'request: file that holds the body.'
 )
-_TEAM = flags.DEFINE_string('team', None, 'request: the team to count.')
+_TEAM = flags.DEFINE_string(
+    'team', None, 'request: the team to count; get: the only team to show.'
+)
 _CLASS = flags.DEFINE_enum(
     'class', None, ['urgent', 'standard', 'batch'], 'request: its class.'
 )
@@ -67,10 +73,29 @@
     lower_bound=1,
     upper_bound=1024,
 )
-_OPERATOR = flags.DEFINE_string(
+_OPERATOR = flags.DEFINE_multi_string(
     'operator',
-    'http://127.0.0.1:9090',
-    'status, endpoints, owners, explain: URL of an operator address.',
+    ['http://127.0.0.1:9090'],
+    'every command but request: URL of an operator address; repeat it to '
+    'name more processes, except for status, endpoints, owners and explain.',
+)
+_SUBMISSION_ID = flags.DEFINE_string(
+    'submission_id',
+    None,
+    'apply, cancel, diff: the id under which the document was sent before; '
+    'default: the one in the file, or a new one.',
+)
+_WAIT = flags.DEFINE_bool(
+    'wait',
+    False,
+    'apply, cancel: until every --operator has it in force; '
+    'jobs: until the job has ended.',
+)
+_WAIT_S = flags.DEFINE_float(
+    'wait_s',
+    None,
+    'Longest --wait; default: 30 for apply and cancel, no limit for jobs.',
+    lower_bound=0.001,
 )
 _TOKEN_FILE = flags.DEFINE_string(
     'token_file',
@@ -114,13 +139,42 @@
 
 def operator_options() -> _options.OperatorOptions:
     """Return which operator address the flags name."""
+    if len(_OPERATOR.value) > 1:
+        raise flags.IllegalFlagValueError('give one --operator')
     return _options.OperatorOptions(
-        operator=_url(_OPERATOR.value),
+        operator=_url(_OPERATOR.value[0]),
         token=_token(),
         output=_options.Output(_OUTPUT.value),
     )
 
 
+def document_options() -> _options.DocumentOptions:
+    """Return which processes to tell or ask of documents and jobs."""
+    identity = _SUBMISSION_ID.value
+    if identity is not None and not _IDENTITY.fullmatch(identity):
+        raise flags.IllegalFlagValueError(
+            '--submission_id must be 8 to 64 letters, digits, dots, '
+            'underscores and hyphens'
+        )
+    return _options.DocumentOptions(
+        operators=tuple(dict.fromkeys(map(_url, _OPERATOR.value))),
+        token=_token(),
+        output=_options.Output(_OUTPUT.value),
+        submission_id=identity,
+        team=_field(_TEAM.value, 'team') or '',
+        wait=_WAIT.value,
+        wait_s=_WAIT_S.value,
+    )
+
+
+def document_text(path: str) -> str:
+    """Return the text of a document; a hyphen stands for standard input."""
+    try:
+        return sys.stdin.read() if path == '-' else _read(path).decode()
+    except UnicodeDecodeError as fault:
+        raise flags.IllegalFlagValueError(f'{path}: not UTF-8') from fault
+
+
 def _refuse_both(
     first: flags.FlagHolder[typing.Any], second: flags.FlagHolder[typing.Any]
 ) -> None:
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_options.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_options.py
@@ -6,6 +6,7 @@
 import enum
 
 __all__ = (
+    'DocumentOptions',
     'OperatorOptions',
     'Output',
     'RequestOptions',
@@ -45,3 +46,16 @@
     operator: str
     token: str
     output: Output = Output.TEXT
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DocumentOptions:
+    """Which processes to tell or ask of documents and jobs, and how."""
+
+    operators: tuple[str, ...]
+    token: str
+    output: Output = Output.TEXT
+    submission_id: str | None = None
+    team: str = ''
+    wait: bool = False
+    wait_s: float | None = None
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/exit_code.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/exit_code.py
@@ -15,3 +15,8 @@
     USAGE = 2
     UNKNOWN = 3
     UNREACHABLE = 4
+    CONFLICT = 5
+    UNAVAILABLE = 6
+    NOT_IN_FORCE = 7
+    JOB_FAILED = 8
+    NOT_ENDED = 9
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/main.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/main.py
@@ -1,4 +1,4 @@
-"""The program walnutpoint: send requests, and show what happens to them.
+"""The program walnutpoint: send requests and documents, and show both.
 
 Usage: walnutpoint COMMAND [FLAGS]
 
@@ -8,20 +8,31 @@
   endpoints   show the endpoints, their owners and their slots
   owners      show the entry processes and what they own
   explain ID  show what happened to the request with this id
+  apply FILE  put a document in force; - reads standard input
+  diff FILE   show what a document would change
+  get         show what is in force as a document to edit, with --team of one
+  cancel TEAM/JOB...  cancel jobs
+  history     show the documents that were accepted
+  config status       show the revision in force in each process
+  jobs [TEAM/JOB]     show jobs, or one with its tasks
 
 Exit codes:
   0  done
-  1  refused: the request did not run, or the view was refused
+  1  refused: the request did not run, the document or view was refused
   2  usage error
-  3  unknown outcome: the request may have run
+  3  unknown outcome: the request may have run, the document may be accepted
   4  cannot reach the address; nothing was sent
+  5  conflict: another operator changed the same field meanwhile
+  6  unavailable: the document was not accepted; try again later
+  7  not in force everywhere: time ran out, or revisions differ
+  8  the job has failed or was cancelled
+  9  the job had not ended when the time ran out
 With --count the code is that of the worst: 3, then 4, then 1, then 0.
 """
 
 from __future__ import annotations
 
 import collections.abc
-import functools
 import logging
 import sys
 
@@ -29,8 +40,7 @@
 from absl import flags
 import anyio
 
-from walnutpoint_cli import _command_request
-from walnutpoint_cli import _command_view
+from walnutpoint_cli import _commands
 from walnutpoint_cli import _flags
 from walnutpoint_cli import exit_code
 
@@ -40,7 +50,6 @@
 )
 
 _HELP_FLAGS = frozenset(('-h', '-help', '--help', '--helpfull'))
-_REQUEST = 'request'
 
 
 def run() -> None:
@@ -69,29 +78,12 @@
         sys.exit(_usage(fault))
 
 
-def _command(
-    words: collections.abc.Sequence[str],
-) -> collections.abc.Callable[
-    [], collections.abc.Awaitable[exit_code.ExitCode]
-]:
-    names = [_REQUEST, *(view.value for view in _command_view.View)]
-    if not words or words[0] not in names:
-        raise flags.Error(f'the command must be one of {", ".join(names)}')
-    subjects = words[1:]
-    wanted = int(words[0] == _command_view.View.EXPLAIN.value)
-    if len(subjects) != wanted:
-        raise flags.Error(f'{words[0]} takes {wanted} arguments')
-    if words[0] == _REQUEST:
-        return functools.partial(
-            _command_request.execute, _flags.request_options(), sys.stdout
+def _command(words: collections.abc.Sequence[str]) -> _commands.Command:
+    if not words or words[0] not in _commands.NAMES:
+        raise flags.Error(
+            f'the command must be one of {", ".join(_commands.NAMES)}'
         )
-    return functools.partial(
-        _command_view.execute,
-        _command_view.View(words[0]),
-        ''.join(subjects),
-        _flags.operator_options(),
-        sys.stdout,
-    )
+    return _commands.find(words[0], tuple(words[1:]))
 
 
 def _usage(fault: flags.Error) -> exit_code.ExitCode:
--- a/packages/walnutpoint-core/src/walnutpoint_core/documents/_layout.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/documents/_layout.py
@@ -53,7 +53,9 @@
 
     def __init__(self, prefix: str) -> None:
         self._prefix = f'{prefix}config/'
-        self.head_key = f'{self._prefix}head'
+        # Among the control keys, whose listing every process polls anyway:
+        # a new configuration shows there without a call of its own.
+        self.head_key = f'{prefix}control/config'
 
     def part_key(self, team: str) -> str:
         """Return the key of a team's part."""
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/console/_tables.py
@@ -0,0 +1,111 @@
+"""The lists of items that pages show."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+import msgspec
+
+from walnutpoint_core import documents
+from walnutpoint_entry.console import _drafts
+from walnutpoint_entry.console import _fields
+from walnutpoint_entry import operators
+
+__all__ = (
+    'Item',
+    'Listing',
+    'find',
+    'list_items',
+)
+
+# A page is made in the event loop, between two requests' decisions.
+ROWS_MAX: typing.Final = 100
+_TEAMS: typing.Final = 'teams'
+_CANCELLED: typing.Final = 'cancelled'
+_IN_FORCE: typing.Final = 'in force'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Item:
+    """One row: an item's name, its state and its fields."""
+
+    name: str
+    state: str
+    is_open: bool
+    texts: collections.abc.Mapping[str, str]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Listing:
+    """Some rows of a section, where they begin, and how many there are."""
+
+    rows: tuple[Item, ...]
+    start: int
+    total: int
+
+    @property
+    def next_start(self) -> int | None:
+        """Return where the rows after these begin, if there are any."""
+        end = self.start + len(self.rows)
+        return end if end < self.total else None
+
+
+def list_items(
+    configuration: documents.Configuration,
+    section: str,
+    team: str,
+    start: int,
+    jobs: operators.JobViews,
+) -> Listing:
+    """Return the items of one team, or of all."""
+    entries = [
+        (name, entry)
+        for key, part in sorted(configuration.teams.items())
+        if team in ('', key)
+        for name, entry in _entries(key, part, section)
+    ]
+    rows = tuple(
+        _row(section, name, entry, jobs)
+        for name, entry in entries[start : start + ROWS_MAX]
+    )
+    return Listing(rows, start, len(entries))
+
+
+def find(
+    configuration: documents.Configuration, section: str, name: str
+) -> Item | None:
+    """Return one item that is in force, or None."""
+    part = configuration.teams.get(name.partition('/')[0])
+    if part is None:
+        return None
+    entries = dict(_entries(name.partition('/')[0], part, section))
+    if name not in entries:
+        return None
+    return _row(section, name, entries[name], operators.NoJobViews())
+
+
+def _entries(
+    team: str, part: documents.TeamPart, section: str
+) -> list[tuple[str, documents.Entry[typing.Any]]]:
+    if section == _TEAMS:
+        return [(team, part.team)]
+    entries = getattr(part, section)
+    return [(f'{team}/{name}', entries[name]) for name in sorted(entries)]
+
+
+def _row(
+    section: str,
+    name: str,
+    entry: documents.Entry[typing.Any],
+    jobs: operators.JobViews,
+) -> Item:
+    is_open = not entry.cancelled
+    state = _IN_FORCE if is_open else _CANCELLED
+    if section in _drafts.JOB_SECTIONS:
+        view = jobs.job(name)
+        state = view.job.state if view else state
+    fields = _fields.fields_of(section)
+    item = msgspec.to_builtins(entry.item)
+    return Item(name, state, is_open, _fields.texts_of(item, fields))
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/operators/_app.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/operators/_app.py
@@ -13,12 +13,14 @@
 import starlette.types
 
 from walnutpoint_core import logs
+from walnutpoint_entry.operators import _documents
 from walnutpoint_entry.operators import _metrics
 from walnutpoint_entry.operators import _views
 
 __all__ = ('OperatorSurface',)
 
 _SCHEME: typing.Final = 'Bearer '
+_CONSOLE_PATH: typing.Final = '/console'
 
 _LOG = logs.get_logger(__name__)
 
@@ -26,24 +28,43 @@
 class OperatorSurface:
     """Show the state of this process to those who know the token."""
 
-    def __init__(self, token: str, handler: _views.OperatorHandler) -> None:
+    def __init__(
+        self,
+        token: str,
+        handler: _views.OperatorHandler,
+        documents: _documents.DocumentApi | None = None,
+        console: starlette.types.ASGIApp | None = None,
+    ) -> None:
+        """Show a handler's state; the console has a login of its own."""
         self._token = token.encode()
         self._handler = handler
+        self._documents = documents
+        self._console = console
         self._metrics = _metrics.Metrics()
 
     def app(self) -> starlette.types.ASGIApp:
         """Return the ASGI application."""
         route = starlette.routing.Route
-        inner = starlette.applications.Starlette(
+        routes = [
+            route('/v1/status', self._status),
+            route('/v1/endpoints', self._endpoints),
+            route('/v1/owners', self._owners),
+            route('/v1/explain/{request_id}', self._explain),
+            route('/metrics', self._render_metrics),
+        ]
+        if self._documents is not None:
+            routes.extend(self._documents.routes())
+        inner = starlette.applications.Starlette(routes=routes)
+        guarded = _Authenticated(inner, self._token, self._handler)
+        if self._console is None:
+            return guarded
+        return starlette.applications.Starlette(
             routes=[
-                route('/v1/status', self._status),
-                route('/v1/endpoints', self._endpoints),
-                route('/v1/owners', self._owners),
-                route('/v1/explain/{request_id}', self._explain),
-                route('/metrics', self._render_metrics),
+                route('/', _to_console),
+                starlette.routing.Mount(_CONSOLE_PATH, self._console),
+                starlette.routing.Mount('/', guarded),
             ]
         )
-        return _Authenticated(inner, self._token, self._handler)
 
     async def _status(
         self, http: starlette.requests.Request
@@ -115,6 +136,12 @@
         return hmac.compare_digest(token, self._token)
 
 
+async def _to_console(
+    http: starlette.requests.Request,
+) -> starlette.responses.Response:
+    return starlette.responses.RedirectResponse(f'{_CONSOLE_PATH}/', 303)
+
+
 def _json(view: msgspec.Struct) -> starlette.responses.Response:
     return starlette.responses.Response(
         msgspec.json.encode(view), media_type='application/json'
--- a/tests/walnutpoint_core/documents/test_registry.py
+++ b/tests/walnutpoint_core/documents/test_registry.py
@@ -302,7 +302,7 @@
         newer = (await reader.refresh(known)).ok
         self.assertEqual(3, newer.revision)
         self.assertEqual(
-            ['/w/config/head', '/w/config/teams/ours'], self.store.reads
+            ['/w/control/config', '/w/config/teams/ours'], self.store.reads
         )
         self.assertIs(known.teams['theirs'], newer.teams['theirs'])
 
@@ -343,7 +343,7 @@
             self.assertEqual(values, self.store.values)
 
     async def test_malformed_values_leave_the_known_in_force(self) -> None:
-        key = '/w/config/head'
+        key = '/w/control/config'
         self.store.values[key] = ports.StoredValue(key, b'{"x"', 99)
         read = await _registry(self.store).refresh(documents.Configuration())
         self.assertEqual(_Kind.STORE_UNAVAILABLE, read.error.kind)
--- /dev/null
+++ b/tests/walnutpoint_entry/console/browser.py
@@ -0,0 +1,111 @@
+"""A browser that runs no scripts: it reads, fills in and sends forms."""
+
+from __future__ import annotations
+
+import dataclasses
+import html.parser
+import typing
+
+import httpx
+
+from tests.walnutpoint_entry import processes
+
+_Attributes: typing.TypeAlias = list[tuple[str, str | None]]
+_URL = 'http://one'
+
+
+@dataclasses.dataclass
+class Form:
+    """One form of a page, with its fields as they are shown."""
+
+    action: str
+    method: str
+    fields: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+class Page(html.parser.HTMLParser):
+    """What a page shows and asks for."""
+
+    def __init__(self, response: httpx.Response) -> None:
+        super().__init__()
+        self.response = response
+        self.status = response.status_code
+        self.forms: list[Form] = []
+        self.links: list[str] = []
+        self.tags: set[str] = set()
+        self.faults: dict[str, str] = {}
+        self.text = ''
+        self._field = ''
+        self._fault = ''
+        self._label = ''
+        self.feed(response.text)
+
+    def form(self, action: str) -> Form:
+        """Return the first form that is sent to a path."""
+        return next(form for form in self.forms if form.action == action)
+
+    def handle_starttag(self, tag: str, attrs: _Attributes) -> None:
+        """Note forms, fields, links, and faults beside their fields."""
+        given = {name: value or '' for name, value in attrs}
+        self.tags.add(tag)
+        if tag == 'form':
+            self.forms.append(Form(given['action'], given['method']))
+        elif tag == 'a':
+            self.links.append(given['href'])
+        elif tag == 'label':
+            self._label = given['for']
+        elif tag == 'input' and 'name' in given:
+            checkable = given.get('type') == 'checkbox'
+            if not checkable or 'checked' in given:
+                self.forms[-1].fields[given['name']] = given.get('value', '')
+        elif tag in ('textarea', 'select'):
+            self._field = given['name']
+            self.forms[-1].fields[self._field] = ''
+        elif tag == 'option' and 'selected' in given:
+            self.forms[-1].fields[self._field] = given['value']
+        if given.get('class') == 'fault':
+            self._fault = self._label or 'page'
+
+    def handle_endtag(self, tag: str) -> None:
+        """Leave a field, a fault, or the line of a label."""
+        if tag in ('textarea', 'select'):
+            self._field = ''
+        if tag in ('span', 'p'):
+            self._fault = ''
+        if tag == 'p':
+            self._label = ''
+
+    def handle_data(self, data: str) -> None:
+        """Note text."""
+        self.text += data
+        if self._fault:
+            known = self.faults.get(self._fault, '')
+            self.faults[self._fault] = known + data
+        if self._field and 'textarea' == self.lasttag:
+            # A browser drops the line feed after the tag.
+            self.forms[-1].fields[self._field] += data.removeprefix('\n')
+
+
+class Browser:
+    """A browser with its cookies."""
+
+    def __init__(self, network: processes.Network) -> None:
+        self.client = httpx.AsyncClient(
+            transport=network, base_url=_URL, follow_redirects=True
+        )
+
+    async def open(self, path: str) -> Page:
+        """Follow a link."""
+        return Page(await self.client.get(path))
+
+    async def send(self, form: Form, **filled: str) -> Page:
+        """Fill in a form and send it."""
+        fields = {**form.fields, **filled}
+        return Page(
+            await self.client.request(form.method, form.action, data=fields)
+        )
+
+    async def log_in(self, token: str = processes.TOKEN) -> Page:
+        """Log in by the form that the console shows to strangers."""
+        page = await self.open('/')
+        return await self.send(page.form('/console/login'), token=token)
--- /dev/null
+++ b/tests/walnutpoint_entry/processes.py
@@ -0,0 +1,209 @@
+"""Entry processes in this process, as far as operators can see them."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import httpx
+import msgspec
+
+from tests.standins import serving
+from tests.standins import store as store_standin
+from walnutpoint_core import documents
+from walnutpoint_core import model
+from walnutpoint_core import store
+from walnutpoint_core import timer
+from walnutpoint_entry import configuration
+from walnutpoint_entry import console
+from walnutpoint_entry import operators
+from walnutpoint_entry import ownership
+
+TOKEN = 'operator-token-of-test'
+PREFIX = '/w/'
+_TIMEOUT_S = 5.0
+_HOST = model.ListedHost(
+    '127.1.0.1:80',
+    'cellar-1',
+    'rack-1',
+    8,
+    64,
+    model.HostState.LIVE,
+    cpu_cores=16.0,
+    memory_mb=65_536,
+    accelerators=0,
+)
+
+
+def listing(
+    count: int = 3, host: model.ListedHost = _HOST
+) -> model.HostListing:
+    """Return a list of equal hosts in one failure domain."""
+    return model.HostListing(1, (host,) * count)
+
+
+class Handler:
+    """An entry process without endpoints."""
+
+    def __init__(self, name: str) -> None:
+        self.refused_tokens = 0
+        self._name = name
+
+    def status(self) -> operators.StatusView:
+        """Return a state in which nothing happens."""
+        fields = dict.fromkeys(operators.StatusView.__struct_fields__, 0)
+        known = {'name': self._name, 'domain': 'cellar-1', 'address': 'a'}
+        return msgspec.convert(
+            fields | known, operators.StatusView, strict=False
+        )
+
+    def endpoints(self) -> operators.EndpointsView:
+        """Return one endpoint."""
+        row = operators.EndpointRow('127.1.0.1:80', 'c', 8, 1, 0, 7, '')
+        return operators.EndpointsView((row,))
+
+    def owners(self) -> operators.OwnersView:
+        """Return the owner of one asset."""
+        row = operators.OwnerRow('127.1.0.1:80', self._name, 3)
+        return operators.OwnersView((row,))
+
+    def explain(self, request_id: str) -> operators.ExplainView:
+        """Return nothing."""
+        return operators.ExplainView(())
+
+    def count_refused_token(self) -> None:
+        """Count a call with a wrong token."""
+        self.refused_tokens += 1
+
+
+class Jobs:
+    """Jobs whose states a test sets."""
+
+    def __init__(self) -> None:
+        self.views: dict[str, operators.JobView] = {}
+
+    def jobs(self) -> operators.JobsView:
+        """Return all of them."""
+        return operators.JobsView(
+            tuple(view.job for view in self.views.values())
+        )
+
+    def job(self, name: str) -> operators.JobView | None:
+        """Return one."""
+        return self.views.get(name)
+
+
+class Listener:
+    """A part that notes what it is told."""
+
+    def __init__(self) -> None:
+        self.revisions: list[int] = []
+
+    def apply(self, applied: documents.Configuration) -> None:
+        """Note a revision."""
+        self.revisions.append(applied.revision)
+
+
+class Process:
+    """The operators' side of one entry process."""
+
+    def __init__(self, name: str, client: store.EtcdStore) -> None:
+        self.head = 0
+        self.handler = Handler(name)
+        self.listener = Listener()
+        self.jobs = Jobs()
+        self.capacity = configuration.ListedCapacity()
+        self._control = ownership.Control(client, PREFIX)
+        clock = timer.SystemTimer()
+        self.configuration = configuration.ConfigurationService(
+            documents.DocumentRegistry(
+                client, PREFIX, timer=clock, rng=random.Random(name)
+            ),
+            clock,
+            lambda: self.head,
+            (self.listener,),
+        )
+        parts = operators.DocumentParts(
+            self.configuration, self.capacity, self.jobs
+        )
+        self.app = operators.OperatorSurface(
+            TOKEN,
+            self.handler,
+            operators.DocumentApi(parts, self.handler),
+            console.ConsoleSurface(TOKEN, parts, self.handler).app(),
+        ).app()
+
+    async def poll(self) -> None:
+        """Look at the control keys once, as the owner's poll does."""
+        self.head = (await self._control.listing()).ok.config_revision
+
+    async def follow(self) -> None:
+        """Look at the control keys, and read what has changed."""
+        await self.poll()
+        await self.configuration.refresh()
+
+
+class Network(httpx.AsyncBaseTransport):
+    """Pass calls to processes by name; one may lose its last answer."""
+
+    def __init__(self, processes: dict[str, Process]) -> None:
+        self.lost: set[str] = set()
+        self.unreachable: set[str] = set()
+        self.calls: list[str] = []
+        self._apps = {
+            name: httpx.ASGITransport(process.app)
+            for name, process in processes.items()
+        }
+
+    async def handle_async_request(
+        self, request: httpx.Request
+    ) -> httpx.Response:
+        """Pass one call on."""
+        name = request.url.host
+        self.calls.append(f'{name} {request.method} {request.url.path}')
+        if name in self.unreachable:
+            raise httpx.ConnectError('refused', request=request)
+        response = await self._apps[name].handle_async_request(request)
+        if name in self.lost and request.method == 'POST':
+            self.unreachable.add(name)
+            raise httpx.ReadError('lost', request=request)
+        return response
+
+
+class _Store(store_standin.StoreStandin):
+    """A store that goes down after each answer that it loses."""
+
+    async def answer(
+        self, connection: serving.Connection, request: serving.Request
+    ) -> serving.Answer | serving.Loss:
+        """Serve one call."""
+        answer = await super().answer(connection, request)
+        if answer is serving.Loss.CLOSE:
+            self.set_faults({'down': True})
+        return answer
+
+
+class CellCase(unittest.IsolatedAsyncioTestCase):
+    """A store and two entry processes that share it."""
+
+    async def asyncSetUp(self) -> None:
+        """Start the store."""
+        self.standin = _Store()
+        listener = await serving.start(self.standin)
+        self.addCleanup(listener.close)
+        self.processes = {}
+        for name in ('one', 'two'):
+            client = store.EtcdStore((listener.url,), _TIMEOUT_S)
+            self.addAsyncCleanup(client.aclose)
+            self.processes[name] = Process(name, client)
+        self.one, self.two = self.processes.values()
+        self.network = Network(self.processes)
+
+    def lose_next_commit(self) -> None:
+        """Lose the answer to the next commit, and go down with it."""
+        self.standin.set_faults({'lose_answers': 1})
+
+    async def poll(self) -> None:
+        """Let every process follow the store."""
+        for process in self.processes.values():
+            await process.follow()
