--- /dev/null
+++ b/bench/gang_wait.py
@@ -0,0 +1,225 @@
+"""Compare how long gangs wait: whole reservations or one by one."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import logging
+import random
+import statistics
+import typing
+
+from absl import app
+from absl import flags
+import anyio
+import structlog
+
+from tests.walnutpoint_entry.jobs import fake_cell
+from tests.walnutpoint_entry.jobs import harness
+from walnutpoint_core import documents
+from walnutpoint_entry import jobs
+from walnutpoint_entry import tasks
+
+_SEEDS = flags.DEFINE_integer('seeds', 3, 'Runs with different seeds.')
+
+_GANGS: typing.Final = 40
+_OWNERS: typing.Final = 6
+_SLOTS: typing.Final = 8
+_SMALLEST: typing.Final = 4
+_LARGEST: typing.Final = 32
+_RUN_S: typing.Final = 10.0
+_HOLD_S: typing.Final = 10.0
+_LATENCY_S: typing.Final = 0.01
+_STEP_S: typing.Final = 0.01
+_LIMIT_S: typing.Final = 3600.0
+_LOADS: typing.Final = (0.5, 0.8)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Gang:
+    name: str
+    tasks: int
+    arrives_s: float
+
+
+def _gangs(seed: int, load: float) -> list[_Gang]:
+    """Return gangs that arrive at random at a share of the capacity."""
+    rng = random.Random(seed)
+    mean = (_SMALLEST + _LARGEST) / 2.0
+    rate = load * _OWNERS * _SLOTS / (mean * _RUN_S)
+    arrives_s = 0.0
+    gangs = []
+    for index in range(_GANGS):
+        arrives_s += rng.expovariate(rate)
+        size = rng.randint(_SMALLEST, _LARGEST)
+        gangs.append(_Gang(f'ours/model-{index}', size, arrives_s))
+    return gangs
+
+
+class _Figures:
+    """Starts of gangs, and slots held without running."""
+
+    def __init__(self, bench: harness.Bench) -> None:
+        self._bench = bench
+        self.held_slot_s = 0.0
+        self.busy_slot_s = 0.0
+
+    async def watch(self) -> None:
+        """Add up what is held and what runs, for ever."""
+        while True:
+            await self._bench.timer.sleep(0.1)
+            for worker in self._bench.cell.workers():
+                for one in worker.attempts.values():
+                    if one.state is tasks.TaskState.HELD:
+                        self.held_slot_s += 0.1
+                    elif one.state is tasks.TaskState.RUNNING:
+                        self.busy_slot_s += 0.1
+
+
+async def _reserve(bench: harness.Bench, gangs: list[_Gang]) -> None:
+    """Run the gangs through two job owners."""
+    quota = {'cpu_cores': 1e5, 'memory_mb': 10**8, 'slots': 100_000}
+    await bench.submit(teams={'ours': {'quota': quota}})
+    await bench.process((0,))
+    await bench.process((1,))
+    began_s = bench.timer.now_s()
+    for gang in gangs:
+        wait_s = began_s + gang.arrives_s - bench.timer.now_s()
+        await bench.timer.run_for(max(0.0, wait_s), _STEP_S)
+        name = gang.name.partition('/')[2]
+        await bench.submit(gang_jobs=harness.gang(name, gang.tasks))
+
+
+async def _one_by_one(bench: harness.Bench, gangs: list[_Gang]) -> None:
+    """Run each gang by a task that keeps every slot it can get."""
+    async with anyio.create_task_group() as group:
+        began_s = bench.timer.now_s()
+        for index, gang in enumerate(gangs):
+            wait_s = began_s + gang.arrives_s - bench.timer.now_s()
+            await bench.timer.run_for(max(0.0, wait_s), _STEP_S)
+            group.start_soon(_collect, bench, gang, random.Random(index))
+        while len(bench.cell.witness.runs) < sum(one.tasks for one in gangs):
+            if bench.timer.now_s() > began_s + _LIMIT_S:
+                break
+            await bench.timer.run_for(1.0, _STEP_S)
+        group.cancel_scope.cancel()
+
+
+async def _collect(
+    bench: harness.Bench, gang: _Gang, rng: random.Random
+) -> None:
+    attempt = 0
+    while True:
+        attempt += 1
+        held: list[tuple[fake_cell.FakeBoard, tasks.TaskSpec]] = []
+        until_s = bench.timer.now_s() + _HOLD_S * 0.7
+        while bench.timer.now_s() < until_s and len(held) < gang.tasks:
+            boards = list(bench.cell.owners)
+            rng.shuffle(boards)
+            spec = _spec(gang, len(held), attempt)
+            for board in boards:
+                left_s = until_s - bench.timer.now_s() + 3.0
+                if (await board.hold(spec, left_s)).is_ok():
+                    held.append((board, spec))
+                    break
+            else:
+                await bench.timer.sleep(0.1)
+        if len(held) == gang.tasks:
+            for board, spec in held:
+                await board.start(spec)
+            return
+        for board, spec in held:
+            await board.stop(spec.key, spec.attempt, tasks.StopMode.STOP)
+            await board.acknowledge(0, [])
+        for worker in bench.cell.workers():
+            for key, one in list(worker.attempts.items()):
+                if one.state is tasks.TaskState.STOPPED:
+                    del worker.attempts[key]
+        await bench.timer.sleep(rng.uniform(0.0, 2.0))
+
+
+def _spec(gang: _Gang, index: int, attempt: int) -> tasks.TaskSpec:
+    return tasks.TaskSpec(
+        key=tasks.TaskKey(gang.name, index),
+        attempt=attempt,
+        shard=0,
+        shard_epoch=1,
+        team='ours',
+        task_class=tasks.TaskClass.GANG,
+        size=documents.Size(1.0, 100),
+        command=('/opt/run',),
+        expected_run_s=_RUN_S,
+    )
+
+
+async def _measure(
+    run: collections.abc.Callable[
+        [harness.Bench, list[_Gang]], collections.abc.Awaitable[None]
+    ],
+    seed: int,
+    load: float,
+) -> tuple[list[float], float, int]:
+    async with anyio.create_task_group() as group:
+        settings = jobs.JobSettings(shards=2, search_period_s=1.0)
+        bench = harness.Bench(group, _OWNERS, _SLOTS, settings)
+        bench.cell.latency_s = _LATENCY_S
+        bench.cell.default_run_s = _RUN_S
+        gangs = _gangs(seed, load)
+        figures = _Figures(bench)
+        group.start_soon(figures.watch)
+        began_s = bench.timer.now_s()
+        await run(bench, gangs)
+        while bench.timer.now_s() < began_s + _LIMIT_S:
+            await bench.timer.run_for(1.0, _STEP_S)
+            if all(_is_started(bench, gang) for gang in gangs):
+                break
+        waits_s = []
+        for gang in gangs:
+            if _is_started(bench, gang):
+                started_s = min(
+                    runs[-1].started_s
+                    for key, runs in bench.cell.witness.runs.items()
+                    if key.job == gang.name
+                )
+                waits_s.append(started_s - began_s - gang.arrives_s)
+        unstarted = len(gangs) - len(waits_s)
+        share = figures.held_slot_s / (
+            figures.busy_slot_s + figures.held_slot_s
+        )
+        group.cancel_scope.cancel()
+    return waits_s, share, unstarted
+
+
+def _is_started(bench: harness.Bench, gang: _Gang) -> bool:
+    return bench.cell.witness.starts(gang.name) >= gang.tasks
+
+
+def main(argv: list[str]) -> None:
+    """Print the waits of both ways under two loads."""
+    del argv
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    for load in _LOADS:
+        for name, run in (('whole', _reserve), ('one-by-one', _one_by_one)):
+            waits_s: list[float] = []
+            shares = []
+            unstarted = 0
+            for seed in range(_SEEDS.value):
+                found, share, missing = anyio.run(_measure, run, seed, load)
+                waits_s.extend(found)
+                shares.append(share)
+                unstarted += missing
+            cuts = statistics.quantiles(waits_s, n=20)
+            mean_s = statistics.fmean(waits_s)
+            print(
+                f'load={load} way={name} mean_s={mean_s:.1f} '
+                f'p50_s={statistics.median(waits_s):.1f} p95_s={cuts[18]:.1f} '
+                f'max_s={max(waits_s):.1f} '
+                f'held_share={statistics.fmean(shares):.3f} '
+                f'not_started={unstarted}'
+            )
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/bench/job_writes.py
@@ -0,0 +1,156 @@
+"""Count the store writes of job owners over a cell in memory."""
+
+from __future__ import annotations
+
+import collections
+import logging
+import random
+import typing
+
+from absl import app
+from absl import flags
+import anyio
+import structlog
+
+from tests.walnutpoint_core.documents import samples
+from tests.walnutpoint_entry.jobs import harness
+from walnutpoint_entry import jobs
+
+_MINUTES = flags.DEFINE_integer('minutes', 30, 'Time of the day measured.')
+_WAVE = flags.DEFINE_integer('wave', 1000, 'Jobs cancelled at once.')
+
+_JOBS_PER_DAY: typing.Final = 9_100
+_SECONDS_PER_DAY: typing.Final = 86_400
+_PROCESSES: typing.Final = 8
+_SHARDS: typing.Final = 64
+_OWNERS: typing.Final = 8
+_SLOTS: typing.Final = 24
+_STEP_S: typing.Final = 0.25
+_RUN_S: typing.Final = 120.0
+_TEAM: typing.Final = {
+    'quota': {'cpu_cores': 1e5, 'memory_mb': 10**8, 'slots': 100_000}
+}
+
+
+async def _processes(bench: harness.Bench) -> None:
+    each = _SHARDS // _PROCESSES
+    for index in range(_PROCESSES):
+        shards = range(index * each, (index + 1) * each)
+        await bench.process(tuple(shards))
+
+
+def _bench(group: typing.Any) -> harness.Bench:
+    settings = jobs.JobSettings(shards=_SHARDS)
+    return harness.Bench(group, _OWNERS, _SLOTS, settings)
+
+
+def _print(
+    name: str,
+    writes: collections.Counter[str],
+    documents: int,
+    seconds: float,
+    extra: str = '',
+) -> None:
+    finishing = writes['config'] - documents
+    total = finishing + writes['progress']
+    print(
+        f'case={name} seconds={seconds:.0f} progress={writes["progress"]} '
+        f'finish={finishing} writes_per_s={total / seconds:.3f} '
+        f'operators={documents} {extra}'
+    )
+
+
+async def _day() -> None:
+    """Submit jobs one by one at the day's mean rate."""
+    async with anyio.create_task_group() as group:
+        bench = _bench(group)
+        rng = random.Random(1)
+        bench.cell.default_run_s = _RUN_S
+        await bench.submit(teams={'ours': _TEAM}, services=samples.service(24))
+        await _processes(bench)
+        await bench.timer.run_for(120.0, _STEP_S)
+        before = collections.Counter(bench.store.writes)
+        reads = bench.store.reads
+        began_s = bench.timer.now_s()
+        sent = 0
+        while bench.timer.now_s() < began_s + _MINUTES.value * 60.0:
+            name = f'audit-{sent}'
+            await bench.submit(
+                batch_jobs=harness.batch(name, rng.randint(1, 4))
+            )
+            sent += 1
+            wait_s = rng.expovariate(_JOBS_PER_DAY / _SECONDS_PER_DAY)
+            await bench.timer.run_for(wait_s, _STEP_S)
+        writes = collections.Counter(bench.store.writes)
+        writes.subtract(before)
+        seconds = bench.timer.now_s() - began_s
+        _print(
+            'day',
+            writes,
+            sent,
+            seconds,
+            f'reads_per_s={(bench.store.reads - reads) / seconds:.2f} '
+            f'violations={len(bench.cell.witness.violations)}',
+        )
+        group.cancel_scope.cancel()
+
+
+async def _wave() -> None:
+    """Cancel many jobs in one document."""
+    async with anyio.create_task_group() as group:
+        bench = _bench(group)
+        bench.cell.default_run_s = 1e6
+        wave: dict[str, typing.Any] = {}
+        for index in range(_WAVE.value):
+            wave |= harness.batch(f'audit-{index}', 1)
+        await bench.submit(teams={'ours': _TEAM}, batch_jobs=wave)
+        await _processes(bench)
+        await bench.timer.run_for(90.0, _STEP_S)
+        before = collections.Counter(bench.store.writes)
+        began_s = bench.timer.now_s()
+        await bench.submit(cancellations=list(wave))
+        while await bench.unfinished():
+            await bench.timer.run_for(0.1, 0.05)
+        ended_s = bench.timer.now_s() - began_s
+        await bench.timer.run_for(30.0, _STEP_S)
+        writes = collections.Counter(bench.store.writes)
+        writes.subtract(before)
+        _print('wave', writes, 1, 30.0 + ended_s, f'ended_s={ended_s:.2f}')
+        group.cancel_scope.cancel()
+
+
+async def _rest() -> None:
+    """Keep services running and do nothing else."""
+    async with anyio.create_task_group() as group:
+        bench = _bench(group)
+        await bench.submit(teams={'ours': _TEAM}, services=samples.service(24))
+        await _processes(bench)
+        await bench.timer.run_for(120.0, _STEP_S)
+        before = collections.Counter(bench.store.writes)
+        calls = sum(board.calls.total() for board in bench.cell.owners)
+        await bench.timer.run_for(600.0, _STEP_S)
+        writes = collections.Counter(bench.store.writes)
+        writes.subtract(before)
+        after = sum(board.calls.total() for board in bench.cell.owners)
+        _print(
+            'rest',
+            writes,
+            0,
+            600.0,
+            f'board_calls_per_s={(after - calls) / 600.0:.2f}',
+        )
+        group.cancel_scope.cancel()
+
+
+def main(argv: list[str]) -> None:
+    """Print the writes of a day, a cancellation wave and a rest."""
+    del argv
+    structlog.configure(
+        wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR)
+    )
+    for case in (_day, _wave, _rest):
+        anyio.run(case)
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/bench/size_estimate.py
@@ -0,0 +1,208 @@
+"""Compare estimates of run times where declared ones are off by 3x."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import math
+import random
+import statistics
+import typing
+
+from absl import app
+from absl import flags
+
+from walnutpoint_entry.jobs import _estimate
+
+_SEEDS = flags.DEFINE_integer('seeds', 5, 'Runs with different seeds.')
+
+_FAMILIES: typing.Final = 40
+_JOBS: typing.Final = 60
+_OFF: typing.Final = 3.0
+_NOISES: typing.Final = (0.1, 0.5)
+_SHIFT_AT: typing.Final = 30
+_CASES: typing.Final = ('steady', 'shift', 'by_size')
+_MIDDLE_S: typing.Final = 200.0
+_BY_SIZE: typing.Final = 0.5
+
+
+class Estimate(typing.Protocol):
+    """An estimate of run times that learns."""
+
+    def expect(self, family: str, declared_s: float) -> float:
+        """Return the run time to expect."""
+
+    def observe(self, family: str, declared_s: float, run_s: float) -> None:
+        """Learn from one run."""
+
+
+class Declared:
+    """Believe what is declared."""
+
+    def expect(self, family: str, declared_s: float) -> float:
+        """Return the declared run time."""
+        return declared_s
+
+    def observe(self, family: str, declared_s: float, run_s: float) -> None:
+        """Learn nothing."""
+
+
+class Ratio:
+    """Correct the declared run time by the family's mean ratio."""
+
+    def __init__(self) -> None:
+        self._estimate = _estimate.SizeEstimate()
+
+    def expect(self, family: str, declared_s: float) -> float:
+        """Return the corrected run time."""
+        return self._estimate.run_s(family, declared_s)
+
+    def observe(self, family: str, declared_s: float, run_s: float) -> None:
+        """Learn the ratio."""
+        self._estimate.observe_run(family, declared_s, run_s)
+
+
+class Cells:
+    """Correct by the mean ratio of a size class, drawn to the family's."""
+
+    def __init__(self, prior: float) -> None:
+        self._prior = prior
+        self._cells: dict[tuple[str, int], tuple[int, float]] = {}
+        self._families: dict[str, tuple[int, float]] = {}
+
+    def expect(self, family: str, declared_s: float) -> float:
+        """Return the corrected run time."""
+        count, ratio = self._cells.get(_cell(family, declared_s), (0, 0.0))
+        whole = self._families.get(family, (0, 0.0))[1]
+        total = count + self._prior
+        return declared_s * math.exp(
+            (count * ratio + self._prior * whole) / total
+        )
+
+    def observe(self, family: str, declared_s: float, run_s: float) -> None:
+        """Learn the ratio."""
+        ratio = math.log(run_s / declared_s)
+        cell = _cell(family, declared_s)
+        self._cells[cell] = _faded(self._cells.get(cell, (0, 0.0)), ratio)
+        whole = self._families.get(family, (0, 0.0))
+        self._families[family] = _faded(whole, ratio)
+
+
+def _cell(family: str, declared_s: float) -> tuple[str, int]:
+    return family, round(math.log2(declared_s))
+
+
+def _faded(known: tuple[int, float], ratio: float) -> tuple[int, float]:
+    count = min(known[0] + 1, 10)
+    return count, known[1] + (ratio - known[1]) / count
+
+
+class Mean:
+    """Expect the family's fading mean, whatever is declared."""
+
+    def __init__(self) -> None:
+        self._means: dict[str, float] = {}
+
+    def expect(self, family: str, declared_s: float) -> float:
+        """Return the mean."""
+        return self._means.get(family, declared_s)
+
+    def observe(self, family: str, declared_s: float, run_s: float) -> None:
+        """Learn the mean."""
+        old = self._means.get(family, run_s)
+        self._means[family] = old + 0.1 * (run_s - old)
+
+
+class Quantile:
+    """Correct by the median ratio of the last 20 runs."""
+
+    def __init__(self) -> None:
+        self._ratios: dict[str, collections.deque[float]] = {}
+
+    def expect(self, family: str, declared_s: float) -> float:
+        """Return the corrected run time."""
+        ratios = self._ratios.get(family)
+        return declared_s * statistics.median(ratios) if ratios else declared_s
+
+    def observe(self, family: str, declared_s: float, run_s: float) -> None:
+        """Learn the ratio."""
+        ratios = self._ratios.setdefault(family, collections.deque(maxlen=20))
+        ratios.append(run_s / declared_s)
+
+
+class CostMatrix:
+    """Keep the newest cost per unit in cells, as the RenderFarm paper does.
+
+    A cell is a size class of a family in place of a region of an image. A
+    measurement replaces its cell, and cells less precise than it.
+    """
+
+    def __init__(self) -> None:
+        self._cells: dict[tuple[str, int], float] = {}
+        self._coarse: dict[str, float] = {}
+
+    def expect(self, family: str, declared_s: float) -> float:
+        """Return the cell's cost times the size."""
+        cell = (family, round(math.log2(declared_s)))
+        unit = self._cells.get(cell, self._coarse.get(family, 1.0))
+        return unit * declared_s
+
+    def observe(self, family: str, declared_s: float, run_s: float) -> None:
+        """Replace the cell, and all that has none."""
+        unit = run_s / declared_s
+        self._cells[family, round(math.log2(declared_s))] = unit
+        self._coarse[family] = unit
+
+
+_ESTIMATES: typing.Final[dict[str, collections.abc.Callable[[], Estimate]]] = {
+    'declared': Declared,
+    'ratio (taken)': Ratio,
+    'cells of ratios': lambda: Cells(3.0),
+    'mean': Mean,
+    'median of 20': Quantile,
+    'cost matrix': CostMatrix,
+}
+
+
+def _error(name: str, seed: int, noise: float, case: str) -> float:
+    """Return the mean factor by which the estimates are off."""
+    rng = random.Random(seed)
+    estimate = _ESTIMATES[name]()
+    factors = []
+    for number in range(_FAMILIES):
+        family = f'team/family-{chr(97 + number % 26)}{chr(97 + number // 26)}'
+        off = rng.choice((_OFF, 1.0 / _OFF))
+        for job in range(_JOBS):
+            if case == 'shift' and job == _SHIFT_AT:
+                off = 1.0 / off
+            declared_s = 2.0 ** rng.uniform(3.0, 12.0)
+            by_size = 1.0
+            if case == 'by_size':
+                by_size = (declared_s / _MIDDLE_S) ** _BY_SIZE
+            noisy = math.exp(rng.gauss(0.0, noise))
+            run_s = declared_s * off * by_size * noisy
+            guess_s = estimate.expect(family, declared_s)
+            factors.append(abs(math.log(guess_s / run_s)))
+            estimate.observe(family, declared_s, run_s)
+    return math.exp(statistics.fmean(factors))
+
+
+def main(argv: list[str]) -> None:
+    """Print the mean factor by which each estimate is off."""
+    del argv
+    for noise in _NOISES:
+        for case in _CASES:
+            for name in _ESTIMATES:
+                errors = [
+                    _error(name, seed, noise, case)
+                    for seed in range(_SEEDS.value)
+                ]
+                print(
+                    f'noise={noise} case={case} estimate="{name}" '
+                    f'off_by={statistics.fmean(errors):.2f} '
+                    f'worst_seed={max(errors):.2f}'
+                )
+
+
+if __name__ == '__main__':
+    app.run(main)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_displacement.py
@@ -0,0 +1,103 @@
+"""Batch tasks that make room for work that goes before them."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from walnutpoint_core import documents
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.jobs import _batch
+from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _policy
+from walnutpoint_entry.jobs import _quota
+from walnutpoint_entry.jobs import _shard
+from walnutpoint_entry.jobs import _starter
+from walnutpoint_entry import tasks
+
+__all__ = ('Displacer', 'borrowed_by_team')
+
+_AT_ONCE_MAX: typing.Final = 64
+_STOP_MODES: typing.Final = {
+    'checkpoint': tasks.StopMode.CHECKPOINT,
+    'throttle': tasks.StopMode.CHECKPOINT,
+    'stop': tasks.StopMode.STOP,
+}
+_Phase = _model.Phase
+
+
+class Displacer:
+    """Stop batch tasks of this process's jobs, the borrowed ones first."""
+
+    __slots__ = ('_starter', '_timer', '_yields_until_s')
+
+    def __init__(self, timer: timers.Timer, starter: _starter.Starter) -> None:
+        self._timer = timer
+        self._starter = starter
+        self._yields_until_s = float('-inf')
+
+    def yields(self) -> bool:
+        """Tell whether batch leaves alone the room that is being made."""
+        # Without this the tasks just displaced would start again where they
+        # ran, be displaced again, and use up all of their displacements.
+        return self._timer.now_s() < self._yields_until_s
+
+    def make_room(
+        self,
+        shards: tuple[_shard.Shard, ...],
+        shares: _quota.Entitlements,
+        policy: documents.BatchPolicy,
+        count: int,
+        only_borrowed: bool,
+    ) -> int:
+        """Stop up to a number of tasks, and return how many were stopped."""
+        mode = _STOP_MODES.get(policy.preemption)
+        if mode is None:
+            return 0
+        found: list[tuple[_shard.Shard, _model.Job, _model.Task]] = []
+        leaving = 0
+        for shard in shards:
+            for job in shard.jobs.values():
+                if job.item.kind is not _model.JobKind.BATCH:
+                    continue
+                leaving += sum(
+                    task.stop_reason == _batch.RECLAIMED
+                    for task in job.in_phase(_Phase.STOPPING)
+                )
+                found.extend(
+                    (shard, job, task)
+                    for task in job.in_phase(_Phase.RUNNING)
+                    if task.task_class is tasks.TaskClass.BATCH
+                    and (task.is_borrowed or not only_borrowed)
+                )
+        borrowed = borrowed_by_team(shards)
+        found.sort(
+            key=lambda one: (
+                one[2].is_borrowed,
+                borrowed[one[1].item.team] / shares.weight(one[1].item.team),
+                one[2].started_s,
+            ),
+            reverse=True,
+        )
+        wanted = max(0, min(count, _AT_ONCE_MAX) - leaving)
+        for shard, job, task in found[:wanted]:
+            wish = _policy.StopWish(task, mode, _batch.RECLAIMED)
+            self._starter.begin_stop(shard, job, wish)
+        if found[:wanted] and not only_borrowed:
+            self._yields_until_s = (
+                self._timer.now_s() + policy.checkpoint_grace_s
+            )
+        return len(found[:wanted])
+
+
+def borrowed_by_team(
+    shards: tuple[_shard.Shard, ...],
+) -> collections.Counter[str]:
+    """Return how many tasks run beyond the quota of each team."""
+    return collections.Counter(
+        job.item.team
+        for shard in shards
+        for job in shard.jobs.values()
+        for task in job.in_phase(*_model.OCCUPYING)
+        if task.is_borrowed
+    )
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_flusher.py
@@ -0,0 +1,178 @@
+"""Recording of progress and ended jobs, then the acknowledgement."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import typing
+
+import anyio.abc
+
+from walnutpoint_core import logs
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _ports
+from walnutpoint_entry.jobs import _shard
+from walnutpoint_entry.jobs import _starter
+from walnutpoint_entry.jobs import _writer
+from walnutpoint_entry import tasks
+
+__all__ = ('Flusher',)
+
+_LOG = logs.get_logger(__name__)
+_RETRY_MAX_S: typing.Final = 10.0
+_FINISHED_PER_WRITE: typing.Final = 2000
+
+
+class Flusher:
+    """Write at most once a period, whatever has changed meanwhile."""
+
+    __slots__ = (
+        '_configurations',
+        '_failures',
+        '_is_writing',
+        '_next_s',
+        '_settings',
+        '_starter',
+        '_tasks',
+        '_timer',
+        '_writer',
+    )
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        settings: _ports.JobSettings,
+        configurations: _ports.Configurations,
+        writer: _writer.ProgressWriter,
+        starter: _starter.Starter,
+        task_group: anyio.abc.TaskGroup,
+    ) -> None:
+        self._timer = timer
+        self._settings = settings
+        self._configurations = configurations
+        self._writer = writer
+        self._starter = starter
+        self._tasks = task_group
+        self._next_s = 0.0
+        self._failures = 0
+        self._is_writing = False
+
+    def begin(self, shards: collections.abc.Iterable[_shard.Shard]) -> None:
+        """Start a write if one is due."""
+        now_s = self._timer.now_s()
+        owned = tuple(shards)
+        for shard in owned:
+            self._mark(shard, now_s)
+        if self._is_writing or now_s < self._next_s:
+            return
+        ended = _unfinished(owned)
+        free = any(
+            not one.must_record
+            for shard in owned
+            for one in shard.ended.values()
+        )
+        if not ended and not free and not self._writer.is_due(now_s):
+            return
+        self._is_writing = True
+        self._next_s = now_s + self._settings.write_period_s
+        self._tasks.start_soon(self._run, owned, ended)
+
+    def _mark(self, shard: _shard.Shard, now_s: float) -> None:
+        if shard.changed_soon or shard.changed_lazily:
+            self._writer.mark(shard.index, now_s, shard.changed_soon)
+            shard.changed_soon = False
+            shard.changed_lazily = False
+
+    async def _run(
+        self,
+        shards: tuple[_shard.Shard, ...],
+        ended: tuple[_model.Job, ...],
+    ) -> None:
+        try:
+            await self._write(shards, ended)
+        finally:
+            self._is_writing = False
+
+    async def _write(
+        self,
+        shards: tuple[_shard.Shard, ...],
+        ended: tuple[_model.Job, ...],
+    ) -> None:
+        now_s = self._timer.now_s()
+        before = {shard.index: dict(shard.ended) for shard in shards}
+        is_ok = True
+        if ended:
+            is_ok = await self._finish(ended)
+        # Ended jobs are written as progress only where that failed.
+        written: frozenset[int] = frozenset()
+        if self._writer.is_due(now_s):
+            reply = await self._writer.flush(now_s)
+            is_ok = is_ok and reply.is_ok()
+            written = reply.ok if reply.is_ok() else written
+        self._back_off(is_ok)
+        for shard in shards:
+            await self._acknowledge(
+                shard, before[shard.index], shard.index in written
+            )
+
+    async def _finish(self, ended: tuple[_model.Job, ...]) -> bool:
+        names = tuple(job.item.name for job in ended)
+        reply = await self._configurations.finish(names)
+        if reply.is_error():
+            _LOG.warning(
+                'jobs_not_finished',
+                jobs=len(names),
+                kind=reply.error.failure.kind.value,
+            )
+            return False
+        for job in ended:
+            job.is_finished = True
+        return True
+
+    def _back_off(self, is_ok: bool) -> None:
+        self._failures = 0 if is_ok else self._failures + 1
+        if is_ok:
+            return
+        wait_s = self._settings.write_period_s * 2.0 ** min(self._failures, 10)
+        self._next_s = self._timer.now_s() + min(wait_s, _RETRY_MAX_S)
+
+    async def _acknowledge(
+        self,
+        shard: _shard.Shard,
+        ended: dict[tuple[str, tasks.TaskKey, int], _shard.Ended],
+        is_written: bool,
+    ) -> None:
+        by_owner = collections.defaultdict(list)
+        for key, one in ended.items():
+            job = shard.jobs.get(one.report.key.job)
+            is_finished = job is None or job.is_finished
+            if is_written or is_finished or not one.must_record:
+                by_owner[one.owner].append((key, one.report))
+        for owner, pairs in by_owner.items():
+            board = self._starter.board(owner)
+            if not self._starter.may_act(shard):
+                continue
+            if board is None:
+                if self._starter.has_left(owner):
+                    for key, _ in pairs:
+                        shard.ended.pop(key, None)
+                continue
+            reply = await board.acknowledge(
+                shard.index, [report for _, report in pairs]
+            )
+            if reply.is_ok():
+                for key, _ in pairs:
+                    shard.ended.pop(key, None)
+
+
+def _unfinished(
+    shards: tuple[_shard.Shard, ...],
+) -> tuple[_model.Job, ...]:
+    found = [
+        job
+        for shard in shards
+        for job in shard.jobs.values()
+        if job.ending is not None and not job.is_finished
+    ]
+    return tuple(found[:_FINISHED_PER_WRITE])
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_gang.py
@@ -0,0 +1,117 @@
+"""Gangs: all tasks start together or none does."""
+
+from __future__ import annotations
+
+import typing
+
+from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _policy
+from walnutpoint_entry import tasks
+
+__all__ = ('GangPolicy',)
+
+_Phase = _model.Phase
+_LIVE: typing.Final = (_Phase.HELD, _Phase.RUNNING)
+
+
+class GangPolicy:
+    """Reserve for all tasks, and act as declared when one is lost."""
+
+    __slots__ = ()
+
+    def plan(self, job: _model.Job, context: _policy.Context) -> _policy.Plan:
+        """Reserve a gang that is ready, and clear away one in pieces."""
+        if job.is_reserving or job.count(_Phase.DOUBTFUL):
+            return _policy.Plan(reason='reserving')
+        if job.failures >= job.item.item.max_attempts:
+            return self._stop_all(job, 'failed', self._failed(job))
+        if job.restarts_all or self._is_in_pieces(job):
+            return self._restart(job, context.now_s)
+        if job.count(_Phase.READY) == len(job.tasks):
+            return self._reserve(job, context)
+        if job.may_run:
+            return _policy.Plan()
+        return _policy.Plan(ending=self._ending(job))
+
+    def end(
+        self,
+        job: _model.Job,
+        task: _model.Task,
+        state: tasks.TaskState,
+        now_s: float,
+    ) -> None:
+        """Count the end of a member as its gang has declared."""
+        if state is tasks.TaskState.FINISHED:
+            job.move(task, _Phase.DONE, now_s)
+            return
+        # Some fail before the answer to their start is here.
+        failed_at_once = state is tasks.TaskState.FAILED
+        was_running = task.phase is _Phase.RUNNING or failed_at_once
+        is_lost = was_running and not task.stop_reason
+        if not is_lost:
+            job.move(task, _Phase.READY, now_s)
+            return
+        declared = job.item.item.on_member_lost
+        if declared == 'continue':
+            task.failures += 1
+            job.move(task, _Phase.FAILED, now_s)
+            return
+        job.move(task, _Phase.READY, now_s)
+        if declared == 'fail':
+            job.failures = job.item.item.max_attempts
+            return
+        # A lost host is no fault of the gang: only failures are counted.
+        if state is tasks.TaskState.FAILED and not job.restarts_all:
+            job.failures += 1
+        job.restarts_all = True
+
+    @staticmethod
+    def _is_in_pieces(job: _model.Job) -> bool:
+        """Tell whether some run and others wait, as after a takeover."""
+        waiting = job.count(_Phase.READY, _Phase.HELD)
+        return 0 < waiting < len(job.tasks) or job.count(_Phase.HELD) > 0
+
+    def _restart(self, job: _model.Job, now_s: float) -> _policy.Plan:
+        plan = self._stop_all(job, 'restarts_all', None)
+        if not job.may_run:
+            for task in job.in_phase(_Phase.DONE, _Phase.FAILED):
+                job.move(task, _Phase.READY, now_s)
+            job.restarts_all = False
+        return plan
+
+    @staticmethod
+    def _stop_all(
+        job: _model.Job, reason: str, ending: _model.Ending | None
+    ) -> _policy.Plan:
+        stops = tuple(
+            _policy.StopWish(task, tasks.StopMode.STOP, reason)
+            for task in job.in_phase(*_LIVE)
+        )
+        return _policy.Plan(
+            stops=stops,
+            ending=None if job.may_run else ending,
+            reason=reason,
+        )
+
+    @staticmethod
+    def _reserve(job: _model.Job, context: _policy.Context) -> _policy.Plan:
+        if job.not_before_s > context.now_s:
+            return _policy.Plan(reason=job.reason or 'backoff')
+        if context.entitled >= len(job.tasks):
+            return _policy.Plan(reserve=tasks.TaskClass.GANG)
+        if context.may_borrow:
+            return _policy.Plan(reserve=tasks.TaskClass.BATCH)
+        return _policy.Plan(reason='quota')
+
+    @staticmethod
+    def _failed(job: _model.Job) -> _model.Ending:
+        reason = f'members failed or were lost {job.failures} times'
+        return _model.Ending(_model.Outcome.FAILED, reason)
+
+    @staticmethod
+    def _ending(job: _model.Job) -> _model.Ending:
+        lost = job.count(_Phase.FAILED)
+        if lost == len(job.tasks):
+            return _model.Ending(_model.Outcome.FAILED, 'all members lost')
+        reason = f'{lost} members were lost' if lost else 'all tasks are done'
+        return _model.Ending(_model.Outcome.DONE, reason)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_journal.py
@@ -0,0 +1,75 @@
+"""Decisions on tasks and the jobs that ended, logged and remembered."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+import msgspec
+
+from walnutpoint_core import logs
+
+__all__ = ('EndedJob', 'JobJournal', 'TaskDecision')
+
+_DECISIONS_MAX: typing.Final = 20_000
+_ENDED_MAX: typing.Final = 1000
+
+_LOG = logs.get_logger(__name__)
+
+
+class TaskDecision(msgspec.Struct, frozen=True, kw_only=True):
+    """One decision on one task."""
+
+    job: str
+    task: int
+    attempt: int
+    worker: str
+    reason: str
+    waited_s: float
+    outcome: str
+
+
+class EndedJob(msgspec.Struct, frozen=True, kw_only=True):
+    """A job that ended while this process owned it."""
+
+    job: str
+    outcome: str
+    reason: str
+
+
+class JobJournal:
+    """Log each decision and remember the newest."""
+
+    __slots__ = ('_decisions', '_ended', '_outcomes')
+
+    def __init__(self) -> None:
+        self._decisions: collections.deque[TaskDecision] = collections.deque(
+            maxlen=_DECISIONS_MAX
+        )
+        self._ended: collections.deque[EndedJob] = collections.deque(
+            maxlen=_ENDED_MAX
+        )
+        self._outcomes: collections.Counter[str] = collections.Counter()
+
+    def record(self, decision: TaskDecision) -> None:
+        """Log and remember a decision."""
+        self._decisions.append(decision)
+        self._outcomes[decision.outcome] += 1
+        _LOG.info('task', **msgspec.structs.asdict(decision))
+
+    def record_ended(self, ended: EndedJob) -> None:
+        """Log and remember how a job ended."""
+        self._ended.append(ended)
+        _LOG.info('job_ended', **msgspec.structs.asdict(ended))
+
+    def decisions(self, job: str) -> tuple[TaskDecision, ...]:
+        """Return what was decided on a job, the oldest first."""
+        return tuple(one for one in self._decisions if one.job == job)
+
+    def ended(self) -> tuple[EndedJob, ...]:
+        """Return the jobs that ended here, the oldest first."""
+        return tuple(self._ended)
+
+    def outcomes(self) -> dict[str, int]:
+        """Return how many decisions had each outcome."""
+        return dict(self._outcomes)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service.py
@@ -0,0 +1,104 @@
+"""Services: instances that stay up, spread over failure domains."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _policy
+from walnutpoint_entry import tasks
+
+__all__ = ('ServicePolicy',)
+
+# With a failure domain down, an instance that waits for it would be down as
+# well; after this long it runs wherever there is room.
+_SPREAD_WAIT_S: typing.Final = 10.0
+
+
+class ServicePolicy:
+    """Keep the declared number of instances running."""
+
+    __slots__ = ()
+
+    def plan(self, job: _model.Job, context: _policy.Context) -> _policy.Plan:
+        """Start missing instances and stop the newest unwanted ones."""
+        wanted = job.item.tasks_count
+        stops = tuple(
+            _policy.StopWish(task, tasks.StopMode.STOP, 'scaled_down')
+            for task in job.in_phase(_model.Phase.HELD, _model.Phase.RUNNING)
+            if task.index >= wanted
+        )
+        ready = [
+            task
+            for task in job.in_phase(_model.Phase.READY)
+            if task.index < wanted
+        ]
+        due = [task for task in ready if task.not_before_s <= context.now_s]
+        starts = []
+        for task in sorted(due, key=lambda task: task.index):
+            wish = self._wish(job, task, context)
+            if wish is not None:
+                starts.append(wish)
+        reason = ''
+        if ready and not starts:
+            reason = 'quota' if due else 'backoff'
+        if job.item.item.spread_over > 1:
+            # A start whose domain is not known yet may take the place that
+            # the next one counts on.
+            starting = job.count(_model.Phase.STARTING)
+            starts = [] if starting else starts[:1]
+        return _policy.Plan(
+            starts=tuple(starts[: context.starts_max]),
+            stops=stops,
+            reason=reason,
+        )
+
+    def end(
+        self,
+        job: _model.Job,
+        task: _model.Task,
+        state: tasks.TaskState,
+        now_s: float,
+    ) -> None:
+        """Restart an instance, later each time that it fails."""
+        restart = job.item.item.restart
+        if state in (tasks.TaskState.FAILED, tasks.TaskState.FINISHED):
+            if now_s - task.started_s > restart.backoff_max_s:
+                task.failures = 0
+            wait_s = restart.backoff_s * 2.0 ** min(task.failures, 32)
+            task.failures += 1
+            task.not_before_s = now_s + min(wait_s, restart.backoff_max_s)
+        job.move(task, _model.Phase.READY, now_s)
+
+    def _wish(
+        self, job: _model.Job, task: _model.Task, context: _policy.Context
+    ) -> _policy.StartWish | None:
+        avoid = self._full_domains(job, task, context.now_s)
+        if task.index < context.entitled:
+            return _policy.StartWish(
+                task, _policy.Rank.SERVICE, tasks.TaskClass.SERVICE, avoid
+            )
+        if context.may_borrow:
+            return _policy.StartWish(
+                task, _policy.Rank.BORROWED, tasks.TaskClass.BATCH, avoid
+            )
+        return None
+
+    @staticmethod
+    def _full_domains(
+        job: _model.Job, task: _model.Task, now_s: float
+    ) -> frozenset[str]:
+        spread_over = job.item.item.spread_over
+        due_s = max(task.waiting_since_s, task.not_before_s)
+        if spread_over == 1 or now_s - due_s > _SPREAD_WAIT_S:
+            return frozenset()
+        each = -(-job.item.tasks_count // spread_over)
+        running = collections.Counter(
+            one.domain
+            for one in job.in_phase(_model.Phase.RUNNING)
+            if one.index < job.item.tasks_count
+        )
+        return frozenset(
+            domain for domain, count in running.items() if count >= each
+        )
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service_loop.py
@@ -0,0 +1,306 @@
+"""The job owner of one process: what it decides at each tick."""
+
+from __future__ import annotations
+
+import collections.abc
+import random
+import typing
+
+import anyio.abc
+
+from walnutpoint_core import logs
+from walnutpoint_core import ports
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.jobs import _estimate
+from walnutpoint_entry.jobs import _flusher
+from walnutpoint_entry.jobs import _journal
+from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _policy
+from walnutpoint_entry.jobs import _poller
+from walnutpoint_entry.jobs import _ports
+from walnutpoint_entry.jobs import _queue
+from walnutpoint_entry.jobs import _quota
+from walnutpoint_entry.jobs import _reservation
+from walnutpoint_entry.jobs import _shard
+from walnutpoint_entry.jobs import _starter
+from walnutpoint_entry.jobs import _views
+from walnutpoint_entry.jobs import _writer
+from walnutpoint_entry import ownership as ownership_module
+from walnutpoint_entry import tasks
+
+__all__ = ('JobService',)
+
+_LOG = logs.get_logger(__name__)
+_RETRY_READ_S: typing.Final = 1.0
+_STARTS_PER_JOB: typing.Final = 64
+
+
+class JobService:
+    """Start, follow and end the jobs of the shards owned here."""
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        settings: _ports.JobSettings,
+        ownership: _ports.Ownership,
+        boards: tasks.Boards,
+        configurations: _ports.Configurations,
+        store: ports.Store,
+        store_prefix: str,
+        unix_now_s: collections.abc.Callable[[], float],
+        rng: random.Random,
+        task_group: anyio.abc.TaskGroup,
+    ) -> None:
+        self._timer = timer
+        self._settings = settings
+        self._ownership = ownership
+        self._configurations = configurations
+        self._unix_now_s = unix_now_s
+        self._tasks = task_group
+        self._ticks: timers.Subscription | None = None
+        self._shards: dict[int, _shard.Shard] = {}
+        self._items: dict[int, dict[str, _model.JobItem]] = {}
+        self._shares = _quota.Entitlements(-1, {}, {})
+        self._journal = _journal.JobJournal()
+        self._estimate = _estimate.SizeEstimate()
+        self._writer = _writer.ProgressWriter(
+            store, store_prefix, settings.lazy_write_s
+        )
+        self._starter = _starter.Starter(
+            timer,
+            settings,
+            ownership,
+            boards,
+            self._estimate,
+            self._journal,
+            task_group,
+            self._wake,
+        )
+        self._queue = _queue.StartQueue(timer, settings, self._starter)
+        self._poller = _poller.Poller(
+            timer, settings, ownership, boards, task_group, self._wake
+        )
+        self._reservations = _reservation.Reservations(
+            timer, boards, self._starter, rng, task_group, self._wake
+        )
+        self._flusher = _flusher.Flusher(
+            timer,
+            settings,
+            configurations,
+            self._writer,
+            self._starter,
+            task_group,
+        )
+
+    def gain(self, gain: ownership_module.Gain) -> None:
+        """Become responsible for the jobs of a shard."""
+        index = ownership_module.shard_index(gain.asset)
+        self._drop(index)
+        shard = _shard.Shard(
+            gain.asset,
+            index,
+            gain.epoch,
+            self._timer.now_s(),
+            self._settings,
+            self._estimate,
+        )
+        self._shards[index] = shard
+        self._tasks.start_soon(self._load, shard)
+
+    def lose(self, loss: ownership_module.Loss) -> None:
+        """Stop to act for a shard, before this returns."""
+        self._drop(ownership_module.shard_index(loss.asset))
+
+    async def run(self, ticks: timers.Subscription) -> None:
+        """Decide at each tick, for ever."""
+        self._ticks = ticks
+        async for _ in ticks:
+            self.step()
+
+    def period_s(self) -> float:
+        """Return how long to wait for the next tick."""
+        is_moving = any(
+            shard.search is not None
+            or any(_is_moving(job) for job in shard.jobs.values())
+            for shard in self._shards.values()
+        )
+        settings = self._settings
+        return settings.tick_s if is_moving else settings.rest_tick_s
+
+    def step(self) -> None:
+        """Follow the configuration, plan each job and send what is due."""
+        self._follow()
+        wished: list[_queue.WishedStart] = []
+        owners = self._starter.owners()
+        acting = tuple(
+            shard
+            for shard in self._shards.values()
+            if shard.is_loaded and self._starter.may_act(shard)
+        )
+        for shard in acting:
+            self._sync(shard)
+            if not shard.is_synced:
+                continue
+            self._poller.begin(shard)
+            for job in shard.jobs.values():
+                self._doubt_departed(job, owners)
+                self._plan(shard, job, wished)
+            for stray in tuple(shard.strays.values()):
+                self._starter.begin_stop_stray(shard, stray)
+            shard.drop_gone()
+        self._queue.run(
+            wished, self._shares, acting, self._configurations.current()
+        )
+        self._flusher.begin(acting)
+
+    def jobs(self) -> tuple[_views.JobView, ...]:
+        """Return the state of the jobs and services owned here."""
+        return tuple(
+            _views.view(job)
+            for shard in self._shards.values()
+            for job in shard.jobs.values()
+        )
+
+    def explain(self, name: str) -> _views.Explanation | None:
+        """Return the state of a job and what was decided on it."""
+        decisions = self._journal.decisions(name)
+        for shard in self._shards.values():
+            if name in shard.jobs:
+                found = _views.view(shard.jobs[name])
+                return _views.Explanation(found, decisions, None)
+        for ended in reversed(self._journal.ended()):
+            if ended.job == name:
+                return _views.Explanation(None, decisions, ended)
+        return None
+
+    def ended(self) -> tuple[_journal.EndedJob, ...]:
+        """Return the jobs that ended here, the oldest first."""
+        return self._journal.ended()
+
+    def outcomes(self) -> dict[str, int]:
+        """Return how many decisions had each outcome."""
+        return self._journal.outcomes()
+
+    def _drop(self, index: int) -> None:
+        shard = self._shards.pop(index, None)
+        if shard is not None:
+            shard.is_open = False
+            self._writer.close(index)
+            self._poller.forget(shard)
+
+    async def _load(self, shard: _shard.Shard) -> None:
+        """Read what earlier owners recorded, however long that takes."""
+        while shard.is_open:
+            read = await self._writer.read(shard.index)
+            if read.is_ok():
+                fresh = await self._configurations.refresh()
+                if fresh.is_ok():
+                    break
+            await self._timer.sleep(_RETRY_READ_S)
+        if not shard.is_open:
+            return
+
+        def merge(progress: typing.Any) -> None:
+            shard.merge(progress, self._timer.now_s())
+
+        self._writer.open(
+            shard.index, shard.epoch, read.ok, shard.snapshot, merge
+        )
+        shard.restore(read.ok.progress, fresh.ok.revision)
+        _LOG.info('shard_loaded', shard=shard.index, epoch=shard.epoch)
+        self._wake()
+
+    def _follow(self) -> None:
+        configuration = self._configurations.current()
+        if configuration.revision <= self._shares.revision:
+            return
+        self._items = _shard.items_by_shard(
+            configuration, self._settings.shards
+        )
+        self._shares = _quota.entitlements(configuration)
+
+    def _sync(self, shard: _shard.Shard) -> None:
+        revision = self._shares.revision
+        if shard.is_synced and shard.synced_revision == revision:
+            return
+        shard.sync(
+            self._items.get(shard.index, {}),
+            revision,
+            self._timer.now_s(),
+            self._unix_now_s(),
+        )
+
+    def _plan(
+        self,
+        shard: _shard.Shard,
+        job: _model.Job,
+        wished: list[_queue.WishedStart],
+    ) -> None:
+        for task in job.in_phase(_model.Phase.STOPPING):
+            self._starter.ask_to_stop(shard, job, task)
+        if job.ending is not None:
+            return
+        plan = self._plan_of(job)
+        if plan.reason:
+            job.reason = plan.reason
+        for stop in plan.stops:
+            self._starter.begin_stop(shard, job, stop)
+        for start in plan.starts:
+            wished.append(_queue.WishedStart(shard, job, start))
+        if plan.reserve is not None:
+            policy = self._configurations.current().policy('gang')
+            self._reservations.begin(shard, job, plan.reserve, policy)
+        if plan.ending is not None:
+            self._end(job, plan.ending)
+
+    def _plan_of(self, job: _model.Job) -> _policy.Plan:
+        if job.item.is_cancelled or job.is_gone:
+            if job.is_reserving:
+                return _policy.Plan(reason='cancelling')
+            plan = _policy.cancel_plan(job)
+            if job.is_gone:
+                return _policy.Plan(stops=plan.stops, reason='removed')
+            return plan
+        context = _policy.Context(
+            now_s=self._timer.now_s(),
+            unix_now_s=self._unix_now_s(),
+            entitled=self._shares.tasks(job.item.key),
+            may_borrow=self._shares.may_borrow(job.item.team),
+            policy=self._configurations.current().policy(job.item.kind.value),
+            starts_max=_STARTS_PER_JOB,
+        )
+        return _shard.POLICIES[job.item.kind].plan(job, context)
+
+    def _doubt_departed(
+        self, job: _model.Job, owners: frozenset[str] | None
+    ) -> None:
+        """Look for the tasks of an owner that has left the table."""
+        if owners is None:
+            return
+        for task in job.in_phase(_model.Phase.RUNNING):
+            if task.board not in owners:
+                job.move(task, _model.Phase.DOUBTFUL, self._timer.now_s())
+
+    def _end(self, job: _model.Job, ending: _model.Ending) -> None:
+        job.ending = ending
+        self._journal.record_ended(
+            _journal.EndedJob(
+                job=job.item.key,
+                outcome=ending.outcome.value,
+                reason=ending.reason,
+            )
+        )
+
+    def _wake(self) -> None:
+        if self._ticks is not None:
+            self._ticks.wake()
+
+
+def _is_moving(job: _model.Job) -> bool:
+    if job.ending is not None and not job.is_finished:
+        return True
+    is_service = job.item.kind is _model.JobKind.SERVICE
+    if not is_service and not job.is_finished:
+        return True
+    settled = job.count(_model.Phase.RUNNING, _model.Phase.DONE)
+    return settled < len(job.tasks)
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_starter.py
@@ -0,0 +1,352 @@
+"""Starts and stops of single tasks, within limits per owner of workers."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import typing
+
+import anyio.abc
+
+from walnutpoint_core import errors
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.jobs import _estimate
+from walnutpoint_entry.jobs import _journal
+from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _policy
+from walnutpoint_entry.jobs import _ports
+from walnutpoint_entry.jobs import _shard
+from walnutpoint_entry import tasks
+
+__all__ = ('Starter',)
+
+_Phase = _model.Phase
+_RETRY_STOP_S: typing.Final = 1.0
+_REFUSED_WAIT_S: typing.Final = 0.2
+
+
+class Starter:
+    """Start, hold and stop tasks on the boards."""
+
+    __slots__ = (
+        '_boards',
+        '_estimate',
+        '_in_flight',
+        '_journal',
+        '_on_change',
+        '_ownership',
+        '_settings',
+        '_strays_asked',
+        '_tasks',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        settings: _ports.JobSettings,
+        ownership: _ports.Ownership,
+        boards: tasks.Boards,
+        estimate: _estimate.SizeEstimate,
+        journal: _journal.JobJournal,
+        task_group: anyio.abc.TaskGroup,
+        on_change: collections.abc.Callable[[], None],
+    ) -> None:
+        self._timer = timer
+        self._settings = settings
+        self._ownership = ownership
+        self._boards = boards
+        self._estimate = estimate
+        self._journal = journal
+        self._tasks = task_group
+        self._on_change = on_change
+        self._in_flight: collections.Counter[str] = collections.Counter()
+        self._strays_asked: set[tuple[str, tasks.TaskKey, int]] = set()
+
+    def may_act(self, shard: _shard.Shard) -> bool:
+        """Tell whether the shard is still this process's to act on."""
+        return shard.is_open and self._ownership.may_act(shard.asset)
+
+    def free(self, board: tasks.Board, spec: tasks.TaskSpec) -> int:
+        """Return how many such tasks may be sent to a board now."""
+        in_flight = self._in_flight[board.owner]
+        allowed = self._settings.starts_in_flight - in_flight
+        return max(0, min(allowed, board.free_tasks(spec) - in_flight))
+
+    def spec(
+        self,
+        shard: _shard.Shard,
+        job: _model.Job,
+        task: _model.Task,
+        task_class: tasks.TaskClass,
+    ) -> tasks.TaskSpec:
+        """Return what to ask for a task's newest attempt."""
+        item = job.item
+        size = item.item.size
+        if task_class is not tasks.TaskClass.GANG:
+            # A promoted task that grew may fit nowhere any more.
+            size = self._estimate.size(item.family, size)
+        return tasks.TaskSpec(
+            key=tasks.TaskKey(item.key, task.index),
+            attempt=task.attempt,
+            shard=shard.index,
+            shard_epoch=shard.epoch,
+            team=item.team,
+            task_class=task_class,
+            size=size,
+            command=item.item.command,
+            expected_run_s=self._estimate.run_s(
+                item.family, item.declared_run_s
+            ),
+            is_checkpointable=getattr(item.item, 'checkpointable', False),
+            checkpoint=task.checkpoint,
+        )
+
+    def begin_start(
+        self, shard: _shard.Shard, job: _model.Job, wish: _policy.StartWish
+    ) -> bool:
+        """Send a task to the boards with room; tell if there were any."""
+        task = wish.task
+        now_s = self._timer.now_s()
+        spec = self.spec(shard, job, task, wish.task_class)
+        boards = self._ranked(spec, job.item.kind)
+        if not boards:
+            return False
+        task.attempt = shard.next_attempt()
+        task.task_class = wish.task_class
+        task.is_borrowed = wish.is_borrowed
+        task.stop_reason = ''
+        task.board = boards[0].owner
+        job.move(task, _Phase.STARTING, now_s)
+        self._in_flight[task.board] += 1
+        self._tasks.start_soon(self._start, shard, job, wish, boards)
+        return True
+
+    def begin_stop(
+        self, shard: _shard.Shard, job: _model.Job, wish: _policy.StopWish
+    ) -> None:
+        """Ask for a task's end, and again until it is confirmed."""
+        task = wish.task
+        task.stop_reason = wish.reason
+        task.stop_mode = wish.mode
+        job.move(task, _Phase.STOPPING, self._timer.now_s())
+        self.ask_to_stop(shard, job, task)
+
+    def ask_to_stop(
+        self, shard: _shard.Shard, job: _model.Job, task: _model.Task
+    ) -> None:
+        """Ask again for the end of a task that is to stop."""
+        now_s = self._timer.now_s()
+        was_asked = task.asked_s >= task.since_s
+        is_early = was_asked and now_s < task.asked_s + _RETRY_STOP_S
+        if task.is_asking or is_early:
+            return
+        board = self.board(task.board)
+        if board is None:
+            if self.has_left(task.board):
+                # Its owner has left the table: others have its workers now.
+                job.move(task, _Phase.DOUBTFUL, now_s)
+            return
+        task.is_asking = True
+        task.asked_s = now_s
+        self._tasks.start_soon(self._stop, shard, job, task, board)
+
+    def begin_stop_stray(
+        self, shard: _shard.Shard, stray: _shard.Stray
+    ) -> None:
+        """Ask for the end of an attempt that must not run."""
+        key = (stray.owner, stray.key, stray.attempt)
+        if key in self._strays_asked:
+            return
+        self._strays_asked.add(key)
+        self._tasks.start_soon(self._stop_stray, shard, stray)
+
+    def board(self, owner: str) -> tasks.Board | None:
+        """Return the board of an owner, if it can be reached."""
+        for board in self._boards.boards():
+            if board.owner == owner:
+                return board
+        return None
+
+    def owners(self) -> frozenset[str] | None:
+        """Return all owners of workers, or nothing if some are not heard."""
+        if not self._boards.are_all():
+            return None
+        return frozenset(board.owner for board in self._boards.boards())
+
+    def has_left(self, owner: str) -> bool:
+        """Tell whether a process owns no workers any more."""
+        return self._boards.are_all() and self.board(owner) is None
+
+    def record(
+        self,
+        job: _model.Job,
+        task: _model.Task,
+        reason: str,
+        outcome: str,
+        attempt: int | None = None,
+    ) -> None:
+        """Log a decision on a task."""
+        waited_s = self._timer.now_s() - task.waiting_since_s
+        self._journal.record(
+            _journal.TaskDecision(
+                job=job.item.key,
+                task=task.index,
+                attempt=task.attempt if attempt is None else attempt,
+                worker=task.worker,
+                reason=reason,
+                waited_s=round(waited_s, 3),
+                outcome=outcome,
+            )
+        )
+
+    def _ranked(
+        self, spec: tasks.TaskSpec, kind: _model.JobKind
+    ) -> list[tasks.Board]:
+        """Return the boards with room: fullest first for batch, to pack."""
+        room = [
+            (self.free(board, spec), board) for board in self._boards.boards()
+        ]
+        room = [pair for pair in room if pair[0] > 0]
+        is_batch = kind is _model.JobKind.BATCH
+        room.sort(key=lambda pair: pair[0] if is_batch else -pair[0])
+        return [board for _, board in room]
+
+    async def _start(
+        self,
+        shard: _shard.Shard,
+        job: _model.Job,
+        wish: _policy.StartWish,
+        boards: list[tasks.Board],
+    ) -> None:
+        spec = self.spec(shard, job, wish.task, wish.task_class)
+        at = boards[0].owner
+        for board in boards:
+            self._in_flight[at] -= 1
+            at = board.owner
+            self._in_flight[at] += 1
+            if not self.may_act(shard):
+                break
+            if await self._is_settled(shard, job, wish, spec, board):
+                break
+        self._in_flight[at] -= 1
+        self._land(shard, job, wish.task, spec.attempt)
+
+    async def _is_settled(
+        self,
+        shard: _shard.Shard,
+        job: _model.Job,
+        wish: _policy.StartWish,
+        spec: tasks.TaskSpec,
+        board: tasks.Board,
+    ) -> bool:
+        """Ask one board to start a task; tell if no other may be asked."""
+        task = wish.task
+        task.board = board.owner
+        sent_s = self._timer.now_s()
+        reply = await board.start(spec, wish.avoid_domains)
+        if not self._is_starting(shard, task, spec.attempt):
+            return True
+        if reply.is_ok():
+            shard.take(board.owner, reply.ok, sent_s, self._timer.now_s())
+            self.record(job, task, wish.rank.name.lower(), 'started')
+            return True
+        if reply.error.outcome is errors.Outcome.NOT_RUN:
+            return False
+        # The answer was lost and it may run: a start elsewhere has to wait
+        # until its end there is confirmed.
+        self.record(job, task, reply.error.kind.value, 'unknown')
+        wished = _policy.StopWish(task, tasks.StopMode.STOP, 'start_unknown')
+        self.begin_stop(shard, job, wished)
+        return True
+
+    def _land(
+        self,
+        shard: _shard.Shard,
+        job: _model.Job,
+        task: _model.Task,
+        attempt: int,
+    ) -> None:
+        if self._is_starting(shard, task, attempt):
+            now_s = self._timer.now_s()
+            job.move(task, _Phase.READY, now_s)
+            task.board = ''
+            job.not_before_s = max(job.not_before_s, now_s + _REFUSED_WAIT_S)
+            self.record(job, task, 'no_room', 'refused')
+        self._on_change()
+
+    @staticmethod
+    def _is_starting(
+        shard: _shard.Shard, task: _model.Task, attempt: int
+    ) -> bool:
+        return (
+            shard.is_open
+            and task.phase is _Phase.STARTING
+            and task.attempt == attempt
+        )
+
+    async def _stop(
+        self,
+        shard: _shard.Shard,
+        job: _model.Job,
+        task: _model.Task,
+        board: tasks.Board,
+    ) -> None:
+        key = tasks.TaskKey(job.item.key, task.index)
+        attempt = task.attempt
+        reason = task.stop_reason
+        sent_s = self._timer.now_s()
+        if not self.may_act(shard):
+            task.is_asking = False
+            return
+        reply = await board.stop(key, attempt, task.stop_mode)
+        is_current = (
+            shard.is_open
+            and task.phase is _Phase.STOPPING
+            and task.attempt == attempt
+        )
+        if not is_current:
+            return
+        task.is_asking = False
+        report = reply.ok if reply.is_ok() else None
+        if report is None:
+            if reply.error.kind is not errors.ErrorKind.NOT_FOUND:
+                return
+            report = _stopped(key, attempt, task)
+        shard.take(board.owner, report, sent_s, self._timer.now_s())
+        if task.phase is not _Phase.STOPPING:
+            self.record(job, task, reason, report.state.value, attempt)
+        self._on_change()
+
+    async def _stop_stray(
+        self, shard: _shard.Shard, stray: _shard.Stray
+    ) -> None:
+        key = (stray.owner, stray.key, stray.attempt)
+        board = self.board(stray.owner)
+        if board is not None and self.may_act(shard):
+            reply = await board.stop(
+                stray.key, stray.attempt, tasks.StopMode.STOP
+            )
+            if reply.is_ok() and reply.ok.state in _model.ENDED_STATES:
+                shard.strays.pop(key, None)
+                now_s = self._timer.now_s()
+                shard.take(stray.owner, reply.ok, now_s, now_s)
+            elif reply.is_error():
+                if reply.error.kind is errors.ErrorKind.NOT_FOUND:
+                    shard.strays.pop(key, None)
+        elif self.has_left(stray.owner):
+            shard.strays.pop(key, None)
+        self._strays_asked.discard(key)
+        self._on_change()
+
+
+def _stopped(
+    key: tasks.TaskKey, attempt: int, task: _model.Task
+) -> tasks.TaskReport:
+    return tasks.TaskReport(
+        key=key,
+        attempt=attempt,
+        worker=task.worker,
+        domain=task.domain,
+        state=tasks.TaskState.STOPPED,
+    )
--- a/specs/_cases.py
+++ b/specs/_cases.py
@@ -14,6 +14,8 @@
 from specs import _check
 from specs import confirmation
 from specs import doubt
+from specs import gang
+from specs import lease
 from specs import memory
 from specs import proposal
 from specs import quorum
@@ -49,6 +51,8 @@
     Model('succession', succession.build, succession.Guard, succession.GOALS),
     Model('doubt', doubt.build, doubt.Guard, doubt.GOALS),
     Model('memory', memory.build, memory.Guard, memory.GOALS),
+    Model('lease', lease.build, lease.Guard, lease.GOALS),
+    Model('gang', gang.build, gang.Guard, gang.GOALS),
 )
 
 
--- /dev/null
+++ b/specs/gang.py
@@ -0,0 +1,338 @@
+"""Model two gangs that reserve the same two slots, each needing both.
+
+The owner of each gang asks for the slots, starts all when it holds all, and
+otherwise releases. The order in which the code asks makes clashes rarer; here
+it is any, so that nothing rests on it. One owner may die at any step; its
+successor sees what the slots hold. Starts are delayed, refused, or lose their
+answers.
+
+| guard | code module |
+|---|---|
+| ALL_HELD | walnutpoint_entry.jobs._reservation |
+| RELEASE_ALL | walnutpoint_entry.jobs._reservation |
+| STARTED_STOPPED | walnutpoint_entry.jobs._reservation |
+| STOP_CONFIRMED | walnutpoint_entry.jobs._starter |
+| PIECES_STOPPED | walnutpoint_entry.jobs._gang |
+| HOLDS_EXPIRE | walnutpoint_entry.tasks |
+| ENDED_REFUSED | walnutpoint_entry.tasks |
+| EPOCH_FENCED | walnutpoint_entry.tasks |
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+import minicheck
+
+from specs import _check
+
+SLOTS = (0, 1)
+GANGS = (0, 1)
+
+
+class Guard(enum.Enum):
+    """Name each guard that a mutant drops."""
+
+    ALL_HELD = 'nothing starts before all is held'
+    RELEASE_ALL = 'a gang that misses a slot releases what it holds'
+    STARTED_STOPPED = 'a start that fails stops those that succeeded'
+    STOP_CONFIRMED = 'the next attempt waits until all stops are confirmed'
+    PIECES_STOPPED = 'a successor stops a gang that runs in part'
+    HOLDS_EXPIRE = 'what a dead owner holds expires'
+    ENDED_REFUSED = 'a start that arrives after its stop is refused'
+    EPOCH_FENCED = 'a start of a dead owner is refused'
+
+
+class Phase(enum.IntEnum):
+    """Name what the owner of a gang is doing."""
+
+    HOLDING = 0
+    STARTING = 1
+    RUNNING = 2
+    STOPPING = 3
+    DEAD = 4
+    DONE = 5
+
+
+class Slot(typing.NamedTuple):
+    """Hold which gang has a slot, and whether it runs there."""
+
+    gang: int
+    running: bool
+
+
+class World(typing.NamedTuple):
+    """Hold the slots, the owners, and starts under way.
+
+    For each gang and slot, `begun` says that the owner has sent a start in
+    this attempt, `sent` that one is under way, `stopped` that the owner knows
+    of no attempt there that may still run.
+    """
+
+    slots: tuple[Slot | None, ...] = (None, None)
+    phases: tuple[Phase, ...] = (Phase.HOLDING, Phase.HOLDING)
+    sent: tuple[tuple[bool, ...], ...] = ((False, False), (False, False))
+    stopped: tuple[tuple[bool, ...], ...] = ((False, False), (False, False))
+    begun: tuple[tuple[bool, ...], ...] = ((False, False), (False, False))
+    died: int = -1
+
+
+def _put(
+    rows: tuple[tuple[bool, ...], ...], gang: int, slot: int, value: bool
+) -> tuple[tuple[bool, ...], ...]:
+    row = list(rows[gang])
+    row[slot] = value
+    return (*rows[:gang], tuple(row), *rows[gang + 1 :])
+
+
+def _row(
+    rows: tuple[tuple[bool, ...], ...], gang: int, value: bool
+) -> tuple[tuple[bool, ...], ...]:
+    for slot in SLOTS:
+        rows = _put(rows, gang, slot, value)
+    return rows
+
+
+def _slot(world: World, slot: int, to: Slot | None) -> World:
+    slots = list(world.slots)
+    slots[slot] = to
+    return world._replace(slots=tuple(slots))
+
+
+def _phase(world: World, gang: int, to: Phase) -> World:
+    phases = list(world.phases)
+    phases[gang] = to
+    return world._replace(phases=tuple(phases))
+
+
+class Gangs:
+    """Generate the steps of two gangs, without the dropped guard."""
+
+    def __init__(self, dropped: Guard | None) -> None:
+        self._dropped = dropped
+
+    def _drops(self, guard: Guard) -> bool:
+        return self._dropped is guard
+
+    def steps(self, state: _check.State) -> _check.Steps:
+        """Return every step possible in a state."""
+        world = World(*state)
+        found: _check.Steps = []
+        for gang in GANGS:
+            phase = world.phases[gang]
+            if phase is Phase.HOLDING:
+                self._hold(world, gang, found)
+            elif phase is Phase.STARTING:
+                self._start(world, gang, found)
+            elif phase is Phase.STOPPING:
+                self._stop(world, gang, found)
+            elif phase is Phase.RUNNING:
+                self._finish(world, gang, found)
+            elif phase is Phase.DEAD:
+                self._succeed(world, gang, found)
+            self._deliver(world, gang, found)
+            if phase < Phase.DEAD and world.died < 0:
+                after = _phase(world, gang, Phase.DEAD)._replace(died=gang)
+                found.append((f'owner {gang} dies', after))
+        self._expire(world, found)
+        return found
+
+    def _held(self, world: World, gang: int) -> list[int]:
+        return [
+            index for index in SLOTS if world.slots[index] == Slot(gang, False)
+        ]
+
+    def _hold(self, world: World, gang: int, found: _check.Steps) -> None:
+        held = self._held(world, gang)
+        enough = 1 if self._drops(Guard.ALL_HELD) else len(SLOTS)
+        if len(held) >= enough:
+            after = _phase(world, gang, Phase.STARTING)
+            found.append((f'gang {gang} holds all', after))
+            return
+        for slot in SLOTS:
+            if world.slots[slot] is None:
+                after = _slot(world, slot, Slot(gang, False))
+                found.append((f'gang {gang} holds {slot}', after))
+            elif slot not in held and held:
+                if not self._drops(Guard.RELEASE_ALL):
+                    after = _phase(world, gang, Phase.STOPPING)
+                    found.append((f'gang {gang} releases', after))
+
+    def _start(self, world: World, gang: int, found: _check.Steps) -> None:
+        for slot in SLOTS:
+            if not world.begun[gang][slot]:
+                after = world._replace(
+                    sent=_put(world.sent, gang, slot, True),
+                    begun=_put(world.begun, gang, slot, True),
+                )
+                found.append((f'gang {gang} sends a start to {slot}', after))
+        if not all(world.begun[gang]):
+            return
+        # An answer may be lost at any time: the owner cannot wait for it.
+        running = [world.slots[one] == Slot(gang, True) for one in SLOTS]
+        if all(running):
+            after = _phase(world, gang, Phase.RUNNING)
+            found.append((f'gang {gang} runs', after))
+        to = Phase.STOPPING
+        if self._drops(Guard.STARTED_STOPPED):
+            to = Phase.HOLDING
+        after = _phase(world, gang, to)
+        if to is Phase.HOLDING:
+            after = self._renewed(after, gang)
+        found.append((f'a start of gang {gang} fails', after))
+
+    @staticmethod
+    def _renewed(world: World, gang: int) -> World:
+        """Begin a new attempt, which has not ended anywhere."""
+        return world._replace(
+            begun=_row(world.begun, gang, False),
+            stopped=_row(world.stopped, gang, False),
+        )
+
+    def _stop(self, world: World, gang: int, found: _check.Steps) -> None:
+        for slot in SLOTS:
+            if world.stopped[gang][slot]:
+                continue
+            after = world._replace(
+                stopped=_put(world.stopped, gang, slot, True)
+            )
+            if not self._drops(Guard.ENDED_REFUSED):
+                after = after._replace(
+                    sent=_put(after.sent, gang, slot, False)
+                )
+            has = world.slots[slot]
+            if has is not None and has.gang == gang:
+                after = _slot(after, slot, None)
+            found.append((f'gang {gang} has stopped at {slot}', after))
+        confirmed = all(world.stopped[gang])
+        if confirmed or self._drops(Guard.STOP_CONFIRMED):
+            after = self._renewed(_phase(world, gang, Phase.HOLDING), gang)
+            found.append((f'gang {gang} begins again', after))
+
+    def _finish(self, world: World, gang: int, found: _check.Steps) -> None:
+        after = _phase(world, gang, Phase.DONE)
+        for slot in SLOTS:
+            after = _slot(after, slot, None)
+        found.append((f'gang {gang} is done', after))
+
+    def _succeed(self, world: World, gang: int, found: _check.Steps) -> None:
+        """Take over from what the slots show."""
+        after = world
+        if not self._drops(Guard.EPOCH_FENCED):
+            after = world._replace(sent=_row(world.sent, gang, False))
+        running = [world.slots[one] == Slot(gang, True) for one in SLOTS]
+        to = Phase.STOPPING
+        if all(running):
+            to = Phase.RUNNING
+        elif any(running) and self._drops(Guard.PIECES_STOPPED):
+            to = Phase.RUNNING
+        after = _phase(after, gang, to)
+        for slot in SLOTS:
+            # It can stop what it sees; a start under way is not to be seen.
+            has = world.slots[slot]
+            is_seen = has is not None and has.gang == gang
+            after = after._replace(
+                stopped=_put(after.stopped, gang, slot, not is_seen)
+            )
+        found.append((f'gang {gang} has a new owner', after))
+
+    @staticmethod
+    def _deliver(world: World, gang: int, found: _check.Steps) -> None:
+        for slot in SLOTS:
+            if not world.sent[gang][slot]:
+                continue
+            after = world._replace(sent=_put(world.sent, gang, slot, False))
+            found.append((f'a start of gang {gang} is refused', after))
+            has = world.slots[slot]
+            if has is None or has == Slot(gang, False):
+                after = _slot(after, slot, Slot(gang, True))
+                found.append((f'gang {gang} starts at {slot}', after))
+
+    def _expire(self, world: World, found: _check.Steps) -> None:
+        if self._drops(Guard.HOLDS_EXPIRE):
+            return
+        for slot in SLOTS:
+            has = world.slots[slot]
+            if has is not None and not has.running:
+                # Only an owner that is gone lets a hold expire; a live one
+                # releases in time or finds its start refused.
+                if world.phases[has.gang] is Phase.DEAD:
+                    after = _slot(world, slot, None)
+                    found.append((f'the hold of {slot} expires', after))
+
+
+def all_or_none(fields: dict[str, typing.Any]) -> bool:
+    """Hold while no gang that is settled runs in part."""
+    for gang in GANGS:
+        running = [one == Slot(gang, True) for one in fields['slots']]
+        phase = fields['phases'][gang]
+        if phase in (Phase.HOLDING, Phase.DONE) and any(running):
+            return False
+        if phase is Phase.RUNNING and not all(running):
+            return False
+    return True
+
+
+def reserved(fields: dict[str, typing.Any]) -> bool:
+    """Hold while a gang that starts has all its slots."""
+    for gang in GANGS:
+        if fields['phases'][gang] is Phase.STARTING:
+            if any(one is None or one.gang != gang for one in fields['slots']):
+                return False
+    return True
+
+
+def _never_blocked(
+    dropped: Guard | None,
+) -> _check.Predicate:
+    def never_blocked(fields: dict[str, typing.Any]) -> bool:
+        """Hold while some gang that lives can go on, until all are done."""
+        world = World(**fields)
+        live = [
+            gang
+            for gang in GANGS
+            if world.phases[gang] not in (Phase.DONE, Phase.DEAD)
+        ]
+        if not live:
+            return True
+        # A dead owner may have no successor for long: what it only holds must
+        # not block the others. What runs is the successor's to stop.
+        if any(one is not None and one.running for one in world.slots):
+            return True
+        return any(
+            not label.startswith('owner') and 'new owner' not in label
+            for label, _ in Gangs(dropped).steps(world)
+        )
+
+    return never_blocked
+
+
+def both_done(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether both gangs have run."""
+    return all(phase is Phase.DONE for phase in fields['phases'])
+
+
+def done_after_death(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether a gang whose owner died has run."""
+    died = fields['died']
+    return died >= 0 and fields['phases'][died] is Phase.DONE
+
+
+GOALS = (both_done, done_after_death)
+
+
+def build(dropped: Guard | None = None) -> minicheck.Protocol:
+    """Return the model, or the mutant without one guard."""
+    return minicheck.Protocol(
+        name='gang',
+        candidate=True,
+        fields=World._fields,
+        initial=World(),
+        transitions=Gangs(dropped).steps,
+        invariants={
+            'all_or_none': all_or_none,
+            'reserved': reserved,
+            'never_blocked': _never_blocked(dropped),
+        },
+    )
--- /dev/null
+++ b/tests/walnutpoint_entry/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the job owner."""
--- /dev/null
+++ b/tests/walnutpoint_entry/jobs/fake_cell.py
@@ -0,0 +1,385 @@
+"""Workers and their owners in memory, and a witness of what ran where."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+import anyio.lowlevel
+import expression
+
+from tests.walnutpoint_entry.jobs import fake_time
+from walnutpoint_core import errors
+from walnutpoint_entry import tasks
+
+_Kind = errors.ErrorKind
+_State = tasks.TaskState
+_LIVE = (_State.HELD, _State.RUNNING, _State.STOPPING)
+
+
+@dataclasses.dataclass(slots=True)
+class Run:
+    """One attempt that ran, as the witness saw it."""
+
+    attempt: int
+    worker: str
+    started_s: float
+    ended_s: float | None = None
+    state: _State | None = None
+    checkpoint: str | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class Attempt:
+    """One attempt on a worker."""
+
+    spec: tasks.TaskSpec
+    state: _State
+    expires_s: float = 0.0
+    ends_s: float = 0.0
+    started_s: float = 0.0
+
+
+class Witness:
+    """Count who ran what and when, apart from all that is tested."""
+
+    def __init__(self) -> None:
+        self.runs: dict[tasks.TaskKey, list[Run]] = collections.defaultdict(
+            list
+        )
+        self.violations: list[str] = []
+        self.peak: collections.Counter[str] = collections.Counter()
+
+    def start(self, spec: tasks.TaskSpec, worker: str, now_s: float) -> None:
+        """Note a start; the same task running elsewhere is a violation."""
+        for run in self.runs[spec.key]:
+            if run.ended_s is None:
+                self.violations.append(f'{spec.key} twice at {now_s}')
+            if run.state is _State.FINISHED and '/services/' not in (
+                spec.key.job
+            ):
+                self.violations.append(f'{spec.key} after its end')
+        run = Run(spec.attempt, worker, now_s, checkpoint=spec.checkpoint)
+        self.runs[spec.key].append(run)
+
+    def end(self, spec: tasks.TaskSpec, state: _State, now_s: float) -> None:
+        """Note an end."""
+        for run in self.runs[spec.key]:
+            if run.attempt == spec.attempt and run.ended_s is None:
+                run.ended_s = now_s
+                run.state = state
+
+    def finished(self, job: str) -> int:
+        """Return how many tasks of a job have finished."""
+        return sum(
+            key.job == job
+            and any(run.state is _State.FINISHED for run in runs)
+            for key, runs in self.runs.items()
+        )
+
+    def running(self, job: str) -> list[Run]:
+        """Return what runs of a job now."""
+        return [
+            run
+            for key, runs in self.runs.items()
+            for run in runs
+            if key.job == job and run.ended_s is None
+        ]
+
+    def starts(self, job: str) -> int:
+        """Return how often tasks of a job were started."""
+        return sum(
+            len(runs) for key, runs in self.runs.items() if key.job == job
+        )
+
+
+class Worker:
+    """A worker that runs tasks in slots."""
+
+    def __init__(self, cell: Cell, name: str, domain: str, slots: int) -> None:
+        self.cell = cell
+        self.name = name
+        self.domain = domain
+        self.slots = slots
+        self.is_cut = False
+        self.attempts: dict[tuple[tasks.TaskKey, int], Attempt] = {}
+
+    def free(self) -> int:
+        """Return the free slots."""
+        return self.slots - sum(
+            one.state in _LIVE for one in self.attempts.values()
+        )
+
+    def advance(self, now_s: float) -> None:
+        """End what has run long enough and drop holds that expired."""
+        for key, one in list(self.attempts.items()):
+            if one.state is _State.HELD and now_s >= one.expires_s:
+                del self.attempts[key]
+            if one.state is _State.RUNNING and now_s >= one.ends_s:
+                fails = self.cell.fails(one.spec)
+                self.end(one, _State.FAILED if fails else _State.FINISHED)
+
+    def run(self, spec: tasks.TaskSpec) -> Attempt:
+        """Start a task."""
+        now_s = self.cell.timer.now_s()
+        self.cell.witness.start(spec, self.name, now_s)
+        one = Attempt(
+            spec,
+            _State.RUNNING,
+            started_s=now_s,
+            ends_s=now_s + self.cell.run_s(spec),
+        )
+        self.attempts[spec.key, spec.attempt] = one
+        return one
+
+    def end(self, one: Attempt, state: _State) -> None:
+        """End an attempt."""
+        self.cell.witness.end(one.spec, state, self.cell.timer.now_s())
+        one.state = state
+
+    def report(self, one: Attempt) -> tasks.TaskReport:
+        """Return the report of an attempt."""
+        run_s = self.cell.timer.now_s() - one.started_s
+        checkpoint = None
+        if one.spec.is_checkpointable and one.state is _State.STOPPED:
+            checkpoint = f'at-{run_s:.0f}'
+        return tasks.TaskReport(
+            key=one.spec.key,
+            attempt=one.spec.attempt,
+            worker=self.name,
+            domain=self.domain,
+            state=one.state,
+            run_s=run_s,
+            checkpoint=checkpoint,
+        )
+
+
+class FakeBoard:
+    """The workers of one owner."""
+
+    def __init__(self, cell: Cell, owner: str, workers: list[Worker]) -> None:
+        self.cell = cell
+        self.owner = owner
+        self.workers = workers
+        self.is_complete = True
+        self.is_silent = False
+        self.plan: dict[str, collections.deque[str]] = collections.defaultdict(
+            collections.deque
+        )
+        self.calls: collections.Counter[str] = collections.Counter()
+        self.late: list[tasks.TaskSpec] = []
+        self._epochs: dict[int, int] = {}
+        self._tombstones: set[tuple[tasks.TaskKey, int]] = set()
+
+    def free_tasks(self, spec: tasks.TaskSpec) -> int:
+        """Return the free slots."""
+        del spec
+        return sum(one.free() for one in self.workers if not one.is_cut)
+
+    async def hold(
+        self,
+        spec: tasks.TaskSpec,
+        hold_s: float,
+        avoid_domains: frozenset[str] = frozenset(),
+    ) -> typing.Any:
+        """Hold a slot."""
+        step = await self._arrive('hold')
+        worker = self._room(avoid_domains)
+        if step == 'refuse' or self._is_old(spec) or worker is None:
+            return _failed(_Kind.NO_FREE_SLOT)
+        one = Attempt(spec, _State.HELD)
+        one.expires_s = self.cell.timer.now_s() + hold_s
+        worker.attempts[spec.key, spec.attempt] = one
+        if step == 'lose':
+            return _failed(_Kind.PEER_ANSWER_LOST)
+        return expression.Ok(worker.report(one))
+
+    async def start(
+        self,
+        spec: tasks.TaskSpec,
+        avoid_domains: frozenset[str] = frozenset(),
+    ) -> typing.Any:
+        """Start a task."""
+        step = await self._arrive('start')
+        if step == 'refuse':
+            return _failed(_Kind.NO_FREE_SLOT)
+        if step == 'delay':
+            self.late.append(spec)
+            return _failed(_Kind.PEER_ANSWER_LOST)
+        report = self.begin(spec, avoid_domains)
+        if report is None:
+            return _failed(_Kind.NO_FREE_SLOT)
+        if step == 'lose':
+            return _failed(_Kind.PEER_ANSWER_LOST)
+        if step == 'fail':
+            return expression.Ok(self._fail(spec))
+        return expression.Ok(report)
+
+    def begin(
+        self,
+        spec: tasks.TaskSpec,
+        avoid_domains: frozenset[str] = frozenset(),
+    ) -> tasks.TaskReport | None:
+        """Start a task unless it has ended here or is fenced."""
+        if self._is_old(spec):
+            return None
+        key = (spec.key, spec.attempt)
+        if key in self._tombstones:
+            return None
+        for worker in self.workers:
+            held = worker.attempts.get(key)
+            if held is not None:
+                if held.state is _State.HELD:
+                    del worker.attempts[key]
+                    held = worker.run(spec)
+                return worker.report(held)
+        worker = self._room(avoid_domains)
+        return None if worker is None else worker.report(worker.run(spec))
+
+    async def stop(
+        self, key: tasks.TaskKey, attempt: int, mode: tasks.StopMode
+    ) -> typing.Any:
+        """Stop a task or drop a hold."""
+        step = await self._arrive('stop')
+        del mode
+        self._tombstones.add((key, attempt))
+        for worker in self.workers:
+            one = worker.attempts.get((key, attempt))
+            if one is None:
+                continue
+            if worker.is_cut:
+                return _failed(_Kind.ENDPOINT_UNREACHABLE)
+            if one.state in _LIVE:
+                worker.end(one, _State.STOPPED)
+            if step == 'lose':
+                return _failed(_Kind.PEER_ANSWER_LOST)
+            return expression.Ok(worker.report(one))
+        return _failed(_Kind.NOT_FOUND)
+
+    async def inventory(self, shard: int, shard_epoch: int) -> typing.Any:
+        """Return the tasks of a shard."""
+        await self._arrive('inventory')
+        if self.is_silent:
+            return _failed(_Kind.PEER_UNREACHABLE)
+        if shard_epoch < self._epochs.get(shard, 0):
+            return _failed(_Kind.NOT_OWNER)
+        self._epochs[shard] = shard_epoch
+        reports = tuple(
+            worker.report(one)
+            for worker in self.workers
+            if not worker.is_cut
+            for one in worker.attempts.values()
+            if one.spec.shard == shard
+        )
+        is_complete = self.is_complete and not any(
+            worker.is_cut for worker in self.workers
+        )
+        return expression.Ok(
+            tasks.Inventory(is_complete=is_complete, reports=reports)
+        )
+
+    async def acknowledge(
+        self,
+        shard: int,
+        ended: collections.abc.Collection[tasks.TaskReport],
+    ) -> typing.Any:
+        """Forget ended tasks."""
+        await self._arrive('acknowledge')
+        del shard
+        for report in ended:
+            for worker in self.workers:
+                one = worker.attempts.get((report.key, report.attempt))
+                if one is not None and one.state not in _LIVE:
+                    del worker.attempts[report.key, report.attempt]
+        return expression.Ok(None)
+
+    async def _arrive(self, call: str) -> str:
+        self.calls[call] += 1
+        if self.cell.latency_s:
+            await self.cell.timer.sleep(self.cell.latency_s)
+        else:
+            await anyio.lowlevel.checkpoint()
+        return self.plan[call].popleft() if self.plan[call] else ''
+
+    def _fail(self, spec: tasks.TaskSpec) -> tasks.TaskReport:
+        """End a task at once."""
+        key = (spec.key, spec.attempt)
+        worker = next(one for one in self.workers if key in one.attempts)
+        worker.end(worker.attempts[key], _State.FAILED)
+        return worker.report(worker.attempts[key])
+
+    def _is_old(self, spec: tasks.TaskSpec) -> bool:
+        return spec.shard_epoch < self._epochs.get(spec.shard, 0)
+
+    def _room(self, avoid_domains: frozenset[str]) -> Worker | None:
+        for worker in self.workers:
+            allowed = not worker.is_cut and worker.domain not in avoid_domains
+            if allowed and worker.free() > 0:
+                return worker
+        return None
+
+
+class Cell:
+    """All owners and their workers; also the boards of every process."""
+
+    def __init__(
+        self, timer: fake_time.FakeTimer, owners: int = 3, slots: int = 4
+    ) -> None:
+        self.timer = timer
+        self.latency_s = 0.0
+        self.witness = Witness()
+        self.default_run_s = 5.0
+        self.run_times_s: dict[str, float] = {}
+        self.failing: collections.Counter[str] = collections.Counter()
+        self.table_revision = 1
+        self.is_whole = True
+        self.owners = [
+            FakeBoard(
+                self,
+                f'owner-{index}',
+                [Worker(self, f'worker-{index}', f'domain-{index}', slots)],
+            )
+            for index in range(owners)
+        ]
+
+    def boards(self) -> tuple[FakeBoard, ...]:
+        """Return all boards that can be reached."""
+        return tuple(one for one in self.owners if not one.is_silent)
+
+    def are_all(self) -> bool:
+        """Tell whether every owner can be reached."""
+        return self.is_whole and len(self.boards()) == len(self.owners)
+
+    def run_s(self, spec: tasks.TaskSpec) -> float:
+        """Return how long a task runs."""
+        if '/services/' in spec.key.job:
+            return self.run_times_s.get(spec.key.job, 1e9)
+        left_s = self.run_times_s.get(spec.key.job, self.default_run_s)
+        if spec.checkpoint:
+            left_s -= float(spec.checkpoint.removeprefix('at-'))
+        return left_s
+
+    def fails(self, spec: tasks.TaskSpec) -> bool:
+        """Tell whether an attempt fails at its end."""
+        if self.failing[spec.key.job] <= 0:
+            return False
+        self.failing[spec.key.job] -= 1
+        return True
+
+    async def run(self) -> None:
+        """Let the workers work, for ever."""
+        while True:
+            await self.timer.sleep(0.05)
+            for board in self.owners:
+                for worker in board.workers:
+                    worker.advance(self.timer.now_s())
+
+    def workers(self) -> list[Worker]:
+        """Return all workers."""
+        return [one for board in self.owners for one in board.workers]
+
+
+def _failed(kind: errors.ErrorKind) -> typing.Any:
+    return expression.Error(errors.Failure(kind))
--- /dev/null
+++ b/tests/walnutpoint_entry/jobs/harness.py
@@ -0,0 +1,212 @@
+"""Job owners over a cell and a store in memory."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import typing
+
+import anyio
+import anyio.abc
+import expression
+
+from tests.walnutpoint_core.documents import samples
+from tests.walnutpoint_entry.jobs import fake_cell
+from tests.walnutpoint_entry.jobs import fake_store
+from tests.walnutpoint_entry.jobs import fake_time
+from walnutpoint_core import documents
+from walnutpoint_core import errors
+from walnutpoint_entry import jobs
+from walnutpoint_entry import ownership
+
+SETTINGS = jobs.JobSettings(shards=2)
+TEAM = {
+    'quota': {'cpu_cores': 100, 'memory_mb': 100_000, 'slots': 100},
+    'may_borrow': True,
+}
+
+
+class Ownership:
+    """Say who may act, as a test wishes."""
+
+    def __init__(self, cell: fake_cell.Cell) -> None:
+        self._cell = cell
+        self.assets: set[str] = set()
+
+    @property
+    def table_revision(self) -> int:
+        """Return the revision of the table."""
+        return self._cell.table_revision
+
+    def may_act(self, asset: str) -> bool:
+        """Tell whether the process may act."""
+        return asset in self.assets
+
+
+class Configurations:
+    """The configuration as one process knows it."""
+
+    def __init__(
+        self, timer: fake_time.FakeTimer, store: fake_store.FakeStore
+    ) -> None:
+        self._registry = documents.DocumentRegistry(
+            store, '/wp/', timer=timer, rng=random.Random(1)
+        )
+        self._current = documents.Configuration()
+
+    def current(self) -> documents.Configuration:
+        """Return what is known."""
+        return self._current
+
+    async def refresh(
+        self,
+    ) -> expression.Result[documents.Configuration, errors.Failure]:
+        """Read what is in force."""
+        read = await self._registry.refresh(self._current)
+        if read.is_ok():
+            self._current = read.ok
+        return read
+
+    async def finish(
+        self, names: tuple[str, ...]
+    ) -> expression.Result[documents.Accepted, documents.Refusal]:
+        """Take jobs out."""
+        return await self._registry.finish(names)
+
+    async def submit(self, document: documents.Document) -> None:
+        """Put a document in force."""
+        accepted = await self._registry.submit(document)
+        assert accepted.is_ok(), accepted.error
+
+
+class Owner:
+    """One process with its job owner."""
+
+    def __init__(self, bench: Bench, seed: int) -> None:
+        self._bench = bench
+        self.ownership = Ownership(bench.cell)
+        self.configurations = Configurations(bench.timer, bench.store)
+        self._scope = anyio.CancelScope()
+        self._seed = seed
+        self.service: jobs.JobService
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        """Run until killed."""
+        bench = self._bench
+        with self._scope:
+            async with anyio.create_task_group() as group:
+                self.service = jobs.JobService(
+                    bench.timer,
+                    bench.settings,
+                    self.ownership,
+                    bench.cell,
+                    self.configurations,
+                    bench.store,
+                    '/wp/',
+                    bench.timer.now_s,
+                    random.Random(self._seed),
+                    group,
+                )
+                group.start_soon(self._follow)
+                task_status.started()
+                ticks = bench.timer.subscribe(self.service.period_s)
+                await self.service.run(ticks)
+
+    def gain(self, shards: tuple[int, ...], epoch: int) -> None:
+        """Become owner of shards."""
+        for shard in shards:
+            asset = f'shard-{shard}'
+            self.ownership.assets.add(asset)
+            self.service.gain(ownership.Gain(asset, epoch, None, False))
+
+    def lose(self, shards: tuple[int, ...], epoch: int) -> None:
+        """Cease to own shards."""
+        for shard in shards:
+            asset = f'shard-{shard}'
+            self.ownership.assets.discard(asset)
+            self.service.lose(ownership.Loss(asset, epoch, None))
+
+    def kill(self) -> None:
+        """Stop at once, whatever is going on."""
+        self.ownership.assets.clear()
+        self._scope.cancel()
+
+    async def _follow(self) -> None:
+        while True:
+            await self.configurations.refresh()
+            await self._bench.timer.sleep(0.5)
+
+
+class Bench:
+    """A cell, a store, and the processes over them."""
+
+    def __init__(
+        self,
+        group: anyio.abc.TaskGroup,
+        owners: int = 3,
+        slots: int = 4,
+        settings: jobs.JobSettings = SETTINGS,
+    ) -> None:
+        # Debug mode, which unittest turns on, makes each step far slower.
+        asyncio.get_running_loop().set_debug(False)
+        self.timer = fake_time.FakeTimer()
+        self.store = fake_store.FakeStore()
+        self.cell = fake_cell.Cell(self.timer, owners, slots)
+        self.settings = settings
+        self._group = group
+        self._documents = 0
+        self._processes = 0
+        self._client = Configurations(self.timer, self.store)
+        group.start_soon(self.cell.run)
+
+    @property
+    def shards(self) -> tuple[int, ...]:
+        """Return all shards."""
+        return tuple(range(self.settings.shards))
+
+    async def process(
+        self, shards: tuple[int, ...] | None = None, epoch: int = 1
+    ) -> Owner:
+        """Start a process that owns shards."""
+        self._processes += 1
+        owner = Owner(self, self._processes)
+        await self._group.start(owner.run)
+        owner.gain(self.shards if shards is None else shards, epoch)
+        return owner
+
+    async def submit(self, **sections: typing.Any) -> None:
+        """Put a document in force."""
+        self._documents += 1
+        sections.setdefault('based_on', self._client.current().revision)
+        await self._client.submit(
+            samples.document(self._documents, **sections)
+        )
+        await self._client.refresh()
+
+    async def unfinished(self) -> int:
+        """Return how many jobs the store still holds."""
+        await self._client.refresh()
+        return sum(
+            len(part.batch_jobs) + len(part.gang_jobs)
+            for part in self._client.current().teams.values()
+        )
+
+    async def run_until_done(self, within_s: float) -> float:
+        """Let time pass until no job is left; return how long it took."""
+        began_s = self.timer.now_s()
+        while await self.unfinished():
+            await self.timer.run_for(0.5)
+            waited_s = self.timer.now_s() - began_s
+            assert waited_s < within_s, 'jobs are not done in time'
+        return self.timer.now_s() - began_s
+
+
+def batch(name: str, tasks: int = 4, **fields: typing.Any) -> typing.Any:
+    """Return a batch job under its name."""
+    item = {**samples.BATCH_JOB, 'tasks': tasks, **fields}
+    return {f'ours/{name}': item}
+
+
+def gang(name: str, tasks: int = 4, **fields: typing.Any) -> typing.Any:
+    """Return a gang job under its name."""
+    return batch(name, tasks, **fields)
--- /dev/null
+++ b/tests/walnutpoint_entry/jobs/test_gang.py
@@ -0,0 +1,173 @@
+"""Tests of gangs that compete, lose members, or start halfway."""
+
+from __future__ import annotations
+
+import random
+import typing
+import unittest
+
+import anyio
+
+from tests.walnutpoint_entry.jobs import harness
+from walnutpoint_entry import tasks
+
+
+class GangTest(unittest.IsolatedAsyncioTestCase):
+    """Run gangs over a cell in memory."""
+
+    async def test_contending_gangs_all_finish(self) -> None:
+        """Many gangs want more than the cell has, from two job owners.
+
+        Each reserves part and finds the rest taken. Nobody keeps a part
+        while waiting, so all finish; no member ever starts without its gang.
+        """
+        for seed in range(3):
+            with self.subTest(seed=seed):
+                async with anyio.create_task_group() as group:
+                    rng = random.Random(seed)
+                    bench = harness.Bench(group, owners=3, slots=6)
+                    bench.cell.latency_s = 0.05
+                    bench.cell.default_run_s = 3.0
+                    gangs: dict[str, typing.Any] = {}
+                    for index in range(24):
+                        name = f'model-{index}-{seed}'
+                        gangs |= harness.gang(name, rng.randint(2, 14))
+                    quota = {'cpu_cores': 1e3, 'memory_mb': 10**6}
+                    team = {'quota': {**quota, 'slots': 1000}}
+                    await bench.submit(teams={'ours': team}, gang_jobs=gangs)
+                    await bench.process((0,))
+                    await bench.process((1,))
+                    await bench.run_until_done(400.0)
+                    self._check_whole(bench, gangs)
+                    group.cancel_scope.cancel()
+
+    def _check_whole(
+        self, bench: harness.Bench, gangs: dict[str, typing.Any]
+    ) -> None:
+        witness = bench.cell.witness
+        self.assertEqual([], witness.violations)
+        for name, gang in gangs.items():
+            self.assertEqual(gang['tasks'], witness.finished(name))
+            starts = [
+                run.started_s
+                for key, runs in witness.runs.items()
+                if key.job == name
+                for run in runs
+            ]
+            self.assertEqual(gang['tasks'], len(starts))
+            self.assertLess(max(starts) - min(starts), 0.5)
+
+    async def test_start_that_fails_midway_stops_the_started(self) -> None:
+        """All is held, then one start is refused and one answer is lost.
+
+        The others have started and would wait for them for ever: they are
+        stopped, and the gang starts whole at the next attempt.
+        """
+        for step in ('refuse', 'lose', 'delay'):
+            with self.subTest(step=step):
+                async with anyio.create_task_group() as group:
+                    bench = harness.Bench(group)
+                    bench.cell.owners[1].plan['start'].append(step)
+                    await bench.submit(
+                        teams={'ours': harness.TEAM},
+                        gang_jobs=harness.gang('model', 10),
+                    )
+                    await bench.process()
+                    await bench.run_until_done(60.0)
+                    witness = bench.cell.witness
+                    self.assertEqual(10, witness.finished('ours/model'))
+                    self.assertEqual([], witness.violations)
+                    partly_s = [
+                        run.ended_s - run.started_s
+                        for runs in witness.runs.values()
+                        for run in runs
+                        if run.state is tasks.TaskState.STOPPED
+                    ]
+                    self.assertTrue(partly_s)
+                    self.assertLess(max(partly_s), 0.5)
+                    group.cancel_scope.cancel()
+
+    async def test_gang_too_large_for_now_holds_nothing(self) -> None:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=2, slots=4)
+            bench.cell.run_times_s['ours/long'] = 20.0
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                gang_jobs=harness.gang('long', 4),
+            )
+            await bench.process()
+            await bench.timer.run_for(3.0)
+            await bench.submit(gang_jobs=harness.gang('wide', 6))
+            await bench.timer.run_for(10.0)
+            self.assertEqual(0, bench.cell.witness.starts('ours/wide'))
+            await bench.run_until_done(60.0)
+            self.assertEqual(6, bench.cell.witness.starts('ours/wide'))
+            group.cancel_scope.cancel()
+
+    async def test_lost_member_is_handled_as_declared(self) -> None:
+        """A member of a running gang is lost with its worker.
+
+        The gang restarts whole, goes on without it, or fails, as declared.
+        """
+        cases = {
+            'restart_all': ('done', 8, 4),
+            'continue': ('done', 4, 3),
+            'fail': ('failed', 4, 0),
+        }
+        for declared, (outcome, starts, finished) in cases.items():
+            with self.subTest(on_member_lost=declared):
+                async with anyio.create_task_group() as group:
+                    bench = harness.Bench(group)
+                    await bench.submit(
+                        teams={'ours': harness.TEAM},
+                        gang_jobs=harness.gang(
+                            'model', 4, on_member_lost=declared
+                        ),
+                    )
+                    owner = await bench.process()
+                    await bench.timer.run_for(3.0)
+                    worker = next(
+                        one for one in bench.cell.workers() if one.attempts
+                    )
+                    lost = next(iter(worker.attempts.values()))
+                    worker.end(lost, tasks.TaskState.LAPSED)
+                    await bench.run_until_done(60.0)
+                    ended = owner.service.ended()[0]
+                    witness = bench.cell.witness
+                    self.assertEqual(outcome, ended.outcome)
+                    self.assertEqual(starts, witness.starts('ours/model'))
+                    self.assertEqual(finished, witness.finished('ours/model'))
+                    self.assertEqual([], witness.violations)
+                    group.cancel_scope.cancel()
+
+    async def test_failing_gang_is_given_up(self) -> None:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group)
+            bench.cell.failing['ours/model'] = 10**6
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                gang_jobs=harness.gang('model', 3, max_attempts=2),
+            )
+            owner = await bench.process()
+            await bench.run_until_done(60.0)
+            self.assertEqual('failed', owner.service.ended()[0].outcome)
+            self.assertLessEqual(bench.cell.witness.starts('ours/model'), 6)
+            group.cancel_scope.cancel()
+
+    async def test_member_that_fails_at_its_start_counts(self) -> None:
+        """A command fails before the answer to its start has arrived.
+
+        Were that no attempt, the gang would start again and again for ever.
+        """
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=1)
+            bench.cell.owners[0].plan['start'].extend(['fail', '', ''] * 9)
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                gang_jobs=harness.gang('model', 3, max_attempts=2),
+            )
+            owner = await bench.process()
+            await bench.run_until_done(60.0)
+            self.assertEqual('failed', owner.service.ended()[0].outcome)
+            self.assertEqual(6, bench.cell.witness.starts('ours/model'))
+            group.cancel_scope.cancel()
--- /dev/null
+++ b/tests/walnutpoint_entry/jobs/test_job_service.py
@@ -0,0 +1,297 @@
+"""Tests of what becomes of jobs, services and gangs."""
+
+from __future__ import annotations
+
+import collections
+import unittest
+
+import anyio
+
+from tests.walnutpoint_core.documents import samples
+from tests.walnutpoint_entry.jobs import harness
+
+
+class JobServiceTest(unittest.IsolatedAsyncioTestCase):
+    """Run jobs over a cell in memory."""
+
+    async def test_batch_job_runs_each_task_once_and_leaves(self) -> None:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group)
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                batch_jobs=harness.batch('audit-1', 20),
+            )
+            owner = await bench.process()
+            took_s = await bench.run_until_done(60.0)
+            self.assertLess(took_s, 20.0)
+            self.assertEqual(20, bench.cell.witness.finished('ours/audit-1'))
+            self.assertEqual(20, bench.cell.witness.starts('ours/audit-1'))
+            self.assertEqual([], bench.cell.witness.violations)
+            ended = owner.service.ended()
+            self.assertEqual(['done'], [one.outcome for one in ended])
+            await bench.timer.run_for(3.0)
+            self.assertFalse(
+                [w.attempts for w in bench.cell.workers() if w.attempts]
+            )
+            group.cancel_scope.cancel()
+
+    async def test_service_spreads_and_is_replaced_when_lost(self) -> None:
+        """A worker is lost with the instance of a service on it.
+
+        Its owner reports the lapse of the lease; callers of the service miss
+        one instance until another one runs in another failure domain.
+        """
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=4)
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                services=samples.service(3, spread_over=3),
+            )
+            await bench.process()
+            await bench.timer.run_for(10.0)
+            running = bench.cell.witness.running('ours/services/watch')
+            self.assertEqual(3, len({run.worker for run in running}))
+            lost = next(
+                worker
+                for worker in bench.cell.workers()
+                if worker.name == running[0].worker
+            )
+            lost.slots = 0
+            for one in lost.attempts.values():
+                lost.end(one, harness.fake_cell.tasks.TaskState.LAPSED)
+            await bench.timer.run_for(10.0)
+            running = bench.cell.witness.running('ours/services/watch')
+            self.assertEqual(3, len({run.worker for run in running}))
+            self.assertNotIn(lost.name, {run.worker for run in running})
+            self.assertEqual([], bench.cell.witness.violations)
+            group.cancel_scope.cancel()
+
+    async def test_failing_service_backs_off_and_scales_down(self) -> None:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group)
+            bench.cell.run_times_s['ours/services/watch'] = 0.1
+            bench.cell.failing['ours/services/watch'] = 10**6
+            restart = {'backoff_s': 1.0, 'backoff_max_s': 8.0}
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                services=samples.service(1, restart=restart),
+            )
+            await bench.process()
+            await bench.timer.run_for(60.0)
+            starts = bench.cell.witness.starts('ours/services/watch')
+            self.assertTrue(5 <= starts <= 12, starts)
+            bench.cell.run_times_s['ours/services/watch'] = 1e9
+            await bench.submit(services=samples.service(3))
+            await bench.timer.run_for(15.0)
+            await bench.submit(services=samples.service(2))
+            await bench.timer.run_for(5.0)
+            running = bench.cell.witness.running('ours/services/watch')
+            self.assertEqual(2, len(running))
+            group.cancel_scope.cancel()
+
+    async def test_failed_task_is_tried_again_and_then_given_up(self) -> None:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group)
+            bench.cell.failing['ours/audit-1'] = 2
+            bench.cell.failing['ours/audit-2'] = 10**6
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                batch_jobs={
+                    **harness.batch('audit-1', 1, max_attempts=3),
+                    **harness.batch('audit-2', 2, max_attempts=2),
+                },
+            )
+            owner = await bench.process()
+            await bench.run_until_done(60.0)
+            outcomes = {one.job: one.outcome for one in owner.service.ended()}
+            self.assertEqual('done', outcomes['ours/audit-1'])
+            self.assertEqual('failed', outcomes['ours/audit-2'])
+            self.assertEqual(3, bench.cell.witness.starts('ours/audit-1'))
+            self.assertEqual(4, bench.cell.witness.starts('ours/audit-2'))
+            group.cancel_scope.cancel()
+
+    async def test_displaced_batch_resumes_from_its_checkpoint(self) -> None:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=1, slots=2)
+            bench.cell.run_times_s['ours/audit-1'] = 20.0
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                batch_jobs=harness.batch('audit-1', 2, checkpointable=True),
+            )
+            await bench.process()
+            await bench.timer.run_for(10.0)
+            await bench.submit(services=samples.service(1))
+            await bench.timer.run_for(5.0)
+            running = bench.cell.witness.running('ours/services/watch')
+            self.assertEqual(1, len(running))
+            await bench.run_until_done(60.0)
+            resumed = [
+                run.checkpoint
+                for runs in bench.cell.witness.runs.values()
+                for run in runs
+                if run.checkpoint
+            ]
+            self.assertEqual(1, len(resumed))
+            self.assertEqual([], bench.cell.witness.violations)
+            group.cancel_scope.cancel()
+
+    async def test_gang_and_service_displace_batch_once(self) -> None:
+        """Batch work within its quota fills the cell; others need room.
+
+        Its newest tasks are stopped with a checkpoint, no more of them than
+        are needed, and do not start again where they made room.
+        """
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=2, slots=4)
+            bench.cell.run_times_s['ours/audit-1'] = 40.0
+            bench.cell.run_times_s['ours/model'] = 10.0
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                batch_jobs=harness.batch('audit-1', 10, checkpointable=True),
+            )
+            owner = await bench.process()
+            await bench.timer.run_for(10.0)
+            await bench.submit(
+                services=samples.service(2),
+                gang_jobs=harness.gang('model', 3),
+            )
+            await bench.timer.run_for(12.0)
+            witness = bench.cell.witness
+            self.assertEqual(2, witness.starts('ours/services/watch'))
+            self.assertEqual(3, witness.starts('ours/model'))
+            view = owner.service.explain('ours/audit-1').view
+            self.assertEqual(5, view.preemptions)
+            await bench.run_until_done(200.0)
+            self.assertEqual(10, witness.finished('ours/audit-1'))
+            self.assertEqual([], witness.violations)
+            group.cancel_scope.cancel()
+
+    async def test_task_displaced_often_enough_is_left_alone(self) -> None:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=1, slots=1)
+            bench.cell.run_times_s['ours/audit-1'] = 40.0
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                policies={'batch': {'preemptions_max': 1}},
+                batch_jobs=harness.batch('audit-1', 1, checkpointable=True),
+            )
+            await bench.process()
+            for number in range(3):
+                await bench.timer.run_for(10.0)
+                await bench.submit(
+                    gang_jobs=harness.gang(f'model-{number}', 1)
+                )
+            await bench.run_until_done(200.0)
+            self.assertEqual(2, bench.cell.witness.starts('ours/audit-1'))
+            group.cancel_scope.cancel()
+
+    async def test_starved_job_is_promoted(self) -> None:
+        """A borrowing job waits behind another team's endless work.
+
+        It would wait as long as new entitled jobs come; from wait_max_s on
+        it displaces batch work, and it is not displaced again.
+        """
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=1, slots=2)
+            bench.cell.run_times_s['ours/mill'] = 30.0
+            poor = {'quota': {'cpu_cores': 0, 'memory_mb': 0, 'slots': 0}}
+            theirs = harness.batch('audit')['ours/audit']
+            await bench.submit(
+                teams={'ours': harness.TEAM, 'poor': poor},
+                policies={'batch': {'wait_max_s': 60.0}},
+                batch_jobs={
+                    **harness.batch('mill', 200),
+                    'poor/audit': {**theirs, 'tasks': 1},
+                },
+            )
+            await bench.process()
+            await bench.timer.run_for(55.0)
+            self.assertEqual(0, bench.cell.witness.starts('poor/audit'))
+            await bench.timer.run_for(25.0)
+            self.assertEqual(1, bench.cell.witness.finished('poor/audit'))
+            group.cancel_scope.cancel()
+
+    async def test_cancellation_wave_costs_few_writes(self) -> None:
+        """A thousand jobs are cancelled in one document.
+
+        Each ends in memory at once; the store sees one write per period and
+        no task of any of them runs afterwards.
+        """
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=4, slots=8)
+            wave = {}
+            for number in range(1000):
+                wave |= harness.batch(f'audit-{number}', 1)
+            bench.cell.default_run_s = 1000.0
+            await bench.submit(teams={'ours': harness.TEAM}, batch_jobs=wave)
+            await bench.process()
+            await bench.timer.run_for(5.0)
+            before = bench.store.writes.total()
+            await bench.submit(cancellations=list(wave))
+            await bench.run_until_done(20.0)
+            writes = bench.store.writes.total() - before
+            self.assertLessEqual(writes, 8)
+            running = [
+                run
+                for runs in bench.cell.witness.runs.values()
+                for run in runs
+                if run.ended_s is None
+            ]
+            self.assertEqual([], running)
+            group.cancel_scope.cancel()
+
+    async def test_gang_that_waits_costs_no_write(self) -> None:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=2, slots=4)
+            bench.cell.default_run_s = 1000.0
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                services=samples.service(4),
+                gang_jobs=harness.gang('model', 6),
+            )
+            await bench.process()
+            await bench.timer.run_for(70.0, 0.25)
+            before = collections.Counter(bench.store.writes)
+            await bench.timer.run_for(60.0, 0.25)
+            self.assertEqual(before, bench.store.writes)
+            self.assertEqual(0, bench.cell.witness.starts('ours/model'))
+            group.cancel_scope.cancel()
+
+    async def test_rest_costs_no_write(self) -> None:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group)
+            await bench.submit(
+                teams={'ours': harness.TEAM}, services=samples.service(3)
+            )
+            await bench.process()
+            await bench.timer.run_for(120.0, 0.25)
+            before = collections.Counter(bench.store.writes)
+            await bench.timer.run_for(300.0, 0.5)
+            self.assertEqual(before, bench.store.writes)
+            group.cancel_scope.cancel()
+
+    async def test_entitled_work_reclaims_what_is_borrowed(self) -> None:
+        """A team without a quota has borrowed the whole cell.
+
+        A job within its quota arrives and finds no room; its owner stops
+        borrowed work with a checkpoint, and the borrower resumes later.
+        """
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=1, slots=4)
+            bench.cell.run_times_s['poor/audit'] = 100.0
+            poor = {'quota': {'cpu_cores': 0, 'memory_mb': 0, 'slots': 0}}
+            theirs = harness.batch('audit', 4, checkpointable=True)
+            await bench.submit(
+                teams={'ours': harness.TEAM, 'poor': poor},
+                batch_jobs={'poor/audit': theirs['ours/audit']},
+            )
+            await bench.process()
+            await bench.timer.run_for(10.0)
+            self.assertEqual(4, len(bench.cell.witness.running('poor/audit')))
+            await bench.submit(batch_jobs=harness.batch('urgent', 2))
+            await bench.timer.run_for(6.0)
+            self.assertEqual(2, bench.cell.witness.starts('ours/urgent'))
+            await bench.run_until_done(300.0)
+            self.assertEqual(4, bench.cell.witness.finished('poor/audit'))
+            self.assertEqual([], bench.cell.witness.violations)
+            group.cancel_scope.cancel()
