Refuse starts after their stop, and let services and gangs displace batch on workers

Cause: `stop` of an unknown attempt or of a hold left no trace, and an acknowledged end none at the owner, so that a late start ran beside the next attempt. Hold and start without room displaced nobody. Attempts that an inventory showed before their start's reply were not logged. Ruled out: keeping the reserve as a live hold, as inventories would show it to the job owner and its attempt number changes with each try; forgetting the oldest tombstone when full, as its start could run. Every start is logged. Left: the job side does not yet ask boards without free room.

--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_starter.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_starter.py
@@ -245,11 +245,13 @@
         task.board = board.owner
         sent_s = self._timer.now_s()
         reply = await board.start(spec, wish.avoid_domains)
+        if reply.is_ok() and task.attempt == spec.attempt:
+            # An inventory may have shown the task before this reply came.
+            self.record(job, task, wish.rank.name.lower(), 'started')
         if not self._is_starting(shard, task, spec.attempt):
             return True
         if reply.is_ok():
             shard.take(board.owner, reply.ok, sent_s, self._timer.now_s())
-            self.record(job, task, wish.rank.name.lower(), 'started')
             return True
         if reply.error.outcome is errors.Outcome.NOT_RUN:
             return False
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_boards.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_boards.py
@@ -111,6 +111,10 @@
         """Return about how many such tasks could start now."""
         return self._service.free_tasks(spec)
 
+    def displaceable_tasks(self, spec: _model.TaskSpec) -> int:
+        """Return about how many could start if batch tasks made room."""
+        return self._service.displaceable_tasks(spec)
+
     async def hold(
         self,
         spec: _model.TaskSpec,
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_cell.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_cell.py
@@ -13,6 +13,7 @@
 from walnutpoint_entry.tasks import _entry
 from walnutpoint_entry.tasks import _health
 from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _reserves
 from walnutpoint_entry.tasks import _room
 from walnutpoint_entry.tasks import _slots
 from walnutpoint_entry.tasks import _wire
@@ -44,6 +45,7 @@
         '_live',
         '_slots',
         'health',
+        'reserves',
         'room',
     )
 
@@ -53,6 +55,7 @@
         self.room = _room.Room()
         self.health = health
         self._slots = slots
+        self.reserves = _reserves.Reserves(self.room, slots)
         self._hosts: dict[str, model.ListedHost] = {}
         self._live: dict[_model.TaskKey, _entry.Entry] = {}
         self._by_worker: dict[str, set[_entry.Entry]] = {}
@@ -70,6 +73,7 @@
 
     def remove_worker(self, worker: str) -> None:
         """Forget a lost worker; its next owner asks what it runs."""
+        self.reserves.forget_worker(worker)
         for entry in tuple(self._by_worker.get(worker, ())):
             self.drop(entry)
         self._by_worker.pop(worker, None)
@@ -107,17 +111,18 @@
     ) -> _entry.Entry | None:
         """Take room and a slot for an attempt on the preferred worker."""
         need = _amount.of_size(spec.size)
+        reserve = self._reserved(spec, need, avoid_domains, exclude, now_s)
+        if reserve is not None:
+            self.reserves.use(reserve, spec.key)
+            entry = self._begin(spec, reserve.worker, now_s)
+            entry.reserved_until_s = reserve.until_s
+            return entry
         worker = self._probe(spec, need, avoid_domains, exclude, now_s)
         if worker is None:
             worker = self._preferred(spec, need, avoid_domains, exclude)
         if worker is None or not self._slots.take_slot(worker):
             return None
-        entry = _entry.from_spec(spec, worker, self.room.domain(worker))
-        self.room.take(worker, _token(entry), need)
-        self._insert(entry)
-        entry.is_proved = False
-        self.health.begin(worker, now_s)
-        return entry
+        return self._begin(spec, worker, now_s)
 
     def adopt(
         self, worker: str, task: _wire.WorkerTask, now_s: float
@@ -144,16 +149,21 @@
         """Free what an attempt took and forget it."""
         if self._live.get(entry.key) is not entry:
             return
-        del self._live[entry.key]
-        self._by_worker[entry.worker].discard(entry)
-        siblings = self._by_job[entry.key.job]
-        siblings.discard(entry)
-        if not siblings:
-            del self._by_job[entry.key.job]
-        self.room.give_back(entry.worker, _token(entry))
-        self._slots.free_slot(entry.worker)
-        if not entry.is_proved:
-            self.health.withdraw(entry.worker)
+        self._remove(entry)
+        if not self.reserves.take_slot(entry.worker):
+            self._slots.free_slot(entry.worker)
+
+    def release(self, entry: _entry.Entry, now_s: float) -> None:
+        """Forget a hold, but keep for its job what was made free for it."""
+        if now_s >= entry.reserved_until_s or self.reserves.has(entry.key):
+            self.drop(entry)
+            return
+        self._remove(entry)
+        self.reserves.restore(
+            _reserves.Reserve(
+                entry.key, entry.need, entry.worker, entry.reserved_until_s
+            )
+        )
 
     def end(
         self,
@@ -213,8 +223,8 @@
         return tuple(self._by_worker.get(worker, ()))
 
     def has_holds(self) -> bool:
-        """Tell whether some attempt is held and not started."""
-        return any(
+        """Tell whether room is held for what has not started."""
+        return len(self.reserves) > 0 or any(
             entry.phase is _entry.Phase.HELD for entry in self._live.values()
         )
 
@@ -233,15 +243,42 @@
     def free_tasks(self, spec: _model.TaskSpec) -> int:
         """Return about how many such tasks could start now."""
         need = _amount.of_size(spec.size)
-        return sum(
+        # A job that was told to come back has to find the way: it would
+        # make room elsewhere as well otherwise.
+        kept = len(self._kept(spec, need))
+        return kept + sum(
             min(
                 candidate.free.times(need),
-                self._slots.free_slots(candidate.worker),
+                self._free_slots(candidate.worker),
             )
             for candidate in self.room.fitting(need, frozenset())
             if self.health.may_start(candidate.worker)
         )
 
+    def free(self, worker: str) -> _amount.Amount:
+        """Return what is free on a worker, with the slots that it has."""
+        free = self.room.free(worker)
+        return dataclasses.replace(
+            free, slots=min(free.slots, self._free_slots(worker))
+        )
+
+    def ranked(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+    ) -> tuple[str, ...]:
+        """Return the workers that could have a task, the preferred first."""
+        allowed = [
+            candidate
+            for candidate in self.room.opened()
+            if candidate.domain not in avoid_domains
+            and candidate.worker not in exclude
+            and self.health.may_start(candidate.worker)
+        ]
+        allowed.sort(key=self._rank(spec))
+        return tuple(candidate.worker for candidate in allowed)
+
     def free_amounts(self) -> tuple[_amount.Amount, ...]:
         """Return what is free on each worker that may get new tasks."""
         one = _amount.Amount(slots=1)
@@ -250,18 +287,70 @@
                 candidate.free,
                 slots=min(
                     candidate.free.slots,
-                    self._slots.free_slots(candidate.worker),
+                    self._free_slots(candidate.worker),
                 ),
             )
             for candidate in self.room.fitting(one, frozenset())
             if self.health.may_start(candidate.worker)
         )
 
+    def _free_slots(self, worker: str) -> int:
+        return self._slots.free_slots(worker) - self.reserves.unfilled(worker)
+
+    def _kept(
+        self, spec: _model.TaskSpec, need: _amount.Amount
+    ) -> tuple[_reserves.Reserve, ...]:
+        # A batch job's other tasks must not take what was made free for the
+        # one that goes before batch.
+        if spec.task_class is _model.TaskClass.BATCH:
+            return ()
+        return self.reserves.of_job(spec.key, need)
+
+    def _reserved(
+        self,
+        spec: _model.TaskSpec,
+        need: _amount.Amount,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+        now_s: float,
+    ) -> _reserves.Reserve | None:
+        for reserve in _reserves.usable(self._kept(spec, need), now_s):
+            worker = reserve.worker
+            if (
+                worker not in exclude
+                and self.room.is_open(worker)
+                and self.room.domain(worker) not in avoid_domains
+                and self.health.may_start(worker)
+            ):
+                return reserve
+        return None
+
+    def _begin(
+        self, spec: _model.TaskSpec, worker: str, now_s: float
+    ) -> _entry.Entry:
+        entry = _entry.from_spec(spec, worker, self.room.domain(worker))
+        self.room.claim(worker, _token(entry), entry.need)
+        self._insert(entry)
+        entry.is_proved = False
+        self.health.begin(worker, now_s)
+        return entry
+
     def _insert(self, entry: _entry.Entry) -> None:
         self._live[entry.key] = entry
         self._by_worker[entry.worker].add(entry)
         self._by_job[entry.key.job].add(entry)
 
+    def _remove(self, entry: _entry.Entry) -> None:
+        del self._live[entry.key]
+        self._by_worker[entry.worker].discard(entry)
+        siblings = self._by_job[entry.key.job]
+        siblings.discard(entry)
+        if not siblings:
+            del self._by_job[entry.key.job]
+        self.room.give_back(entry.worker, _token(entry))
+        if not entry.is_proved:
+            self.health.withdraw(entry.worker)
+
     def _judge(
         self, entry: _entry.Entry, state: _model.TaskState, now_s: float
     ) -> None:
@@ -291,7 +380,7 @@
                 and self.room.is_open(worker)
                 and self.room.domain(worker) not in avoid_domains
                 and self.room.free(worker).covers(need)
-                and self._slots.free_slots(worker) > 0
+                and self._free_slots(worker) > 0
             ):
                 return worker
         return None
@@ -303,26 +392,33 @@
         avoid_domains: frozenset[str],
         exclude: collections.abc.Collection[str],
     ) -> str | None:
-        choice = _choice.choice_for(spec.task_class)
-        neighbours = _choice.Neighbours()
-        for sibling in self._by_job.get(spec.key.job, ()):
-            neighbours.add(sibling.worker, sibling.domain)
         best = min(
             (
                 candidate
                 for candidate in self.room.fitting(need, avoid_domains)
                 if candidate.worker not in exclude
                 and self.health.may_start(candidate.worker)
-                and self._slots.free_slots(candidate.worker) > 0
-            ),
-            key=lambda candidate: (
-                self.health.is_suspect(candidate.worker),
-                choice.rank(candidate, neighbours),
+                and self._free_slots(candidate.worker) > 0
             ),
+            key=self._rank(spec),
             default=None,
         )
         return None if best is None else best.worker
 
+    def _rank(
+        self, spec: _model.TaskSpec
+    ) -> collections.abc.Callable[
+        [_choice.Candidate], tuple[bool, tuple[float, ...]]
+    ]:
+        choice = _choice.choice_for(spec.task_class)
+        neighbours = _choice.Neighbours()
+        for sibling in self._by_job.get(spec.key.job, ()):
+            neighbours.add(sibling.worker, sibling.domain)
+        return lambda candidate: (
+            self.health.is_suspect(candidate.worker),
+            choice.rank(candidate, neighbours),
+        )
+
     def _apply_host(self, worker: str) -> None:
         host = self._hosts.get(worker)
         if host is None:
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_displacement.py
@@ -0,0 +1,141 @@
+"""Batch tasks that make room for urgent requests, services and gangs."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.tasks import _amount
+from walnutpoint_entry.tasks import _cell
+from walnutpoint_entry.tasks import _contact
+from walnutpoint_entry.tasks import _entry
+from walnutpoint_entry.tasks import _leases
+from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _preemption
+from walnutpoint_entry.tasks import _reserves
+
+__all__ = ('Displacer',)
+
+_URGENT_FIRST_S: typing.Final = 1.0
+_KEEP_S: typing.Final = 5.0
+_LOG = logs.get_logger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Found:
+    worker: str
+    victims: tuple[_entry.Entry, ...]
+
+
+class Displacer:
+    """Stop batch tasks, the newest first and only as many as needed."""
+
+    __slots__ = ('_cell', '_leases', '_timer', '_times', '_urgent_until_s')
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        times: _contact.LeaseTimes,
+        cell: _cell.Cell,
+        leases: _leases.Leases,
+    ) -> None:
+        self._timer = timer
+        self._times = times
+        self._cell = cell
+        self._leases = leases
+        self._urgent_until_s = float('-inf')
+
+    def is_for_batch(self) -> bool:
+        """Tell whether batch tasks may take what is free."""
+        return self._timer.now_s() >= self._urgent_until_s
+
+    def make_room(self, slots: int) -> int:
+        """Free slots of batch tasks for urgent requests; return how many."""
+        now_s = self._timer.now_s()
+        # Batch tasks that wait would take what has just been made free.
+        self._urgent_until_s = now_s + _URGENT_FIRST_S
+        # What leaves for a service or a gang is not for requests.
+        slots += self._cell.reserves.unfilled()
+        held = _preemption.holds(self._cell.entries())[:slots]
+        for entry in held:
+            self._cell.drop(entry)
+        chosen = _preemption.victims(self._cell.entries(), slots - len(held))
+        for entry in chosen:
+            entry.is_for_requests = True
+            self._stop(entry)
+        return len(held) + len(chosen)
+
+    def make_room_for(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+    ) -> None:
+        """Keep room on one worker that batch tasks leave for a task."""
+        now_s = self._timer.now_s()
+        if not self._cell.reserves.may_add(spec.key, now_s):
+            return
+        need = _amount.of_size(spec.size)
+        found = self._fewest(spec, need, avoid_domains, exclude)
+        if found is None:
+            return
+        until_s = now_s + self._times.checkpoint_grace_s + _KEEP_S
+        self._cell.reserves.add(
+            _reserves.Reserve(spec.key, need, found.worker, until_s), now_s
+        )
+        for entry in found.victims:
+            if entry.phase is _entry.Phase.HELD:
+                self._cell.drop(entry)
+            else:
+                self._stop(entry)
+
+    def displaceable_amounts(self) -> tuple[_amount.Amount, ...]:
+        """Return what each worker would have if batch tasks left it."""
+        amounts = []
+        for candidate in self._cell.room.opened():
+            entries = self._cell.entries(candidate.worker)
+            amount = self._cell.free(candidate.worker)
+            amount = amount + _preemption.leaving(entries)
+            for entry in _preemption.displaceable(entries):
+                amount = amount + entry.need
+            amounts.append(amount)
+        return tuple(amounts)
+
+    def _fewest(
+        self,
+        spec: _model.TaskSpec,
+        need: _amount.Amount,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+    ) -> _Found | None:
+        best: _Found | None = None
+        for worker in self._cell.ranked(spec, avoid_domains, exclude):
+            victims = _preemption.victims_for(
+                self._cell.entries(worker), self._cell.free(worker), need
+            )
+            if victims is None:
+                continue
+            if best is None or _stopped(victims) < _stopped(best.victims):
+                best = _Found(worker, victims)
+        return best
+
+    def _stop(self, entry: _entry.Entry) -> None:
+        mode = _model.StopMode.STOP
+        if entry.note.is_checkpointable:
+            mode = _model.StopMode.CHECKPOINT
+        self._leases.stop_soon(entry, mode, self._times.checkpoint_grace_s)
+        _LOG.info(
+            'task_preempted',
+            job=entry.key.job,
+            index=entry.key.index,
+            attempt=entry.attempt,
+            worker=entry.worker,
+            mode=mode.value,
+        )
+
+
+def _stopped(victims: tuple[_entry.Entry, ...]) -> int:
+    return sum(entry.phase is not _entry.Phase.HELD for entry in victims)
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_entry.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_entry.py
@@ -45,6 +45,8 @@
     stop_due_s: float = -math.inf
     is_stop_in_progress: bool = False
     is_proved: bool = True
+    is_for_requests: bool = False
+    reserved_until_s: float = -math.inf
     run_s: float = 0.0
     checkpoint: str | None = None
     used_cpu_cores: float | None = None
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_leases.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_leases.py
@@ -440,6 +440,7 @@
         )
 
     def _expire(self, now_s: float) -> None:
+        self._cell.reserves.expire(now_s)
         for entry in self._cell.entries():
             if entry.phase is _PHASE.HELD:
                 if now_s >= entry.hold_until_s:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_messages.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_messages.py
@@ -108,6 +108,7 @@
 
     amounts: tuple[_amount.Amount, ...]
     is_for_batch: bool
+    displaceable: tuple[_amount.Amount, ...] = ()
 
 
 class Failed(msgspec.Struct, frozen=True, tag='failed'):
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_model.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_model.py
@@ -56,7 +56,8 @@
 class TaskSpec(msgspec.Struct, frozen=True, kw_only=True):
     """One attempt of a task, and on whose word it may start.
 
-    The shard's epoch fences a job owner that has been replaced.
+    The shard's epoch fences a job owner that has been replaced. A task of a
+    class below BATCH displaces batch tasks unless the job owner forbids it.
     """
 
     key: TaskKey
@@ -70,6 +71,7 @@
     expected_run_s: float
     is_checkpointable: bool = False
     checkpoint: str | None = None
+    may_displace: bool = True
 
 
 class TaskReport(msgspec.Struct, frozen=True, kw_only=True):
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_ports.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_ports.py
@@ -26,6 +26,9 @@
     def free_tasks(self, spec: _model.TaskSpec) -> int:
         """Return about how many such tasks could start now."""
 
+    def displaceable_tasks(self, spec: _model.TaskSpec) -> int:
+        """Return about how many could start if batch tasks made room."""
+
     async def hold(
         self,
         spec: _model.TaskSpec,
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_preemption.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_preemption.py
@@ -1,15 +1,19 @@
-"""The choice of batch tasks that make room for urgent requests."""
+"""The choice of batch tasks that make room for other work."""
 
 from __future__ import annotations
 
 import collections.abc
 
+from walnutpoint_entry.tasks import _amount
 from walnutpoint_entry.tasks import _entry
 from walnutpoint_entry.tasks import _model
 
 __all__ = (
+    'displaceable',
     'holds',
+    'leaving',
     'victims',
+    'victims_for',
 )
 
 
@@ -46,3 +50,63 @@
     ]
     running.sort(key=lambda entry: entry.begun_s, reverse=True)
     return tuple(running[: max(0, count - leaving)])
+
+
+def leaving(
+    entries: collections.abc.Iterable[_entry.Entry],
+) -> _amount.Amount:
+    """Return what becomes free by the stops that are under way."""
+    return sum(
+        (
+            entry.need
+            for entry in entries
+            if entry.stop_mode is not None and not entry.is_for_requests
+        ),
+        start=_amount.Amount(),
+    )
+
+
+def victims_for(
+    entries: collections.abc.Collection[_entry.Entry],
+    free: _amount.Amount,
+    need: _amount.Amount,
+) -> tuple[_entry.Entry, ...] | None:
+    """Return which batch tasks of one worker to stop, if that is enough.
+
+    Holds cost nothing and go first, then those that were started last. Room
+    that is being made is counted, whoever has asked for it.
+    """
+    free = free + leaving(entries)
+    running = [
+        entry
+        for entry in displaceable(entries)
+        if entry.phase is _entry.Phase.RUNNING
+    ]
+    running.sort(key=lambda entry: entry.begun_s, reverse=True)
+    chosen: list[_entry.Entry] = []
+    for entry in (*holds(entries), *running):
+        if free.covers(need):
+            break
+        chosen.append(entry)
+        free = free + entry.need
+    if not free.covers(need):
+        return None
+    for entry in reversed(chosen):
+        # One that lacks just what is needed may have been taken on the way.
+        if (free - entry.need).covers(need):
+            chosen.remove(entry)
+            free = free - entry.need
+    return tuple(chosen)
+
+
+def displaceable(
+    entries: collections.abc.Iterable[_entry.Entry],
+) -> tuple[_entry.Entry, ...]:
+    """Return the batch tasks that may be made to leave."""
+    return tuple(
+        entry
+        for entry in entries
+        if entry.note.task_class is _model.TaskClass.BATCH
+        and entry.phase in (_entry.Phase.HELD, _entry.Phase.RUNNING)
+        and entry.stop_mode is None
+    )
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_remote.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_remote.py
@@ -32,6 +32,7 @@
 
 _TIMEOUT_S: typing.Final = 8.0
 _HINT_AGE_S: typing.Final = 1.0
+_PROMISE_AGE_S: typing.Final = 5.0
 
 _KIND = errors.ErrorKind
 _ENCODER: typing.Final = msgspec.msgpack.Encoder()
@@ -71,6 +72,10 @@
     asked_s: float = -math.inf
     amounts: list[_amount.Amount] = dataclasses.field(default_factory=list)
     is_for_batch: bool = True
+    displaceable: tuple[_amount.Amount, ...] = ()
+    promised_until_s: dict[_model.TaskKey, float] = dataclasses.field(
+        default_factory=dict
+    )
     asking: asyncio.Task[None] | None = None
 
     def spend(self, need: _amount.Amount) -> None:
@@ -80,6 +85,22 @@
                 self.amounts[index] = amount - need
                 return
 
+    def promise(self, key: _model.TaskKey, now_s: float) -> None:
+        """Expect that room is being made for a task."""
+        self.promised_until_s = {
+            kept: until_s
+            for kept, until_s in self.promised_until_s.items()
+            if now_s < until_s
+        }
+        self.promised_until_s[key] = now_s + _PROMISE_AGE_S
+
+    def promised(self, job: str, now_s: float) -> int:
+        """Return for how many tasks of a job room is being made."""
+        return sum(
+            key.job == job and now_s < until_s
+            for key, until_s in self.promised_until_s.items()
+        )
+
     def refuse(self, need: _amount.Amount) -> None:
         """Expect no room for a need until the next answer."""
         self.amounts = [
@@ -117,7 +138,14 @@
         if is_batch and not hint.is_for_batch:
             return 0
         need = _amount.of_size(spec.size)
-        return sum(amount.times(need) for amount in hint.amounts)
+        promised = hint.promised(spec.key.job, self._timer.now_s())
+        return promised + sum(amount.times(need) for amount in hint.amounts)
+
+    def displaceable_tasks(self, spec: _model.TaskSpec) -> int:
+        """Return about how many could start if batch tasks made room."""
+        self._ask_room()
+        need = _amount.of_size(spec.size)
+        return sum(amount.times(need) for amount in self._hint.displaceable)
 
     async def hold(
         self,
@@ -178,9 +206,12 @@
         replied = await self._call(call)
         need = _amount.of_size(spec.size)
         if replied.is_ok():
-            self._hint.spend(need)
+            if self._hint.promised_until_s.pop(spec.key, None) is None:
+                self._hint.spend(need)
         elif replied.error.kind is _KIND.NO_FREE_SLOT:
             self._hint.refuse(need)
+            if replied.error.retry_after_s is not None:
+                self._hint.promise(spec.key, self._timer.now_s())
         return replied.map(lambda reply: reply.report)
 
     async def _call(
@@ -210,6 +241,7 @@
             if replied.is_ok():
                 self._hint.amounts = list(replied.ok.amounts)
                 self._hint.is_for_batch = replied.ok.is_for_batch
+                self._hint.displaceable = replied.ok.displaceable
             else:
                 self._hint.amounts = []
         finally:
@@ -262,7 +294,9 @@
                 return _messages.Done()
             case _messages.RoomCall():
                 return _messages.RoomReply(
-                    service.free_amounts(), service.is_for_batch()
+                    service.free_amounts(),
+                    service.is_for_batch(),
+                    service.displaceable_amounts(),
                 )
 
     async def _inventory(
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_room.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_room.py
@@ -132,9 +132,9 @@
             ):
                 yield account
 
-    def open_workers(self) -> collections.abc.Iterable[str]:
+    def opened(self) -> tuple[_choice.Candidate, ...]:
         """Return the workers that may get new tasks."""
-        return self._open.keys()
+        return tuple(self._open.values())
 
     def _take(
         self, account: _Account, token: str, need: _amount.Amount
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_service.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_service.py
@@ -18,13 +18,14 @@
 from walnutpoint_entry.tasks import _amount
 from walnutpoint_entry.tasks import _cell
 from walnutpoint_entry.tasks import _contact
+from walnutpoint_entry.tasks import _displacement
 from walnutpoint_entry.tasks import _entry
 from walnutpoint_entry.tasks import _health
 from walnutpoint_entry.tasks import _leases
 from walnutpoint_entry.tasks import _model
 from walnutpoint_entry.tasks import _owner
-from walnutpoint_entry.tasks import _preemption
 from walnutpoint_entry.tasks import _slots
+from walnutpoint_entry.tasks import _tombstones
 from walnutpoint_entry.tasks import _vacancy
 from walnutpoint_entry.tasks import _wire
 from walnutpoint_entry.tasks import _worker
@@ -32,7 +33,7 @@
 __all__ = ('TaskService',)
 
 _START_ATTEMPTS: typing.Final = 3
-_URGENT_FIRST_S: typing.Final = 1.0
+_ROOM_RETRY_S: typing.Final = 1.0
 
 _KIND = errors.ErrorKind
 _PHASE = _entry.Phase
@@ -52,12 +53,13 @@
 
     __slots__ = (
         '_cell',
+        '_displacer',
         '_leases',
         '_owner',
         '_shard_epochs',
         '_timer',
         '_times',
-        '_urgent_until_s',
+        '_tombstones',
         '_vacancies',
     )
 
@@ -83,9 +85,12 @@
         self._leases = _leases.Leases(
             timer, self._times, owner, workers, self._cell, tasks
         )
+        self._displacer = _displacement.Displacer(
+            timer, self._times, self._cell, self._leases
+        )
+        self._tombstones = _tombstones.Tombstones(self._times.certain_s)
         self._vacancies = _vacancy.Vacancies(self._times.certain_s)
         self._shard_epochs: dict[int, int] = {}
-        self._urgent_until_s = float('-inf')
 
     @property
     def owner(self) -> str:
@@ -133,33 +138,24 @@
         """Return what is free on each worker that may get new tasks."""
         return self._cell.free_amounts()
 
+    def displaceable_tasks(self, spec: _model.TaskSpec) -> int:
+        """Return about how many could start if batch tasks made room."""
+        need = _amount.of_size(spec.size)
+        return sum(
+            amount.times(need) for amount in self.displaceable_amounts()
+        )
+
+    def displaceable_amounts(self) -> tuple[_amount.Amount, ...]:
+        """Return what each worker would have if batch tasks left it."""
+        return self._displacer.displaceable_amounts()
+
     def is_for_batch(self) -> bool:
         """Tell whether batch tasks may take what is free."""
-        return self._timer.now_s() >= self._urgent_until_s
+        return self._displacer.is_for_batch()
 
     def make_room(self, slots: int) -> int:
         """Free slots of batch tasks for urgent requests; return how many."""
-        now_s = self._timer.now_s()
-        # Batch tasks that wait would take what has just been made free.
-        self._urgent_until_s = now_s + _URGENT_FIRST_S
-        held = _preemption.holds(self._cell.entries())[:slots]
-        for entry in held:
-            self._cell.drop(entry)
-        chosen = _preemption.victims(self._cell.entries(), slots - len(held))
-        for entry in chosen:
-            mode = _model.StopMode.STOP
-            if entry.note.is_checkpointable:
-                mode = _model.StopMode.CHECKPOINT
-            self._leases.stop_soon(entry, mode, self._times.checkpoint_grace_s)
-            _LOG.info(
-                'task_preempted',
-                job=entry.key.job,
-                index=entry.key.index,
-                attempt=entry.attempt,
-                worker=entry.worker,
-                mode=mode.value,
-            )
-        return len(held) + len(chosen)
+        return self._displacer.make_room(slots)
 
     async def hold(
         self,
@@ -172,12 +168,14 @@
         refusal = self._refusal(spec)
         if refusal is not None:
             return expression.Error(refusal)
+        if self._cell.ended(_wire.Attempt(spec.key, spec.attempt)):
+            return _failed(_KIND.NOT_OWNER, 'the attempt has ended')
         now_s = self._timer.now_s()
         entry = self._current(spec)
         if entry is None:
             entry = self._place(spec, avoid_domains, ())
         if entry is None:
-            return _failed(_KIND.NO_FREE_SLOT)
+            return self._no_room(spec)
         if entry.phase is _PHASE.HELD:
             entry.hold_until_s = now_s + hold_s
         return expression.Ok(entry.report())
@@ -213,17 +211,30 @@
         mode: _model.StopMode,
     ) -> _Reported:
         """End a hold or a running task; STOPPED says that it has ended."""
-        ended = self._cell.ended(_wire.Attempt(key, attempt))
+        name = _wire.Attempt(key, attempt)
+        ended = self._cell.ended(name)
         if ended is not None:
             return expression.Ok(ended)
+        now_s = self._timer.now_s()
+        is_noted = self._tombstones.add(name, now_s)
         entry = self._cell.live(key)
-        if entry is None or entry.attempt != attempt:
-            if not self._is_complete():
-                return _failed(_KIND.NOT_CONFIRMED, 'tasks are not known yet')
-            return _failed(_KIND.NOT_FOUND, f'{key.job}/{key.index}')
-        if entry.phase is _PHASE.HELD:
-            self._cell.drop(entry)
+        if entry is not None and entry.attempt != attempt:
+            entry = None
+        if entry is not None and entry.phase is not _PHASE.HELD:
+            return await self._stop_started(entry, mode)
+        if entry is not None:
+            self._cell.release(entry, now_s)
+        if not is_noted:
+            return _failed(_KIND.NOT_CONFIRMED, 'too many stops')
+        if entry is not None:
             return expression.Ok(entry.report(_model.TaskState.STOPPED))
+        if not self._is_complete():
+            return _failed(_KIND.NOT_CONFIRMED, 'tasks are not known yet')
+        return _failed(_KIND.NOT_FOUND, f'{key.job}/{key.index}')
+
+    async def _stop_started(
+        self, entry: _entry.Entry, mode: _model.StopMode
+    ) -> _Reported:
         self._leases.wish_stop(entry, mode, self._times.checkpoint_grace_s)
         await self._leases.confirm()
         return expression.Ok(await self._leases.stop(entry))
@@ -250,6 +261,10 @@
         """Forget ended tasks whose end the job owner has recorded."""
         for report in ended:
             name = _wire.Attempt(report.key, report.attempt)
+            # The worker refuses this attempt for a while; another one, where
+            # a late start could be placed, has never heard of it.
+            if not self._tombstones.add(name, self._timer.now_s()):
+                break
             if self._cell.acknowledge(name):
                 self._leases.acknowledge(report.worker, name)
         return expression.Ok(None)
@@ -276,7 +291,9 @@
         if not self._owner.is_confirmed():
             return errors.Failure(_KIND.NOT_CONFIRMED, self.owner)
         entry = self._cell.live(spec.key)
-        if entry is None or entry.attempt == spec.attempt:
+        if entry is None:
+            return self._refusal_of_stopped(spec)
+        if entry.attempt == spec.attempt:
             return None
         if entry.attempt > spec.attempt:
             return errors.Failure(_KIND.NOT_OWNER, 'a later attempt exists')
@@ -284,8 +301,19 @@
             return errors.Failure(
                 _KIND.NOT_CONFIRMED, 'an earlier attempt may still run'
             )
-        self._cell.drop(entry)
-        return None
+        self._cell.release(entry, self._timer.now_s())
+        return self._refusal_of_stopped(spec)
+
+    def _refusal_of_stopped(
+        self, spec: _model.TaskSpec
+    ) -> errors.Failure | None:
+        # Its job owner has been told that this attempt does not run, and may
+        # have started the next one elsewhere: both would run.
+        name = _wire.Attempt(spec.key, spec.attempt)
+        is_stopped = self._tombstones.has(name, self._timer.now_s())
+        if not is_stopped or self._cell.ended(name) is not None:
+            return None
+        return errors.Failure(_KIND.NOT_OWNER, 'the attempt was stopped')
 
     def _current(self, spec: _model.TaskSpec) -> _entry.Entry | None:
         entry = self._cell.live(spec.key)
@@ -313,34 +341,53 @@
     ) -> _entry.Entry | None:
         if self._yields(spec):
             return None
-        return self._cell.place(
-            spec, avoid_domains, exclude, self._timer.now_s()
+        now_s = self._timer.now_s()
+        entry = self._cell.place(spec, avoid_domains, exclude, now_s)
+        is_batch = spec.task_class is _model.TaskClass.BATCH
+        if entry is not None or is_batch or not spec.may_displace:
+            return entry
+        self._displacer.make_room_for(spec, avoid_domains, exclude)
+        return self._cell.place(spec, avoid_domains, exclude, now_s)
+
+    def _no_room(self, spec: _model.TaskSpec) -> _Reported:
+        is_made = self._cell.reserves.has(spec.key)
+        retry_after_s = _ROOM_RETRY_S if is_made else None
+        return expression.Error(
+            errors.Failure(_KIND.NO_FREE_SLOT, retry_after_s=retry_after_s)
         )
 
     async def _start_anywhere(
         self, spec: _model.TaskSpec, avoid_domains: frozenset[str]
     ) -> _Reported:
+        name = _wire.Attempt(spec.key, spec.attempt)
         tried: set[str] = set()
-        started: _Reported = _failed(_KIND.NO_FREE_SLOT)
+        started: _Reported | None = None
         for _ in range(_START_ATTEMPTS):
             # While the first worker was asked, another call may have put
             # the task somewhere, or a newer job owner may have come.
-            refusal = self._refusal(spec)
-            if refusal is not None or self._cell.live(spec.key) is not None:
-                return started
+            if (
+                self._refusal(spec) is not None
+                or self._cell.live(spec.key) is not None
+                or self._cell.ended(name) is not None
+            ):
+                break
             entry = self._place(spec, avoid_domains, tried)
             if entry is None:
-                return started
+                break
             started = await self._start_at(entry, spec, 'placed')
             if started.is_ok() or started.error.kind not in _ELSEWHERE:
                 return started
             tried.add(entry.worker)
+        if started is None or self._cell.reserves.has(spec.key):
+            return self._no_room(spec)
         return started
 
     async def _start_at(
         self, entry: _entry.Entry, spec: _model.TaskSpec, reason: str
     ) -> _Reported:
         started = await self._leases.start(entry, spec.command)
+        if started.is_ok():
+            self._cell.reserves.settle(spec.key)
         _LOG.info(
             'task_placement',
             job=spec.key.job,
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_tombstones.py
@@ -0,0 +1,51 @@
+"""Attempts that were asked to stop and must not start any more."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from walnutpoint_entry.tasks import _wire
+
+__all__ = ('Tombstones',)
+
+_COUNT_MAX: typing.Final = 100_000
+
+
+class Tombstones:
+    """Remember stopped attempts for as long as a start may be under way.
+
+    A start that is held up would run beside the next attempt, which its job
+    owner starts elsewhere once the stop is confirmed. No start is under way
+    for longer than a lease lasts, so that this is kept long enough.
+    """
+
+    __slots__ = ('_kept_s', '_until_s')
+
+    def __init__(self, kept_s: float) -> None:
+        self._kept_s = kept_s
+        self._until_s: collections.OrderedDict[_wire.Attempt, float] = (
+            collections.OrderedDict()
+        )
+
+    def add(self, name: _wire.Attempt, now_s: float) -> bool:
+        """Remember an attempt, and tell whether there was room for it."""
+        self._expire(now_s)
+        # Forgetting the oldest would let its start run: the caller has to
+        # come back, and takes nothing as stopped until then.
+        if name not in self._until_s and len(self._until_s) >= _COUNT_MAX:
+            return False
+        self._until_s[name] = now_s + self._kept_s
+        self._until_s.move_to_end(name)
+        return True
+
+    def has(self, name: _wire.Attempt, now_s: float) -> bool:
+        """Tell whether an attempt must not start."""
+        return now_s <= self._until_s.get(name, float('-inf'))
+
+    def _expire(self, now_s: float) -> None:
+        while self._until_s:
+            name, until_s = next(iter(self._until_s.items()))
+            if now_s <= until_s:
+                return
+            del self._until_s[name]
--- a/specs/gang.py
+++ b/specs/gang.py
@@ -13,9 +13,9 @@
 | STARTED_STOPPED | walnutpoint_entry.jobs._reservation |
 | STOP_CONFIRMED | walnutpoint_entry.jobs._starter |
 | PIECES_STOPPED | walnutpoint_entry.jobs._gang |
-| HOLDS_EXPIRE | walnutpoint_entry.tasks |
-| ENDED_REFUSED | walnutpoint_entry.tasks |
-| EPOCH_FENCED | walnutpoint_entry.tasks |
+| HOLDS_EXPIRE | walnutpoint_entry.tasks._leases |
+| ENDED_REFUSED | walnutpoint_entry.tasks._tombstones |
+| EPOCH_FENCED | walnutpoint_entry.tasks._service |
 """
 
 from __future__ import annotations
--- a/specs/lease.py
+++ b/specs/lease.py
@@ -8,10 +8,10 @@
 
 | guard | code module |
 |---|---|
-| EPOCH_FENCED | walnutpoint_entry.tasks |
-| KNOWN_RENEWED | walnutpoint_entry.tasks |
-| KNOWN_KEPT | walnutpoint_entry.tasks |
-| INCOMPLETE_TOLD | walnutpoint_entry.tasks |
+| EPOCH_FENCED | walnutpoint_entry.tasks._service |
+| KNOWN_RENEWED | walnutpoint_entry.tasks._leases |
+| KNOWN_KEPT | walnutpoint_entry.tasks._leases |
+| INCOMPLETE_TOLD | walnutpoint_entry.tasks._service |
 | ALL_ASKED | walnutpoint_entry.jobs._recovery |
 | ONE_TABLE | walnutpoint_entry.jobs._recovery |
 | SETTLED | walnutpoint_entry.jobs._recovery |
--- a/tests/walnutpoint_entry/tasks/test_remote.py
+++ b/tests/walnutpoint_entry/tasks/test_remote.py
@@ -119,6 +119,20 @@
         await board.start(spec)
         self.assertEqual(3, board.free_tasks(spec))
 
+    async def test_way_to_room_that_is_being_made_is_kept(self) -> None:
+        board = self.boards.boards()[1]
+        for index in range(4):
+            await board.start(fake.spec(index=index))
+        service = fake.spec('red/up', task_class=tasks.TaskClass.SERVICE)
+        refused = await board.start(service)
+        self.assertIs(errors.ErrorKind.NO_FREE_SLOT, samples.kind_of(refused))
+        self.assertEqual(1, board.free_tasks(service))
+        async with asyncio.timeout(_PATIENCE_S):
+            while not board.displaceable_tasks(service):
+                await asyncio.sleep(0.01)
+        await self.bench.tick()
+        self.assertTrue((await board.start(service)).is_ok())
+
     async def test_other_revision_makes_the_inventory_incomplete(
         self,
     ) -> None:
