Measure the request path, takeover and control cost

Cause: nothing told how far waits are from one central queue, what a killed owner costs callers, or what a peer, endpoint or request costs a process. Ruled out: psutil's host-wide byte counts, for the kernel's counts per socket; its 10 ms ticks, for the scheduler's run time. Change: four benches start a site of stand-ins and real processes by pid. The load is open loop and timed from the due moment, so that a late sender can't hide a wait.

--- /dev/null
+++ b/bench/_load.py
@@ -0,0 +1,287 @@
+"""An open-loop load on entry processes, from processes of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+import msgspec
+
+from bench import _queueing
+
+__all__ = (
+    'Load',
+    'Outcome',
+    'Running',
+)
+
+_START_DELAY_S: typing.Final = 1.0
+_CLOSE_S: typing.Final = 30.0
+_IDLE_MAX_S: typing.Final = 2.0
+_EXTRA_S: typing.Final = 60.0
+_OK: typing.Final = 200
+_HEAD_END: typing.Final = b'\r\n\r\n'
+_OUTCOME: typing.Final = b'walnutpoint-outcome: '
+_LENGTH: typing.Final = b'content-length: '
+_WAITED: typing.Final = b'walnutpoint-waited-ms: '
+
+
+class Load(msgspec.Struct, frozen=True):
+    """Requests to send; every second one is idempotent if so asked."""
+
+    caller_addresses: tuple[str, ...]
+    arrivals: tuple[_queueing.Arrival, ...]
+    deadline_s: float = 10.0
+    half_idempotent: bool = False
+
+
+class Outcome(msgspec.Struct, frozen=True, array_like=True):
+    """What became of one request, by the sender's clock."""
+
+    index: int
+    at_s: float
+    run_s: float
+    lag_s: float
+    latency_s: float
+    status: int
+    outcome: str
+    waited_s: float = 0.0
+    detail: str = ''
+
+    @property
+    def wait_s(self) -> float:
+        """Return all of the latency but the run itself."""
+        return self.latency_s - self.run_s
+
+
+class _Answer(msgspec.Struct, frozen=True):
+    status: int = 0
+    outcome: str = 'lost'
+    waited_s: float = 0.0
+    body: bytes = b''
+
+
+class _Job(msgspec.Struct, frozen=True):
+    load: Load
+    start_at_s: float
+    share: int
+    shares: int
+
+
+class Running:
+    """A load that runs in processes of its own from a given moment."""
+
+    def __init__(self, load: Load, processes: int = 3) -> None:
+        self._directory = tempfile.TemporaryDirectory(prefix='bench-load-')
+        self._path = pathlib.Path(self._directory.name)
+        self._duration_s = max(arrival.at_s for arrival in load.arrivals)
+        self._duration_s += load.deadline_s
+        self._processes: list[subprocess.Popen[bytes]] = []
+        for share in range(processes):
+            self._processes.append(
+                subprocess.Popen(
+                    [sys.executable, '-m', 'bench._load', self._name(share)],
+                    stdout=subprocess.PIPE,
+                    stdin=subprocess.PIPE,
+                )
+            )
+        for process in self._processes:
+            assert process.stdout is not None
+            process.stdout.readline()
+        self.start_at_s = time.monotonic() + _START_DELAY_S
+        for share, process in enumerate(self._processes):
+            job = _Job(load, self.start_at_s, share, processes)
+            assert process.stdin is not None
+            process.stdin.write(msgspec.msgpack.encode(job))
+            process.stdin.close()
+
+    def results(self) -> list[Outcome]:
+        """Wait for the end and return the outcomes in order of arrival."""
+        try:
+            outcomes: list[Outcome] = []
+            for share, process in enumerate(self._processes):
+                process.wait(self._duration_s + _EXTRA_S)
+                outcomes += msgspec.msgpack.decode(
+                    pathlib.Path(self._name(share)).read_bytes(),
+                    type=list[Outcome],
+                )
+            return sorted(outcomes, key=lambda outcome: outcome.index)
+        finally:
+            self.stop()
+
+    def stop(self) -> None:
+        """End the processes."""
+        for process in self._processes:
+            if process.poll() is None:
+                process.kill()
+            process.wait()
+            assert process.stdout is not None
+            process.stdout.close()
+        self._directory.cleanup()
+
+    def _name(self, share: int) -> str:
+        return str(self._path / f'{share}.msgpack')
+
+
+class _Caller(asyncio.Protocol):
+    """One connection; it reads answers with a content length."""
+
+    def __init__(self) -> None:
+        self._buffer = b''
+        self._answer: asyncio.Future[_Answer] | None = None
+        self.transport: asyncio.Transport | None = None
+        self.used_at_s = 0.0
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        self.transport = typing.cast(asyncio.Transport, transport)
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Fail the request in progress."""
+        if self._answer is not None and not self._answer.done():
+            self._answer.set_exception(ConnectionError(str(error)))
+
+    async def send(self, data: bytes) -> _Answer:
+        """Send one request and return what came back."""
+        assert self.transport is not None
+        if self.transport.is_closing():
+            raise ConnectionError('closed')
+        self._answer = asyncio.get_running_loop().create_future()
+        self.transport.write(data)
+        return await self._answer
+
+    def data_received(self, data: bytes) -> None:
+        """Take bytes of an answer."""
+        self._buffer += data
+        head, found, body = self._buffer.partition(_HEAD_END)
+        if not found or self._answer is None or self._answer.done():
+            return
+        length, outcome, waited_ms = 0, '', 0.0
+        for line in head.split(b'\r\n'):
+            line = line.lower()
+            if line.startswith(_LENGTH):
+                length = int(line.removeprefix(_LENGTH))
+            elif line.startswith(_OUTCOME):
+                outcome = line.removeprefix(_OUTCOME).decode()
+            elif line.startswith(_WAITED):
+                waited_ms = float(line.removeprefix(_WAITED))
+        if len(body) < length:
+            return
+        self._buffer = b''
+        self.used_at_s = asyncio.get_running_loop().time()
+        self._answer.set_result(
+            _Answer(int(head[9:12]), outcome, waited_ms / 1000.0, body)
+        )
+
+
+class _Sender:
+    """Send the requests of one process at their times."""
+
+    def __init__(self, job: _Job) -> None:
+        self._job = job
+        self._idle: collections.defaultdict[str, list[_Caller]] = (
+            collections.defaultdict(list)
+        )
+        self.outcomes: list[Outcome] = []
+
+    async def run(self) -> None:
+        """Send everything and wait for the answers."""
+        load = self._job.load
+        loop = asyncio.get_running_loop()
+        tasks: set[asyncio.Task[None]] = set()
+        for arrival in load.arrivals[self._job.share :: self._job.shares]:
+            due_s = self._job.start_at_s + arrival.at_s
+            while (left_s := due_s - loop.time()) > 0.0:
+                await asyncio.sleep(left_s)
+            task = loop.create_task(self._send(arrival, due_s))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
+        if tasks:
+            await asyncio.wait(tasks, timeout=load.deadline_s + _CLOSE_S)
+
+    async def _send(self, arrival: _queueing.Arrival, due_s: float) -> None:
+        load = self._job.load
+        address = load.caller_addresses[arrival.entry]
+        loop = asyncio.get_running_loop()
+        sent_s = loop.time()
+        data = _encode(load, arrival, address)
+        try:
+            caller = await self._connect(address)
+            answer = await caller.send(data)
+            self._idle[address].append(caller)
+        except OSError as error:
+            answer = _Answer(body=str(error).encode())
+        self.outcomes.append(
+            Outcome(
+                arrival.index,
+                arrival.at_s,
+                arrival.run_s,
+                sent_s - due_s,
+                loop.time() - due_s,
+                answer.status,
+                answer.outcome,
+                answer.waited_s,
+                _detail(answer),
+            )
+        )
+
+    async def _connect(self, address: str) -> _Caller:
+        idle = self._idle[address]
+        now_s = asyncio.get_running_loop().time()
+        while idle:
+            caller = idle.pop()
+            assert caller.transport is not None
+            # A server may close an idle connection just as a request is
+            # written to it; the request would be counted as lost.
+            if now_s - caller.used_at_s > _IDLE_MAX_S:
+                caller.transport.close()
+            elif not caller.transport.is_closing():
+                return caller
+        host, _, port = address.partition(':')
+        _, caller = await asyncio.get_running_loop().create_connection(
+            _Caller, host, int(port)
+        )
+        return caller
+
+
+def _encode(load: Load, arrival: _queueing.Arrival, address: str) -> bytes:
+    idempotent = load.half_idempotent and arrival.index % 2 == 1
+    return (
+        f'POST /v1/requests/work HTTP/1.1\r\nhost: {address}\r\n'
+        f'x-run-s: {arrival.run_s:.6f}\r\n'
+        f'walnutpoint-deadline-s: {load.deadline_s}\r\n'
+        f'walnutpoint-idempotent: {str(idempotent).lower()}\r\n'
+        'content-length: 5\r\n\r\nbench'
+    ).encode()
+
+
+def _detail(answer: _Answer) -> str:
+    """Return why a request was not served."""
+    if answer.status == _OK:
+        return ''
+    try:
+        kind = msgspec.json.decode(answer.body)['error']['kind']
+    except (msgspec.DecodeError, KeyError, TypeError):
+        kind = answer.body.decode(errors='replace')[:80]
+    return f'{answer.status} {kind}'
+
+
+def main() -> None:
+    """Send one share of a load that comes by standard input."""
+    print('ready', flush=True)
+    job = msgspec.msgpack.decode(sys.stdin.buffer.read(), type=_Job)
+    sender = _Sender(job)
+    asyncio.run(sender.run())
+    path = pathlib.Path(sys.argv[1])
+    path.write_bytes(msgspec.msgpack.encode(sender.outcomes))
+
+
+if __name__ == '__main__':
+    main()
