--- a/packages/walnutpoint-core/src/walnutpoint_core/settings/_schema.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/settings/_schema.py
@@ -67,7 +67,7 @@
     ] = '/walnutpoint/'
     store_timeout_s: _ShortTime = 0.5
     host_list_timeout_s: _ShortTime = 0.5
-    host_list_period_s: _ShortTime = 0.5
+    host_list_period_s: _ShortTime = 1.0
 
 
 class OwnershipSettings(_Section):
@@ -76,7 +76,7 @@
     poll_period_s: _ShortTime = 0.2
     rest_poll_period_s: _ShortTime = 1.0
     heartbeat_period_s: _ShortTime = 0.2
-    rest_heartbeat_period_s: _ShortTime = 1.0
+    rest_heartbeat_period_s: _ShortTime = 2.0
     heartbeat_timeout_s: _ShortTime = 0.25
     suspect_after_s: _ShortTime = 0.6
     challenge_s: _ShortTime = 0.5
@@ -105,7 +105,6 @@
     eject_s: _LongTime = 2.0
     eject_max_s: _LongTime = 60.0
     longest_run_s: _LongTime = 60.0
-    idle_connection_s: _ShortTime = 30.0
     fresh_connection_s: _ShortTime = 1.0
     connect_timeout_s: _ShortTime = 0.5
     transit_s: _ShortTime = 0.6
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/callers/_parser.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/callers/_parser.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 import re
 import typing
 import uuid
@@ -22,6 +21,9 @@
     {'DELETE', 'GET', 'HEAD', 'OPTIONS', 'PUT', 'TRACE'}
 )
 _TEAM: typing.Final = re.compile(r'[a-z0-9][a-z0-9-]{0,62}')
+_KEY: typing.Final = re.compile(r'[ -~]{1,256}')
+_SECONDS: typing.Final = re.compile(r'[0-9]{1,9}(\.[0-9]{1,9})?')
+_PATH_PREFIX: typing.Final = '/v1/requests/'
 _CLASSES: typing.Final = {
     work_class.name.lower(): work_class for work_class in model.WorkClass
 }
@@ -55,6 +57,11 @@
     if declared is None:
         return _bad(_headers.IDEMPOTENT, 'true or false')
     key = fields.get(_headers.IDEMPOTENCY_KEY)
+    if key is not None and not _KEY.fullmatch(key):
+        return _bad(_headers.IDEMPOTENCY_KEY, '1 to 256 printable characters')
+    path = _path(http)
+    if path is None:
+        return _bad('path', f'{_PATH_PREFIX} and the endpoint path')
     body = await _body(http, limits.body_size_bytes)
     if body is None:
         return expression.Error(
@@ -69,7 +76,7 @@
             team=team,
             work_class=work_class,
             method=http.method,
-            path=_path(http),
+            path=path,
             headers=_end_to_end(http),
             body=body,
             received_at_s=now_s,
@@ -86,12 +93,9 @@
 ) -> float | None:
     if given is None:
         return requests.default_deadline_s
-    try:
-        deadline_s = float(given)
-    except ValueError:
-        return None
-    if not math.isfinite(deadline_s):
+    if not _SECONDS.fullmatch(given):
         return None
+    deadline_s = float(given)
     if not 0.0 < deadline_s <= requests.deadline_max_s:
         return None
     return deadline_s
@@ -108,9 +112,13 @@
     return bytes(parts)
 
 
-def _path(http: starlette.requests.Request) -> str:
+def _path(http: starlette.requests.Request) -> str | None:
     raw = http.scope.get('raw_path') or http.url.path.encode()
-    path = '/' + raw.decode('latin-1').split('/', 3)[3]
+    given = raw.decode('latin-1')
+    # The route was matched on the decoded path, this is the raw one.
+    if not given.startswith(_PATH_PREFIX):
+        return None
+    path = '/' + given.removeprefix(_PATH_PREFIX)
     query = http.scope['query_string'].decode('latin-1')
     return f'{path}?{query}' if query else path
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_assets.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_assets.py
@@ -4,9 +4,11 @@
 
 import collections.abc
 
+from walnutpoint_entry import jobs as jobs_module
 from walnutpoint_entry import ownership
 from walnutpoint_entry import peers
 from walnutpoint_entry import routing
+from walnutpoint_entry import tasks as tasks_module
 
 __all__ = ('Assets',)
 
@@ -14,7 +16,7 @@
 class Assets:
     """Pass changes of ownership to the fleet or to the shards."""
 
-    __slots__ = ('_fleet', '_links', '_shards')
+    __slots__ = ('_fleet', '_jobs', '_links', '_shards', '_tasks')
 
     def __init__(
         self,
@@ -26,6 +28,13 @@
         self._fleet = fleet
         self._shards = shards
 
+    def connect(
+        self, tasks: tasks_module.TaskService, jobs: jobs_module.JobService
+    ) -> None:
+        """Set the parts that need the ownership to be made first."""
+        self._tasks = tasks
+        self._jobs = jobs
+
     def follow(
         self, members: collections.abc.Iterable[ownership.Member]
     ) -> None:
@@ -35,10 +44,18 @@
     def gain(self, gain: ownership.Gain) -> None:
         """Start to use an asset."""
         self._part(gain.asset).gain(gain)
+        if ownership.is_shard(gain.asset):
+            self._jobs.gain(gain)
+        else:
+            self._tasks.gain(gain)
 
     def lose(self, loss: ownership.Loss) -> None:
         """Stop to start anything on an asset."""
         self._part(loss.asset).lose(loss)
+        if ownership.is_shard(loss.asset):
+            self._jobs.lose(loss)
+        else:
+            self._tasks.lose(loss)
 
     def lower_in_use(self, asset: str, in_use: int) -> None:
         """Take the old owner's word on the slots that it still uses."""
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_daemon.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_daemon.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import os
 import signal
+import sys
 import typing
 
 import anyio
 import anyio.abc
+import grpc.aio
 import hypercorn.asyncio
 import hypercorn.config
 import starlette.types
@@ -15,16 +18,21 @@
 from walnutpoint_core import settings as settings_module
 from walnutpoint_core import timer as timers
 from walnutpoint_entry import callers
+from walnutpoint_entry import configuration
+from walnutpoint_entry import console
+from walnutpoint_entry.daemon import _jobs
 from walnutpoint_entry.daemon import _parts
 from walnutpoint_entry.daemon import _surfaces
 from walnutpoint_entry import operators
 from walnutpoint_entry import peers
+from walnutpoint_entry import tasks as tasks_module
 
 __all__ = ('serve',)
 
 _LEAVE_WAIT_S: typing.Final = 30.0
 _LINGER_S: typing.Final = 1.0
 _CHECK_PERIOD_S: typing.Final = 0.02
+_STOPPED: typing.Final = 0
 _STOPPED_AT_ONCE: typing.Final = 1
 _EXPIRE_PERIOD_S: typing.Final = 1.0
 
@@ -36,9 +44,12 @@
     async with anyio.create_task_group() as tasks:
         parts = _parts.Parts(settings, timers.SystemTimer(), tasks)
         daemon = _Daemon(parts, tasks)
-        status = await daemon.run()
+        await daemon.run()
         tasks.cancel_scope.cancel()
-    return status
+    # Only now: a poll under way on a closed client raises, and a stop that
+    # lost nothing would end as a crash.
+    await parts.close()
+    return _STOPPED
 
 
 class _Daemon:
@@ -53,7 +64,6 @@
         self._closing = anyio.Event()
         self._closed = anyio.Event()
         self._ended = anyio.Event()
-        self._status = 0
         settings = parts.settings
         addresses = settings.addresses
         self._peer_server = peers.PeerServer(
@@ -62,9 +72,14 @@
             settings.limits.body_size_bytes,
             parts.timer,
             parts.peer_part,
+            (self._add_tasks,),
         )
 
-    async def run(self) -> int:
+    def _add_tasks(self, server: grpc.aio.Server) -> None:
+        parts = self._parts
+        tasks_module.add_to_server(server, parts.member, parts.tasks)
+
+    async def run(self) -> None:
         """Serve until a signal asks for the stop."""
         await self._peer_server.start()
         self._start_parts()
@@ -76,7 +91,6 @@
         )
         self._tasks.start_soon(self._watch_signals)
         await self._ended.wait()
-        return self._status
 
     async def _watch_signals(self) -> None:
         """Stop as planned at the first signal, and at once at the second."""
@@ -87,24 +101,27 @@
             async for number in signals:
                 _LOG.info('signal', number=int(number))
                 if is_stopping:
-                    self._status = _STOPPED_AT_ONCE
-                    self._ended.set()
-                    return
+                    # No clean-up: it would wait for the open requests.
+                    sys.stdout.flush()
+                    os._exit(_STOPPED_AT_ONCE)
                 is_stopping = True
                 self._tasks.start_soon(self._stop)
 
     def _start_parts(self) -> None:
         parts = self._parts
-        ownership = parts.settings.ownership
-        placement = parts.settings.placement
         self._tasks.start_soon(parts.ownership.run)
         self._tasks.start_soon(parts.ownership.run_fences)
         self._tasks.start_soon(parts.waiting.run)
+        self._tasks.start_soon(parts.tasks.run)
+        self._tasks.start_soon(
+            parts.jobs.run, parts.timer.subscribe(parts.jobs.period_s)
+        )
         self._tasks.start_soon(
-            parts.fleet.run,
-            parts.activity.subscribe(
-                placement.usage_period_s, ownership.rest_poll_period_s
-            ),
+            parts.configuration.run,
+            parts.timer.subscribe(lambda: configuration.FOLLOW_PERIOD_S),
+        )
+        self._tasks.start_soon(
+            parts.fleet.run, parts.timer.subscribe(self._usage_period_s)
         )
         self._tasks.start_soon(
             parts.shards.run,
@@ -112,15 +129,19 @@
         )
         self._tasks.start_soon(self._follow_hosts)
 
+    def _usage_period_s(self) -> float:
+        parts = self._parts
+        usual_s = parts.settings.placement.usage_period_s
+        if not parts.activity.is_fast():
+            usual_s = parts.settings.ownership.rest_poll_period_s
+        return parts.fleet.usage_period_s(usual_s)
+
     def _start_surfaces(self) -> None:
         settings = self._parts.settings
         caller_surface = callers.CallerSurface(
             self._parts.timer, settings, self._callers
         )
-        operator_surface = operators.OperatorSurface(
-            settings.security.operator_token,
-            _surfaces.OperatorPart(self._parts, self._callers),
-        )
+        operator_surface = self._operator_surface()
         self._tasks.start_soon(
             self._serve_http,
             caller_surface.app(),
@@ -134,6 +155,20 @@
             anyio.Event(),
         )
 
+    def _operator_surface(self) -> operators.OperatorSurface:
+        parts = self._parts
+        token = parts.settings.security.operator_token
+        handler = _surfaces.OperatorPart(parts, self._callers)
+        shown = operators.DocumentParts(
+            parts.configuration, parts.capacity, _jobs.JobRows(parts.jobs)
+        )
+        return operators.OperatorSurface(
+            token,
+            handler,
+            operators.DocumentApi(shown, handler),
+            console.ConsoleSurface(token, shown, handler).app(),
+        )
+
     async def _serve_http(
         self,
         app: starlette.types.ASGIApp,
@@ -170,6 +205,8 @@
                 'hosts_listed', version=version, hosts=len(listing.hosts)
             )
             parts.fleet.take_hosts(listing)
+            parts.tasks.take_hosts(listing)
+            parts.capacity.take_hosts(listing)
             parts.ownership.take_hosts(listing)
 
     async def _stop(self) -> None:
@@ -188,10 +225,6 @@
             while not self._is_quiet():
                 await parts.timer.sleep(_CHECK_PERIOD_S)
         await self._peer_server.stop(_LINGER_S)
-        parts.links.close()
-        await parts.client.aclose()
-        await parts.store.aclose()
-        await parts.host_list.aclose()
         _LOG.info('stopped', name=parts.member.name)
         self._ended.set()
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_parts.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_parts.py
@@ -2,23 +2,31 @@
 
 from __future__ import annotations
 
+import random
 import secrets
+import time
 
 import anyio.abc
 
+from walnutpoint_core import documents
 from walnutpoint_core import hosts
 from walnutpoint_core import settings as settings_module
 from walnutpoint_core import store
 from walnutpoint_core import timer as timers
+from walnutpoint_entry import configuration
 from walnutpoint_entry.daemon import _assets
+from walnutpoint_entry.daemon import _jobs
 from walnutpoint_entry.daemon import _peer_handler
 from walnutpoint_entry.daemon import _progress
+from walnutpoint_entry.daemon import _weights
 from walnutpoint_entry import endpoints
+from walnutpoint_entry import jobs as jobs_module
 from walnutpoint_entry import keys
 from walnutpoint_entry import ownership
 from walnutpoint_entry import peers
 from walnutpoint_entry import placement
 from walnutpoint_entry import routing
+from walnutpoint_entry import tasks as tasks_module
 
 __all__ = ('Parts',)
 
@@ -43,6 +51,13 @@
         self._make_routing()
         self._connect(tasks)
 
+    async def close(self) -> None:
+        """Close every connection."""
+        self.links.close()
+        await self.client.aclose()
+        await self.store.aclose()
+        await self.host_list.aclose()
+
     def _make_platform(self) -> None:
         platform = self.settings.platform
         self.store = store.EtcdStore(
@@ -97,16 +112,19 @@
     def _connect(self, tasks: anyio.abc.TaskGroup) -> None:
         settings = self.settings
         shards = settings.ownership.key_shards
+        assets = _assets.Assets(self.fleet, self.shards, self.links)
         self.ownership = ownership.OwnershipService(
             self.member,
             settings.ownership,
             self.timer,
             ownership.Control(self.store, settings.platform.store_prefix),
             self.activity,
-            _assets.Assets(self.fleet, self.shards, self.links),
+            assets,
             self.links,
             tasks,
         )
+        self._make_configuration()
+        self._make_tasks(assets, tasks)
         self.dispatcher = routing.Dispatcher(
             self.timer,
             settings.placement,
@@ -118,6 +136,7 @@
             self.journal,
             self.estimate,
             self.waiting,
+            self.tasks,
         )
         self.router = routing.Router(
             self.timer,
@@ -135,6 +154,57 @@
             self.ownership, self.dispatcher, self.router, self.shards
         )
 
+    def _make_configuration(self) -> None:
+        self.capacity = configuration.ListedCapacity()
+        registry = documents.DocumentRegistry(
+            self.store,
+            self.settings.platform.store_prefix,
+            timer=self.timer,
+            rng=random.Random(),
+        )
+        self.configuration = configuration.ConfigurationService(
+            registry,
+            self.timer,
+            lambda: self.ownership.config_revision,
+            (_weights.Weights(self.waiting),),
+        )
+        self.job_configurations = _jobs.JobConfigurations(
+            self.configuration, registry
+        )
+
+    def _make_tasks(
+        self, assets: _assets.Assets, tasks: anyio.abc.TaskGroup
+    ) -> None:
+        self.tasks = tasks_module.TaskService(
+            self.timer,
+            self.settings.placement,
+            self.ownership,
+            tasks_module.HttpWorkers(self.timer, self.client),
+            routing.TaskSlots(self.fleet),
+            tasks,
+        )
+        self.boards = tasks_module.PeerBoards(
+            self.timer, self.ownership, self.tasks, self.links
+        )
+        ownership_settings = self.settings.ownership
+        self.jobs = jobs_module.JobService(
+            self.timer,
+            jobs_module.JobSettings(
+                shards=ownership_settings.key_shards,
+                clock_rate_margin=ownership_settings.clock_rate_margin,
+                settle_s=ownership_settings.fence_s,
+            ),
+            self.ownership,
+            self.boards,
+            self.job_configurations,
+            self.store,
+            self.settings.platform.store_prefix,
+            time.time,
+            random.Random(),
+            tasks,
+        )
+        assets.connect(self.tasks, self.jobs)
+
     def _on_free(self) -> None:
         self.dispatcher.drain()
         if self.dispatcher.free_slots and not self.dispatcher.backlog:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_peer_handler.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_peer_handler.py
@@ -76,6 +76,15 @@
         self._ownership.observe_answer(state, sent_s)
         self._observe(state)
 
+    def observe_refusal(self, member: ownership.Member) -> None:
+        """Take note of a peer whose address refuses connections."""
+        self._ownership.observe_refusal(member)
+
+    def observe_free(self, member: ownership.Member, free_slots: int) -> None:
+        """Take a peer's word on its free slots, with an answer of it."""
+        self._hints.observe_free(member, free_slots)
+        self._dispatcher.drain()
+
     def observe_question(self, state: ownership.PeerState) -> None:
         """Take a heartbeat that a peer sent."""
         self._ownership.observe_question(state)
@@ -119,5 +128,4 @@
 
     def _observe(self, state: ownership.PeerState) -> None:
         self._hints.observe(state)
-        if state.free_slots:
-            self._dispatcher.drain()
+        self._dispatcher.drain()
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_call.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_call.py
@@ -54,7 +54,6 @@
         'guard',
         'is_written',
         'message',
-        'needs_fresh',
         'single_use',
     )
 
@@ -64,13 +63,11 @@
         guard: collections.abc.Callable[[], bool],
         ends_at_s: float,
         *,
-        needs_fresh: bool = False,
         single_use: bool = False,
     ) -> None:
         self.message = message
         self.guard = guard
         self.ends_at_s = ends_at_s
-        self.needs_fresh = needs_fresh
         self.single_use = single_use
         self.is_written = False
         self._answer: asyncio.Future[CallResult] = (
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_client.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_client.py
@@ -58,7 +58,6 @@
             _message.from_request(call.address, call.request, call.epoch),
             call.guard,
             self._timer.now_s() + call.timeout_s,
-            needs_fresh=not call.request.idempotent,
         )
         return await pool.call(assignment)
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_pool.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_pool.py
@@ -103,17 +103,16 @@
     def _give(self, assignment: _call.Assignment) -> bool:
         # The newest idle connection is the likeliest to be known to whatever
         # stands between. On one that is forgotten there, the request gets no
-        # answer and whether it ran is not known; a new one costs a round trip.
+        # answer: whether it ran is not known, and one that may run twice has
+        # lost its time when that is noticed. A new one costs a round trip.
         while self._idle:
-            connection = self._idle[-1]
+            connection = self._idle.pop()
             idle_s = self._timer.now_s() - connection.idle_since_s
             if (
-                assignment.needs_fresh
-                and idle_s > self._settings.fresh_connection_s
+                idle_s <= self._settings.fresh_connection_s
+                and connection.is_reusable
+                and connection.give(assignment)
             ):
-                return False
-            self._idle.pop()
-            if connection.is_reusable and connection.give(assignment):
                 return True
             connection.give(None)
         return False
@@ -180,7 +179,7 @@
             connection.idle_since_s = self._timer.now_s()
             self._idle.append(connection)
             assignment = await connection.next_assignment(
-                self._settings.idle_connection_s
+                self._settings.fresh_connection_s
             )
 
     async def _open(
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_memory.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_memory.py
@@ -118,7 +118,7 @@
     def close_shard(
         self, shard: int, now_s: float
     ) -> tuple[_entry.Entry, ...]:
-        """Answer what has not started as unknown, and return it.
+        """Give up what has not started, and return it.
 
         The keys stay for export; started entries finish as usual.
         """
@@ -131,9 +131,17 @@
             for known in held.keys.values()
             if isinstance(known, _entry.Entry) and not known.started
         )
-        lost = errors.Failure(_KIND.ANSWER_LOST, 'the home of the key moved')
+        # A planned stop would fail each request that waits for a slot here.
+        # It never starts now, so its key is left out of the memory, and who
+        # sent it asks the next home, which runs it or knows a repeat of it.
+        lost = errors.Failure(
+            _KIND.PEER_ANSWER_LOST, 'the home of the key moved'
+        )
         for entry in waiting:
-            self.finish(entry, expression.Error(lost), now_s)
+            entry.settle(expression.Error(lost))
+            del held.keys[entry.key]
+            self._key_count -= 1
+            self._in_flight -= 1
         return waiting
 
     def discard_shard(self, shard: int) -> None:
@@ -317,8 +325,9 @@
     finished: _finished.Finished,
 ) -> expression.Result[_entry.Verdict, errors.Failure]:
     if finished.state is _STATE.IN_FLIGHT:
+        # The former home sends the answer when it has it: ask again.
         return _error(
-            _KIND.ANSWER_LOST, 'in flight at the former home', _RETRY_S
+            _KIND.PEER_ANSWER_LOST, 'in flight at the former home', _RETRY_S
         )
     if finished.state is _STATE.FORGOTTEN:
         return _error(_KIND.ANSWER_FORGOTTEN, 'it ran; its answer is gone')
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_mint.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_mint.py
@@ -23,7 +23,8 @@
 
 CLOCK_AHEAD_RATIO = 0.1
 _PREFIX = 'wp1.'
-_FOREIGN_LENGTH_MAX = 256
+# A caller's 256 characters and the team that they are scoped by.
+_FOREIGN_LENGTH_MAX = 320
 _NONCE_SIZE_BYTES = 12
 _TAG_SIZE_BYTES = 16
 _HASH_SIZE_BYTES = 8
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_activity.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_activity.py
@@ -12,6 +12,7 @@
 
     __slots__ = (
         '_busy_until_s',
+        '_fast_since_s',
         '_peer_busy_until_s',
         '_rest_after_s',
         '_subscriptions',
@@ -22,6 +23,7 @@
         self._timer = timer
         self._rest_after_s = rest_after_s
         self._busy_until_s = timer.now_s() + rest_after_s
+        self._fast_since_s = timer.now_s()
         self._peer_busy_until_s = float('-inf')
         self._subscriptions: list[timers.Subscription] = []
 
@@ -42,20 +44,26 @@
         was_fast = self.is_fast()
         self._busy_until_s = self._timer.now_s() + self._rest_after_s
         if not was_fast:
-            self.wake()
+            self._begin()
 
     def touch_peer(self) -> None:
         """Note that another process has work."""
         was_fast = self.is_fast()
         self._peer_busy_until_s = self._timer.now_s() + self._rest_after_s
         if not was_fast:
-            self.wake()
+            self._begin()
 
     def wake(self) -> None:
         """Wake every subscriber now."""
         for subscription in self._subscriptions:
             subscription.wake()
 
+    def fast_for_s(self) -> float:
+        """Return how long some process has had work, zero while all rest."""
+        if not self.is_fast():
+            return 0.0
+        return self._timer.now_s() - self._fast_since_s
+
     def is_busy(self) -> bool:
         """Tell whether this process has work of its own."""
         return self._timer.now_s() < self._busy_until_s
@@ -64,3 +72,7 @@
         """Tell whether any process is known to have work."""
         now_s = self._timer.now_s()
         return now_s < max(self._busy_until_s, self._peer_busy_until_s)
+
+    def _begin(self) -> None:
+        self._fast_since_s = self._timer.now_s()
+        self.wake()
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_handover.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_handover.py
@@ -28,7 +28,14 @@
 class Handover:
     """Release assets, then report their slots until the last is free."""
 
-    __slots__ = ('_draining', '_listener', '_sender', '_tasks', '_timer')
+    __slots__ = (
+        '_draining',
+        '_listener',
+        '_releasing',
+        '_sender',
+        '_tasks',
+        '_timer',
+    )
 
     def __init__(
         self,
@@ -42,11 +49,16 @@
         self._sender = sender
         self._tasks = tasks
         self._draining = 0
+        self._releasing = 0
 
     def is_done(self) -> bool:
         """Tell whether every hand-over has ended."""
         return self._draining == 0
 
+    def is_released(self) -> bool:
+        """Tell whether every lost asset was released, or given up."""
+        return self._releasing == 0
+
     def begin(
         self,
         placed: _table.PlacedTable,
@@ -64,6 +76,7 @@
                 groups[loss.successor, kind][loss.asset] = loss.epoch
         for (successor, _), assets in groups.items():
             self._draining += 1
+            self._releasing += 1
             self._tasks.start_soon(self._run, placed, successor, assets)
 
     async def _run(
@@ -73,11 +86,7 @@
         epochs: dict[str, int],
     ) -> None:
         try:
-            for asset in epochs:
-                await self._listener.hand_over(
-                    asset, placed.table.epoch(asset), successor
-                )
-            is_taken = await self._send(placed, successor, epochs)
+            is_taken = await self._release(placed, successor, epochs)
             _LOG.info(
                 'assets_released',
                 successor=successor.name,
@@ -89,6 +98,21 @@
         finally:
             self._draining -= 1
 
+    async def _release(
+        self,
+        placed: _table.PlacedTable,
+        successor: _table.Member,
+        epochs: dict[str, int],
+    ) -> bool:
+        try:
+            for asset in epochs:
+                await self._listener.hand_over(
+                    asset, placed.table.epoch(asset), successor
+                )
+            return await self._send(placed, successor, epochs)
+        finally:
+            self._releasing -= 1
+
     async def _send(
         self,
         placed: _table.PlacedTable,
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_liveness.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_liveness.py
@@ -74,9 +74,23 @@
         for known in self._heard_s:
             if known.address == member.address:
                 self._replaced.add(known)
+        # Two incarnations at one address are one process and its successor:
+        # with both in the table, the dead one would get endpoints.
+        self._joiners = {
+            known: heard_s
+            for known, heard_s in self._joiners.items()
+            if known.address != member.address
+        }
         if not is_stopping:
             self._joiners[member] = now_s
 
+    def refuse(self, member: _table.Member) -> None:
+        """Note that a member's address refuses connections."""
+        # Its process has ended, or the way to it is cut. It is challenged at
+        # once: if it lives, it answers, and nothing was lost but one write.
+        if member in self._heard_s:
+            self._heard_s[member] = float('-inf')
+
     def list_challenges(
         self,
         revisions: collections.abc.Mapping[_table.Member, int],
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_proposer.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_proposer.py
@@ -73,16 +73,20 @@
         """Leave the table at the next proposal."""
         self._stopping = True
 
-    async def challenge(self, now_s: float) -> None:
-        """Challenge every member that has been silent too long."""
+    async def challenge(self, now_s: float) -> bool:
+        """Challenge the members that are silent; tell whether any was."""
+        is_any_written = False
         for member in self._liveness.unchallenged(self._silence_s(), now_s):
             reply = await self._control.challenge(member)
+            is_written = reply.is_ok() and reply.ok.applied
+            is_any_written |= is_written
             _LOG.info(
                 'member_challenged',
                 member=member.name,
                 address=member.address,
-                written=reply.is_ok() and reply.ok.applied,
+                written=is_written,
             )
+        return is_any_written
 
     def proposal(
         self, placed: _table.PlacedTable | None, now_s: float
@@ -116,7 +120,9 @@
 
     def _silence_s(self) -> float:
         settings = self._settings
-        if self._activity.is_fast():
+        # Just after a rest the last heartbeats are old because they were
+        # slow: every peer would be challenged though none is silent.
+        if self._activity.fast_for_s() > settings.suspect_after_s:
             return settings.suspect_after_s
         return max(
             settings.suspect_after_s,
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_service.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_service.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import collections.abc
+import typing
 
+import anyio
 import anyio.abc
 
 from walnutpoint_core import errors
@@ -24,6 +26,8 @@
 
 __all__ = ('OwnershipService',)
 
+_HANDOVER_S: typing.Final = 1.0
+
 _LOG = logs.get_logger(__name__)
 
 
@@ -32,6 +36,7 @@
 
     __slots__ = (
         '_activity',
+        '_adopted_at_s',
         '_config_revision',
         '_confirmation',
         '_control',
@@ -40,6 +45,7 @@
         '_liveness',
         '_member',
         '_placed',
+        '_poll_ended',
         '_polls',
         '_proposer',
         '_settings',
@@ -75,7 +81,9 @@
             member, settings, control, self._liveness, activity
         )
         self._placed: _table.PlacedTable | None = None
+        self._adopted_at_s = float('-inf')
         self._config_revision = 0
+        self._poll_ended: anyio.Event | None = None
         self._stopping = False
         self._polls = activity.subscribe(
             settings.poll_period_s, settings.rest_poll_period_s
@@ -173,6 +181,11 @@
             state.member, state.table_revision, sent_s
         )
 
+    def observe_refusal(self, member: _table.Member) -> None:
+        """Take note of a peer whose address refuses connections."""
+        self._liveness.refuse(member)
+        self._polls.wake()
+
     def observe_question(self, state: _peers.PeerState) -> None:
         """Take a heartbeat that a peer sent."""
         self._observe(state)
@@ -209,6 +222,21 @@
 
     async def poll(self) -> None:
         """Read the control keys once and act on what they say."""
+        # Each request that finds the ownership unconfirmed asks for a poll:
+        # under load, one poll each would delay the heartbeats that confirm,
+        # so that still more requests would poll. All share the one that is
+        # under way.
+        if self._poll_ended is not None:
+            await self._poll_ended.wait()
+            return
+        self._poll_ended = anyio.Event()
+        try:
+            await self._poll()
+        finally:
+            self._poll_ended.set()
+            self._poll_ended = None
+
+    async def _poll(self) -> None:
         sent_s = self._timer.now_s()
         listed = await self._control.listing()
         if listed.is_error():
@@ -254,6 +282,7 @@
         if placed.revision <= self.table_revision:
             return
         now_s = self._timer.now_s()
+        self._adopted_at_s = now_s
         self._placed = placed
         self._confirmation.adopt(placed, sent_s)
         losses = self._succession.adopt(placed, now_s)
@@ -269,6 +298,8 @@
         for loss in losses:
             self._listener.lose(loss)
         self._handover.begin(placed, losses)
+        # The fence runs from the acknowledgements, which heartbeats carry.
+        self._activity.wake()
         _LOG.info(
             'table_adopted',
             revision=placed.revision,
@@ -306,10 +337,23 @@
                 revisions[by_identity[identity]] = challenge.revision
         self._liveness.list_challenges(revisions, self._timer.now_s())
 
+    def _is_changing(self, now_s: float) -> bool:
+        """Tell whether a hand-over under the present table is under way."""
+        # A next table that moves an asset on before its new owner is active
+        # leaves nobody to release it: its slots wait for the fence, and its
+        # key memory is lost. The wait is bounded, as the new owner may die.
+        if now_s >= self._adopted_at_s + _HANDOVER_S:
+            return False
+        return bool(
+            self._succession.pending() or not self._handover.is_released()
+        )
+
     async def _propose(self) -> None:
         now_s = self._timer.now_s()
-        await self._proposer.challenge(now_s)
-        if not self._succession.is_settled():
+        if await self._proposer.challenge(now_s):
+            # A challenge counts from when it is seen in the store.
+            self._polls.wake()
+        if not self._succession.is_settled() or self._is_changing(now_s):
             return
         proposal = self._proposer.proposal(self._placed, now_s)
         if proposal is None:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_link.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_link.py
@@ -30,9 +30,13 @@
 _RETIRED_SILENT_PROBES: typing.Final = 4
 _CALL_GRACE_S: typing.Final = 1.0
 _RELEASE_TIMEOUT_S: typing.Final = 1.0
+_REFUSALS_OF_ADDRESS: typing.Final = 2
 
 _LOG = logs.get_logger(__name__)
 
+# The stubs are generated without types.
+_Call: typing.TypeAlias = 'grpc.aio.UnaryUnaryCall[typing.Any, typing.Any]'
+
 
 class LinkObserver(typing.Protocol):
     """The parts that a link asks for its heartbeats and tells of answers."""
@@ -45,6 +49,12 @@
     ) -> None:
         """Take the answer to a heartbeat."""
 
+    def observe_refusal(self, member: ownership.Member) -> None:
+        """Take note of a peer whose address refuses connections."""
+
+    def observe_free(self, member: ownership.Member, free_slots: int) -> None:
+        """Take a peer's word on its free slots, with an answer of it."""
+
 
 class Link:
     """One peer's channel; a silent one is replaced by a new one."""
@@ -57,6 +67,7 @@
         '_message_size_bytes',
         '_metadata',
         '_observer',
+        '_refusals',
         '_retired',
         '_settings',
         '_stub',
@@ -79,6 +90,7 @@
         self._metadata = ((_channel.TOKEN_HEADER, token),)
         self._observer = observer
         self._heard = False
+        self._refusals = 0
         self._retired: set[asyncio.Task[None]] = set()
         self._dial()
 
@@ -93,11 +105,22 @@
 
     async def run(self, ticks: collections.abc.AsyncIterable[float]) -> None:
         """Send heartbeats for ever."""
+        async for sent_s in ticks:
+            await self._beat(sent_s)
+
+    async def finish(self) -> None:
+        """Close the link to a former member."""
+        # A member that stops as planned still runs what was sent to it. Its
+        # caller would be told unknown if the call were cut here; a silent
+        # member answers no more, and its callers are told so at once.
         try:
-            async for sent_s in ticks:
-                await self._beat(sent_s)
+            if self._heard:
+                self._replace()
+                await asyncio.gather(*self._retired)
         finally:
-            await self._close()
+            for task in self._retired:
+                task.cancel()
+            await self._channel.close()
 
     async def place(
         self, request: model.Request
@@ -111,6 +134,22 @@
         """Ask the peer to serve a request as the home of its key."""
         return await self._send_request(request, 'Serve')
 
+    async def call(
+        self,
+        stub: collections.abc.Callable[[grpc.aio.Channel], typing.Any],
+        method: str,
+        message: typing.Any,
+        timeout_s: float,
+    ) -> expression.Result[typing.Any, errors.Failure]:
+        """Call a method of another service of the peer."""
+        if not self._heard:
+            return _unreachable(self._member)
+        call = getattr(stub(self._channel), method)(
+            message, timeout=timeout_s, metadata=self._metadata
+        )
+        called = await self._complete(call)
+        return called.map_error(self._lost)
+
     async def release(self, message: peer_pb2.ReleaseMessage) -> bool:
         """Send released assets and tell whether they were taken."""
         return await self._send_release('Release', message)
@@ -124,24 +163,20 @@
             self._member.address, self._message_size_bytes
         )
         self._stub = peer_pb2_grpc.PeerStub(self._channel)
-        self._calls: set[asyncio.Task[peer_pb2.ResultMessage]] = set()
+        self._calls: set[_Call] = set()
 
     async def _beat(self, sent_s: float) -> None:
-        try:
-            answer = await self._stub.Heartbeat(
-                _codec.encode_state(self._observer.own_state()),
-                timeout=self._settings.heartbeat_timeout_s,
-                metadata=self._metadata,
-            )
-        except grpc.aio.AioRpcError as error:
+        called = await _result_of(self._heartbeat(self._stub))
+        if called.is_error():
             if self._heard:
                 _LOG.warning(
                     'peer_silent',
                     peer=self._member.name,
                     address=self._member.address,
-                    code=error.code().name,
+                    code=called.error,
                 )
             self._heard = False
+            self._count_refusal(called.error)
             self._replace()
             return
         if not self._heard:
@@ -151,7 +186,24 @@
                 address=self._member.address,
             )
         self._heard = True
-        self._observer.observe_answer(_codec.decode_state(answer), sent_s)
+        self._refusals = 0
+        state = _codec.decode_state(called.ok)
+        self._observer.observe_answer(state, sent_s)
+
+    def _count_refusal(self, code: str) -> None:
+        # The first one may be of the connection only; the second one is of a
+        # new connection, and so of the address.
+        is_refused = code == grpc.StatusCode.UNAVAILABLE.name
+        self._refusals = self._refusals + 1 if is_refused else 0
+        if self._refusals == _REFUSALS_OF_ADDRESS:
+            self._observer.observe_refusal(self._member)
+
+    def _heartbeat(self, stub: peer_pb2_grpc.PeerStub) -> _Call:
+        return stub.Heartbeat(
+            _codec.encode_state(self._observer.own_state()),
+            timeout=self._settings.heartbeat_timeout_s,
+            metadata=self._metadata,
+        )
 
     def _replace(self) -> None:
         # Something between the two ends may have lost track of this
@@ -167,7 +219,7 @@
     async def _retire(
         self,
         channel: grpc.aio.Channel,
-        calls: set[asyncio.Task[peer_pb2.ResultMessage]],
+        calls: set[_Call],
     ) -> None:
         """Keep an old channel while its calls may still be answered."""
         stub = peer_pb2_grpc.PeerStub(channel)
@@ -175,16 +227,8 @@
         try:
             while calls and silent_probes < _RETIRED_SILENT_PROBES:
                 await self._timer.sleep(_RETIRED_PROBE_S)
-                silent_probes += 1
-                try:
-                    await stub.Heartbeat(
-                        _codec.encode_state(self._observer.own_state()),
-                        timeout=self._settings.heartbeat_timeout_s,
-                        metadata=self._metadata,
-                    )
-                    silent_probes = 0
-                except grpc.aio.AioRpcError:
-                    continue
+                probed = await _result_of(self._heartbeat(stub))
+                silent_probes = 0 if probed.is_ok() else silent_probes + 1
         finally:
             await channel.close()
 
@@ -199,29 +243,26 @@
             timeout=request.deadline_at_s - now_s + _CALL_GRACE_S,
             metadata=self._metadata,
         )
-        self._calls.add(call)
+        called = await self._complete(call)
+        if called.is_ok():
+            self._observer.observe_free(self._member, called.ok.free_slots)
+            return _codec.decode_result(called.ok)
+        return expression.Error(self._lost(called.error))
+
+    def _lost(self, code: str) -> errors.Failure:
+        return errors.Failure(
+            errors.ErrorKind.PEER_ANSWER_LOST,
+            f'{self._member.name}: {code}',
+        )
+
+    async def _complete(
+        self, call: _Call
+    ) -> expression.Result[typing.Any, str]:
+        """Await a call that a retired channel stays open for."""
         calls = self._calls
+        calls.add(call)
         try:
-            return _codec.decode_result(await call)
-        except grpc.aio.AioRpcError as error:
-            return expression.Error(
-                errors.Failure(
-                    errors.ErrorKind.PEER_ANSWER_LOST,
-                    f'{self._member.name}: {error.code().name}',
-                )
-            )
-        except asyncio.CancelledError:
-            # Closing a channel cancels its calls; only a cancellation of
-            # this very task may go on as one.
-            task = asyncio.current_task()
-            if task is not None and task.cancelling():
-                raise
-            return expression.Error(
-                errors.Failure(
-                    errors.ErrorKind.PEER_ANSWER_LOST,
-                    f'{self._member.name}: the connection went silent',
-                )
-            )
+            return await _result_of(call)
         finally:
             calls.discard(call)
 
@@ -230,23 +271,32 @@
         method: str,
         message: peer_pb2.ReleaseMessage | peer_pb2.KeyBatch,
     ) -> bool:
-        try:
-            reply = await getattr(self._stub, method)(
-                message, timeout=_RELEASE_TIMEOUT_S, metadata=self._metadata
-            )
-        except grpc.aio.AioRpcError:
-            return False
-        return reply.accepted
+        call = getattr(self._stub, method)(
+            message, timeout=_RELEASE_TIMEOUT_S, metadata=self._metadata
+        )
+        called = await self._complete(call)
+        return called.is_ok() and called.ok.accepted
+
 
-    async def _close(self) -> None:
-        for task in self._retired:
-            task.cancel()
-        await self._channel.close()
+async def _result_of(call: _Call) -> expression.Result[typing.Any, str]:
+    """Return a call's answer, or the code that it failed with."""
+    try:
+        return expression.Ok(await call)
+    except grpc.aio.AioRpcError as error:
+        return expression.Error(error.code().name)
+    except asyncio.CancelledError:
+        # Closing a channel cancels its calls, and a cancelled call raises as
+        # if its caller were cancelled: one silent peer would end the whole
+        # process. Only a cancellation of this very task may go on as one.
+        task = asyncio.current_task()
+        if task is not None and task.cancelling():
+            raise
+        return expression.Error('CONNECTION_SILENT')
 
 
 def _unreachable(
     member: ownership.Member,
-) -> expression.Result[model.Answer, errors.Failure]:
+) -> expression.Result[typing.Any, errors.Failure]:
     return expression.Error(
         errors.Failure(
             errors.ErrorKind.PEER_UNREACHABLE,
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_links.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_links.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import typing
 
 from walnutpoint_core import settings as settings_module
 from walnutpoint_core import timer as timers
@@ -16,11 +17,15 @@
 __all__ = ('Links',)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+_NUDGE_PERIOD_S: typing.Final = 0.01
+
+
+@dataclasses.dataclass(slots=True)
 class _Running:
     link: _link.Link
     task: asyncio.Task[None]
     ticks: timers.Subscription
+    nudged_s: float = float('-inf')
 
 
 class Links:
@@ -28,6 +33,7 @@
 
     __slots__ = (
         '_activity',
+        '_finishing',
         '_member',
         '_message_size_bytes',
         '_observer',
@@ -55,6 +61,7 @@
         self._activity = activity
         self._observer = observer
         self._running: dict[str, _Running] = {}
+        self._finishing: set[asyncio.Task[None]] = set()
 
     def follow(
         self, members: collections.abc.Iterable[ownership.Member]
@@ -87,10 +94,16 @@
     def nudge(
         self, members: collections.abc.Iterable[ownership.Member]
     ) -> None:
-        """Send a heartbeat to some members now."""
+        """Send a heartbeat to some members now, if none just went."""
+        now_s = self._timer.now_s()
         for member in members:
             running = self._running.get(member.address)
-            if running is not None:
+            if running is None:
+                continue
+            # Under load a slot comes free for every request: a heartbeat
+            # each would cost more than what it brings.
+            if now_s >= running.nudged_s + _NUDGE_PERIOD_S:
+                running.nudged_s = now_s
                 running.ticks.wake()
 
     async def send_release(
@@ -127,9 +140,11 @@
         return link is not None and await link.import_keys(batch)
 
     def close(self) -> None:
-        """Close every link."""
+        """Close every link at once."""
         for address in list(self._running):
             self._stop(address)
+        for task in self._finishing:
+            task.cancel()
 
     def _start(self, member: ownership.Member) -> None:
         link = _link.Link(
@@ -151,3 +166,6 @@
         running = self._running.pop(address)
         self._activity.unsubscribe(running.ticks)
         running.task.cancel()
+        task = asyncio.ensure_future(running.link.finish())
+        self._finishing.add(task)
+        task.add_done_callback(self._finishing.discard)
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_server.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import hmac
 import typing
 
@@ -75,6 +76,9 @@
         message_size_bytes: int,
         timer: timers.Timer,
         handler: PeerHandler,
+        registrars: collections.abc.Iterable[
+            collections.abc.Callable[[grpc.aio.Server], None]
+        ] = (),
     ) -> None:
         self._server = grpc.aio.server(
             interceptors=(_TokenInterceptor(token, handler),),
@@ -83,6 +87,8 @@
         peer_pb2_grpc.add_PeerServicer_to_server(
             _Servicer(timer, handler), self._server
         )
+        for register in registrars:
+            register(self._server)
         self._server.add_insecure_port(address)
 
     async def start(self) -> None:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/placement/_pool.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/placement/_pool.py
@@ -157,6 +157,21 @@
             return None
         return self._lease(account)
 
+    def acquire_at(self, endpoint: str) -> SlotLease | None:
+        """Take a slot of one open endpoint, if one is free."""
+        account = self._accounts.get(endpoint)
+        if account is None or account.closed or not account.unused:
+            return None
+        return self._lease(account)
+
+    def claim(self, endpoint: str) -> SlotLease | None:
+        """Take the slot of work that was found running at an endpoint."""
+        account = self._accounts.get(endpoint)
+        if account is None:
+            return None
+        account.doubtful = max(0, account.doubtful - 1)
+        return self._lease(account)
+
     def release(self, lease: SlotLease) -> None:
         """Free a lease's slot; without effect the second time."""
         account = self._leases.pop(lease.serial, None)
@@ -198,6 +213,11 @@
         if account is not None:
             self._resize(account, slots)
 
+    def free_slots_at(self, endpoint: str) -> int:
+        """Return the free slots of one endpoint, none if it is closed."""
+        account = self._accounts.get(endpoint)
+        return 0 if account is None or account.closed else account.unused
+
     @property
     def free_slots(self) -> int:
         """Return the free slots of the open endpoints."""
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/__init__.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/__init__.py
@@ -9,6 +9,7 @@
 from walnutpoint_entry.routing._journal import Journal
 from walnutpoint_entry.routing._router import Router
 from walnutpoint_entry.routing._shards import Shards
+from walnutpoint_entry.routing._task_slots import TaskSlots
 from walnutpoint_entry.routing._waiting import WaitingRoom
 
 __all__ = (
@@ -19,5 +20,6 @@
     'Journal',
     'Router',
     'Shards',
+    'TaskSlots',
     'WaitingRoom',
 )
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_dispatcher.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_dispatcher.py
@@ -63,6 +63,25 @@
     attempts: int = 0
     tried: set[str] = dataclasses.field(default_factory=set)
     refused_by: set[str] = dataclasses.field(default_factory=set)
+    lost: errors.Failure | None = None
+
+    def note(self, failure: errors.Failure) -> None:
+        """Note a failed attempt."""
+        if failure.outcome is errors.Outcome.UNKNOWN:
+            self.lost = failure
+
+    def failure(self, last: errors.Failure) -> errors.Failure:
+        """Return what its attempts together came to."""
+        # An idempotent request whose first attempt ran, and whose second one
+        # was refused, has run: its caller must not be told not-run.
+        return self.lost or last
+
+
+class RoomMaker(typing.Protocol):
+    """The part that can end batch tasks to free their slots."""
+
+    def make_room(self, slots: int) -> int:
+        """Free slots for urgent requests, and return how many."""
 
 
 class Dispatcher:
@@ -77,6 +96,7 @@
         '_journal',
         '_links',
         '_ownership',
+        '_room',
         '_settings',
         '_timer',
         '_waiting',
@@ -94,6 +114,7 @@
         journal: _journal.Journal,
         estimate: placement.WaitEstimate,
         waiting: _waiting.WaitingRoom,
+        room: RoomMaker,
     ) -> None:
         self._timer = timer
         self._settings = settings
@@ -105,6 +126,7 @@
         self._journal = journal
         self._estimate = estimate
         self._waiting = waiting
+        self._room = room
         self._budget = placement.RetryBudget(
             settings.retry_budget_ratio,
             settings.retry_budget_minimum_per_s,
@@ -131,8 +153,11 @@
         course = _Course(request, gate)
         while True:
             result = await self._attempt(course)
-            if result.is_ok() or not self._may_retry(course, result.error):
+            if result.is_ok():
                 return result
+            course.note(result.error)
+            if not self._may_retry(course, result.error):
+                return expression.Error(course.failure(result.error))
 
     async def place(self, request: model.Request) -> _Served:
         """Run a peer's request on an endpoint owned here, or refuse it."""
@@ -199,7 +224,7 @@
 
     async def _queue(self, course: _Course) -> _Served:
         request = course.request
-        if not self._fleet.total_slots and not self._links.heard():
+        if not self._may_find_slot():
             return self._refused(course, errors.Failure(_KIND.NO_ENDPOINTS))
         verdict = self._estimate.verdict(
             request,
@@ -209,7 +234,13 @@
         )
         if verdict.is_error():
             return self._refused(course, verdict.error)
-        granted = await self._waiting.wait(request, self._fleet.give_back)
+        if request.work_class is model.WorkClass.URGENT:
+            self._room.make_room(
+                self._waiting.ahead_of(request.work_class) + 1
+            )
+        granted = await self._waiting.wait(
+            request, self._fleet.give_back, self.drain
+        )
         if granted.is_error():
             return self._refused(course, granted.error)
         grant = granted.ok
@@ -218,6 +249,11 @@
         assert grant.peer is not None
         return await self._run_at(course, grant.peer, 'offered')
 
+    def _may_find_slot(self) -> bool:
+        if not self._fleet.has_live_hosts:
+            return False
+        return bool(self._fleet.total_slots or self._links.heard())
+
     async def _run_here(
         self, course: _Course, lease: placement.SlotLease, reason: str
     ) -> _Served:
@@ -297,7 +333,7 @@
 
     def _may_retry(self, course: _Course, failure: errors.Failure) -> bool:
         now_s = self._timer.now_s()
-        if course.attempts >= _ATTEMPTS_MAX:
+        if course.attempts >= _ATTEMPTS_MAX or course.gate.is_shut():
             return False
         if now_s >= course.request.deadline_at_s:
             return False
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_fleet.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_fleet.py
@@ -4,6 +4,7 @@
 
 import collections
 import collections.abc
+import typing
 
 import anyio
 
@@ -21,6 +22,10 @@
 _NOT_ACTIVE = placement.ClosedReason.NOT_ACTIVE
 _LEAVING = placement.ClosedReason.LEAVING
 _EJECTED = placement.ClosedReason.EJECTED
+_REPORT_MARGIN_S = 0.005
+
+# Of a host that has left the list while a request was on its way to it.
+_CONNECTIONS_MIN: typing.Final = 1
 
 _LOG = logs.get_logger(__name__)
 
@@ -31,15 +36,18 @@
     __slots__ = (
         '_client',
         '_ejected',
+        '_has_live_hosts',
         '_hosts',
         '_ledger',
         '_on_free',
         '_outliers',
         '_owned',
         '_pool',
+        '_reports_from_s',
         '_running',
         '_timer',
         '_transit_s',
+        '_unlisted',
     )
 
     def __init__(
@@ -61,7 +69,11 @@
             settings.eject_max_s,
         )
         self._hosts: dict[str, model.ListedHost] = {}
+        self._reports_from_s = float('-inf')
+        # Nothing is known before the first list: requests may wait for it.
+        self._has_live_hosts = True
         self._owned: set[str] = set()
+        self._unlisted: dict[str, ownership.Gain] = {}
         self._ejected: frozenset[str] = frozenset()
         self._running: collections.defaultdict[str, set[str]] = (
             collections.defaultdict(set)
@@ -77,13 +89,19 @@
         """Return the slots of all owned endpoints."""
         return self._pool.total_slots
 
+    @property
+    def has_live_hosts(self) -> bool:
+        """Return whether any host, owned here or not, may get work."""
+        return self._has_live_hosts
+
     def snapshot(self) -> tuple[placement.EndpointView, ...]:
         """Return the state of every endpoint."""
         return self._pool.snapshot()
 
     def connections_max(self, endpoint: str) -> int:
         """Return how many connections an endpoint takes."""
-        return self._hosts[endpoint].connections
+        host = self._hosts.get(endpoint)
+        return _CONNECTIONS_MIN if host is None else host.connections
 
     def acquire(self, exclude: frozenset[str]) -> placement.SlotLease | None:
         """Take a slot: a due probe's first, then the preferred one."""
@@ -95,9 +113,27 @@
                 return lease
         return self._pool.acquire(exclude)
 
+    def free_slots_at(self, endpoint: str) -> int:
+        """Return the free slots of one endpoint."""
+        return self._pool.free_slots_at(endpoint)
+
+    def acquire_at(self, endpoint: str) -> placement.SlotLease | None:
+        """Take a slot of one endpoint, if one is free."""
+        return self._pool.acquire_at(endpoint)
+
+    def claim(self, endpoint: str) -> placement.SlotLease | None:
+        """Take the slot of a task that was found at an endpoint."""
+        return self._pool.claim(endpoint)
+
+    def open(self, endpoint: str) -> None:
+        """Let requests start on a gained endpoint."""
+        self._pool.open(endpoint, _NOT_ACTIVE)
+        self._on_free()
+
     def give_back(self, lease: placement.SlotLease) -> None:
         """Free a lease on which nothing was started."""
         self._pool.release(lease)
+        self._on_free()
 
     def begin(self, lease: placement.SlotLease, request_id: str) -> None:
         """Note that a request is about to run on a lease."""
@@ -130,7 +166,20 @@
         """Start to place on an endpoint."""
         self._owned.add(gain.asset)
         self._outliers.watch(gain.asset)
+        if gain.asset not in self._hosts:
+            # The list lags here: without its slots none could be taken as
+            # used, and all would be free as soon as it is listed.
+            self._unlisted[gain.asset] = gain
+            self._pool.add(gain.asset, '', 0)
+            self._pool.close(gain.asset, _LEAVING)
         self._add(gain.asset)
+        # Tasks that the old owner started use slots too: a request placed
+        # before the worker has told of them would be one too many.
+        self._pool.close(gain.asset, _NOT_ACTIVE)
+        self._doubt_former(gain)
+
+    def _doubt_former(self, gain: ownership.Gain) -> None:
+        """Put the slots that the former owner may use in doubt."""
         now_s = self._timer.now_s()
         slots = self._slots(gain.asset)
         # What the old owner wrote last may still be on its way, in a socket
@@ -138,15 +187,16 @@
         # free slots, and the endpoint would get more than it can run. After
         # transit_s its kernel has given that connection up.
         not_before_s = now_s + self._transit_s
+        self._reports_from_s = not_before_s
         if gain.in_use is not None:
             self._inherit(gain.asset, gain.in_use, not_before_s)
         elif not gain.is_first:
             self._inherit(gain.asset, slots, not_before_s)
-        self._on_free()
 
     def lose(self, loss: ownership.Loss) -> None:
         """Stop to place on an endpoint."""
         self._owned.discard(loss.asset)
+        self._unlisted.pop(loss.asset, None)
         self._pool.remove(loss.asset)
         self._outliers.forget(loss.asset)
         self._ejected -= {loss.asset}
@@ -164,10 +214,21 @@
     def take_hosts(self, listing: model.HostListing) -> None:
         """Open, close and resize endpoints by the newest host list."""
         self._hosts = {host.address: host for host in listing.hosts}
+        self._has_live_hosts = any(
+            host.slots and host.state is model.HostState.LIVE
+            for host in listing.hosts
+        )
         for endpoint in self._owned:
             self._add(endpoint)
         self._on_free()
 
+    def usage_period_s(self, usual_s: float) -> float:
+        """Return when to ask for reports next: once they count, if soon."""
+        left_s = self._reports_from_s - self._timer.now_s()
+        if 0.0 < left_s < usual_s:
+            return left_s + _REPORT_MARGIN_S
+        return usual_s
+
     async def run(self, ticks: collections.abc.AsyncIterable[float]) -> None:
         """Settle the slots in doubt by usage reports for ever."""
         async for now_s in ticks:
@@ -177,6 +238,10 @@
                     self._settle(endpoint)
                     tasks.start_soon(self._ask_usage, endpoint)
             self._apply_ejections()
+            # Requests wait while the ownership is unconfirmed, whatever is
+            # free. No slot comes free when it is confirmed again: without
+            # this they would wait for an event that need not come.
+            self._on_free()
 
     async def _ask_usage(self, endpoint: str) -> None:
         report = await self._client.usage(endpoint)
@@ -204,6 +269,9 @@
             self._pool.close(endpoint, _LEAVING)
             return
         self._pool.add(endpoint, host.domain, host.slots)
+        unlisted = self._unlisted.pop(endpoint, None)
+        if unlisted is not None:
+            self._doubt_former(unlisted)
         if host.state is model.HostState.LIVE:
             self._pool.open(endpoint, _LEAVING)
         else:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_gate.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_gate.py
@@ -20,6 +20,9 @@
     def start(self) -> bool:
         """Mark the request as started, or say that it may not start."""
 
+    def is_shut(self) -> bool:
+        """Tell whether the request may never start any more."""
+
 
 class OpenGate:
     """Let every request start."""
@@ -30,6 +33,10 @@
         """Let the request start."""
         return True
 
+    def is_shut(self) -> bool:
+        """Let the request start at any time."""
+        return False
+
 
 class KeyedGate:
     """Let a keyed request start while its home may act on its shard."""
@@ -49,3 +56,7 @@
         # A home that was paused may have lost the shard to another one,
         # which runs the repeat: this request would be its second run.
         return self._may_act() and self._entry.start().is_ok()
+
+    def is_shut(self) -> bool:
+        """Tell whether the key has been answered without the request."""
+        return self._entry.result is not None
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_router.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_router.py
@@ -146,7 +146,7 @@
         try:
             result = await self._dispatcher.serve(request, gate)
         finally:
-            self._memory.finish(entry, result, self._timer.now_s())
+            self._memory.finish(entry, _final(result), self._timer.now_s())
             self._shards.finished(entry)
         assert entry.result is not None
         return entry.result
@@ -170,7 +170,7 @@
         at_home = [
             index
             for index, name in enumerate(self._shard_names)
-            if self._ownership.is_active(name)
+            if self._ownership.may_act(name)
         ]
         return random.choice(at_home or range(len(self._shard_names)))
 
@@ -183,6 +183,19 @@
     return dataclasses.replace(request, key=f'{request.team}:{request.key}')
 
 
+def _final(result: _Served) -> _Served:
+    """Return the result of a key, which no one asks for again."""
+    # A peer that the home had sent the request to may be lost. Were its
+    # failure passed on as it is, whoever asked the home would take the home
+    # for lost, and ask until the deadline for an answer that is given up.
+    if result.is_ok() or result.error.kind not in _ASK_AGAIN:
+        return result
+    kind = _KIND.NO_FREE_SLOT
+    if result.error.outcome is errors.Outcome.UNKNOWN:
+        kind = _KIND.ANSWER_LOST
+    return expression.Error(errors.Failure(kind, result.error.detail))
+
+
 def _undecided(failure: errors.Failure) -> _Served:
     # An earlier attempt under the same key may have run: without the home's
     # word, not even a request that was never sent on is known not to have.
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_waiting.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_waiting.py
@@ -82,10 +82,17 @@
         """Return how many wait in this class and those before it."""
         return self._queue.ahead_of(work_class)
 
+    def set_weights(
+        self, weights: collections.abc.Mapping[str, float]
+    ) -> None:
+        """Set the shares of the teams."""
+        self._queue.set_weights(weights)
+
     async def wait(
         self,
         request: model.Request,
         give_back: collections.abc.Callable[[placement.SlotLease], None],
+        drain: collections.abc.Callable[[], None],
     ) -> expression.Result[Grant, errors.Failure]:
         """Wait for a slot until the request can no longer run in time."""
         ticket = _Ticket()
@@ -104,6 +111,9 @@
         if offered.ok is not None:
             _refuse(offered.ok, errors.ErrorKind.QUEUE_FULL, 'displaced')
         self._expiry.wake()
+        # A slot may be free already, of an endpoint that this request has
+        # tried: nothing else would come to give it out.
+        drain()
         try:
             return await ticket.result()
         except BaseException:
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -153,6 +153,23 @@
 send 'urgent requests' --class urgent --deadline_s 5
 send 'idempotent requests' --idempotent
 send 'requests with a fresh key each' --mint_key
+operators=()
+for i in 0 1 2; do
+    operators+=(--operator "http://127.0.0.1:$((daemon_port + 3 * i + 2))")
+done
+echo
+echo '== one document, in force on every process'
+"$bin/walnutpoint" apply --wait examples/cell.yaml "${operators[@]}" ||
+    failed=1
+"$bin/walnutpoint" config status "${operators[@]}" || failed=1
+echo
+echo '== jobs: a batch job and a gang end, a service stays up'
+for job in humidity-audit drying-model; do
+    "$bin/walnutpoint" jobs --wait --wait_s 60 "cellar-trust/$job" \
+        "${operators[@]}" || failed=1
+done
+"$bin/walnutpoint" jobs "${operators[@]}" || failed=1
+
 show owners "$((daemon_port + 2))"
 show endpoints "$((daemon_port + 2))"
 
--- /dev/null
+++ b/tests/walnutpoint_entry/ownership/test_handover.py
@@ -0,0 +1,84 @@
+"""Tests of the hand-over of lost assets."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from tests.walnutpoint_entry import manual_timer
+from tests.walnutpoint_entry.ownership import fakes
+from tests.walnutpoint_entry import samples
+from walnutpoint_entry import ownership
+from walnutpoint_entry.ownership import _handover
+from walnutpoint_entry.ownership import _table
+
+_TWO = samples.member(2)
+
+
+async def _hand_over(
+    listener: fakes.Listener, sender: fakes.Sender, *assets: str
+) -> _handover.Handover:
+    table = _table.AssignmentTable(
+        2,
+        1,
+        samples.members(2),
+        samples.members(2),
+        {asset: _table.Holding(1, 2, 1) for asset in assets},
+        'p',
+    )
+    losses = [ownership.Loss(asset, 1, _TWO) for asset in assets]
+    losses.append(ownership.Loss('gone', 1, None))
+    async with anyio.create_task_group() as tasks:
+        handover = _handover.Handover(
+            manual_timer.ManualTimer(), listener, sender, tasks
+        )
+        handover.begin(_table.PlacedTable(20, table), losses)
+        assert not handover.is_done()
+    return handover
+
+
+class HandoverTest(unittest.IsolatedAsyncioTestCase):
+    """Member 1 releases to member 2."""
+
+    async def test_reports_until_no_slot_is_in_use(self) -> None:
+        listener, sender = fakes.Listener(), fakes.Sender()
+        # In use at the release, at its copy, then at each report.
+        listener.slots['a'] = [2, 2, 2, 1, 1, 0]
+        handover = await _hand_over(listener, sender, 'a')
+        self.assertEqual(
+            [
+                (ownership.ReleasedAsset('a', 2, 1, in_use),)
+                for in_use in (2, 1, 0)
+            ],
+            sender.sent,
+        )
+        self.assertTrue(handover.is_done())
+
+    async def test_unreachable_successor_is_given_up(self) -> None:
+        listener, sender = fakes.Listener(), fakes.Sender(*[False] * 99)
+        listener.slots['a'] = [1]
+        handover = await _hand_over(listener, sender, 'a')
+        self.assertEqual(10, len(sender.sent))
+        self.assertTrue(handover.is_done())
+
+    async def test_successor_lost_during_the_reports(self) -> None:
+        listener, sender = fakes.Listener(), fakes.Sender(True, False)
+        listener.slots['a'] = [2, 2, 1]
+        handover = await _hand_over(listener, sender, 'a')
+        self.assertEqual(2, len(sender.sent))
+        self.assertTrue(handover.is_done())
+
+    async def test_memory_of_a_shard_goes_before_its_release(self) -> None:
+        listener, sender = fakes.Listener(), fakes.Sender()
+        seen = []
+        sender.on_send = lambda: seen.append(
+            (
+                [item.asset for item in sender.sent[-1]],
+                'shard-0' in listener.handed_over,
+            )
+        )
+        await _hand_over(listener, sender, 'shard-0', 'a')
+        self.assertIn((['shard-0'], True), seen)
+        self.assertIn('a', [assets[0] for assets, _ in seen])
+        self.assertEqual(2, len(seen))
--- /dev/null
+++ b/tests/walnutpoint_entry/ownership/test_table.py
@@ -0,0 +1,100 @@
+"""Tests of the rule that makes the next table."""
+
+from __future__ import annotations
+
+import collections
+import itertools
+import typing
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from tests.walnutpoint_entry import samples
+from walnutpoint_entry.ownership import _table
+
+_MEMBER = strategies.builds(
+    samples.member, strategies.integers(1, 5), strategies.integers(1, 2)
+)
+_WANTED = strategies.builds(
+    lambda members, endpoints, shards: _table.WantedTable(
+        tuple(sorted(members, key=lambda item: item.address)),
+        tuple(sorted(f'e{number}' for number in endpoints)),
+        shards,
+        1,
+    ),
+    strategies.lists(
+        _MEMBER, min_size=1, max_size=5, unique_by=lambda item: item.address
+    ),
+    strategies.sets(strategies.integers(0, 12)),
+    strategies.integers(0, 5),
+)
+
+
+def _counts(
+    table: _table.AssignmentTable, assets: typing.Iterable[str]
+) -> collections.Counter[_table.Member]:
+    return collections.Counter(table.owner(asset) for asset in assets)
+
+
+def _kept_most(
+    current: _table.AssignmentTable,
+    members: tuple[_table.Member, ...],
+    assets: tuple[str, ...],
+) -> int:
+    """Return how many assets the best of all balanced tables keeps."""
+    held = _counts(current, assets)
+    low, odd = divmod(len(assets), len(members))
+    return max(
+        sum(min(held[item], low + (item in raised)) for item in members)
+        for raised in itertools.combinations(members, odd)
+    )
+
+
+class NextTableTest(unittest.TestCase):
+    """The balance, the moves and the epochs of successive tables."""
+
+    @hypothesis.settings(derandomize=True, database=None, deadline=None)
+    @hypothesis.given(strategies.lists(_WANTED, min_size=2, max_size=5))
+    def test_successive_tables(self, wanted: list[typing.Any]) -> None:
+        current = None
+        for item in wanted:
+            table = _table.next_table(current, item, 'p')
+            shards = _table.shard_names(item.shards)
+            for assets in (item.endpoints, shards):
+                counts = _counts(table, assets)
+                loads = [counts[owner] for owner in item.members]
+                self.assertLessEqual(max(loads) - min(loads), 1)
+                if current is None:
+                    continue
+                kept = [
+                    asset
+                    for asset in assets
+                    if table.owner(asset) == current.owner(asset)
+                ]
+                most = _kept_most(current, item.members, assets)
+                self.assertEqual(most, len(kept))
+                for asset in assets:
+                    epoch = table.generation
+                    previous_epoch = current.epoch(asset)
+                    if asset in kept:
+                        epoch = current.epoch(asset)
+                        previous_epoch = current.previous_epoch(asset)
+                    self.assertEqual(epoch, table.epoch(asset))
+                    self.assertEqual(
+                        previous_epoch, table.previous_epoch(asset)
+                    )
+            self.assertEqual(
+                () if current is None else current.members,
+                table.previous_members,
+            )
+            current = table
+
+    def test_returning_endpoint_has_a_newer_epoch(self) -> None:
+        table = None
+        epochs = []
+        for endpoints in (('a', 'b'), ('b',), ('a', 'b')):
+            wanted = _table.WantedTable(samples.members(1), endpoints, 0, 1)
+            table = _table.next_table(table, wanted, 'p')
+            epochs.append((table.epoch('a'), table.epoch('b')))
+        self.assertEqual([(1, 1), (0, 1), (3, 1)], epochs)
--- /dev/null
+++ b/tests/walnutpoint_entry/peers/test_link.py
@@ -0,0 +1,146 @@
+"""Calls to a peer that goes silent, or that leaves while it serves."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import typing
+import unittest
+
+import grpc.aio
+
+from tests.walnutpoint_entry import samples
+from walnutpoint_core import errors
+from walnutpoint_core import settings as settings_module
+from walnutpoint_core import timer as timers
+from walnutpoint_entry import ownership
+from walnutpoint_entry.peers import _codec
+from walnutpoint_entry.peers._generated import peer_pb2
+from walnutpoint_entry.peers._generated import peer_pb2_grpc
+from walnutpoint_entry.peers import _link
+
+_PERIOD_S: typing.Final = 0.05
+_DEADLINE_S: typing.Final = 20.0
+
+
+class _Peer(peer_pb2_grpc.PeerServicer):
+    """A peer that may fall silent, and places when it is told to."""
+
+    def __init__(self, member: ownership.Member) -> None:
+        self._state = _codec.encode_state(samples.state(member))
+        self.called = asyncio.Event()
+        self.silent = asyncio.Event()
+        self.answer = asyncio.Event()
+
+    async def Heartbeat(self, request, context) -> peer_pb2.Beat:
+        if self.silent.is_set():
+            await asyncio.Event().wait()
+        return self._state
+
+    async def Place(self, request, context) -> peer_pb2.ResultMessage:
+        self.called.set()
+        await self.answer.wait()
+        return peer_pb2.ResultMessage(answer=peer_pb2.AnswerMessage())
+
+    async def Release(self, request, context) -> peer_pb2.ReleaseReply:
+        self.called.set()
+        await asyncio.Event().wait()
+
+
+class _Observer:
+    """What the link tells this process."""
+
+    def own_state(self) -> ownership.PeerState:
+        return samples.state(samples.member(9))
+
+    def observe_refusal(self, member: ownership.Member) -> None:
+        pass
+
+    def observe_answer(
+        self, state: ownership.PeerState, sent_s: float
+    ) -> None:
+        pass
+
+
+class LinkTest(unittest.IsolatedAsyncioTestCase):
+    """One link to a peer in this process, over a real connection."""
+
+    async def asyncSetUp(self) -> None:
+        self._server = grpc.aio.server()
+        port = self._server.add_insecure_port('127.0.0.1:0')
+        member = ownership.Member(f'127.0.0.1:{port}', 1, 'p', 'd', 'home')
+        self._peer = _Peer(member)
+        peer_pb2_grpc.add_PeerServicer_to_server(self._peer, self._server)
+        await self._server.start()
+        self.addAsyncCleanup(self._server.stop, 0)
+        self._timer = timers.SystemTimer()
+        self._link = _link.Link(
+            member,
+            self._timer,
+            settings_module.OwnershipSettings(),
+            65_536,
+            'token',
+            _Observer(),
+        )
+        ticks = self._timer.subscribe(lambda: _PERIOD_S)
+        self._beats = asyncio.ensure_future(self._link.run(ticks))
+        self.addCleanup(self._beats.cancel)
+        await self._until(self._link.is_heard)
+
+    async def _until(
+        self, is_true: collections.abc.Callable[[], bool]
+    ) -> None:
+        async with asyncio.timeout(_DEADLINE_S):
+            while not is_true():
+                await asyncio.sleep(0.01)
+
+    def _place(self) -> asyncio.Task[typing.Any]:
+        now_s = self._timer.now_s()
+        request = samples.request(
+            received_at_s=now_s, deadline_at_s=now_s + _DEADLINE_S
+        )
+        return asyncio.ensure_future(self._link.place(request))
+
+    async def test_silent_peer_does_not_cancel_who_releases(self) -> None:
+        """A healthy process goes on when the peer it releases to is frozen.
+
+        The peer's heartbeats stop and its channel is closed. The library
+        then cancels the release, and raises as if this process's own task
+        were cancelled: all its requests were cut and it ended.
+        """
+        release = asyncio.ensure_future(
+            self._link.release(peer_pb2.ReleaseMessage())
+        )
+        await self._peer.called.wait()
+        self._peer.silent.set()
+        await asyncio.wait({release}, timeout=_DEADLINE_S)
+        self.assertFalse(release.cancelled())
+        self.assertFalse(release.result())
+
+    async def test_call_at_a_leaving_peer_is_answered(self) -> None:
+        """A caller gets its answer from a peer that stops as planned.
+
+        The peer runs the caller's request when the next table no longer
+        lists it: the link is closed, but not before that answer.
+        """
+        call = self._place()
+        await self._peer.called.wait()
+        self._beats.cancel()
+        finished = asyncio.ensure_future(self._link.finish())
+        await asyncio.sleep(0.2)
+        self.assertFalse(call.done())
+        self._peer.answer.set()
+        self.assertTrue((await call).is_ok())
+        await finished
+
+    async def test_call_at_a_dead_peer_ends_at_once(self) -> None:
+        """A caller is told unknown when a silent peer leaves the table."""
+        call = self._place()
+        await self._peer.called.wait()
+        self._peer.silent.set()
+        await self._until(lambda: not self._link.is_heard())
+        self._beats.cancel()
+        await self._link.finish()
+        async with asyncio.timeout(2.0):
+            result = await call
+        self.assertIs(errors.ErrorKind.PEER_ANSWER_LOST, result.error.kind)
--- /dev/null
+++ b/tests/walnutpoint_entry/routing/fakes.py
@@ -0,0 +1,156 @@
+"""An owner, an endpoint client and links whose results are scripted."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import anyio
+import expression
+
+from tests.walnutpoint_entry import samples
+from walnutpoint_core import errors
+from walnutpoint_core import model
+from walnutpoint_entry import endpoints
+from walnutpoint_entry import ownership
+from walnutpoint_entry.peers import messages
+from walnutpoint_entry import routing
+
+_Served = expression.Result[model.Answer, errors.Failure]
+DONE: typing.Final[typing.Any] = expression.Ok(
+    endpoints.EndpointReply(200, (), b'ran', 0.01)
+)
+SERVED: typing.Final[_Served] = expression.Ok(samples.ANSWER)
+
+
+def failed(kind: errors.ErrorKind) -> typing.Any:
+    return expression.Error(errors.Failure(kind))
+
+
+class Owner:
+    """Member 1, which may act on everything unless a test says no."""
+
+    def __init__(self) -> None:
+        self.member = samples.member(1)
+        self.placed: ownership.PlacedTable | None = None
+        self.home = self.member
+        self.confirmed = True
+        self.confirmed_by_poll = False
+        self.lost: set[str] = set()
+        self.polls = 0
+
+    def is_confirmed(self) -> bool:
+        return self.confirmed
+
+    def is_member(self) -> bool:
+        return True
+
+    def is_active(self, asset: str) -> bool:
+        return asset not in self.lost
+
+    def may_act(self, asset: str) -> bool:
+        return self.is_active(asset) and self.confirmed
+
+    def epoch(self, asset: str) -> int:
+        return 4
+
+    def owner(self, asset: str) -> ownership.Member | None:
+        return self.home
+
+    async def poll(self) -> None:
+        self.polls += 1
+        self.confirmed = self.confirmed_by_poll
+
+
+class Client:
+    """Give the scripted results in order, then succeed."""
+
+    def __init__(self, *results: typing.Any) -> None:
+        self._results = list(results)
+        self.calls: list[endpoints.EndpointCall] = []
+        self.forgotten: list[str] = []
+        self.report: typing.Any = failed(errors.ErrorKind.ANSWER_LATE)
+        self.held: anyio.Event | None = None
+        self.before_guard: collections.abc.Callable[[], None] = lambda: None
+
+    @property
+    def endpoints(self) -> list[str]:
+        return [call.address for call in self.calls]
+
+    async def call(self, call: endpoints.EndpointCall) -> typing.Any:
+        self.before_guard()
+        if not call.guard():
+            return failed(errors.ErrorKind.NOT_CONFIRMED)
+        self.calls.append(call)
+        if self.held is not None:
+            await self.held.wait()
+        return self._results.pop(0) if self._results else DONE
+
+    async def usage(self, address: str) -> typing.Any:
+        return self.report
+
+    def forget(self, address: str) -> None:
+        self.forgotten.append(address)
+
+
+class Link:
+    """Give the scripted results in order, then an answer."""
+
+    def __init__(self, *results: _Served) -> None:
+        self._results = list(results)
+        self.requests: list[model.Request] = []
+        self.heard = True
+
+    def is_heard(self) -> bool:
+        return self.heard
+
+    async def place(self, request: model.Request) -> _Served:
+        self.requests.append(request)
+        return self._results.pop(0) if self._results else SERVED
+
+    serve = place
+
+
+class Links:
+    """Links by the number of their peer."""
+
+    def __init__(self, **links: Link) -> None:
+        self._links = links
+        self.batches: list[messages.KeyBatch] = []
+        self.takes_keys = True
+
+    def find(self, member: ownership.Member) -> Link | None:
+        return self._links.get(member.name.replace('-', '_'))
+
+    def heard(self) -> tuple[Link, ...]:
+        return tuple(link for link in self._links.values() if link.heard)
+
+    async def send_keys(
+        self, successor: ownership.Member, batch: messages.KeyBatch
+    ) -> bool:
+        self.batches.append(batch)
+        return self.takes_keys
+
+
+def gain(
+    asset: str,
+    in_use: int | None = None,
+    is_first: bool = True,
+    epoch: int = 4,
+) -> ownership.Gain:
+    return ownership.Gain(asset, epoch, in_use, is_first)
+
+
+def hear(hints: routing.Hints, number: int, free_slots: int) -> None:
+    hints.observe(samples.state(samples.member(number), free_slots=free_slots))
+
+
+class Room:
+    """Note for how many urgent requests room was asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[int] = []
+
+    def make_room(self, slots: int) -> int:
+        self.asked.append(slots)
+        return 0
--- /dev/null
+++ b/tests/walnutpoint_entry/routing/test_router.py
@@ -0,0 +1,208 @@
+"""Tests of the way of a request to the home of its key."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import time
+import typing
+import unittest
+
+import anyio
+
+from tests.walnutpoint_entry import manual_timer
+from tests.walnutpoint_entry.routing import fakes
+from tests.walnutpoint_entry import samples
+from walnutpoint_core import errors
+from walnutpoint_core import model
+from walnutpoint_core import settings
+from walnutpoint_entry import keys
+from walnutpoint_entry import ownership
+from walnutpoint_entry import routing
+from walnutpoint_entry.routing import _gate
+
+_KIND = errors.ErrorKind
+_SETTINGS = settings.KeySettings()
+
+
+class _Dispatcher:
+    """Start each request when told, and give the scripted results."""
+
+    def __init__(self, *results: typing.Any) -> None:
+        self._results = list(results)
+        self.held: anyio.Event | None = None
+        self.started: list[str] = []
+
+    async def serve(
+        self, request: model.Request, gate: _gate.StartGate
+    ) -> typing.Any:
+        """Ask the gate just before the start."""
+        if self.held is not None:
+            await self.held.wait()
+        if not gate.start():
+            return fakes.failed(_KIND.NOT_CONFIRMED)
+        self.started.append(request.request_id)
+        return self._results.pop(0) if self._results else fakes.SERVED
+
+
+class RouterTest(unittest.IsolatedAsyncioTestCase):
+    """Member 1 is home of the one shard unless a test says otherwise."""
+
+    def _make(
+        self, *results: typing.Any, **links: fakes.Link
+    ) -> routing.Router:
+        self.timer = manual_timer.ManualTimer()
+        self.owner = fakes.Owner()
+        self.dispatcher = _Dispatcher(*results)
+        memory = keys.KeyMemory(_SETTINGS)
+        fake_links = fakes.Links(**links)
+        self.shards = routing.Shards(self.timer, _SETTINGS, memory, fake_links)
+        self.shards.gain(fakes.gain('shard-0'))
+        mint = keys.KeyMint('s' * 16, 1, _SETTINGS.valid_s)
+        self.request = samples.request(key=mint.mint(0, 4, time.time()))
+        self.router = routing.Router(
+            self.timer,
+            self.owner,
+            self.dispatcher,
+            fake_links,
+            mint,
+            memory,
+            self.shards,
+            ownership.shard_names(1),
+        )
+        return self.router
+
+    def _assert_failed(self, result: typing.Any, kind: _KIND) -> None:
+        self.assertTrue(result.is_error(), result)
+        self.assertEqual(kind, result.error.kind)
+
+    async def test_without_a_key_here(self) -> None:
+        router = self._make()
+        for _ in range(2):
+            self.assertEqual(
+                fakes.SERVED, await router.route(samples.request())
+            )
+        self.assertEqual(2, len(self.dispatcher.started))
+
+    async def test_repeat_gets_the_first_answer(self) -> None:
+        for first in (
+            fakes.SERVED,
+            fakes.failed(_KIND.QUEUE_FULL),
+            fakes.failed(_KIND.ANSWER_LATE),
+        ):
+            router = self._make(first)
+            for _ in range(2):
+                self.assertEqual(first, await router.route(self.request))
+            self.assertEqual(1, len(self.dispatcher.started))
+
+    async def test_teams_keys_are_apart(self) -> None:
+        router = self._make()
+        for team in ('red', 'blue'):
+            request = samples.request(key='order-1', team=team)
+            self.assertEqual(fakes.SERVED, await router.route(request))
+        self.assertEqual(2, len(self.dispatcher.started))
+
+    async def test_repeat_joins_the_one_in_flight(self) -> None:
+        router = self._make()
+        self.dispatcher.held = anyio.Event()
+        tasks = [
+            asyncio.ensure_future(router.route(self.request)) for _ in range(2)
+        ]
+        await samples.settle()
+        late = dataclasses.replace(self.request, deadline_at_s=100.0)
+        self._assert_failed(await router.route(late), _KIND.ANSWER_LATE)
+        self.dispatcher.held.set()
+        self.assertEqual(
+            [fakes.SERVED, fakes.SERVED], await asyncio.gather(*tasks)
+        )
+        self.assertEqual(1, len(self.dispatcher.started))
+
+    async def test_another_request_with_the_same_key(self) -> None:
+        router = self._make()
+        await router.route(self.request)
+        other = dataclasses.replace(self.request, body=b'other')
+        self._assert_failed(await router.route(other), _KIND.KEY_MISMATCH)
+
+    async def test_shard_lost_while_queued(self) -> None:
+        """The caller is told unknown, and the request never starts.
+
+        It waits for a slot when its shard goes to another home, which may
+        run the caller's repeat: this one would be the second run. The next
+        home is asked; here it is one that does not know the key.
+        """
+        router = self._make()
+        self.dispatcher.held = anyio.Event()
+        task = asyncio.ensure_future(router.route(self.request))
+        await samples.settle()
+        self.owner.lost.add('shard-0')
+        self.shards.lose(ownership.Loss('shard-0', 4, samples.member(2)))
+        self.owner.lost.clear()
+        self.dispatcher.held.set()
+        self._assert_failed(await task, _KIND.KEY_BLIND)
+        self.assertEqual([], self.dispatcher.started)
+
+    async def test_unconfirmed_home_starts_nothing(self) -> None:
+        router = self._make()
+        self.dispatcher.held = anyio.Event()
+        task = asyncio.ensure_future(router.route(self.request))
+        await samples.settle()
+        self.owner.confirmed = False
+        self.dispatcher.held.set()
+        await task
+        self.assertEqual([], self.dispatcher.started)
+        self._assert_failed(
+            await router.serve_as_home(self.request), _KIND.NOT_OWNER
+        )
+        self.owner.confirmed_by_poll = True
+        request = samples.request(key='new')
+        served = await router.serve_as_home(request)
+        self.assertEqual(fakes.SERVED, served)
+
+    async def test_unreachable_home_is_asked_again(self) -> None:
+        link = fakes.Link(
+            *map(
+                fakes.failed,
+                (
+                    _KIND.PEER_UNREACHABLE,
+                    _KIND.PEER_ANSWER_LOST,
+                    _KIND.NOT_OWNER,
+                ),
+            )
+        )
+        router = self._make(entry_2=link)
+        self.owner.home = samples.member(2)
+        self.assertEqual(fakes.SERVED, await router.route(self.request))
+        self.assertEqual(4, len(link.requests))
+        self.assertEqual([], self.dispatcher.started)
+
+    async def test_other_failures_are_not_asked_again(self) -> None:
+        link = fakes.Link(fakes.failed(_KIND.ANSWER_LATE))
+        router = self._make(entry_2=link)
+        self.owner.home = samples.member(2)
+        self._assert_failed(
+            await router.route(self.request), _KIND.ANSWER_LATE
+        )
+        self.assertEqual(1, len(link.requests))
+
+    async def test_home_unreachable_until_the_deadline(self) -> None:
+        """Unknown, not not-run: an earlier attempt may have run.
+
+        The home takes the request and its answer is lost; then the home
+        dies, and this process can send the request nowhere.
+        """
+        link = fakes.Link(
+            fakes.failed(_KIND.PEER_ANSWER_LOST),
+            *[fakes.failed(_KIND.PEER_UNREACHABLE)] * 999,
+        )
+        router = self._make(entry_2=link)
+        self.owner.home = samples.member(2)
+        result = await router.route(self.request)
+        self.assertEqual(errors.Outcome.UNKNOWN, result.error.outcome)
+        self.assertLess(self.timer.now_s(), self.request.deadline_at_s)
+        self.assertGreater(len(link.requests), 50)
+
+    async def test_forged_key_runs_nothing(self) -> None:
+        router = self._make()
+        forged = dataclasses.replace(self.request, key='wp1.AAAA')
+        self._assert_failed(await router.route(forged), _KIND.KEY_FORGED)
+        self.assertEqual([], self.dispatcher.started)
--- /dev/null
+++ b/tests/walnutpoint_entry/routing/test_shards.py
@@ -0,0 +1,131 @@
+"""Tests of the key shards' hand-over."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+import expression
+
+from tests.walnutpoint_entry import manual_timer
+from tests.walnutpoint_entry.routing import fakes
+from tests.walnutpoint_entry import samples
+from walnutpoint_core import errors
+from walnutpoint_core import settings
+from walnutpoint_entry import keys
+from walnutpoint_entry import ownership
+from walnutpoint_entry import routing
+
+_SETTINGS = settings.KeySettings()
+_SHARD = 'shard-0'
+_DONE = expression.Ok(samples.ANSWER)
+_TWO = samples.member(2)
+
+
+class _Home:
+    """One process that may be home of the shard."""
+
+    def __init__(self, timer: manual_timer.ManualTimer) -> None:
+        self._timer = timer
+        self.links = fakes.Links()
+        self.memory = keys.KeyMemory(_SETTINGS)
+        self.shards = routing.Shards(timer, _SETTINGS, self.memory, self.links)
+
+    def begin(self, text: str, epoch: int = 1) -> typing.Any:
+        """Ask the memory for a key; return its verdict or error kind."""
+        key = keys.MintedKey(text, 0, epoch, 0.0)
+        begun = self.memory.begin(0, key, b'print', self._timer.now_s())
+        return begun.ok if begun.is_ok() else begun.error.kind
+
+
+class ShardsTest(unittest.IsolatedAsyncioTestCase):
+    """The shard goes from one home to the next."""
+
+    def setUp(self) -> None:
+        self.timer = manual_timer.ManualTimer()
+        self.first, self.next = _Home(self.timer), _Home(self.timer)
+        self.first.shards.gain(fakes.gain(_SHARD, epoch=1))
+        entry = self.first.begin('done').entry
+        entry.start()
+        self.first.memory.finish(entry, _DONE, self.timer.now_s())
+
+    async def _hand_over(self) -> None:
+        self.first.shards.lose(ownership.Loss(_SHARD, 1, _TWO))
+        await self.first.shards.hand_over(_SHARD, 2, _TWO)
+
+    def _take(self, epoch: int = 2, in_use: int | None = 0) -> None:
+        for batch in self.first.links.batches:
+            self.assertTrue(self.next.shards.receive(batch))
+        self.next.shards.gain(fakes.gain(_SHARD, in_use, False, epoch))
+
+    async def test_released_memory_goes_along(self) -> None:
+        await self._hand_over()
+        self._take()
+        self.assertEqual(keys.Replay(_DONE), self.next.begin('done'))
+        self.assertIsInstance(self.next.begin('new'), keys.Fresh)
+
+    async def test_blind_without_the_whole_memory(self) -> None:
+        """A key that ran at the former home would run a second time.
+
+        The records may have come in part, or of another epoch, or the asset
+        may have come by the fence after the release was lost.
+        """
+        await self._hand_over()
+        self.first.links.batches[-1].is_last = False
+        self._take()
+        self.assertEqual(errors.ErrorKind.KEY_BLIND, self.next.begin('new'))
+        self.timer.advance(_SETTINGS.remember_s + 0.1)
+        self.assertIsInstance(self.next.begin('new'), keys.Fresh)
+        self.first.links.batches[-1].is_last = True
+        for changes in ({'epoch': 3}, {'in_use': None}):
+            self.next = _Home(self.timer)
+            self._take(**changes)
+            self.assertEqual(
+                errors.ErrorKind.KEY_BLIND, self.next.begin('new')
+            )
+
+    async def test_rest_of_a_blind_period_goes_along(self) -> None:
+        self.first.shards.lose(ownership.Loss(_SHARD, 1, _TWO))
+        self.first.shards.gain(fakes.gain(_SHARD, None, False, 2))
+        self.first.shards.lose(ownership.Loss(_SHARD, 2, _TWO))
+        await self.first.shards.hand_over(_SHARD, 3, _TWO)
+        self._take(epoch=3)
+        self.assertEqual(errors.ErrorKind.KEY_BLIND, self.next.begin('new'))
+        self.assertIsInstance(self.next.begin('new', 2), keys.Fresh)
+
+    async def test_broken_batch_is_refused(self) -> None:
+        await self._hand_over()
+        batch = self.first.links.batches[-1]
+        batch.records = b'\xff'
+        self.assertFalse(self.next.shards.receive(batch))
+
+    async def test_sending_stops_with_a_lost_batch(self) -> None:
+        for number in range(3):
+            entry = self.first.begin(f'big-{number}').entry
+            entry.start()
+            big = expression.Ok(
+                samples.ANSWER.__class__(
+                    200, (), b'x' * (keys.BATCH_SIZE_BYTES // 2), 'a', 'b', 0.0
+                )
+            )
+            self.first.memory.finish(entry, big, self.timer.now_s())
+        self.first.links.takes_keys = False
+        await self._hand_over()
+        (batch,) = self.first.links.batches
+        self.assertFalse(batch.is_last)
+
+    async def test_late_result_follows_its_key(self) -> None:
+        entry = self.first.begin('running').entry
+        entry.start()
+        await self._hand_over()
+        self._take()
+        self.assertEqual(
+            errors.ErrorKind.PEER_ANSWER_LOST, self.next.begin('running')
+        )
+        self.first.memory.finish(entry, _DONE, self.timer.now_s())
+        self.first.shards.finished(entry)
+        self.assertFalse(self.first.shards.is_quiet())
+        await samples.settle()
+        self.assertTrue(self.first.shards.is_quiet())
+        self.next.shards.receive(self.first.links.batches[-1])
+        self.assertEqual(keys.Replay(_DONE), self.next.begin('running'))
