Challenge nobody just after a rest

Cause: when a request ends the rest of all processes, the last heartbeats are as old as the rest made them slow; every process challenged every other one in the store. Ruled out: a longer suspicion, which slows every takeover.

--- a/tests/walnutpoint_entry/ownership/test_proposer.py
+++ b/tests/walnutpoint_entry/ownership/test_proposer.py
@@ -31,9 +31,11 @@
         self, number: int, placed: _table.PlacedTable | None
     ) -> _proposer.Proposer:
         timer = manual_timer.ManualTimer(0.0)
+        self.timer = timer
         self._liveness = _liveness.Liveness()
         if placed is not None:
             self._liveness.adopt(placed.table.members, 0.0)
+        self._activity = ownership.Activity(timer, 5.0)
         proposer = _proposer.Proposer(
             samples.member(number),
             _SETTINGS,
@@ -41,7 +43,7 @@
                 typing.cast(typing.Any, fakes.MemoryStore(timer)), '/w/'
             ),
             self._liveness,
-            ownership.Activity(timer, 5.0),
+            self._activity,
         )
         proposer.take_hosts(samples.listing(2, 'a', 'b'))
         return proposer
@@ -70,10 +72,30 @@
         third = self._make(3, placed)
         self._liveness.list_challenges({samples.member(1): 8}, 1.0)
         self._liveness.hear(samples.member(2), True, 1.0)
+        self.timer.advance(1.6)
         proposal = third.proposal(placed, 1.6)
         self.assertEqual((samples.member(3),), proposal.table.members)
         self.assertEqual({samples.member(1): 8}, proposal.answered)
 
+    def test_nobody_is_silent_just_after_a_rest(self) -> None:
+        """A request ends the rest of all processes.
+
+        The last heartbeats are as old as the rest made them slow. Taken for
+        silence, they would have every process challenge every other one.
+        """
+        placed = _placed(samples.members(3), 'a')
+        proposer = self._make(1, placed)
+        self._liveness.list_challenges({samples.member(2): 8}, 0.0)
+        self.timer.advance(5.9)
+        self._activity.touch()
+        self._liveness.hear(samples.member(2), False, 4.1)
+        self._liveness.hear(samples.member(3), False, 4.1)
+        proposal = proposer.proposal(placed, 5.9)
+        self.assertEqual(samples.members(3), proposal.table.members)
+        self.timer.advance(0.7)
+        proposal = proposer.proposal(placed, 6.6)
+        self.assertNotIn(samples.member(2), proposal.table.members)
+
     def test_outsider_comes_last(self) -> None:
         placed = _placed(samples.members(2), 'a')
         joiner = self._make(9, placed)
--- a/tests/walnutpoint_entry/peers/test_link.py
+++ b/tests/walnutpoint_entry/peers/test_link.py
@@ -53,6 +53,9 @@
     def own_state(self) -> ownership.PeerState:
         return samples.state(samples.member(9))
 
+    def observe_free(self, member: ownership.Member, free_slots: int) -> None:
+        pass
+
     def observe_refusal(self, member: ownership.Member) -> None:
         pass
 
--- a/tests/walnutpoint_entry/peers/test_server.py
+++ b/tests/walnutpoint_entry/peers/test_server.py
@@ -70,10 +70,17 @@
 
     def __init__(self) -> None:
         self.answers: list[tuple[ownership.PeerState, float]] = []
+        self.free: list[tuple[ownership.Member, int]] = []
 
     def own_state(self) -> ownership.PeerState:
         return samples.state(samples.member(1), free_slots=3)
 
+    def observe_free(self, member: ownership.Member, free_slots: int) -> None:
+        self.free.append((member, free_slots))
+
+    def observe_refusal(self, member: ownership.Member) -> None:
+        raise AssertionError(member)
+
     def observe_answer(
         self, state: ownership.PeerState, sent_s: float
     ) -> None:
