Let services and gangs displace other job owners' batch tasks

Cause: a job owner could stop only batch tasks of its own jobs. In a cell full of another owner's batch work a service or gang waited for batch tasks to end. Two faults showed on the way: a refused service was sent again at once, since each refusal wakes the loop; an inventory taken before a gang's start arrived put the task back to held, and the whole gang restarted. Ruled out: displacing for each task of a gang on its own. Change: boards with room are asked first, with may_displace off. Where there is none and the policies allow it, boards that batch tasks can leave are asked, and none after one that says room is being made. A gang displaces only if all that it lacks would then fit.

--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_queue.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_queue.py
@@ -88,7 +88,10 @@
                     continue
             kind = (size, one.wish.task_class)
             if kind not in blocked and self._starter.begin_start(
-                one.shard, one.job, one.wish
+                one.shard,
+                one.job,
+                one.wish,
+                _may_displace(rank, configuration),
             ):
                 one.job.reason = ''
                 continue
@@ -111,7 +114,7 @@
         batch = configuration.policy('batch')
         now_s = self._timer.now_s()
         first = unmet[_policy.Rank.PROMOTED]
-        if configuration.policy('service').may_preempt_batch:
+        if _may_displace(_policy.Rank.SERVICE, configuration):
             first += unmet[_policy.Rank.SERVICE]
         if first and now_s >= self._again_s:
             self._again_s = now_s + _SERVICE_AGAIN_S
@@ -152,6 +155,16 @@
         return now_s >= since_s + self._settings.borrow_delay_s
 
 
+def _may_displace(
+    rank: _policy.Rank, configuration: documents.Configuration
+) -> bool:
+    if configuration.policy('batch').preemption == 'none':
+        return False
+    if rank is _policy.Rank.SERVICE:
+        return bool(configuration.policy('service').may_preempt_batch)
+    return rank is _policy.Rank.PROMOTED
+
+
 def _order(
     one: WishedStart,
     borrowed: collections.Counter[str],
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_reservation.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_reservation.py
@@ -4,12 +4,15 @@
 releases what it holds instead of waiting for the rest: nobody holds and
 waits, so gangs never block each other for longer than one attempt. What an
 owner that died holds expires. The wait before the next attempt is random, so
-that gangs which met once do not meet each time.
+that gangs which met once do not meet each time. Where all that is missing
+would fit without batch tasks, these are displaced, and the owners of the
+workers keep that room for a later attempt of the gang.
 """
 
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
 import random
 import typing
 
@@ -35,6 +38,25 @@
 _INCOMPLETE: typing.Final = 'gang_incomplete'
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Attempt:
+    """One attempt to reserve a gang, and for whom room is being made."""
+
+    shard: _shard.Shard
+    job: _model.Job
+    task_class: tasks.TaskClass
+    hold_s: float
+    promised: set[int] = dataclasses.field(default_factory=set)
+
+    def unplaced(self) -> list[_model.Task]:
+        """Return the tasks that have no room and none being made."""
+        return [
+            task
+            for task in self.job.in_phase(_Phase.READY)
+            if task.index not in self.promised
+        ]
+
+
 class Reservations:
     """Hold room for all tasks of a gang, and start all or none."""
 
@@ -69,24 +91,21 @@
         job: _model.Job,
         task_class: tasks.TaskClass,
         policy: documents.GangPolicy,
+        may_displace: bool,
     ) -> None:
         """Try once to reserve and start a gang."""
         job.is_reserving = True
         hold_s = min(job.item.item.hold_s, policy.hold_max_s)
-        self._tasks.start_soon(self._run, shard, job, task_class, hold_s)
+        attempt = _Attempt(shard, job, task_class, hold_s)
+        self._tasks.start_soon(self._run, attempt, may_displace)
 
-    async def _run(
-        self,
-        shard: _shard.Shard,
-        job: _model.Job,
-        task_class: tasks.TaskClass,
-        hold_s: float,
-    ) -> None:
-        until_s = self._timer.now_s() + hold_s * _USABLE_SHARE
-        all_held = await self._hold_all(shard, job, task_class, hold_s)
+    async def _run(self, attempt: _Attempt, may_displace: bool) -> None:
+        shard, job = attempt.shard, attempt.job
+        until_s = self._timer.now_s() + attempt.hold_s * _USABLE_SHARE
+        all_held = await self._hold_all(attempt, may_displace)
         is_usable = all_held and self._timer.now_s() < until_s
         if is_usable and self._is_current(shard, job):
-            is_started = await self._start_all(shard, job, task_class)
+            is_started = await self._start_all(shard, job, attempt.task_class)
         else:
             is_started = False
         job.is_reserving = False
@@ -96,57 +115,88 @@
                 job.missing = 0
                 job.reason = ''
             else:
-                self._release(shard, job)
+                self._release(attempt)
         self._on_change()
 
-    async def _hold_all(
-        self,
-        shard: _shard.Shard,
-        job: _model.Job,
-        task_class: tasks.TaskClass,
-        hold_s: float,
-    ) -> bool:
+    async def _hold_all(self, attempt: _Attempt, may_displace: bool) -> bool:
         boards = sorted(self._boards.boards(), key=lambda one: one.owner)
+        await self._hold_at(attempt, boards, displaces=False)
+        if may_displace and self._can_displace(attempt, boards):
+            await self._hold_at(attempt, boards, displaces=True)
+        job = attempt.job
+        held = job.in_phase(_Phase.HELD)
+        return len(held) == len(job.tasks) and all(
+            task.worker for task in held
+        )
+
+    def _can_displace(
+        self, attempt: _Attempt, boards: list[tasks.Board]
+    ) -> bool:
+        """Tell whether all that is missing could start without batch."""
+        missing = attempt.unplaced()
+        if not missing:
+            return False
+        # A gang that does not fit even then must not stop batch tasks.
+        room = sum(self._room(attempt, board, True) for board in boards)
+        return room >= len(missing)
+
+    def _room(
+        self, attempt: _Attempt, board: tasks.Board, displaces: bool
+    ) -> int:
+        spec = self._starter.spec(
+            attempt.shard,
+            attempt.job,
+            attempt.unplaced()[0],
+            attempt.task_class,
+            displaces,
+        )
+        if displaces:
+            return board.displaceable_tasks(spec)
+        return board.free_tasks(spec)
+
+    async def _hold_at(
+        self, attempt: _Attempt, boards: list[tasks.Board], displaces: bool
+    ) -> None:
+        job = attempt.job
         for board in boards:
-            waiting = job.in_phase(_Phase.READY)
-            if not waiting:
-                break
-            if not self._is_current(shard, job):
-                return False
-            spec = self._starter.spec(shard, job, waiting[0], task_class)
-            count = min(board.free_tasks(spec), len(waiting))
+            waiting = attempt.unplaced()
+            if not waiting or not self._is_current(attempt.shard, job):
+                return
+            count = min(self._room(attempt, board, displaces), len(waiting))
             async with anyio.create_task_group() as group:
                 for task in waiting[:count]:
-                    task.attempt = shard.next_attempt()
-                    task.task_class = task_class
-                    task.is_borrowed = task_class is tasks.TaskClass.BATCH
+                    task.attempt = attempt.shard.next_attempt()
+                    task.task_class = attempt.task_class
+                    task.is_borrowed = (
+                        attempt.task_class is tasks.TaskClass.BATCH
+                    )
                     task.board = board.owner
                     task.stop_reason = ''
                     job.move(task, _Phase.HELD, self._timer.now_s())
                     group.start_soon(
-                        self._hold, shard, job, task, board, hold_s
+                        self._hold, attempt, task, board, displaces
                     )
-        held = job.in_phase(_Phase.HELD)
-        return len(held) == len(job.tasks) and all(
-            task.worker for task in held
-        )
 
     async def _hold(
         self,
-        shard: _shard.Shard,
-        job: _model.Job,
+        attempt: _Attempt,
         task: _model.Task,
         board: tasks.Board,
-        hold_s: float,
+        displaces: bool,
     ) -> None:
-        spec = self._starter.spec(shard, job, task, task.task_class)
-        reply = await board.hold(spec, hold_s)
+        shard, job = attempt.shard, attempt.job
+        spec = self._starter.spec(
+            shard, job, task, attempt.task_class, displaces
+        )
+        reply = await board.hold(spec, attempt.hold_s)
         if not shard.is_open or task.phase is not _Phase.HELD:
             return
         if reply.is_ok():
             task.worker = reply.ok.worker
             task.domain = reply.ok.domain
         elif reply.error.outcome is errors.Outcome.NOT_RUN:
+            if _starter.is_room_made(reply.error):
+                attempt.promised.add(task.index)
             task.board = ''
             job.move(task, _Phase.READY, self._timer.now_s())
 
@@ -191,8 +241,11 @@
                 job, task, reply.error.kind.value, 'not_started'
             )
 
-    def _release(self, shard: _shard.Shard, job: _model.Job) -> None:
-        job.missing = job.count(_Phase.READY)
+    def _release(self, attempt: _Attempt) -> None:
+        shard, job = attempt.shard, attempt.job
+        # Room is being made for the promised ones: counted as missing, they
+        # would displace batch tasks of this process's jobs as well.
+        job.missing = len(attempt.unplaced())
         # What was asked to start without a known answer may run: it is
         # stopped like the rest, and nothing starts until that is confirmed.
         for task in job.in_phase(_Phase.HELD, _Phase.STARTING, _Phase.RUNNING):
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service.py
@@ -35,6 +35,10 @@
             if task.index < wanted
         ]
         due = [task for task in ready if task.not_before_s <= context.now_s]
+        if job.not_before_s > context.now_s:
+            # Each refusal wakes the loop, which would send the start again
+            # at once and take the processor until there is room.
+            due = []
         starts = []
         for task in sorted(due, key=lambda task: task.index):
             wish = self._wish(job, task, context)
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service_loop.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service_loop.py
@@ -248,11 +248,25 @@
         for start in plan.starts:
             wished.append(_queue.WishedStart(shard, job, start))
         if plan.reserve is not None:
-            policy = self._configurations.current().policy('gang')
-            self._reservations.begin(shard, job, plan.reserve, policy)
+            self._reserve(shard, job, plan.reserve)
         if plan.ending is not None:
             self._end(job, plan.ending)
 
+    def _reserve(
+        self,
+        shard: _shard.Shard,
+        job: _model.Job,
+        task_class: tasks.TaskClass,
+    ) -> None:
+        configuration = self._configurations.current()
+        policy = configuration.policy('gang')
+        may_displace = (
+            task_class is tasks.TaskClass.GANG
+            and policy.may_preempt_batch
+            and configuration.policy('batch').preemption != 'none'
+        )
+        self._reservations.begin(shard, job, task_class, policy, may_displace)
+
     def _plan_of(self, job: _model.Job) -> _policy.Plan:
         if job.item.is_cancelled or job.is_gone:
             if job.is_reserving:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_shard.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_shard.py
@@ -387,9 +387,12 @@
         if is_same and task.phase in (_Phase.RUNNING, _Phase.STOPPING):
             task.checkpoint = report.checkpoint or task.checkpoint
             return
-        if is_same and task.phase is _Phase.HELD:
-            if report.state is tasks.TaskState.HELD:
-                return
+        # An inventory may be taken before a start sent earlier arrives. Put
+        # back to held, the task would never run for its gang, which would
+        # stop and start again whole. The answer to the start decides.
+        may_be_held = task.phase in (_Phase.HELD, _Phase.STARTING)
+        if is_same and may_be_held and report.state is tasks.TaskState.HELD:
+            return
         if task.phase is _Phase.RUNNING and report.attempt == task.attempt:
             task.board = owner
             return
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_starter.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_starter.py
@@ -18,11 +18,12 @@
 from walnutpoint_entry.jobs import _shard
 from walnutpoint_entry import tasks
 
-__all__ = ('Starter',)
+__all__ = ('Starter', 'is_room_made')
 
 _Phase = _model.Phase
 _RETRY_STOP_S: typing.Final = 1.0
 _REFUSED_WAIT_S: typing.Final = 0.2
+_DISPLACE_AGAIN_S: typing.Final = 1.0
 
 
 class Starter:
@@ -69,9 +70,7 @@
 
     def free(self, board: tasks.Board, spec: tasks.TaskSpec) -> int:
         """Return how many such tasks may be sent to a board now."""
-        in_flight = self._in_flight[board.owner]
-        allowed = self._settings.starts_in_flight - in_flight
-        return max(0, min(allowed, board.free_tasks(spec) - in_flight))
+        return self._sendable(board, board.free_tasks(spec))
 
     def spec(
         self,
@@ -79,6 +78,7 @@
         job: _model.Job,
         task: _model.Task,
         task_class: tasks.TaskClass,
+        may_displace: bool = False,
     ) -> tasks.TaskSpec:
         """Return what to ask for a task's newest attempt."""
         item = job.item
@@ -100,16 +100,29 @@
             ),
             is_checkpointable=getattr(item.item, 'checkpointable', False),
             checkpoint=task.checkpoint,
+            may_displace=may_displace,
         )
 
     def begin_start(
-        self, shard: _shard.Shard, job: _model.Job, wish: _policy.StartWish
+        self,
+        shard: _shard.Shard,
+        job: _model.Job,
+        wish: _policy.StartWish,
+        may_displace: bool,
     ) -> bool:
-        """Send a task to the boards with room; tell if there were any."""
+        """Send a task to the boards with room; tell if there were any.
+
+        Where no board has room, those are asked that batch tasks can leave.
+        """
         task = wish.task
         now_s = self._timer.now_s()
         spec = self.spec(shard, job, task, wish.task_class)
-        boards = self._ranked(spec, job.item.kind)
+        boards = self._ranked(spec, self.free, job.item.kind)
+        displaces = (
+            not boards and may_displace and now_s >= job.displaces_again_s
+        )
+        if displaces:
+            boards = self._ranked(spec, self._displaceable, job.item.kind)
         if not boards:
             return False
         task.attempt = shard.next_attempt()
@@ -119,7 +132,9 @@
         task.board = boards[0].owner
         job.move(task, _Phase.STARTING, now_s)
         self._in_flight[task.board] += 1
-        self._tasks.start_soon(self._start, shard, job, wish, boards)
+        self._tasks.start_soon(
+            self._start, shard, job, wish, boards, displaces
+        )
         return True
 
     def begin_stop(
@@ -200,12 +215,24 @@
             )
         )
 
+    def _displaceable(self, board: tasks.Board, spec: tasks.TaskSpec) -> int:
+        """Return how many such tasks may displace others at a board now."""
+        return self._sendable(board, board.displaceable_tasks(spec))
+
+    def _sendable(self, board: tasks.Board, room: int) -> int:
+        in_flight = self._in_flight[board.owner]
+        allowed = self._settings.starts_in_flight - in_flight
+        return max(0, min(allowed, room - in_flight))
+
     def _ranked(
-        self, spec: tasks.TaskSpec, kind: _model.JobKind
+        self,
+        spec: tasks.TaskSpec,
+        room_at: collections.abc.Callable[[tasks.Board, tasks.TaskSpec], int],
+        kind: _model.JobKind,
     ) -> list[tasks.Board]:
         """Return the boards with room: fullest first for batch, to pack."""
         room = [
-            (self.free(board, spec), board) for board in self._boards.boards()
+            (room_at(board, spec), board) for board in self._boards.boards()
         ]
         room = [pair for pair in room if pair[0] > 0]
         is_batch = kind is _model.JobKind.BATCH
@@ -218,18 +245,25 @@
         job: _model.Job,
         wish: _policy.StartWish,
         boards: list[tasks.Board],
+        displaces: bool,
     ) -> None:
-        spec = self.spec(shard, job, wish.task, wish.task_class)
+        spec = self.spec(shard, job, wish.task, wish.task_class, displaces)
         at = boards[0].owner
+        is_settled = False
         for board in boards:
             self._in_flight[at] -= 1
             at = board.owner
             self._in_flight[at] += 1
             if not self.may_act(shard):
                 break
-            if await self._is_settled(shard, job, wish, spec, board):
+            is_settled = await self._is_settled(shard, job, wish, spec, board)
+            if is_settled:
                 break
         self._in_flight[at] -= 1
+        if displaces and not is_settled:
+            # Every board has refused to displace; asked again at each tick,
+            # they would be flooded with calls that change nothing.
+            job.displaces_again_s = self._timer.now_s() + _DISPLACE_AGAIN_S
         self._land(shard, job, wish.task, spec.attempt)
 
     async def _is_settled(
@@ -254,7 +288,9 @@
             shard.take(board.owner, reply.ok, sent_s, self._timer.now_s())
             return True
         if reply.error.outcome is errors.Outcome.NOT_RUN:
-            return False
+            # Where room is being made, the task comes back for it: asked
+            # too, the next board would displace others for the same task.
+            return is_room_made(reply.error)
         # The answer was lost and it may run: a start elsewhere has to wait
         # until its end there is confirmed.
         self.record(job, task, reply.error.kind.value, 'unknown')
@@ -342,6 +378,14 @@
         self._on_change()
 
 
+def is_room_made(failure: errors.Failure) -> bool:
+    """Tell whether a refusal says that room is being made for the task."""
+    return (
+        failure.kind is errors.ErrorKind.NO_FREE_SLOT
+        and failure.retry_after_s is not None
+    )
+
+
 def _stopped(
     key: tasks.TaskKey, attempt: int, task: _model.Task
 ) -> tasks.TaskReport:
--- a/tests/walnutpoint_entry/jobs/fake_cell.py
+++ b/tests/walnutpoint_entry/jobs/fake_cell.py
@@ -17,6 +17,9 @@
 _Kind = errors.ErrorKind
 _State = tasks.TaskState
 _LIVE = (_State.HELD, _State.RUNNING, _State.STOPPING)
+_LEAVING_S: typing.Final = 0.5
+_KEPT_S: typing.Final = 5.0
+_RETRY_S: typing.Final = 1.0
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,6 +43,16 @@
     expires_s: float = 0.0
     ends_s: float = 0.0
     started_s: float = 0.0
+    reserve: Reserve | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reserve:
+    """A slot that a batch task has left for another task."""
+
+    worker: Worker
+    from_s: float
+    until_s: float
 
 
 class Witness:
@@ -171,12 +184,25 @@
         self.calls: collections.Counter[str] = collections.Counter()
         self.late: list[tasks.TaskSpec] = []
         self._epochs: dict[int, int] = {}
+        self.displaced: list[tasks.TaskKey] = []
         self._tombstones: set[tuple[tasks.TaskKey, int]] = set()
+        self._reserves: dict[tasks.TaskKey, Reserve] = {}
 
     def free_tasks(self, spec: tasks.TaskSpec) -> int:
-        """Return the free slots."""
-        del spec
-        return sum(one.free() for one in self.workers if not one.is_cut)
+        """Return the slots that such a task may take."""
+        kept = sum(
+            _may_use(spec, key) and not self._is_usable(one)
+            for key, one in self._kept().items()
+        )
+        return kept + sum(
+            self._free(one, spec) for one in self.workers if not one.is_cut
+        )
+
+    def displaceable_tasks(self, spec: tasks.TaskSpec) -> int:
+        """Return the slots that are free or taken by batch tasks."""
+        return self.free_tasks(spec) + sum(
+            len(_batch(one)) for one in self.workers if not one.is_cut
+        )
 
     async def hold(
         self,
@@ -186,10 +212,13 @@
     ) -> typing.Any:
         """Hold a slot."""
         step = await self._arrive('hold')
-        worker = self._room(avoid_domains)
-        if step == 'refuse' or self._is_old(spec) or worker is None:
+        if step == 'refuse' or self._is_old(spec):
             return _failed(_Kind.NO_FREE_SLOT)
+        worker = self._room(spec, avoid_domains)
+        if worker is None:
+            return self._no_room(spec, avoid_domains)
         one = Attempt(spec, _State.HELD)
+        one.reserve = self._use_reserve(worker, spec)
         one.expires_s = self.cell.timer.now_s() + hold_s
         worker.attempts[spec.key, spec.attempt] = one
         if step == 'lose':
@@ -210,7 +239,7 @@
             return _failed(_Kind.PEER_ANSWER_LOST)
         report = self.begin(spec, avoid_domains)
         if report is None:
-            return _failed(_Kind.NO_FREE_SLOT)
+            return self._no_room(spec, avoid_domains)
         if step == 'lose':
             return _failed(_Kind.PEER_ANSWER_LOST)
         if step == 'fail':
@@ -235,8 +264,11 @@
                     del worker.attempts[key]
                     held = worker.run(spec)
                 return worker.report(held)
-        worker = self._room(avoid_domains)
-        return None if worker is None else worker.report(worker.run(spec))
+        worker = self._room(spec, avoid_domains)
+        if worker is None:
+            return None
+        self._use_reserve(worker, spec)
+        return worker.report(worker.run(spec))
 
     async def stop(
         self, key: tasks.TaskKey, attempt: int, mode: tasks.StopMode
@@ -252,6 +284,8 @@
             if worker.is_cut:
                 return _failed(_Kind.ENDPOINT_UNREACHABLE)
             if one.state in _LIVE:
+                if one.state is _State.HELD and one.reserve is not None:
+                    self._reserves.setdefault(key, one.reserve)
                 worker.end(one, _State.STOPPED)
             if step == 'lose':
                 return _failed(_Kind.PEER_ANSWER_LOST)
@@ -313,13 +347,67 @@
     def _is_old(self, spec: tasks.TaskSpec) -> bool:
         return spec.shard_epoch < self._epochs.get(spec.shard, 0)
 
-    def _room(self, avoid_domains: frozenset[str]) -> Worker | None:
+    def _room(
+        self, spec: tasks.TaskSpec, avoid_domains: frozenset[str]
+    ) -> Worker | None:
         for worker in self.workers:
             allowed = not worker.is_cut and worker.domain not in avoid_domains
-            if allowed and worker.free() > 0:
+            if allowed and self._free(worker, spec) > 0:
                 return worker
         return None
 
+    def _free(self, worker: Worker, spec: tasks.TaskSpec) -> int:
+        return worker.free() - sum(
+            kept.worker is worker
+            and not (_may_use(spec, key) and self._is_usable(kept))
+            for key, kept in self._kept().items()
+        )
+
+    def _kept(self) -> dict[tasks.TaskKey, Reserve]:
+        now_s = self.cell.timer.now_s()
+        return {
+            key: one
+            for key, one in self._reserves.items()
+            if now_s < one.until_s
+        }
+
+    def _is_usable(self, reserve: Reserve) -> bool:
+        return self.cell.timer.now_s() >= reserve.from_s
+
+    def _use_reserve(
+        self, worker: Worker, spec: tasks.TaskSpec
+    ) -> Reserve | None:
+        for key, one in self._kept().items():
+            is_here = one.worker is worker and self._is_usable(one)
+            if is_here and _may_use(spec, key):
+                del self._reserves[key]
+                own = self._reserves.pop(spec.key, None)
+                if own is not None:
+                    self._reserves[key] = own
+                return one
+        return None
+
+    def _no_room(
+        self, spec: tasks.TaskSpec, avoid_domains: frozenset[str]
+    ) -> typing.Any:
+        """Refuse; a batch task leaves first for one that may displace."""
+        if spec.key in self._kept():
+            return _failed(_Kind.NO_FREE_SLOT, _RETRY_S)
+        is_batch = spec.task_class is tasks.TaskClass.BATCH
+        if is_batch or not spec.may_displace or self._is_old(spec):
+            return _failed(_Kind.NO_FREE_SLOT)
+        for worker in self.workers:
+            allowed = not worker.is_cut and worker.domain not in avoid_domains
+            if allowed and _batch(worker):
+                victim = max(_batch(worker), key=lambda one: one.started_s)
+                worker.end(victim, _State.STOPPED)
+                self.displaced.append(victim.spec.key)
+                from_s = self.cell.timer.now_s() + _LEAVING_S
+                reserve = Reserve(worker, from_s, from_s + _KEPT_S)
+                self._reserves[spec.key] = reserve
+                return _failed(_Kind.NO_FREE_SLOT, _RETRY_S)
+        return _failed(_Kind.NO_FREE_SLOT)
+
 
 class Cell:
     """All owners and their workers; also the boards of every process."""
@@ -381,5 +469,22 @@
         return [one for board in self.owners for one in board.workers]
 
 
-def _failed(kind: errors.ErrorKind) -> typing.Any:
-    return expression.Error(errors.Failure(kind))
+def _batch(worker: Worker) -> list[Attempt]:
+    return [
+        one
+        for one in worker.attempts.values()
+        if one.state is _State.RUNNING
+        and one.spec.task_class is tasks.TaskClass.BATCH
+    ]
+
+
+def _may_use(spec: tasks.TaskSpec, key: tasks.TaskKey) -> bool:
+    """Tell whether what is kept for one task is for another one too."""
+    is_batch = spec.task_class is tasks.TaskClass.BATCH
+    return not is_batch and spec.key.job == key.job
+
+
+def _failed(
+    kind: errors.ErrorKind, retry_after_s: float | None = None
+) -> typing.Any:
+    return expression.Error(errors.Failure(kind, retry_after_s=retry_after_s))
--- /dev/null
+++ b/tests/walnutpoint_entry/jobs/test_displacement.py
@@ -0,0 +1,128 @@
+"""Tests of services and gangs that displace other job owners' batch work."""
+
+from __future__ import annotations
+
+import collections.abc
+import contextlib
+import typing
+import unittest
+
+import anyio
+
+from tests.walnutpoint_core.documents import samples
+from tests.walnutpoint_entry.jobs import harness
+from walnutpoint_entry import jobs
+
+_SERVICE = 'ours/services/watch'
+# A rest tick and a reading of the configuration, 0.5 s for the batch tasks to
+# leave, and two refusals: 2.4 s of 0.2 s each, and some to spare.
+_TICKS_MAX = 15
+_SLOTS = 4
+
+
+def _name(stem: str, shard: int) -> str:
+    """Return the first numbered name of a job of a shard."""
+    shards = harness.SETTINGS.shards
+    return next(
+        f'{stem}-{number}'
+        for number in range(100)
+        if jobs.job_shard(f'ours/{stem}-{number}', shards) == shard
+    )
+
+
+_URGENT_SHARD = jobs.job_shard(_SERVICE, harness.SETTINGS.shards)
+_BATCH_SHARD = 1 - _URGENT_SHARD
+_BATCH = _name('audit', _BATCH_SHARD)
+_GANG = _name('model', _URGENT_SHARD)
+
+
+class DisplacementTest(unittest.IsolatedAsyncioTestCase):
+    """Fill a cell from one job owner, and need room from another one."""
+
+    @contextlib.asynccontextmanager
+    async def _full_cell(
+        self, **sections: typing.Any
+    ) -> collections.abc.AsyncIterator[harness.Bench]:
+        async with anyio.create_task_group() as group:
+            bench = harness.Bench(group, owners=2, slots=_SLOTS)
+            bench.cell.default_run_s = 1000.0
+            await bench.submit(
+                teams={'ours': harness.TEAM},
+                batch_jobs=harness.batch(_BATCH, 2 * _SLOTS),
+                **sections,
+            )
+            await bench.process((_BATCH_SHARD,))
+            await bench.process((_URGENT_SHARD,))
+            await bench.timer.run_for(5.0)
+            running = bench.cell.witness.running(f'ours/{_BATCH}')
+            self.assertEqual(2 * _SLOTS, len(running))
+            yield bench
+            self.assertEqual([], bench.cell.witness.violations)
+            group.cancel_scope.cancel()
+
+    async def _ticks_until(
+        self, bench: harness.Bench, job: str, count: int
+    ) -> int:
+        """Return after how many ticks so many tasks of a job run."""
+        for ticks in range(_TICKS_MAX * 5):
+            if len(bench.cell.witness.running(job)) == count:
+                return ticks
+            await bench.timer.run_for(harness.SETTINGS.tick_s)
+        return _TICKS_MAX * 5
+
+    async def test_service_displaces_batch_of_another_owner(self) -> None:
+        """Another job owner's batch tasks fill the cell; a service comes.
+
+        Its job owner has no batch task of its own to stop: only the owners
+        of the workers can make room, or the service waits for batch ends.
+        """
+        async with self._full_cell() as bench:
+            await bench.submit(services=samples.service(2))
+            ticks = await self._ticks_until(bench, _SERVICE, 2)
+            self.assertLessEqual(ticks, _TICKS_MAX)
+            await bench.timer.run_for(10.0)
+            self.assertEqual(2, _displaced(bench))
+            # Refused while batch tasks leave, it must not ask without pause.
+            calls = sum(one.calls['start'] for one in bench.cell.owners)
+            self.assertLessEqual(calls - 2 * _SLOTS, 2 * _TICKS_MAX)
+
+    async def test_gang_displaces_batch_of_another_owner_once(self) -> None:
+        """A gang larger than one owner's workers finds the cell full.
+
+        Each task is refused while room is made for it. Were these counted
+        as missing or asked for elsewhere, more than needed would be stopped.
+        """
+        async with self._full_cell() as bench:
+            await bench.submit(gang_jobs=harness.gang(_GANG, _SLOTS + 2))
+            ticks = await self._ticks_until(bench, f'ours/{_GANG}', _SLOTS + 2)
+            self.assertLessEqual(ticks, 2 * _TICKS_MAX)
+            await bench.timer.run_for(10.0)
+            self.assertEqual(_SLOTS + 2, _displaced(bench))
+
+    async def test_gang_that_can_never_fit_displaces_nothing(self) -> None:
+        async with self._full_cell() as bench:
+            await bench.submit(gang_jobs=harness.gang(_GANG, 2 * _SLOTS + 1))
+            await bench.timer.run_for(10.0)
+            self.assertEqual(0, _displaced(bench))
+
+    async def test_policies_forbid_displacement(self) -> None:
+        cases: tuple[dict[str, typing.Any], ...] = (
+            {'batch': {'preemption': 'none'}},
+            {
+                'service': {'may_preempt_batch': False},
+                'gang': {'may_preempt_batch': False},
+            },
+        )
+        for policies in cases:
+            with self.subTest(policies=policies):
+                async with self._full_cell(policies=policies) as bench:
+                    await bench.submit(
+                        services=samples.service(1),
+                        gang_jobs=harness.gang(_GANG, 2),
+                    )
+                    await bench.timer.run_for(10.0)
+                    self.assertEqual(0, _displaced(bench))
+
+
+def _displaced(bench: harness.Bench) -> int:
+    return sum(len(board.displaced) for board in bench.cell.owners)
--- a/tests/walnutpoint_entry/jobs/test_shard.py
+++ b/tests/walnutpoint_entry/jobs/test_shard.py
@@ -87,6 +87,21 @@
         self.shard.take('a', _report(1, _State.RUNNING), 101.5, 103.0)
         self.assertIs(_model.Phase.READY, self._task().phase)
 
+    def test_hold_seen_during_a_start_does_not_undo_it(self) -> None:
+        """A start is sent, then an inventory, which arrives before it.
+
+        It shows the hold that the start is to use. Taken at its word, the
+        task would not be among the started ones, and its gang would stop.
+        """
+        self._sync()
+        self.shard.take('a', _report(1, _State.HELD), 101.0, 101.0)
+        job = self.shard.jobs[_KEY]
+        job.move(self._task(), _model.Phase.STARTING, 102.0)
+        self.shard.take('a', _report(1, _State.HELD), 102.1, 102.3)
+        self.assertIs(_model.Phase.STARTING, self._task().phase)
+        self.shard.take('a', _report(1, _State.RUNNING), 102.0, 102.4)
+        self.assertIs(_model.Phase.RUNNING, self._task().phase)
+
     def test_recorded_failure_is_counted_once(self) -> None:
         """The predecessor recorded a failure and died unacknowledged.
 
