--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_displacement.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_displacement.py
@@ -12,7 +12,7 @@
 from walnutpoint_entry.jobs import _policy
 from walnutpoint_entry.jobs import _quota
 from walnutpoint_entry.jobs import _shard
-from walnutpoint_entry.jobs import _starter
+from walnutpoint_entry.jobs import _stopper
 from walnutpoint_entry import tasks
 
 __all__ = ('Displacer', 'borrowed_by_team')
@@ -29,11 +29,11 @@
 class Displacer:
     """Stop batch tasks of this process's jobs, the borrowed ones first."""
 
-    __slots__ = ('_starter', '_timer', '_yields_until_s')
+    __slots__ = ('_stopper', '_timer', '_yields_until_s')
 
-    def __init__(self, timer: timers.Timer, starter: _starter.Starter) -> None:
+    def __init__(self, timer: timers.Timer, stopper: _stopper.Stopper) -> None:
         self._timer = timer
-        self._starter = starter
+        self._stopper = stopper
         self._yields_until_s = float('-inf')
 
     def yields(self) -> bool:
@@ -82,7 +82,7 @@
         wanted = max(0, min(count, _AT_ONCE_MAX) - leaving)
         for shard, job, task in found[:wanted]:
             wish = _policy.StopWish(task, mode, _batch.RECLAIMED)
-            self._starter.begin_stop(shard, job, wish)
+            self._stopper.begin_stop(shard, job, wish)
         if found[:wanted] and not only_borrowed:
             self._yields_until_s = (
                 self._timer.now_s() + policy.checkpoint_grace_s
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_flusher.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_flusher.py
@@ -11,9 +11,10 @@
 from walnutpoint_core import logs
 from walnutpoint_core import timer as timers
 from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _owners
 from walnutpoint_entry.jobs import _ports
+from walnutpoint_entry.jobs import _reports
 from walnutpoint_entry.jobs import _shard
-from walnutpoint_entry.jobs import _starter
 from walnutpoint_entry.jobs import _writer
 from walnutpoint_entry import tasks
 
@@ -32,8 +33,8 @@
         '_failures',
         '_is_writing',
         '_next_s',
+        '_owners',
         '_settings',
-        '_starter',
         '_tasks',
         '_timer',
         '_writer',
@@ -45,14 +46,14 @@
         settings: _ports.JobSettings,
         configurations: _ports.Configurations,
         writer: _writer.ProgressWriter,
-        starter: _starter.Starter,
+        owners: _owners.Owners,
         task_group: anyio.abc.TaskGroup,
     ) -> None:
         self._timer = timer
         self._settings = settings
         self._configurations = configurations
         self._writer = writer
-        self._starter = starter
+        self._owners = owners
         self._tasks = task_group
         self._next_s = 0.0
         self._failures = 0
@@ -79,10 +80,11 @@
         self._tasks.start_soon(self._run, owned, ended)
 
     def _mark(self, shard: _shard.Shard, now_s: float) -> None:
-        if shard.changed_soon or shard.changed_lazily:
-            self._writer.mark(shard.index, now_s, shard.changed_soon)
-            shard.changed_soon = False
-            shard.changed_lazily = False
+        changes = shard.changes
+        if changes.soon or changes.lazily:
+            self._writer.mark(shard.index, now_s, changes.soon)
+            changes.soon = False
+            changes.lazily = False
 
     async def _run(
         self,
@@ -140,7 +142,7 @@
     async def _acknowledge(
         self,
         shard: _shard.Shard,
-        ended: dict[tuple[str, tasks.TaskKey, int], _shard.Ended],
+        ended: dict[tuple[str, tasks.TaskKey, int], _reports.Ended],
         is_written: bool,
     ) -> None:
         by_owner = collections.defaultdict(list)
@@ -150,11 +152,11 @@
             if is_written or is_finished or not one.must_record:
                 by_owner[one.owner].append((key, one.report))
         for owner, pairs in by_owner.items():
-            board = self._starter.board(owner)
-            if not self._starter.may_act(shard):
+            board = self._owners.board(owner)
+            if not self._owners.may_act(shard):
                 continue
             if board is None:
-                if self._starter.has_left(owner):
+                if self._owners.has_left(owner):
                     for key, _ in pairs:
                         shard.ended.pop(key, None)
                 continue
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_journal.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_journal.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from walnutpoint_core import logs
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.jobs import _model
 
 __all__ = ('EndedJob', 'JobJournal', 'TaskDecision')
 
@@ -40,9 +42,10 @@
 class JobJournal:
     """Log each decision and remember the newest."""
 
-    __slots__ = ('_decisions', '_ended', '_outcomes')
+    __slots__ = ('_decisions', '_ended', '_outcomes', '_timer')
 
-    def __init__(self) -> None:
+    def __init__(self, timer: timers.Timer) -> None:
+        self._timer = timer
         self._decisions: collections.deque[TaskDecision] = collections.deque(
             maxlen=_DECISIONS_MAX
         )
@@ -51,10 +54,27 @@
         )
         self._outcomes: collections.Counter[str] = collections.Counter()
 
-    def record(self, decision: TaskDecision) -> None:
-        """Log and remember a decision."""
+    def record(
+        self,
+        job: _model.Job,
+        task: _model.Task,
+        reason: str,
+        outcome: str,
+        attempt: int | None = None,
+    ) -> None:
+        """Log and remember a decision on a task's newest attempt."""
+        waited_s = self._timer.now_s() - task.waiting_since_s
+        decision = TaskDecision(
+            job=job.item.key,
+            task=task.index,
+            attempt=task.attempt if attempt is None else attempt,
+            worker=task.worker,
+            reason=reason,
+            waited_s=round(waited_s, 3),
+            outcome=outcome,
+        )
         self._decisions.append(decision)
-        self._outcomes[decision.outcome] += 1
+        self._outcomes[outcome] += 1
         _LOG.info('task', **msgspec.structs.asdict(decision))
 
     def record_ended(self, ended: EndedJob) -> None:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_model.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_model.py
@@ -119,7 +119,9 @@
 class Task:
     """One task, and what is known of its newest attempt.
 
-    Nothing learnt from before since_s may change it.
+    Nothing learnt from before since_s may change it. The board is the name of
+    the owner whose worker has it; the counted attempt is the last one whose
+    end has been counted, and must not be once more.
     """
 
     index: int
@@ -145,7 +147,11 @@
 
 
 class Job:
-    """One job or service with its tasks, found by phase."""
+    """One job or service with its tasks, found by phase.
+
+    Of a gang, refusals counts the reservations that failed in a row, and
+    missing the tasks for which the last one found no room.
+    """
 
     __slots__ = (
         '_phases',
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_poller.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_poller.py
@@ -8,6 +8,7 @@
 
 from walnutpoint_core import timer as timers
 from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _owners
 from walnutpoint_entry.jobs import _ports
 from walnutpoint_entry.jobs import _recovery
 from walnutpoint_entry.jobs import _shard
@@ -28,10 +29,9 @@
 
     __slots__ = (
         '_asked_s',
-        '_boards',
         '_in_flight',
         '_on_change',
-        '_ownership',
+        '_owners',
         '_settings',
         '_tasks',
         '_timer',
@@ -41,15 +41,13 @@
         self,
         timer: timers.Timer,
         settings: _ports.JobSettings,
-        ownership: _ports.Ownership,
-        boards: tasks.Boards,
+        owners: _owners.Owners,
         task_group: anyio.abc.TaskGroup,
         on_change: collections.abc.Callable[[], None],
     ) -> None:
         self._timer = timer
         self._settings = settings
-        self._ownership = ownership
-        self._boards = boards
+        self._owners = owners
         self._tasks = task_group
         self._on_change = on_change
         self._asked_s: dict[tuple[int, str], float] = {}
@@ -61,7 +59,7 @@
         self._advance_search(shard, now_s)
         period_s = self._period_s(shard)
         used = shard.owners_used()
-        for board in self._boards.boards():
+        for board in self._owners.boards():
             if shard.search is None and board.owner not in used:
                 continue
             key = (shard.index, board.owner)
@@ -95,12 +93,11 @@
             return
         if shard.search is None:
             shard.search = _recovery.Search(self._settings, now_s)
-        owners = frozenset(board.owner for board in self._boards.boards())
         is_proven = shard.search.advance(
             now_s,
-            owners,
-            self._boards.are_all(),
-            self._ownership.table_revision,
+            self._owners.names(),
+            self._owners.are_all(),
+            self._owners.table_revision,
         )
         if is_proven:
             shard.resolve_doubts(shard.search.started_s, now_s)
@@ -110,7 +107,7 @@
 
     async def _ask(self, shard: _shard.Shard, board: tasks.Board) -> None:
         sent_s = self._timer.now_s()
-        revision = self._ownership.table_revision
+        revision = self._owners.table_revision
         try:
             reply = await board.inventory(shard.index, shard.epoch)
         finally:
@@ -119,7 +116,7 @@
             return
         now_s = self._timer.now_s()
         shard.take_inventory(board.owner, reply.ok, sent_s, now_s)
-        if shard.search and revision == self._ownership.table_revision:
+        if shard.search and revision == self._owners.table_revision:
             shard.search.observe(
                 board.owner, sent_s, now_s, reply.ok.is_complete, revision
             )
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_queue.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_queue.py
@@ -52,11 +52,12 @@
         timer: timers.Timer,
         settings: _ports.JobSettings,
         starter: _starter.Starter,
+        displacer: _displacement.Displacer,
     ) -> None:
         self._timer = timer
         self._settings = settings
         self._starter = starter
-        self._displacer = _displacement.Displacer(timer, starter)
+        self._displacer = displacer
         self._again_s = 0.0
         self._idle_since_s: dict[documents.Size, float] = {}
 
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_record.py
@@ -0,0 +1,93 @@
+"""The record of a job, from which its next owner goes on."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _progress
+
+__all__ = ('Changes', 'facts', 'record', 'restore')
+
+_Phase = _model.Phase
+_UNSETTLED: typing.Final = (_Phase.READY, _Phase.DOUBTFUL)
+
+
+@dataclasses.dataclass(slots=True)
+class Changes:
+    """How soon what has changed of a shard's record must be written."""
+
+    soon: bool = False
+    lazily: bool = False
+
+
+def record(job: _model.Job) -> _progress.JobProgress:
+    """Return what is to be kept of a job in the store."""
+    marks = tuple(
+        _progress.TaskMark(
+            task.index,
+            task.counted_attempt,
+            task.failures,
+            task.preemptions,
+            task.checkpoint,
+        )
+        for task in job.tasks.values()
+        if task.phase is not _Phase.DONE
+        and (task.failures or task.preemptions or task.checkpoint)
+    )
+    done = (task.index for task in job.in_phase(_Phase.DONE))
+    return _progress.JobProgress(
+        job.item.key,
+        job.item.created,
+        job.accepted_unix_s,
+        _progress.to_ranges(done),
+        marks,
+        job.failures,
+    )
+
+
+def restore(
+    job: _model.Job, stored: _progress.JobProgress, now_s: float
+) -> None:
+    """Take what earlier owners recorded, where it is newer."""
+    job.accepted_unix_s = min(job.accepted_unix_s, stored.accepted_unix_s)
+    job.failures = max(job.failures, stored.failures)
+    for index in stored.done_indices():
+        task = job.tasks.get(index)
+        if task is not None and task.phase in _UNSETTLED:
+            job.move(task, _Phase.DONE, now_s)
+    for mark in stored.marks:
+        task = job.tasks.get(mark.index)
+        if task is None or task.counted_attempt >= mark.attempt:
+            continue
+        task.counted_attempt = mark.attempt
+        task.attempt = max(task.attempt, mark.attempt)
+        task.failures = max(task.failures, mark.failures)
+        task.preemptions = max(task.preemptions, mark.preemptions)
+        task.checkpoint = mark.checkpoint or task.checkpoint
+        if task.phase in _UNSETTLED and _has_failed(job, task):
+            job.move(task, _Phase.FAILED, now_s)
+
+
+def facts(
+    job: _model.Job, task: _model.Task
+) -> tuple[bool, bool, int, int, str | None, int] | None:
+    """Return what a successor can learn from the store only."""
+    if job.item.kind is _model.JobKind.SERVICE:
+        return None
+    return (
+        task.phase is _Phase.DONE,
+        task.phase is _Phase.FAILED,
+        task.failures,
+        task.preemptions,
+        task.checkpoint,
+        job.failures,
+    )
+
+
+def _has_failed(job: _model.Job, task: _model.Task) -> bool:
+    if job.item.kind is _model.JobKind.GANG:
+        declared = job.item.item.on_member_lost
+        return declared == 'continue' and task.failures > 0
+    return task.failures >= int(job.item.item.max_attempts)
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_reservation.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_reservation.py
@@ -2,11 +2,11 @@
 
 Owners are asked in the order of their names, and a gang that misses any task
 releases what it holds instead of waiting for the rest: nobody holds and
-waits, so gangs never block each other for longer than one attempt. What an
-owner that died holds expires. The wait before the next attempt is random, so
+waits, so gangs never block each other for longer than one trial. What an
+owner that died holds expires. The wait before the next trial is random, so
 that gangs which met once do not meet each time. Where all that is missing
 would fit without batch tasks, these are displaced, and the owners of the
-workers keep that room for a later attempt of the gang.
+workers keep that room for a later trial of the gang.
 """
 
 from __future__ import annotations
@@ -22,10 +22,13 @@
 from walnutpoint_core import documents
 from walnutpoint_core import errors
 from walnutpoint_core import timer as timers
+from walnutpoint_entry.jobs import _journal
 from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _owners
 from walnutpoint_entry.jobs import _policy
 from walnutpoint_entry.jobs import _shard
 from walnutpoint_entry.jobs import _starter
+from walnutpoint_entry.jobs import _stopper
 from walnutpoint_entry import tasks
 
 __all__ = ('Reservations',)
@@ -39,8 +42,8 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Attempt:
-    """One attempt to reserve a gang, and for whom room is being made."""
+class _Trial:
+    """One try to reserve a gang, and for which tasks room is being made."""
 
     shard: _shard.Shard
     job: _model.Job
@@ -61,10 +64,12 @@
     """Hold room for all tasks of a gang, and start all or none."""
 
     __slots__ = (
-        '_boards',
+        '_journal',
         '_on_change',
+        '_owners',
         '_random',
         '_starter',
+        '_stopper',
         '_tasks',
         '_timer',
     )
@@ -72,15 +77,19 @@
     def __init__(
         self,
         timer: timers.Timer,
-        boards: tasks.Boards,
+        owners: _owners.Owners,
         starter: _starter.Starter,
+        stopper: _stopper.Stopper,
+        journal: _journal.JobJournal,
         rng: random.Random,
         task_group: anyio.abc.TaskGroup,
         on_change: collections.abc.Callable[[], None],
     ) -> None:
         self._timer = timer
-        self._boards = boards
+        self._owners = owners
         self._starter = starter
+        self._stopper = stopper
+        self._journal = journal
         self._random = rng
         self._tasks = task_group
         self._on_change = on_change
@@ -96,16 +105,16 @@
         """Try once to reserve and start a gang."""
         job.is_reserving = True
         hold_s = min(job.item.item.hold_s, policy.hold_max_s)
-        attempt = _Attempt(shard, job, task_class, hold_s)
-        self._tasks.start_soon(self._run, attempt, may_displace)
+        trial = _Trial(shard, job, task_class, hold_s)
+        self._tasks.start_soon(self._run, trial, may_displace)
 
-    async def _run(self, attempt: _Attempt, may_displace: bool) -> None:
-        shard, job = attempt.shard, attempt.job
-        until_s = self._timer.now_s() + attempt.hold_s * _USABLE_SHARE
-        all_held = await self._hold_all(attempt, may_displace)
+    async def _run(self, trial: _Trial, may_displace: bool) -> None:
+        shard, job = trial.shard, trial.job
+        until_s = self._timer.now_s() + trial.hold_s * _USABLE_SHARE
+        all_held = await self._hold_all(trial, may_displace)
         is_usable = all_held and self._timer.now_s() < until_s
         if is_usable and self._is_current(shard, job):
-            is_started = await self._start_all(shard, job, attempt.task_class)
+            is_started = await self._start_all(shard, job, trial.task_class)
         else:
             is_started = False
         job.is_reserving = False
@@ -115,39 +124,35 @@
                 job.missing = 0
                 job.reason = ''
             else:
-                self._release(attempt)
+                self._release(trial)
         self._on_change()
 
-    async def _hold_all(self, attempt: _Attempt, may_displace: bool) -> bool:
-        boards = sorted(self._boards.boards(), key=lambda one: one.owner)
-        await self._hold_at(attempt, boards, displaces=False)
-        if may_displace and self._can_displace(attempt, boards):
-            await self._hold_at(attempt, boards, displaces=True)
-        job = attempt.job
+    async def _hold_all(self, trial: _Trial, may_displace: bool) -> bool:
+        boards = sorted(self._owners.boards(), key=lambda one: one.owner)
+        await self._hold_at(trial, boards, displaces=False)
+        if may_displace and self._can_displace(trial, boards):
+            await self._hold_at(trial, boards, displaces=True)
+        job = trial.job
         held = job.in_phase(_Phase.HELD)
         return len(held) == len(job.tasks) and all(
             task.worker for task in held
         )
 
-    def _can_displace(
-        self, attempt: _Attempt, boards: list[tasks.Board]
-    ) -> bool:
+    def _can_displace(self, trial: _Trial, boards: list[tasks.Board]) -> bool:
         """Tell whether all that is missing could start without batch."""
-        missing = attempt.unplaced()
+        missing = trial.unplaced()
         if not missing:
             return False
         # A gang that does not fit even then must not stop batch tasks.
-        room = sum(self._room(attempt, board, True) for board in boards)
+        room = sum(self._room(trial, board, True) for board in boards)
         return room >= len(missing)
 
-    def _room(
-        self, attempt: _Attempt, board: tasks.Board, displaces: bool
-    ) -> int:
+    def _room(self, trial: _Trial, board: tasks.Board, displaces: bool) -> int:
         spec = self._starter.spec(
-            attempt.shard,
-            attempt.job,
-            attempt.unplaced()[0],
-            attempt.task_class,
+            trial.shard,
+            trial.job,
+            trial.unplaced()[0],
+            trial.task_class,
             displaces,
         )
         if displaces:
@@ -155,40 +160,38 @@
         return board.free_tasks(spec)
 
     async def _hold_at(
-        self, attempt: _Attempt, boards: list[tasks.Board], displaces: bool
+        self, trial: _Trial, boards: list[tasks.Board], displaces: bool
     ) -> None:
-        job = attempt.job
+        job = trial.job
         for board in boards:
-            waiting = attempt.unplaced()
-            if not waiting or not self._is_current(attempt.shard, job):
+            waiting = trial.unplaced()
+            if not waiting or not self._is_current(trial.shard, job):
                 return
-            count = min(self._room(attempt, board, displaces), len(waiting))
+            count = min(self._room(trial, board, displaces), len(waiting))
             async with anyio.create_task_group() as group:
                 for task in waiting[:count]:
-                    task.attempt = attempt.shard.next_attempt()
-                    task.task_class = attempt.task_class
+                    task.attempt = trial.shard.next_attempt()
+                    task.task_class = trial.task_class
                     task.is_borrowed = (
-                        attempt.task_class is tasks.TaskClass.BATCH
+                        trial.task_class is tasks.TaskClass.BATCH
                     )
                     task.board = board.owner
                     task.stop_reason = ''
                     job.move(task, _Phase.HELD, self._timer.now_s())
-                    group.start_soon(
-                        self._hold, attempt, task, board, displaces
-                    )
+                    group.start_soon(self._hold, trial, task, board, displaces)
 
     async def _hold(
         self,
-        attempt: _Attempt,
+        trial: _Trial,
         task: _model.Task,
         board: tasks.Board,
         displaces: bool,
     ) -> None:
-        shard, job = attempt.shard, attempt.job
+        shard, job = trial.shard, trial.job
         spec = self._starter.spec(
-            shard, job, task, attempt.task_class, displaces
+            shard, job, task, trial.task_class, displaces
         )
-        reply = await board.hold(spec, attempt.hold_s)
+        reply = await board.hold(spec, trial.hold_s)
         if not shard.is_open or task.phase is not _Phase.HELD:
             return
         if reply.is_ok():
@@ -196,7 +199,7 @@
             task.domain = reply.ok.domain
         elif reply.error.outcome is errors.Outcome.NOT_RUN:
             if _starter.is_room_made(reply.error):
-                attempt.promised.add(task.index)
+                trial.promised.add(task.index)
             task.board = ''
             job.move(task, _Phase.READY, self._timer.now_s())
 
@@ -223,9 +226,9 @@
         task_class: tasks.TaskClass,
     ) -> None:
         spec = self._starter.spec(shard, job, task, task_class)
-        board = self._starter.board(task.board)
+        board = self._owners.board(task.board)
         sent_s = self._timer.now_s()
-        if board is None or not self._starter.may_act(shard):
+        if board is None or not self._owners.may_act(shard):
             return
         reply = await board.start(spec)
         is_current = (
@@ -235,22 +238,22 @@
         )
         if is_current and reply.is_ok():
             shard.take(board.owner, reply.ok, sent_s, self._timer.now_s())
-            self._starter.record(job, task, 'gang', 'started')
+            self._journal.record(job, task, 'gang', 'started')
         elif is_current:
-            self._starter.record(
+            self._journal.record(
                 job, task, reply.error.kind.value, 'not_started'
             )
 
-    def _release(self, attempt: _Attempt) -> None:
-        shard, job = attempt.shard, attempt.job
+    def _release(self, trial: _Trial) -> None:
+        shard, job = trial.shard, trial.job
         # Room is being made for the promised ones: counted as missing, they
         # would displace batch tasks of this process's jobs as well.
-        job.missing = len(attempt.unplaced())
+        job.missing = len(trial.unplaced())
         # What was asked to start without a known answer may run: it is
         # stopped like the rest, and nothing starts until that is confirmed.
         for task in job.in_phase(_Phase.HELD, _Phase.STARTING, _Phase.RUNNING):
             wish = _policy.StopWish(task, tasks.StopMode.STOP, _INCOMPLETE)
-            self._starter.begin_stop(shard, job, wish)
+            self._stopper.begin_stop(shard, job, wish)
         if job.count(_Phase.DONE):
             job.restarts_all = True
         wait_s = min(_BACKOFF_S * 2.0**job.refusals, _BACKOFF_MAX_S)
@@ -262,7 +265,7 @@
 
     def _is_current(self, shard: _shard.Shard, job: _model.Job) -> bool:
         return (
-            self._starter.may_act(shard)
+            self._owners.may_act(shard)
             and not job.item.is_cancelled
             and not job.is_gone
         )
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service.py
@@ -36,8 +36,7 @@
         ]
         due = [task for task in ready if task.not_before_s <= context.now_s]
         if job.not_before_s > context.now_s:
-            # Each refusal wakes the loop, which would send the start again
-            # at once and take the processor until there is room.
+            # A start was refused a moment ago, and would be again.
             due = []
         starts = []
         for task in sorted(due, key=lambda task: task.index):
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service_loop.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_service_loop.py
@@ -11,10 +11,13 @@
 from walnutpoint_core import logs
 from walnutpoint_core import ports
 from walnutpoint_core import timer as timers
+from walnutpoint_entry.jobs import _displacement
 from walnutpoint_entry.jobs import _estimate
 from walnutpoint_entry.jobs import _flusher
 from walnutpoint_entry.jobs import _journal
 from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _owners
+from walnutpoint_entry.jobs import _policies
 from walnutpoint_entry.jobs import _policy
 from walnutpoint_entry.jobs import _poller
 from walnutpoint_entry.jobs import _ports
@@ -23,6 +26,7 @@
 from walnutpoint_entry.jobs import _reservation
 from walnutpoint_entry.jobs import _shard
 from walnutpoint_entry.jobs import _starter
+from walnutpoint_entry.jobs import _stopper
 from walnutpoint_entry.jobs import _views
 from walnutpoint_entry.jobs import _writer
 from walnutpoint_entry import ownership as ownership_module
@@ -53,7 +57,7 @@
     ) -> None:
         self._timer = timer
         self._settings = settings
-        self._ownership = ownership
+        self._owners = _owners.Owners(ownership, boards)
         self._configurations = configurations
         self._unix_now_s = unix_now_s
         self._tasks = task_group
@@ -61,34 +65,49 @@
         self._shards: dict[int, _shard.Shard] = {}
         self._items: dict[int, dict[str, _model.JobItem]] = {}
         self._shares = _quota.Entitlements(-1, {}, {})
-        self._journal = _journal.JobJournal()
+        self._journal = _journal.JobJournal(timer)
         self._estimate = _estimate.SizeEstimate()
         self._writer = _writer.ProgressWriter(
             store, store_prefix, settings.lazy_write_s
         )
+        self._stopper = _stopper.Stopper(
+            timer, self._owners, self._journal, task_group, self._wake
+        )
         self._starter = _starter.Starter(
             timer,
             settings,
-            ownership,
-            boards,
+            self._owners,
+            self._stopper,
             self._estimate,
             self._journal,
             task_group,
             self._wake,
         )
-        self._queue = _queue.StartQueue(timer, settings, self._starter)
+        self._queue = _queue.StartQueue(
+            timer,
+            settings,
+            self._starter,
+            _displacement.Displacer(timer, self._stopper),
+        )
         self._poller = _poller.Poller(
-            timer, settings, ownership, boards, task_group, self._wake
+            timer, settings, self._owners, task_group, self._wake
         )
         self._reservations = _reservation.Reservations(
-            timer, boards, self._starter, rng, task_group, self._wake
+            timer,
+            self._owners,
+            self._starter,
+            self._stopper,
+            self._journal,
+            rng,
+            task_group,
+            self._wake,
         )
         self._flusher = _flusher.Flusher(
             timer,
             settings,
             configurations,
             self._writer,
-            self._starter,
+            self._owners,
             task_group,
         )
 
@@ -131,11 +150,12 @@
         """Follow the configuration, plan each job and send what is due."""
         self._follow()
         wished: list[_queue.WishedStart] = []
-        owners = self._starter.owners()
+        are_all = self._owners.are_all()
+        owners = self._owners.names() if are_all else None
         acting = tuple(
             shard
             for shard in self._shards.values()
-            if shard.is_loaded and self._starter.may_act(shard)
+            if shard.is_loaded and self._owners.may_act(shard)
         )
         for shard in acting:
             self._sync(shard)
@@ -146,7 +166,7 @@
                 self._doubt_departed(job, owners)
                 self._plan(shard, job, wished)
             for stray in tuple(shard.strays.values()):
-                self._starter.begin_stop_stray(shard, stray)
+                self._stopper.begin_stop_stray(shard, stray)
             shard.drop_gone()
         self._queue.run(
             wished, self._shares, acting, self._configurations.current()
@@ -237,14 +257,14 @@
         wished: list[_queue.WishedStart],
     ) -> None:
         for task in job.in_phase(_model.Phase.STOPPING):
-            self._starter.ask_to_stop(shard, job, task)
+            self._stopper.ask_to_stop(shard, job, task)
         if job.ending is not None:
             return
         plan = self._plan_of(job)
         if plan.reason:
             job.reason = plan.reason
         for stop in plan.stops:
-            self._starter.begin_stop(shard, job, stop)
+            self._stopper.begin_stop(shard, job, stop)
         for start in plan.starts:
             wished.append(_queue.WishedStart(shard, job, start))
         if plan.reserve is not None:
@@ -283,7 +303,7 @@
             policy=self._configurations.current().policy(job.item.kind.value),
             starts_max=_STARTS_PER_JOB,
         )
-        return _shard.POLICIES[job.item.kind].plan(job, context)
+        return _policies.POLICIES[job.item.kind].plan(job, context)
 
     def _doubt_departed(
         self, job: _model.Job, owners: frozenset[str] | None
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_starter.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/jobs/_starter.py
@@ -1,4 +1,4 @@
-"""Starts and stops of single tasks, within limits per owner of workers."""
+"""Starts of single tasks, within limits per owner of workers."""
 
 from __future__ import annotations
 
@@ -13,31 +13,33 @@
 from walnutpoint_entry.jobs import _estimate
 from walnutpoint_entry.jobs import _journal
 from walnutpoint_entry.jobs import _model
+from walnutpoint_entry.jobs import _owners
 from walnutpoint_entry.jobs import _policy
 from walnutpoint_entry.jobs import _ports
 from walnutpoint_entry.jobs import _shard
+from walnutpoint_entry.jobs import _stopper
 from walnutpoint_entry import tasks
 
 __all__ = ('Starter', 'is_room_made')
 
 _Phase = _model.Phase
-_RETRY_STOP_S: typing.Final = 1.0
+# A refusal wakes the loop, which would send the same start again at once: the
+# processor would be taken up by refused calls until there is room.
 _REFUSED_WAIT_S: typing.Final = 0.2
 _DISPLACE_AGAIN_S: typing.Final = 1.0
 
 
 class Starter:
-    """Start, hold and stop tasks on the boards."""
+    """Send tasks to the boards that have room, or can make some."""
 
     __slots__ = (
-        '_boards',
         '_estimate',
         '_in_flight',
         '_journal',
         '_on_change',
-        '_ownership',
+        '_owners',
         '_settings',
-        '_strays_asked',
+        '_stopper',
         '_tasks',
         '_timer',
     )
@@ -46,8 +48,8 @@
         self,
         timer: timers.Timer,
         settings: _ports.JobSettings,
-        ownership: _ports.Ownership,
-        boards: tasks.Boards,
+        owners: _owners.Owners,
+        stopper: _stopper.Stopper,
         estimate: _estimate.SizeEstimate,
         journal: _journal.JobJournal,
         task_group: anyio.abc.TaskGroup,
@@ -55,22 +57,13 @@
     ) -> None:
         self._timer = timer
         self._settings = settings
-        self._ownership = ownership
-        self._boards = boards
+        self._owners = owners
+        self._stopper = stopper
         self._estimate = estimate
         self._journal = journal
         self._tasks = task_group
         self._on_change = on_change
         self._in_flight: collections.Counter[str] = collections.Counter()
-        self._strays_asked: set[tuple[str, tasks.TaskKey, int]] = set()
-
-    def may_act(self, shard: _shard.Shard) -> bool:
-        """Tell whether the shard is still this process's to act on."""
-        return shard.is_open and self._ownership.may_act(shard.asset)
-
-    def free(self, board: tasks.Board, spec: tasks.TaskSpec) -> int:
-        """Return how many such tasks may be sent to a board now."""
-        return self._sendable(board, board.free_tasks(spec))
 
     def spec(
         self,
@@ -117,7 +110,7 @@
         task = wish.task
         now_s = self._timer.now_s()
         spec = self.spec(shard, job, task, wish.task_class)
-        boards = self._ranked(spec, self.free, job.item.kind)
+        boards = self._ranked(spec, self._free, job.item.kind)
         displaces = (
             not boards and may_displace and now_s >= job.displaces_again_s
         )
@@ -137,89 +130,17 @@
         )
         return True
 
-    def begin_stop(
-        self, shard: _shard.Shard, job: _model.Job, wish: _policy.StopWish
-    ) -> None:
-        """Ask for a task's end, and again until it is confirmed."""
-        task = wish.task
-        task.stop_reason = wish.reason
-        task.stop_mode = wish.mode
-        job.move(task, _Phase.STOPPING, self._timer.now_s())
-        self.ask_to_stop(shard, job, task)
-
-    def ask_to_stop(
-        self, shard: _shard.Shard, job: _model.Job, task: _model.Task
-    ) -> None:
-        """Ask again for the end of a task that is to stop."""
-        now_s = self._timer.now_s()
-        was_asked = task.asked_s >= task.since_s
-        is_early = was_asked and now_s < task.asked_s + _RETRY_STOP_S
-        if task.is_asking or is_early:
-            return
-        board = self.board(task.board)
-        if board is None:
-            if self.has_left(task.board):
-                # Its owner has left the table: others have its workers now.
-                job.move(task, _Phase.DOUBTFUL, now_s)
-            return
-        task.is_asking = True
-        task.asked_s = now_s
-        self._tasks.start_soon(self._stop, shard, job, task, board)
-
-    def begin_stop_stray(
-        self, shard: _shard.Shard, stray: _shard.Stray
-    ) -> None:
-        """Ask for the end of an attempt that must not run."""
-        key = (stray.owner, stray.key, stray.attempt)
-        if key in self._strays_asked:
-            return
-        self._strays_asked.add(key)
-        self._tasks.start_soon(self._stop_stray, shard, stray)
-
-    def board(self, owner: str) -> tasks.Board | None:
-        """Return the board of an owner, if it can be reached."""
-        for board in self._boards.boards():
-            if board.owner == owner:
-                return board
-        return None
-
-    def owners(self) -> frozenset[str] | None:
-        """Return all owners of workers, or nothing if some are not heard."""
-        if not self._boards.are_all():
-            return None
-        return frozenset(board.owner for board in self._boards.boards())
-
-    def has_left(self, owner: str) -> bool:
-        """Tell whether a process owns no workers any more."""
-        return self._boards.are_all() and self.board(owner) is None
-
-    def record(
-        self,
-        job: _model.Job,
-        task: _model.Task,
-        reason: str,
-        outcome: str,
-        attempt: int | None = None,
-    ) -> None:
-        """Log a decision on a task."""
-        waited_s = self._timer.now_s() - task.waiting_since_s
-        self._journal.record(
-            _journal.TaskDecision(
-                job=job.item.key,
-                task=task.index,
-                attempt=task.attempt if attempt is None else attempt,
-                worker=task.worker,
-                reason=reason,
-                waited_s=round(waited_s, 3),
-                outcome=outcome,
-            )
-        )
+    def _free(self, board: tasks.Board, spec: tasks.TaskSpec) -> int:
+        """Return how many such tasks may be sent to a board now."""
+        return self._sendable(board, board.free_tasks(spec))
 
     def _displaceable(self, board: tasks.Board, spec: tasks.TaskSpec) -> int:
         """Return how many such tasks may displace others at a board now."""
         return self._sendable(board, board.displaceable_tasks(spec))
 
     def _sendable(self, board: tasks.Board, room: int) -> int:
+        # A board shows as free what starts on their way there will take. Sent
+        # too, more would only be refused, and wait although others have room.
         in_flight = self._in_flight[board.owner]
         allowed = self._settings.starts_in_flight - in_flight
         return max(0, min(allowed, room - in_flight))
@@ -232,7 +153,7 @@
     ) -> list[tasks.Board]:
         """Return the boards with room: fullest first for batch, to pack."""
         room = [
-            (room_at(board, spec), board) for board in self._boards.boards()
+            (room_at(board, spec), board) for board in self._owners.boards()
         ]
         room = [pair for pair in room if pair[0] > 0]
         is_batch = kind is _model.JobKind.BATCH
@@ -254,7 +175,7 @@
             self._in_flight[at] -= 1
             at = board.owner
             self._in_flight[at] += 1
-            if not self.may_act(shard):
+            if not self._owners.may_act(shard):
                 break
             is_settled = await self._is_settled(shard, job, wish, spec, board)
             if is_settled:
@@ -281,7 +202,7 @@
         reply = await board.start(spec, wish.avoid_domains)
         if reply.is_ok() and task.attempt == spec.attempt:
             # An inventory may have shown the task before this reply came.
-            self.record(job, task, wish.rank.name.lower(), 'started')
+            self._journal.record(job, task, wish.rank.name.lower(), 'started')
         if not self._is_starting(shard, task, spec.attempt):
             return True
         if reply.is_ok():
@@ -293,9 +214,9 @@
             return is_room_made(reply.error)
         # The answer was lost and it may run: a start elsewhere has to wait
         # until its end there is confirmed.
-        self.record(job, task, reply.error.kind.value, 'unknown')
+        self._journal.record(job, task, reply.error.kind.value, 'unknown')
         wished = _policy.StopWish(task, tasks.StopMode.STOP, 'start_unknown')
-        self.begin_stop(shard, job, wished)
+        self._stopper.begin_stop(shard, job, wished)
         return True
 
     def _land(
@@ -310,7 +231,7 @@
             job.move(task, _Phase.READY, now_s)
             task.board = ''
             job.not_before_s = max(job.not_before_s, now_s + _REFUSED_WAIT_S)
-            self.record(job, task, 'no_room', 'refused')
+            self._journal.record(job, task, 'no_room', 'refused')
         self._on_change()
 
     @staticmethod
@@ -323,60 +244,6 @@
             and task.attempt == attempt
         )
 
-    async def _stop(
-        self,
-        shard: _shard.Shard,
-        job: _model.Job,
-        task: _model.Task,
-        board: tasks.Board,
-    ) -> None:
-        key = tasks.TaskKey(job.item.key, task.index)
-        attempt = task.attempt
-        reason = task.stop_reason
-        sent_s = self._timer.now_s()
-        if not self.may_act(shard):
-            task.is_asking = False
-            return
-        reply = await board.stop(key, attempt, task.stop_mode)
-        is_current = (
-            shard.is_open
-            and task.phase is _Phase.STOPPING
-            and task.attempt == attempt
-        )
-        if not is_current:
-            return
-        task.is_asking = False
-        report = reply.ok if reply.is_ok() else None
-        if report is None:
-            if reply.error.kind is not errors.ErrorKind.NOT_FOUND:
-                return
-            report = _stopped(key, attempt, task)
-        shard.take(board.owner, report, sent_s, self._timer.now_s())
-        if task.phase is not _Phase.STOPPING:
-            self.record(job, task, reason, report.state.value, attempt)
-        self._on_change()
-
-    async def _stop_stray(
-        self, shard: _shard.Shard, stray: _shard.Stray
-    ) -> None:
-        key = (stray.owner, stray.key, stray.attempt)
-        board = self.board(stray.owner)
-        if board is not None and self.may_act(shard):
-            reply = await board.stop(
-                stray.key, stray.attempt, tasks.StopMode.STOP
-            )
-            if reply.is_ok() and reply.ok.state in _model.ENDED_STATES:
-                shard.strays.pop(key, None)
-                now_s = self._timer.now_s()
-                shard.take(stray.owner, reply.ok, now_s, now_s)
-            elif reply.is_error():
-                if reply.error.kind is errors.ErrorKind.NOT_FOUND:
-                    shard.strays.pop(key, None)
-        elif self.has_left(stray.owner):
-            shard.strays.pop(key, None)
-        self._strays_asked.discard(key)
-        self._on_change()
-
 
 def is_room_made(failure: errors.Failure) -> bool:
     """Tell whether a refusal says that room is being made for the task."""
@@ -384,15 +251,3 @@
         failure.kind is errors.ErrorKind.NO_FREE_SLOT
         and failure.retry_after_s is not None
     )
-
-
-def _stopped(
-    key: tasks.TaskKey, attempt: int, task: _model.Task
-) -> tasks.TaskReport:
-    return tasks.TaskReport(
-        key=key,
-        attempt=attempt,
-        worker=task.worker,
-        domain=task.domain,
-        state=tasks.TaskState.STOPPED,
-    )
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_admission.py
@@ -0,0 +1,76 @@
+"""The admission of attempts: whose word counts, and what has been stopped."""
+
+from __future__ import annotations
+
+from walnutpoint_core import errors
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.tasks import _cell
+from walnutpoint_entry.tasks import _entry
+from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _owner
+from walnutpoint_entry.tasks import _tombstones
+from walnutpoint_entry.tasks import _wire
+
+__all__ = ('Admission',)
+
+_KIND = errors.ErrorKind
+_PHASE = _entry.Phase
+
+
+class Admission:
+    """Refuse attempts of replaced job owners and those that were stopped."""
+
+    __slots__ = ('_cell', '_owner', '_shard_epochs', '_timer', '_tombstones')
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        owner: _owner.Owner,
+        cell: _cell.Cell,
+        tombstones: _tombstones.Tombstones,
+    ) -> None:
+        self._timer = timer
+        self._owner = owner
+        self._cell = cell
+        self._tombstones = tombstones
+        self._shard_epochs: dict[int, int] = {}
+
+    def admit(self, shard: int, shard_epoch: int) -> bool:
+        """Refuse older epochs from now on; tell if this is none of them."""
+        if shard_epoch < self._shard_epochs.get(shard, 0):
+            return False
+        self._shard_epochs[shard] = shard_epoch
+        return True
+
+    def refusal(self, spec: _model.TaskSpec) -> errors.Failure | None:
+        """Return why an attempt must not be held or started, if so."""
+        # A job owner that was replaced while it was paused would start a
+        # task that its successor has already started elsewhere.
+        if not self.admit(spec.shard, spec.shard_epoch):
+            return errors.Failure(_KIND.NOT_OWNER, f'shard {spec.shard}')
+        if not self._owner.is_confirmed():
+            return errors.Failure(_KIND.NOT_CONFIRMED, self._owner.member.name)
+        entry = self._cell.live(spec.key)
+        if entry is None:
+            return self._refusal_of_stopped(spec)
+        if entry.attempt == spec.attempt:
+            return None
+        if entry.attempt > spec.attempt:
+            return errors.Failure(_KIND.NOT_OWNER, 'a later attempt exists')
+        if entry.phase is not _PHASE.HELD:
+            return errors.Failure(
+                _KIND.NOT_CONFIRMED, 'an earlier attempt may still run'
+            )
+        self._cell.release(entry, self._timer.now_s())
+        return self._refusal_of_stopped(spec)
+
+    def _refusal_of_stopped(
+        self, spec: _model.TaskSpec
+    ) -> errors.Failure | None:
+        # Its job owner has been told that this attempt does not run, and may
+        # have started the next one elsewhere: both would run.
+        name = _wire.Attempt(spec.key, spec.attempt)
+        is_stopped = self._tombstones.has(name, self._timer.now_s())
+        if not is_stopped or self._cell.ended(name) is not None:
+            return None
+        return errors.Failure(_KIND.NOT_OWNER, 'the attempt was stopped')
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_cell.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_cell.py
@@ -2,19 +2,21 @@
 
 from __future__ import annotations
 
-import collections
 import collections.abc
 import dataclasses
 
+import msgspec
+
 from walnutpoint_core import logs
 from walnutpoint_core import model
 from walnutpoint_entry.tasks import _amount
-from walnutpoint_entry.tasks import _choice
+from walnutpoint_entry.tasks import _entries
 from walnutpoint_entry.tasks import _entry
 from walnutpoint_entry.tasks import _health
 from walnutpoint_entry.tasks import _model
 from walnutpoint_entry.tasks import _reserves
 from walnutpoint_entry.tasks import _room
+from walnutpoint_entry.tasks import _selection
 from walnutpoint_entry.tasks import _slots
 from walnutpoint_entry.tasks import _wire
 
@@ -38,11 +40,10 @@
     """Place attempts on workers; room and slot are taken and freed as one."""
 
     __slots__ = (
-        '_by_job',
-        '_by_worker',
         '_ended',
+        '_entries',
         '_hosts',
-        '_live',
+        '_selection',
         '_slots',
         'health',
         'reserves',
@@ -57,10 +58,9 @@
         self._slots = slots
         self.reserves = _reserves.Reserves(self.room, slots)
         self._hosts: dict[str, model.ListedHost] = {}
-        self._live: dict[_model.TaskKey, _entry.Entry] = {}
-        self._by_worker: dict[str, set[_entry.Entry]] = {}
-        self._by_job: collections.defaultdict[str, set[_entry.Entry]] = (
-            collections.defaultdict(set)
+        self._entries = _entries.Entries()
+        self._selection = _selection.Selection(
+            self.room, slots, self.reserves, health, self._entries
         )
         self._ended: dict[_wire.Attempt, Ended] = {}
 
@@ -68,15 +68,15 @@
         """Add a gained worker, of which nothing is known yet."""
         self.room.add(worker)
         self.health.watch(worker)
-        self._by_worker[worker] = set()
+        self._entries.add_worker(worker)
         self._apply_host(worker)
 
     def remove_worker(self, worker: str) -> None:
         """Forget a lost worker; its next owner asks what it runs."""
         self.reserves.forget_worker(worker)
-        for entry in tuple(self._by_worker.get(worker, ())):
+        for entry in self._entries.on(worker):
             self.drop(entry)
-        self._by_worker.pop(worker, None)
+        self._entries.remove_worker(worker)
         self.room.remove(worker)
         self.health.forget(worker)
 
@@ -99,7 +99,7 @@
     def take_hosts(self, listing: model.HostListing) -> None:
         """Resize and close workers by the newest host list."""
         self._hosts = {host.address: host for host in listing.hosts}
-        for worker in self._by_worker:
+        for worker in self._entries.workers():
             self._apply_host(worker)
 
     def place(
@@ -110,16 +110,13 @@
         now_s: float,
     ) -> _entry.Entry | None:
         """Take room and a slot for an attempt on the preferred worker."""
-        need = _amount.of_size(spec.size)
-        reserve = self._reserved(spec, need, avoid_domains, exclude, now_s)
+        reserve = self._selection.reserve(spec, avoid_domains, exclude, now_s)
         if reserve is not None:
             self.reserves.use(reserve, spec.key)
             entry = self._begin(spec, reserve.worker, now_s)
             entry.reserved_until_s = reserve.until_s
             return entry
-        worker = self._probe(spec, need, avoid_domains, exclude, now_s)
-        if worker is None:
-            worker = self._preferred(spec, need, avoid_domains, exclude)
+        worker = self._selection.worker(spec, avoid_domains, exclude, now_s)
         if worker is None or not self._slots.take_slot(worker):
             return None
         return self._begin(spec, worker, now_s)
@@ -128,7 +125,7 @@
         self, worker: str, task: _wire.WorkerTask, now_s: float
     ) -> _entry.Entry | None:
         """Note an attempt that was found running on a worker."""
-        if task.size is None or task.note is None or task.key in self._live:
+        if task.size is None or task.note is None or self.live(task.key):
             return None
         entry = _entry.Entry(
             key=task.key,
@@ -142,12 +139,12 @@
         entry.take_usage(task, now_s)
         self._slots.claim_slot(worker)
         self.room.claim(worker, _token(entry), entry.need)
-        self._insert(entry)
+        self._entries.add(entry)
         return entry
 
     def drop(self, entry: _entry.Entry) -> None:
         """Free what an attempt took and forget it."""
-        if self._live.get(entry.key) is not entry:
+        if not self._entries.is_live(entry):
             return
         self._remove(entry)
         if not self.reserves.take_slot(entry.worker):
@@ -175,7 +172,9 @@
         """Free what an attempt took and keep its end."""
         self._judge(entry, state, now_s)
         self.drop(entry)
-        report = _with_exit(entry.report(state), exit_code)
+        report = msgspec.structs.replace(
+            entry.report(state), exit_code=exit_code
+        )
         self._ended[entry.name] = Ended(entry.note.shard, report)
         _LOG.info(
             'task_ended',
@@ -205,11 +204,11 @@
 
     def live(self, key: _model.TaskKey) -> _entry.Entry | None:
         """Return the attempt of a task that may run or is held."""
-        return self._live.get(key)
+        return self._entries.live(key)
 
     def is_live(self, entry: _entry.Entry) -> bool:
         """Tell whether an attempt still takes room here."""
-        return self._live.get(entry.key) is entry
+        return self._entries.is_live(entry)
 
     def ended(self, name: _wire.Attempt) -> _model.TaskReport | None:
         """Return the end of an attempt, until it is acknowledged."""
@@ -218,14 +217,12 @@
 
     def entries(self, worker: str | None = None) -> tuple[_entry.Entry, ...]:
         """Return the attempts on one worker or on all."""
-        if worker is None:
-            return tuple(self._live.values())
-        return tuple(self._by_worker.get(worker, ()))
+        return self._entries.on(worker)
 
     def has_holds(self) -> bool:
         """Tell whether room is held for what has not started."""
         return len(self.reserves) > 0 or any(
-            entry.phase is _entry.Phase.HELD for entry in self._live.values()
+            entry.phase is _entry.Phase.HELD for entry in self._entries.on()
         )
 
     def reports(self, shard: int) -> tuple[_model.TaskReport, ...]:
@@ -235,32 +232,18 @@
         )
         live = (
             entry.report()
-            for entry in self._live.values()
+            for entry in self._entries.on()
             if entry.note.shard == shard
         )
         return (*live, *ended)
 
     def free_tasks(self, spec: _model.TaskSpec) -> int:
         """Return about how many such tasks could start now."""
-        need = _amount.of_size(spec.size)
-        # A job that was told to come back has to find the way: it would
-        # make room elsewhere as well otherwise.
-        kept = len(self._kept(spec, need))
-        return kept + sum(
-            min(
-                candidate.free.times(need),
-                self._free_slots(candidate.worker),
-            )
-            for candidate in self.room.fitting(need, frozenset())
-            if self.health.may_start(candidate.worker)
-        )
+        return self._selection.free_tasks(spec)
 
     def free(self, worker: str) -> _amount.Amount:
         """Return what is free on a worker, with the slots that it has."""
-        free = self.room.free(worker)
-        return dataclasses.replace(
-            free, slots=min(free.slots, self._free_slots(worker))
-        )
+        return self._selection.free(worker)
 
     def ranked(
         self,
@@ -269,84 +252,24 @@
         exclude: collections.abc.Collection[str],
     ) -> tuple[str, ...]:
         """Return the workers that could have a task, the preferred first."""
-        allowed = [
-            candidate
-            for candidate in self.room.opened()
-            if candidate.domain not in avoid_domains
-            and candidate.worker not in exclude
-            and self.health.may_start(candidate.worker)
-        ]
-        allowed.sort(key=self._rank(spec))
-        return tuple(candidate.worker for candidate in allowed)
+        return self._selection.ranked(spec, avoid_domains, exclude)
 
     def free_amounts(self) -> tuple[_amount.Amount, ...]:
         """Return what is free on each worker that may get new tasks."""
-        one = _amount.Amount(slots=1)
-        return tuple(
-            dataclasses.replace(
-                candidate.free,
-                slots=min(
-                    candidate.free.slots,
-                    self._free_slots(candidate.worker),
-                ),
-            )
-            for candidate in self.room.fitting(one, frozenset())
-            if self.health.may_start(candidate.worker)
-        )
-
-    def _free_slots(self, worker: str) -> int:
-        return self._slots.free_slots(worker) - self.reserves.unfilled(worker)
-
-    def _kept(
-        self, spec: _model.TaskSpec, need: _amount.Amount
-    ) -> tuple[_reserves.Reserve, ...]:
-        # A batch job's other tasks must not take what was made free for the
-        # one that goes before batch.
-        if spec.task_class is _model.TaskClass.BATCH:
-            return ()
-        return self.reserves.of_job(spec.key, need)
-
-    def _reserved(
-        self,
-        spec: _model.TaskSpec,
-        need: _amount.Amount,
-        avoid_domains: frozenset[str],
-        exclude: collections.abc.Collection[str],
-        now_s: float,
-    ) -> _reserves.Reserve | None:
-        for reserve in _reserves.usable(self._kept(spec, need), now_s):
-            worker = reserve.worker
-            if (
-                worker not in exclude
-                and self.room.is_open(worker)
-                and self.room.domain(worker) not in avoid_domains
-                and self.health.may_start(worker)
-            ):
-                return reserve
-        return None
+        return self._selection.free_amounts()
 
     def _begin(
         self, spec: _model.TaskSpec, worker: str, now_s: float
     ) -> _entry.Entry:
         entry = _entry.from_spec(spec, worker, self.room.domain(worker))
         self.room.claim(worker, _token(entry), entry.need)
-        self._insert(entry)
+        self._entries.add(entry)
         entry.is_proved = False
         self.health.begin(worker, now_s)
         return entry
 
-    def _insert(self, entry: _entry.Entry) -> None:
-        self._live[entry.key] = entry
-        self._by_worker[entry.worker].add(entry)
-        self._by_job[entry.key.job].add(entry)
-
     def _remove(self, entry: _entry.Entry) -> None:
-        del self._live[entry.key]
-        self._by_worker[entry.worker].discard(entry)
-        siblings = self._by_job[entry.key.job]
-        siblings.discard(entry)
-        if not siblings:
-            del self._by_job[entry.key.job]
+        self._entries.remove(entry)
         self.room.give_back(entry.worker, _token(entry))
         if not entry.is_proved:
             self.health.withdraw(entry.worker)
@@ -363,62 +286,6 @@
             entry.is_proved = True
             self.health.fail(entry.worker, entry.key.job, entry.run_s, now_s)
 
-    def _probe(
-        self,
-        spec: _model.TaskSpec,
-        need: _amount.Amount,
-        avoid_domains: frozenset[str],
-        exclude: collections.abc.Collection[str],
-        now_s: float,
-    ) -> str | None:
-        # A service or gang would be lost with the probe that fails.
-        if spec.task_class is not _model.TaskClass.BATCH:
-            return None
-        for worker in self.health.due_probes(now_s):
-            if (
-                worker not in exclude
-                and self.room.is_open(worker)
-                and self.room.domain(worker) not in avoid_domains
-                and self.room.free(worker).covers(need)
-                and self._free_slots(worker) > 0
-            ):
-                return worker
-        return None
-
-    def _preferred(
-        self,
-        spec: _model.TaskSpec,
-        need: _amount.Amount,
-        avoid_domains: frozenset[str],
-        exclude: collections.abc.Collection[str],
-    ) -> str | None:
-        best = min(
-            (
-                candidate
-                for candidate in self.room.fitting(need, avoid_domains)
-                if candidate.worker not in exclude
-                and self.health.may_start(candidate.worker)
-                and self._free_slots(candidate.worker) > 0
-            ),
-            key=self._rank(spec),
-            default=None,
-        )
-        return None if best is None else best.worker
-
-    def _rank(
-        self, spec: _model.TaskSpec
-    ) -> collections.abc.Callable[
-        [_choice.Candidate], tuple[bool, tuple[float, ...]]
-    ]:
-        choice = _choice.choice_for(spec.task_class)
-        neighbours = _choice.Neighbours()
-        for sibling in self._by_job.get(spec.key.job, ()):
-            neighbours.add(sibling.worker, sibling.domain)
-        return lambda candidate: (
-            self.health.is_suspect(candidate.worker),
-            choice.rank(candidate, neighbours),
-        )
-
     def _apply_host(self, worker: str) -> None:
         host = self._hosts.get(worker)
         if host is None:
@@ -434,22 +301,3 @@
 
 def _token(entry: _entry.Entry) -> str:
     return f'{entry.key.job}/{entry.key.index}/{entry.attempt}'
-
-
-def _with_exit(
-    report: _model.TaskReport, exit_code: int | None
-) -> _model.TaskReport:
-    if exit_code is None:
-        return report
-    return _model.TaskReport(
-        key=report.key,
-        attempt=report.attempt,
-        worker=report.worker,
-        domain=report.domain,
-        state=report.state,
-        run_s=report.run_s,
-        exit_code=exit_code,
-        checkpoint=report.checkpoint,
-        used_cpu_cores=report.used_cpu_cores,
-        used_memory_mb=report.used_memory_mb,
-    )
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_confirmation.py
@@ -0,0 +1,40 @@
+"""The confirmation that no newer table of owners is in use."""
+
+from __future__ import annotations
+
+import math
+import typing
+
+import anyio
+
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.tasks import _owner
+
+__all__ = ('Confirmation',)
+
+_POLL_PAUSE_S: typing.Final = 0.2
+
+
+class Confirmation:
+    """Renew the confirmation for all that wait for it, by one poll."""
+
+    __slots__ = ('_owner', '_polled_s', '_polling', '_timer')
+
+    def __init__(self, timer: timers.Timer, owner: _owner.Owner) -> None:
+        self._timer = timer
+        self._owner = owner
+        self._polling = anyio.Lock()
+        self._polled_s = -math.inf
+
+    async def renew(self) -> None:
+        """Renew a confirmation that has run out, if that is quick."""
+        # Quiet processes poll rarely; one poll serves all that wait for it,
+        # and while the store is down nobody waits for a second one.
+        async with self._polling:
+            now_s = self._timer.now_s()
+            if self._owner.is_confirmed():
+                return
+            if now_s - self._polled_s < _POLL_PAUSE_S:
+                return
+            await self._owner.poll()
+            self._polled_s = self._timer.now_s()
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_contacts.py
@@ -0,0 +1,59 @@
+"""The own workers, and whether orders may go to them."""
+
+from __future__ import annotations
+
+import typing
+
+from walnutpoint_core import errors
+from walnutpoint_entry.tasks import _contact
+from walnutpoint_entry.tasks import _owner
+
+__all__ = ('WORKER_FAULTS', 'Contacts')
+
+WORKER_FAULTS: typing.Final = frozenset(
+    {
+        errors.ErrorKind.ANSWER_CUT,
+        errors.ErrorKind.ANSWER_LATE,
+        errors.ErrorKind.ANSWER_LOST,
+        errors.ErrorKind.ENDPOINT_REFUSED,
+        errors.ErrorKind.ENDPOINT_UNREACHABLE,
+    }
+)
+
+
+class Contacts:
+    """Keep the contact to each own worker."""
+
+    __slots__ = ('_by_worker', '_owner')
+
+    def __init__(self, owner: _owner.Owner) -> None:
+        self._owner = owner
+        self._by_worker: dict[str, _contact.Contact] = {}
+
+    def add(self, contact: _contact.Contact) -> None:
+        """Add the contact to a gained worker."""
+        self._by_worker[contact.worker] = contact
+
+    def remove(self, worker: str) -> bool:
+        """Drop the contact to a worker, and tell whether there was one."""
+        return self._by_worker.pop(worker, None) is not None
+
+    def find(self, worker: str) -> _contact.Contact | None:
+        """Return the contact to a worker, if it is an own one."""
+        return self._by_worker.get(worker)
+
+    def of(self, worker: str) -> _contact.Contact:
+        """Return the contact to an own worker."""
+        return self._by_worker[worker]
+
+    def all(self) -> tuple[_contact.Contact, ...]:
+        """Return the contacts to all own workers."""
+        return tuple(self._by_worker.values())
+
+    def is_current(self, contact: _contact.Contact) -> bool:
+        """Tell whether a worker has not been lost since, or gained anew."""
+        return self._by_worker.get(contact.worker) is contact
+
+    def may_act(self, contact: _contact.Contact) -> bool:
+        """Tell whether an order may go to a worker now."""
+        return self.is_current(contact) and self._owner.may_act(contact.worker)
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_displacement.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_displacement.py
@@ -126,7 +126,9 @@
         mode = _model.StopMode.STOP
         if entry.note.is_checkpointable:
             mode = _model.StopMode.CHECKPOINT
-        self._leases.stop_soon(entry, mode, self._times.checkpoint_grace_s)
+        self._leases.stops.stop_soon(
+            entry, mode, self._times.checkpoint_grace_s
+        )
         _LOG.info(
             'task_preempted',
             job=entry.key.job,
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_placement.py
@@ -0,0 +1,148 @@
+"""The placement of attempts, with room that batch tasks make for them."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import logs
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.tasks import _admission
+from walnutpoint_entry.tasks import _cell
+from walnutpoint_entry.tasks import _displacement
+from walnutpoint_entry.tasks import _entry
+from walnutpoint_entry.tasks import _leases
+from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _wire
+
+__all__ = ('Placement', 'Reported')
+
+_START_ATTEMPTS: typing.Final = 3
+_ROOM_RETRY_S: typing.Final = 1.0
+
+_KIND = errors.ErrorKind
+_PHASE = _entry.Phase
+_LOG = logs.get_logger(__name__)
+# The worker has certainly not started the task: another one may.
+_ELSEWHERE: typing.Final = frozenset(
+    {_KIND.ENDPOINT_REFUSED, _KIND.ENDPOINT_UNREACHABLE}
+)
+
+Reported: typing.TypeAlias = expression.Result[
+    _model.TaskReport, errors.Failure
+]
+
+
+class Placement:
+    """Hold room for attempts, and start them where it is."""
+
+    __slots__ = ('_admission', '_cell', '_displacer', '_leases', '_timer')
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        admission: _admission.Admission,
+        cell: _cell.Cell,
+        displacer: _displacement.Displacer,
+        leases: _leases.Leases,
+    ) -> None:
+        self._timer = timer
+        self._admission = admission
+        self._cell = cell
+        self._displacer = displacer
+        self._leases = leases
+
+    def yields(self, spec: _model.TaskSpec) -> bool:
+        """Tell whether what is free is for others than such a task."""
+        return (
+            spec.task_class is _model.TaskClass.BATCH
+            and not self._displacer.is_for_batch()
+        )
+
+    def current(self, spec: _model.TaskSpec) -> _entry.Entry | None:
+        """Return the attempt that is here, and drop a hold that is over."""
+        entry = self._cell.live(spec.key)
+        if entry is None or entry.phase is not _PHASE.HELD:
+            return entry
+        if (
+            self._timer.now_s() >= entry.hold_until_s
+            or not self._cell.room.is_open(entry.worker)
+        ):
+            self._cell.drop(entry)
+            return None
+        return entry
+
+    def place(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+    ) -> _entry.Entry | None:
+        """Take room for an attempt, or have some made for it."""
+        if self.yields(spec):
+            return None
+        now_s = self._timer.now_s()
+        entry = self._cell.place(spec, avoid_domains, exclude, now_s)
+        is_batch = spec.task_class is _model.TaskClass.BATCH
+        if entry is not None or is_batch or not spec.may_displace:
+            return entry
+        self._displacer.make_room_for(spec, avoid_domains, exclude)
+        return self._cell.place(spec, avoid_domains, exclude, now_s)
+
+    def no_room(self, spec: _model.TaskSpec) -> Reported:
+        """Return the refusal that says whether room is being made."""
+        is_made = self._cell.reserves.has(spec.key)
+        retry_after_s = _ROOM_RETRY_S if is_made else None
+        return expression.Error(
+            errors.Failure(_KIND.NO_FREE_SLOT, retry_after_s=retry_after_s)
+        )
+
+    async def start_anywhere(
+        self, spec: _model.TaskSpec, avoid_domains: frozenset[str]
+    ) -> Reported:
+        """Start an attempt on the first worker that takes it."""
+        name = _wire.Attempt(spec.key, spec.attempt)
+        tried: set[str] = set()
+        started: Reported | None = None
+        for _ in range(_START_ATTEMPTS):
+            # While the first worker was asked, another call may have put
+            # the task somewhere, or a newer job owner may have come.
+            if (
+                self._admission.refusal(spec) is not None
+                or self._cell.live(spec.key) is not None
+                or self._cell.ended(name) is not None
+            ):
+                break
+            entry = self.place(spec, avoid_domains, tried)
+            if entry is None:
+                break
+            started = await self.start_at(entry, spec, 'placed')
+            if started.is_ok() or started.error.kind not in _ELSEWHERE:
+                return started
+            tried.add(entry.worker)
+        if started is None or self._cell.reserves.has(spec.key):
+            return self.no_room(spec)
+        return started
+
+    async def start_at(
+        self, entry: _entry.Entry, spec: _model.TaskSpec, reason: str
+    ) -> Reported:
+        """Start an attempt on the worker where it has room."""
+        started = await self._leases.start(entry, spec.command)
+        if started.is_ok():
+            self._cell.reserves.settle(spec.key)
+        _LOG.info(
+            'task_placement',
+            job=spec.key.job,
+            index=spec.key.index,
+            attempt=spec.attempt,
+            task_class=spec.task_class.name.lower(),
+            worker=entry.worker,
+            domain=entry.domain,
+            reason=reason,
+            error=started.error.kind.value if started.is_error() else '',
+        )
+        return started
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_remote.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_remote.py
@@ -32,6 +32,8 @@
 
 _TIMEOUT_S: typing.Final = 8.0
 _HINT_AGE_S: typing.Final = 1.0
+# A promise that the peer did not keep, as one that has restarted, would draw
+# the job to a board without room for ever.
 _PROMISE_AGE_S: typing.Final = 5.0
 
 _KIND = errors.ErrorKind
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_renewals.py
@@ -0,0 +1,168 @@
+"""The renewals of leases, which also ask workers what they run."""
+
+from __future__ import annotations
+
+import typing
+
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import logs
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.tasks import _cell
+from walnutpoint_entry.tasks import _contact
+from walnutpoint_entry.tasks import _contacts
+from walnutpoint_entry.tasks import _entry
+from walnutpoint_entry.tasks import _reports
+from walnutpoint_entry.tasks import _wire
+from walnutpoint_entry.tasks import _worker
+
+__all__ = ('Renewals',)
+
+_NO_TASKS_RETRY_S: typing.Final = 60.0
+
+_KIND = errors.ErrorKind
+_PHASE = _entry.Phase
+_LOG = logs.get_logger(__name__)
+
+
+class Renewals:
+    """Renew the leases of one worker at a time, in one order."""
+
+    __slots__ = (
+        '_cell',
+        '_contacts',
+        '_reports',
+        '_timer',
+        '_times',
+        '_workers',
+    )
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        times: _contact.LeaseTimes,
+        workers: _worker.Workers,
+        cell: _cell.Cell,
+        contacts: _contacts.Contacts,
+        reports: _reports.Reports,
+    ) -> None:
+        self._timer = timer
+        self._times = times
+        self._workers = workers
+        self._cell = cell
+        self._contacts = contacts
+        self._reports = reports
+
+    async def renew(self, contact: _contact.Contact) -> None:
+        """Renew what runs on a worker, and learn all that it runs."""
+        sent_s = self._timer.now_s()
+        listed = self._renewable(contact, sent_s)
+        has_clock = contact.has_clock(sent_s, self._times.clock_age_max_s)
+        order = _wire.RenewOrder(
+            lease_s=self._times.lease_s,
+            clock_s=contact.clock_at(sent_s) if has_clock else None,
+            epoch=contact.epoch,
+            tasks=tuple(entry.name for entry in listed),
+            acknowledge=tuple(contact.acknowledged),
+        )
+        replied: _worker.Replied = expression.Error(
+            errors.Failure(_KIND.ANSWER_LOST, contact.worker)
+        )
+        contact.calls += 1
+        try:
+            replied = await self._workers.renew(
+                contact.worker, order, lambda: self._contacts.may_act(contact)
+            )
+        finally:
+            contact.calls -= 1
+            if self._contacts.is_current(contact):
+                self._settle_renewal(contact, order, listed, sent_s, replied)
+
+    def _renewable(
+        self, contact: _contact.Contact, now_s: float
+    ) -> tuple[_entry.Entry, ...]:
+        # A worker that takes orders without an answer would have its leases
+        # renewed for ever as far as can be known here, and its tasks could
+        # never be started elsewhere. After a while it is only asked.
+        if now_s - contact.heard_s > self._times.give_up_s:
+            return ()
+        return tuple(
+            entry
+            for entry in self._cell.entries(contact.worker)
+            if entry.phase in (_PHASE.RUNNING, _PHASE.DOUBTFUL)
+        )
+
+    def _settle_renewal(
+        self,
+        contact: _contact.Contact,
+        order: _wire.RenewOrder,
+        listed: tuple[_entry.Entry, ...],
+        sent_s: float,
+        replied: _worker.Replied,
+    ) -> None:
+        now_s = self._timer.now_s()
+        if replied.is_ok() or replied.error.outcome is errors.Outcome.UNKNOWN:
+            for entry in listed:
+                entry.lease_sent_s = max(entry.lease_sent_s, sent_s)
+        if replied.is_error():
+            self._miss(contact, replied.error, now_s)
+            return
+        contact.acknowledged.difference_update(order.acknowledge)
+        contact.due_s = _contact.NEVER_S
+        self._reports.take(contact, replied.ok)
+        reported = {
+            _wire.Attempt(task.key, task.attempt) for task in replied.ok.tasks
+        }
+        for entry in listed:
+            if entry.name not in reported and self._cell.is_live(entry):
+                self._reports.vanish(entry, now_s)
+        self._reports.know(contact)
+        contact.ask_by(self._next_due_s(contact, listed, now_s))
+
+    def _miss(
+        self,
+        contact: _contact.Contact,
+        failure: errors.Failure,
+        now_s: float,
+    ) -> None:
+        is_busy = not contact.is_known or bool(
+            self._cell.entries(contact.worker)
+        )
+        contact.due_s = now_s + (
+            self._times.retry_s if is_busy else self._times.renew_period_s
+        )
+        if failure.kind in _contacts.WORKER_FAULTS:
+            self._cell.mute_worker(contact.worker)
+        if failure.kind is _KIND.NOT_FOUND:
+            # The endpoint serves requests only.
+            contact.due_s = now_s + _NO_TASKS_RETRY_S
+            self._reports.know(contact, is_open=False)
+        _LOG.warning(
+            'worker_not_heard',
+            worker=contact.worker,
+            error=failure.kind.value,
+            detail=failure.detail,
+        )
+
+    def _next_due_s(
+        self,
+        contact: _contact.Contact,
+        listed: tuple[_entry.Entry, ...],
+        now_s: float,
+    ) -> float:
+        entries = [
+            entry
+            for entry in self._cell.entries(contact.worker)
+            if entry.phase is not _PHASE.HELD
+        ]
+        if any(
+            entry.phase is _PHASE.DOUBTFUL and entry not in listed
+            for entry in entries
+        ):
+            return now_s
+        if any(entry.stop_mode is not None for entry in entries):
+            return now_s + self._times.retry_s
+        if entries or contact.acknowledged:
+            return now_s + self._times.renew_period_s
+        return _contact.NEVER_S
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_selection.py
@@ -0,0 +1,193 @@
+"""The workers that a task may get, by what is free and by health."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+
+from walnutpoint_entry.tasks import _amount
+from walnutpoint_entry.tasks import _choice
+from walnutpoint_entry.tasks import _entries
+from walnutpoint_entry.tasks import _health
+from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _reserves
+from walnutpoint_entry.tasks import _room
+from walnutpoint_entry.tasks import _slots
+
+__all__ = ('Selection',)
+
+
+class Selection:
+    """Choose a worker for a task, and count what could still start."""
+
+    __slots__ = ('_entries', '_health', '_reserves', '_room', '_slots')
+
+    def __init__(
+        self,
+        room: _room.Room,
+        slots: _slots.SlotKeeper,
+        reserves: _reserves.Reserves,
+        health: _health.WorkerHealth,
+        entries: _entries.Entries,
+    ) -> None:
+        self._room = room
+        self._slots = slots
+        self._reserves = reserves
+        self._health = health
+        self._entries = entries
+
+    def reserve(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+        now_s: float,
+    ) -> _reserves.Reserve | None:
+        """Return room that was made free for a task, if it may use it."""
+        need = _amount.of_size(spec.size)
+        for reserve in _reserves.usable(self._kept(spec, need), now_s):
+            worker = reserve.worker
+            is_allowed = self._is_allowed(worker, avoid_domains, exclude)
+            if is_allowed and self._health.may_start(worker):
+                return reserve
+        return None
+
+    def worker(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+        now_s: float,
+    ) -> str | None:
+        """Return the worker on which to start a task, if there is one."""
+        need = _amount.of_size(spec.size)
+        probe = self._probe(spec, need, avoid_domains, exclude, now_s)
+        if probe is not None:
+            return probe
+        return self._preferred(spec, need, avoid_domains, exclude)
+
+    def free_tasks(self, spec: _model.TaskSpec) -> int:
+        """Return about how many such tasks could start now."""
+        need = _amount.of_size(spec.size)
+        # A job that was told to come back has to find the way: it would
+        # make room elsewhere as well otherwise.
+        kept = len(self._kept(spec, need))
+        return kept + sum(
+            min(
+                candidate.free.times(need),
+                self._free_slots(candidate.worker),
+            )
+            for candidate in self._room.fitting(need, frozenset())
+            if self._health.may_start(candidate.worker)
+        )
+
+    def free(self, worker: str) -> _amount.Amount:
+        """Return what is free on a worker, with the slots that it has."""
+        free = self._room.free(worker)
+        return dataclasses.replace(
+            free, slots=min(free.slots, self._free_slots(worker))
+        )
+
+    def ranked(
+        self,
+        spec: _model.TaskSpec,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+    ) -> tuple[str, ...]:
+        """Return the workers that could have a task, the preferred first."""
+        allowed = [
+            candidate
+            for candidate in self._room.opened()
+            if candidate.domain not in avoid_domains
+            and candidate.worker not in exclude
+            and self._health.may_start(candidate.worker)
+        ]
+        allowed.sort(key=self._rank(spec))
+        return tuple(candidate.worker for candidate in allowed)
+
+    def free_amounts(self) -> tuple[_amount.Amount, ...]:
+        """Return what is free on each worker that may get new tasks."""
+        one = _amount.Amount(slots=1)
+        return tuple(
+            self.free(candidate.worker)
+            for candidate in self._room.fitting(one, frozenset())
+            if self._health.may_start(candidate.worker)
+        )
+
+    def _is_allowed(
+        self,
+        worker: str,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+    ) -> bool:
+        return (
+            worker not in exclude
+            and self._room.is_open(worker)
+            and self._room.domain(worker) not in avoid_domains
+        )
+
+    def _free_slots(self, worker: str) -> int:
+        return self._slots.free_slots(worker) - self._reserves.unfilled(worker)
+
+    def _kept(
+        self, spec: _model.TaskSpec, need: _amount.Amount
+    ) -> tuple[_reserves.Reserve, ...]:
+        # A batch job's other tasks must not take what was made free for the
+        # one that goes before batch.
+        if spec.task_class is _model.TaskClass.BATCH:
+            return ()
+        return self._reserves.of_job(spec.key, need)
+
+    def _probe(
+        self,
+        spec: _model.TaskSpec,
+        need: _amount.Amount,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+        now_s: float,
+    ) -> str | None:
+        # A service or gang would be lost with the probe that fails.
+        if spec.task_class is not _model.TaskClass.BATCH:
+            return None
+        for worker in self._health.due_probes(now_s):
+            if (
+                self._is_allowed(worker, avoid_domains, exclude)
+                and self._room.free(worker).covers(need)
+                and self._free_slots(worker) > 0
+            ):
+                return worker
+        return None
+
+    def _preferred(
+        self,
+        spec: _model.TaskSpec,
+        need: _amount.Amount,
+        avoid_domains: frozenset[str],
+        exclude: collections.abc.Collection[str],
+    ) -> str | None:
+        best = min(
+            (
+                candidate
+                for candidate in self._room.fitting(need, avoid_domains)
+                if candidate.worker not in exclude
+                and self._health.may_start(candidate.worker)
+                and self._free_slots(candidate.worker) > 0
+            ),
+            key=self._rank(spec),
+            default=None,
+        )
+        return None if best is None else best.worker
+
+    def _rank(
+        self, spec: _model.TaskSpec
+    ) -> collections.abc.Callable[
+        [_choice.Candidate], tuple[bool, tuple[float, ...]]
+    ]:
+        choice = _choice.choice_for(spec.task_class)
+        neighbours = _choice.Neighbours()
+        for sibling in self._entries.of_job(spec.key.job):
+            neighbours.add(sibling.worker, sibling.domain)
+        return lambda candidate: (
+            self._health.is_suspect(candidate.worker),
+            choice.rank(candidate, neighbours),
+        )
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_service.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_service.py
@@ -9,12 +9,12 @@
 import expression
 
 from walnutpoint_core import errors
-from walnutpoint_core import logs
 from walnutpoint_core import model
 from walnutpoint_core import settings as settings_module
 from walnutpoint_core import timer as timers
 from walnutpoint_entry import ownership
 from walnutpoint_entry import placement
+from walnutpoint_entry.tasks import _admission
 from walnutpoint_entry.tasks import _amount
 from walnutpoint_entry.tasks import _cell
 from walnutpoint_entry.tasks import _contact
@@ -24,6 +24,7 @@
 from walnutpoint_entry.tasks import _leases
 from walnutpoint_entry.tasks import _model
 from walnutpoint_entry.tasks import _owner
+from walnutpoint_entry.tasks import _placement
 from walnutpoint_entry.tasks import _slots
 from walnutpoint_entry.tasks import _tombstones
 from walnutpoint_entry.tasks import _vacancy
@@ -32,31 +33,20 @@
 
 __all__ = ('TaskService',)
 
-_START_ATTEMPTS: typing.Final = 3
-_ROOM_RETRY_S: typing.Final = 1.0
-
 _KIND = errors.ErrorKind
 _PHASE = _entry.Phase
-_LOG = logs.get_logger(__name__)
-# The worker has certainly not started the task: another one may.
-_ELSEWHERE: typing.Final = frozenset(
-    {_KIND.ENDPOINT_REFUSED, _KIND.ENDPOINT_UNREACHABLE}
-)
-
-_Reported: typing.TypeAlias = expression.Result[
-    _model.TaskReport, errors.Failure
-]
 
 
 class TaskService:
     """Run tasks on the own workers under leases, each in one place."""
 
     __slots__ = (
+        '_admission',
         '_cell',
         '_displacer',
         '_leases',
         '_owner',
-        '_shard_epochs',
+        '_placement',
         '_timer',
         '_times',
         '_tombstones',
@@ -90,7 +80,12 @@
         )
         self._tombstones = _tombstones.Tombstones(self._times.certain_s)
         self._vacancies = _vacancy.Vacancies(self._times.certain_s)
-        self._shard_epochs: dict[int, int] = {}
+        self._admission = _admission.Admission(
+            timer, owner, self._cell, self._tombstones
+        )
+        self._placement = _placement.Placement(
+            timer, self._admission, self._cell, self._displacer, self._leases
+        )
 
     @property
     def owner(self) -> str:
@@ -130,7 +125,7 @@
 
     def free_tasks(self, spec: _model.TaskSpec) -> int:
         """Return about how many such tasks could start now."""
-        if self._yields(spec):
+        if self._placement.yields(spec):
             return 0
         return self._cell.free_tasks(spec)
 
@@ -162,20 +157,20 @@
         spec: _model.TaskSpec,
         hold_s: float,
         avoid_domains: frozenset[str] = frozenset(),
-    ) -> _Reported:
+    ) -> _placement.Reported:
         """Reserve room for a task; the hold expires by itself."""
         await self._leases.confirm()
-        refusal = self._refusal(spec)
+        refusal = self._admission.refusal(spec)
         if refusal is not None:
             return expression.Error(refusal)
         if self._cell.ended(_wire.Attempt(spec.key, spec.attempt)):
             return _failed(_KIND.NOT_OWNER, 'the attempt has ended')
         now_s = self._timer.now_s()
-        entry = self._current(spec)
+        entry = self._placement.current(spec)
         if entry is None:
-            entry = self._place(spec, avoid_domains, ())
+            entry = self._placement.place(spec, avoid_domains, ())
         if entry is None:
-            return self._no_room(spec)
+            return self._placement.no_room(spec)
         if entry.phase is _PHASE.HELD:
             entry.hold_until_s = now_s + hold_s
         return expression.Ok(entry.report())
@@ -184,20 +179,20 @@
         self,
         spec: _model.TaskSpec,
         avoid_domains: frozenset[str] = frozenset(),
-    ) -> _Reported:
+    ) -> _placement.Reported:
         """Start a task where it is held, or wherever there is room."""
         await self._leases.confirm()
-        refusal = self._refusal(spec)
+        refusal = self._admission.refusal(spec)
         if refusal is not None:
             return expression.Error(refusal)
         ended = self._cell.ended(_wire.Attempt(spec.key, spec.attempt))
         if ended is not None:
             return expression.Ok(ended)
-        entry = self._current(spec)
+        entry = self._placement.current(spec)
         if entry is None:
-            return await self._start_anywhere(spec, avoid_domains)
+            return await self._placement.start_anywhere(spec, avoid_domains)
         if entry.phase is _PHASE.HELD:
-            return await self._start_at(entry, spec, 'held')
+            return await self._placement.start_at(entry, spec, 'held')
         if entry.phase is _PHASE.RUNNING:
             return expression.Ok(entry.report())
         if entry.phase is _PHASE.DOUBTFUL:
@@ -209,7 +204,7 @@
         key: _model.TaskKey,
         attempt: int,
         mode: _model.StopMode,
-    ) -> _Reported:
+    ) -> _placement.Reported:
         """End a hold or a running task; STOPPED says that it has ended."""
         name = _wire.Attempt(key, attempt)
         ended = self._cell.ended(name)
@@ -234,18 +229,19 @@
 
     async def _stop_started(
         self, entry: _entry.Entry, mode: _model.StopMode
-    ) -> _Reported:
-        self._leases.wish_stop(entry, mode, self._times.checkpoint_grace_s)
+    ) -> _placement.Reported:
+        self._leases.stops.wish_stop(
+            entry, mode, self._times.checkpoint_grace_s
+        )
         await self._leases.confirm()
-        return expression.Ok(await self._leases.stop(entry))
+        return expression.Ok(await self._leases.stops.stop(entry))
 
     async def inventory(
         self, shard: int, shard_epoch: int
     ) -> expression.Result[_model.Inventory, errors.Failure]:
         """Return a shard's tasks, and refuse older epochs from now on."""
-        if shard_epoch < self._shard_epochs.get(shard, 0):
+        if not self._admission.admit(shard, shard_epoch):
             return _failed(_KIND.NOT_OWNER, f'shard {shard}')
-        self._shard_epochs[shard] = shard_epoch
         return expression.Ok(
             _model.Inventory(
                 is_complete=self._is_complete(),
@@ -281,126 +277,6 @@
             and self._vacancies.are_over(now_s)
         )
 
-    def _refusal(self, spec: _model.TaskSpec) -> errors.Failure | None:
-        # A job owner that was replaced while it was paused would start a
-        # task that its successor has already started elsewhere.
-        known_epoch = self._shard_epochs.get(spec.shard, 0)
-        if spec.shard_epoch < known_epoch:
-            return errors.Failure(_KIND.NOT_OWNER, f'shard {spec.shard}')
-        self._shard_epochs[spec.shard] = spec.shard_epoch
-        if not self._owner.is_confirmed():
-            return errors.Failure(_KIND.NOT_CONFIRMED, self.owner)
-        entry = self._cell.live(spec.key)
-        if entry is None:
-            return self._refusal_of_stopped(spec)
-        if entry.attempt == spec.attempt:
-            return None
-        if entry.attempt > spec.attempt:
-            return errors.Failure(_KIND.NOT_OWNER, 'a later attempt exists')
-        if entry.phase is not _PHASE.HELD:
-            return errors.Failure(
-                _KIND.NOT_CONFIRMED, 'an earlier attempt may still run'
-            )
-        self._cell.release(entry, self._timer.now_s())
-        return self._refusal_of_stopped(spec)
-
-    def _refusal_of_stopped(
-        self, spec: _model.TaskSpec
-    ) -> errors.Failure | None:
-        # Its job owner has been told that this attempt does not run, and may
-        # have started the next one elsewhere: both would run.
-        name = _wire.Attempt(spec.key, spec.attempt)
-        is_stopped = self._tombstones.has(name, self._timer.now_s())
-        if not is_stopped or self._cell.ended(name) is not None:
-            return None
-        return errors.Failure(_KIND.NOT_OWNER, 'the attempt was stopped')
-
-    def _current(self, spec: _model.TaskSpec) -> _entry.Entry | None:
-        entry = self._cell.live(spec.key)
-        if entry is None or entry.phase is not _PHASE.HELD:
-            return entry
-        if (
-            self._timer.now_s() >= entry.hold_until_s
-            or not self._cell.room.is_open(entry.worker)
-        ):
-            self._cell.drop(entry)
-            return None
-        return entry
-
-    def _yields(self, spec: _model.TaskSpec) -> bool:
-        return (
-            spec.task_class is _model.TaskClass.BATCH
-            and not self.is_for_batch()
-        )
-
-    def _place(
-        self,
-        spec: _model.TaskSpec,
-        avoid_domains: frozenset[str],
-        exclude: collections.abc.Collection[str],
-    ) -> _entry.Entry | None:
-        if self._yields(spec):
-            return None
-        now_s = self._timer.now_s()
-        entry = self._cell.place(spec, avoid_domains, exclude, now_s)
-        is_batch = spec.task_class is _model.TaskClass.BATCH
-        if entry is not None or is_batch or not spec.may_displace:
-            return entry
-        self._displacer.make_room_for(spec, avoid_domains, exclude)
-        return self._cell.place(spec, avoid_domains, exclude, now_s)
-
-    def _no_room(self, spec: _model.TaskSpec) -> _Reported:
-        is_made = self._cell.reserves.has(spec.key)
-        retry_after_s = _ROOM_RETRY_S if is_made else None
-        return expression.Error(
-            errors.Failure(_KIND.NO_FREE_SLOT, retry_after_s=retry_after_s)
-        )
-
-    async def _start_anywhere(
-        self, spec: _model.TaskSpec, avoid_domains: frozenset[str]
-    ) -> _Reported:
-        name = _wire.Attempt(spec.key, spec.attempt)
-        tried: set[str] = set()
-        started: _Reported | None = None
-        for _ in range(_START_ATTEMPTS):
-            # While the first worker was asked, another call may have put
-            # the task somewhere, or a newer job owner may have come.
-            if (
-                self._refusal(spec) is not None
-                or self._cell.live(spec.key) is not None
-                or self._cell.ended(name) is not None
-            ):
-                break
-            entry = self._place(spec, avoid_domains, tried)
-            if entry is None:
-                break
-            started = await self._start_at(entry, spec, 'placed')
-            if started.is_ok() or started.error.kind not in _ELSEWHERE:
-                return started
-            tried.add(entry.worker)
-        if started is None or self._cell.reserves.has(spec.key):
-            return self._no_room(spec)
-        return started
-
-    async def _start_at(
-        self, entry: _entry.Entry, spec: _model.TaskSpec, reason: str
-    ) -> _Reported:
-        started = await self._leases.start(entry, spec.command)
-        if started.is_ok():
-            self._cell.reserves.settle(spec.key)
-        _LOG.info(
-            'task_placement',
-            job=spec.key.job,
-            index=spec.key.index,
-            attempt=spec.attempt,
-            task_class=spec.task_class.name.lower(),
-            worker=entry.worker,
-            domain=entry.domain,
-            reason=reason,
-            error=started.error.kind.value if started.is_error() else '',
-        )
-        return started
-
 
 def _failed(
     kind: errors.ErrorKind, detail: str = ''
--- /dev/null
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_stops.py
@@ -0,0 +1,134 @@
+"""The orders to stop attempts, repeated until they are confirmed."""
+
+from __future__ import annotations
+
+import collections.abc
+
+import anyio.abc
+
+from walnutpoint_core import timer as timers
+from walnutpoint_entry.tasks import _cell
+from walnutpoint_entry.tasks import _contact
+from walnutpoint_entry.tasks import _contacts
+from walnutpoint_entry.tasks import _entry
+from walnutpoint_entry.tasks import _model
+from walnutpoint_entry.tasks import _reports
+from walnutpoint_entry.tasks import _wire
+from walnutpoint_entry.tasks import _worker
+
+__all__ = ('Stops', 'newest')
+
+_PHASE = _entry.Phase
+
+
+class Stops:
+    """Order stops of the attempts here, and of those that must not run."""
+
+    __slots__ = (
+        '_cell',
+        '_contacts',
+        '_reports',
+        '_tasks',
+        '_timer',
+        '_times',
+        '_wake',
+        '_workers',
+    )
+
+    def __init__(
+        self,
+        timer: timers.Timer,
+        times: _contact.LeaseTimes,
+        workers: _worker.Workers,
+        cell: _cell.Cell,
+        contacts: _contacts.Contacts,
+        reports: _reports.Reports,
+        tasks: anyio.abc.TaskGroup,
+        wake: collections.abc.Callable[[], None],
+    ) -> None:
+        self._timer = timer
+        self._times = times
+        self._workers = workers
+        self._cell = cell
+        self._contacts = contacts
+        self._tasks = tasks
+        self._wake = wake
+        self._reports = reports
+
+    async def stop(self, entry: _entry.Entry) -> _model.TaskReport:
+        """Order a stop once; it is repeated until the worker confirms it."""
+        contact = self._contacts.find(entry.worker)
+        if (
+            contact is None
+            or not self._cell.is_live(entry)
+            or entry.is_stop_in_progress
+            or entry.phase is _PHASE.STARTING
+        ):
+            return newest(self._cell, entry)
+        entry.is_stop_in_progress = True
+        entry.stop_due_s = self._timer.now_s() + self._times.retry_s
+        order = _wire.StopOrder(
+            key=entry.key,
+            attempt=entry.attempt,
+            mode=entry.stop_mode or _model.StopMode.STOP,
+            grace_s=self._times.checkpoint_grace_s,
+            epoch=contact.epoch,
+        )
+        try:
+            replied = await self._workers.stop(
+                entry.worker, order, lambda: self._contacts.may_act(contact)
+            )
+        finally:
+            entry.is_stop_in_progress = False
+            contact.ask_by(self._timer.now_s() + self._times.retry_s)
+            self._wake()
+        if replied.is_ok() and self._contacts.is_current(contact):
+            self._reports.take(contact, replied.ok)
+        return newest(self._cell, entry)
+
+    def stop_soon(
+        self, entry: _entry.Entry, mode: _model.StopMode, grace_s: float
+    ) -> None:
+        """Stop an attempt, without a checkpoint after the grace."""
+        self.wish_stop(entry, mode, grace_s)
+        self._tasks.start_soon(self.stop, entry)
+
+    def wish_stop(
+        self, entry: _entry.Entry, mode: _model.StopMode, grace_s: float
+    ) -> None:
+        """Note that an attempt is to stop."""
+        if entry.stop_mode is _model.StopMode.STOP:
+            return
+        if entry.stop_mode is None:
+            entry.stop_until_s = self._timer.now_s() + grace_s
+        entry.stop_mode = mode
+
+    def repeat(self, entry: _entry.Entry, now_s: float) -> None:
+        """Order a stop again that is due and not confirmed."""
+        if entry.stop_mode is None or entry.is_stop_in_progress:
+            return
+        if now_s >= entry.stop_until_s:
+            entry.stop_mode = _model.StopMode.STOP
+        elif now_s < entry.stop_due_s:
+            return
+        self._tasks.start_soon(self.stop, entry)
+
+    async def stop_stray(
+        self, contact: _contact.Contact, name: _wire.Attempt
+    ) -> None:
+        """Order the stop of an attempt that must not run, once."""
+        order = _wire.StopOrder(
+            key=name.key,
+            attempt=name.attempt,
+            mode=_model.StopMode.STOP,
+            grace_s=0.0,
+            epoch=contact.epoch,
+        )
+        await self._workers.stop(
+            contact.worker, order, lambda: self._contacts.may_act(contact)
+        )
+
+
+def newest(cell: _cell.Cell, entry: _entry.Entry) -> _model.TaskReport:
+    """Return the newest knowledge of an attempt that may have ended."""
+    return cell.ended(entry.name) or entry.report()
