Check that keys are remembered longer than they are valid on any clock

Cause: a settings file that passed its check could stop the process at start: the key memory also needs 1.1 times valid_s. Change: the relation is checked with the others; one constant serves both. Measured: the new case of the loader's test fails without the change.

--- a/packages/walnutpoint-core/src/walnutpoint_core/settings/__init__.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/settings/__init__.py
@@ -4,10 +4,12 @@
 
 from walnutpoint_core.settings import _loader
 from walnutpoint_core.settings import _problem
+from walnutpoint_core.settings import _relations
 from walnutpoint_core.settings import _schema
 
 __all__ = (
     'AddressSettings',
+    'CLOCK_AHEAD_RATIO',
     'KeySettings',
     'LimitSettings',
     'OwnershipSettings',
@@ -22,6 +24,7 @@
 )
 
 AddressSettings = _schema.AddressSettings
+CLOCK_AHEAD_RATIO = _relations.CLOCK_AHEAD_RATIO
 KeySettings = _schema.KeySettings
 LimitSettings = _schema.LimitSettings
 OwnershipSettings = _schema.OwnershipSettings
--- a/packages/walnutpoint-core/src/walnutpoint_core/settings/_relations.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/settings/_relations.py
@@ -3,15 +3,21 @@
 from __future__ import annotations
 
 import dataclasses
+import typing
 
 from walnutpoint_core.settings import _schema
 
 __all__ = (
     'Breach',
+    'CLOCK_AHEAD_RATIO',
     'breach',
 )
 
 
+# How far a key may come from the future, as a share of its validity.
+CLOCK_AHEAD_RATIO: typing.Final = 0.1
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Breach:
     """A relation that does not hold; both fields and values in words."""
@@ -107,16 +113,18 @@
 
 def _memory(settings: _schema.Settings) -> _Bound:
     # A key that is still valid after it was forgotten would run its request
-    # a second time; the last use may last one longest deadline.
+    # a second time; the last use may last one longest deadline, and the
+    # clock of the host that minted the key may be ahead.
     keys, requests = settings.keys, settings.requests
+    late_s = max(requests.deadline_max_s, keys.valid_s * CLOCK_AHEAD_RATIO)
     return _Bound(
         'keys.remember_s',
         keys.remember_s,
         'keys.valid_s',
         keys.valid_s,
-        keys.valid_s + requests.deadline_max_s,
-        'keys.valid_s + requests.deadline_max_s '
-        f'({requests.deadline_max_s:g})',
+        keys.valid_s + late_s,
+        'keys.valid_s + the larger of requests.deadline_max_s and '
+        f'{CLOCK_AHEAD_RATIO:g} * keys.valid_s ({late_s:g})',
         equal_allowed=True,
     )
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_memory.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_memory.py
@@ -55,7 +55,7 @@
 
     def __init__(self, limits: settings.KeySettings) -> None:
         # A key forgotten while it is still valid would run a second time.
-        valid_s = limits.valid_s * (1.0 + _mint.CLOCK_AHEAD_RATIO)
+        valid_s = limits.valid_s * (1.0 + settings.CLOCK_AHEAD_RATIO)
         if limits.remember_s < valid_s:
             raise ValueError(f'remember_s must be at least {valid_s:g}')
         self._limits = limits
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_mint.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/keys/_mint.py
@@ -12,16 +12,15 @@
 import msgspec
 
 from walnutpoint_core import errors
+from walnutpoint_core import settings
 
 __all__ = (
-    'CLOCK_AHEAD_RATIO',
     'ForeignKey',
     'KeyMint',
     'MintedKey',
     'is_minted',
 )
 
-CLOCK_AHEAD_RATIO = 0.1
 _PREFIX = 'wp1.'
 # A caller's 256 characters and the team that they are scoped by.
 _FOREIGN_LENGTH_MAX = 320
@@ -109,7 +108,11 @@
         # when the reader's clock is behind the minter's by more than
         # remember_s - valid_s. A key from the future shows such a clock; a
         # key first sent late does not, so hosts' clocks must agree that far.
-        if not -CLOCK_AHEAD_RATIO * self._valid_s <= age_s <= self._valid_s:
+        if (
+            not -settings.CLOCK_AHEAD_RATIO * self._valid_s
+            <= age_s
+            <= self._valid_s
+        ):
             return _error(
                 errors.ErrorKind.KEY_EXPIRED,
                 f'a key is valid for {self._valid_s:g} s',
--- a/tests/walnutpoint_core/settings/test_loader.py
+++ b/tests/walnutpoint_core/settings/test_loader.py
@@ -129,6 +129,12 @@
                 '0.2',
             ),
             ('keys: {remember_s: 359}', 'remember_s', 'valid_s', '360'),
+            (
+                'keys: {valid_s: 1000, remember_s: 1099}',
+                'remember_s',
+                'valid_s',
+                '1100',
+            ),
             (
                 'requests: {deadline_max_s: 9}',
                 'deadline_max_s',
