Strike faults at real processes, and prove what holds

Cause: nothing had shown what callers see when processes die, pause or lose touch. Ruled out: a second signal and the HTTP server as causes of the ended processes.

--- /dev/null
+++ b/tests/faults/__init__.py
@@ -0,0 +1,1 @@
+"""Faults struck at real processes, and what callers see of them."""
--- /dev/null
+++ b/tests/faults/cluster.py
@@ -0,0 +1,407 @@
+"""A small site: real entry processes between stand-ins of the platform."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import itertools
+import os
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import typing
+
+import httpx
+import msgspec
+
+from tests.standins import endpoint as endpoint_standin
+from tests.standins import hosts as hosts_standin
+from tests.standins import relay as relay_standin
+from tests.standins import serving
+from tests.standins import store as store_standin
+
+__all__ = (
+    'Cluster',
+    'Entry',
+    'Sizes',
+)
+
+_HOST: typing.Final = '127.0.0.1'
+_CALLER_PORT: typing.Final = 8080
+_OPERATOR_PORT: typing.Final = 9090
+_PEER_PORT: typing.Final = 7001
+_LISTEN_PORT: typing.Final = 7002
+_OPERATOR_TOKEN: typing.Final = 'operator-token-of-tests'
+_KEY_SHARDS: typing.Final = 64
+_READY_S: typing.Final = 30.0
+_STOP_S: typing.Final = 30.0
+_CHECK_PERIOD_S: typing.Final = 0.05
+_BLOCK: typing.Final = os.getpid() % (254 * 256)
+_numbers = itertools.count(1)
+
+
+_View: typing.TypeAlias = dict[str, typing.Any]
+
+
+def _are_joined(views: list[_View]) -> bool:
+    shards = sum(view['shards_active'] for view in views)
+    is_one = len({view['table_revision'] for view in views}) == 1
+    return (
+        shards == _KEY_SHARDS
+        and is_one
+        and all(
+            view['is_member']
+            and not view['endpoints_pending']
+            and view['peers_heard'] == len(views) - 1
+            for view in views
+        )
+    )
+
+
+def _tracebacks(log: str) -> list[str]:
+    """Return each traceback that goes through code of the product."""
+    parts = log.split('Traceback (most recent call last)')[1:]
+    bodies = [part.partition('\ntimestamp=')[0] for part in parts]
+    return [body for body in bodies if 'walnutpoint_' in body]
+
+
+def _free_host() -> str:
+    """Return a loopback address that only this test process uses."""
+    first, second = divmod(_BLOCK, 256)
+    return f'127.{first + 1}.{second}.{next(_numbers) % 255}'
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Sizes:
+    """The sizes of a site."""
+
+    entries: int = 3
+    endpoints: int = 6
+    slots: int = 2
+    connections: int = 6
+    check_epochs: bool = False
+
+
+class Entry:
+    """One entry process, with relays before its peer port and its store."""
+
+    def __init__(self, index: int, directory: pathlib.Path) -> None:
+        self.name = f'entry-{index}'
+        self.host = _free_host()
+        self.url = f'http://{self.host}:{_CALLER_PORT}'
+        self.is_frozen = False
+        self.peer_relay = relay_standin.Relay(self.host, _LISTEN_PORT)
+        self.store_relay: relay_standin.Relay | None = None
+        self.log_path = directory / f'{self.name}.log'
+        self.settings_path = directory / f'{self.name}.yaml'
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def prepare(self, store_port: int, hosts_url: str) -> None:
+        """Start the relays and write the settings."""
+        await self.peer_relay.start(self.host, _PEER_PORT)
+        self.store_relay = relay_standin.Relay(_HOST, store_port)
+        await self.store_relay.start(_HOST)
+        store_url = f'http://{_HOST}:{self.store_relay.port}'
+        self.settings_path.write_text(self._settings(store_url, hosts_url))
+
+    def _settings(self, store_url: str, hosts_url: str) -> str:
+        sections = {
+            'addresses': {
+                'name': self.name,
+                'domain': 'domain-a',
+                'peer_address': f'{self.host}:{_PEER_PORT}',
+                'peer_listen_address': f'{self.host}:{_LISTEN_PORT}',
+                'caller_address': f'{self.host}:{_CALLER_PORT}',
+                'operator_address': f'{self.host}:{_OPERATOR_PORT}',
+            },
+            'platform': {
+                'store_urls': [store_url],
+                'host_list_url': hosts_url,
+            },
+            'security': {
+                'peer_token': 'peer-token-of-the-tests',
+                'operator_token': _OPERATOR_TOKEN,
+                'key_secret': 'key-secret-of-the-tests',
+            },
+            'requests': {'default_deadline_s': 4.0, 'deadline_max_s': 8.0},
+            'ownership': {'key_shards': _KEY_SHARDS},
+            'keys': {'valid_s': 4.0, 'remember_s': 12.0},
+        }
+        # A YAML document may be JSON.
+        return msgspec.json.encode(sections).decode()
+
+    async def start(self) -> None:
+        """Start the process."""
+        with self.log_path.open('ab') as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                '-m',
+                'walnutpoint_entry.main',
+                '--settings',
+                str(self.settings_path),
+                stdin=asyncio.subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+            )
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process has not ended."""
+        return self._process is not None and self._process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal if the process has not ended."""
+        if self._process is not None and self.is_running:
+            self._process.send_signal(number)
+            if number in (signal.SIGSTOP, signal.SIGCONT):
+                self.is_frozen = number is signal.SIGSTOP
+
+    async def ended(self) -> int:
+        """Return the exit status once the process has ended."""
+        assert self._process is not None
+        async with asyncio.timeout(_STOP_S):
+            return await self._process.wait()
+
+    async def end(self) -> None:
+        """End the process, whatever its state."""
+        if self._process is not None and self.is_running:
+            self._process.kill()
+            await self._process.wait()
+
+    def cut(self) -> None:
+        """Cut the process off from the store, and peers off from it."""
+        self.peer_relay.cut()
+        if self.store_relay is not None:
+            self.store_relay.cut()
+
+    def silence(self) -> None:
+        """Pass nothing more on the connections of peers and the store."""
+        self.peer_relay.silence()
+        if self.store_relay is not None:
+            self.store_relay.silence()
+
+    def mend(self) -> None:
+        """Let the process be reached again."""
+        self.peer_relay.mend()
+        if self.store_relay is not None:
+            self.store_relay.mend()
+
+    async def close(self) -> None:
+        """End the process and its relays."""
+        await self.end()
+        self.peer_relay.close()
+        if self.store_relay is not None:
+            self.store_relay.close()
+
+    async def view(self, name: str) -> _View | None:
+        """Return one of the operators' views, if the process answers."""
+        # No connection is kept: the process may be another one by then.
+        client = httpx.AsyncClient(trust_env=False, verify=False, timeout=1.0)
+        async with client:
+            try:
+                reply = await client.get(
+                    f'http://{self.host}:{_OPERATOR_PORT}/v1/{name}',
+                    headers={'authorization': f'Bearer {_OPERATOR_TOKEN}'},
+                )
+            except httpx.HTTPError:
+                return None
+        if reply.status_code != httpx.codes.OK:
+            return None
+        return msgspec.json.decode(reply.content)
+
+
+class Cluster:
+    """The stand-ins and the entry processes of one site."""
+
+    def __init__(self, sizes: Sizes) -> None:
+        self.sizes = sizes
+        self.store = store_standin.StoreStandin()
+        self.hosts = hosts_standin.HostsStandin()
+        self.worker = endpoint_standin.Worker(
+            sizes.slots, sizes.connections, check_epochs=sizes.check_epochs
+        )
+        self.relays: list[relay_standin.Relay] = []
+        self._directory = tempfile.TemporaryDirectory()
+        directory = pathlib.Path(self._directory.name)
+        self.entries = [
+            Entry(index, directory) for index in range(sizes.entries)
+        ]
+        self._listeners: list[serving.Listener] = []
+
+    async def __aenter__(self) -> Cluster:
+        """Start everything and wait until it is whole."""
+        try:
+            await self._start()
+        except BaseException:
+            await self.close()
+            raise
+        return self
+
+    async def __aexit__(self, *_: object) -> None:
+        """End everything."""
+        await self.close()
+
+    async def close(self) -> None:
+        """End every process, relay and stand-in."""
+        for entry in self.entries:
+            await entry.close()
+        for relay in self.relays:
+            relay.close()
+        for listener in self._listeners:
+            listener.close()
+        self._directory.cleanup()
+
+    @property
+    def addresses(self) -> tuple[str, ...]:
+        """Return the endpoints' addresses as the host list shows them."""
+        return tuple(f'{_HOST}:{relay.port}' for relay in self.relays)
+
+    @property
+    def running(self) -> int:
+        """Return how many requests run at the endpoints now."""
+        return sum(
+            endpoint.seen.running
+            for endpoint in self.worker.endpoints.values()
+        )
+
+    @property
+    def answering(self) -> int:
+        """Return how many parts of answers are on their way now."""
+        return sum(relay.delayed for relay in self.relays)
+
+    def slow_answers(self, delay_s: float, part_size_bytes: int) -> None:
+        """Pass what endpoints send and receive in parts, slowly."""
+        for relay in self.relays:
+            relay.delay_s = delay_s
+            relay.chunk_size_bytes = part_size_bytes
+
+    def silence(self) -> None:
+        """Pass nothing more on any present connection."""
+        for entry in self.entries:
+            entry.silence()
+        for relay in self.relays:
+            relay.silence()
+
+    def leave(self, index: int) -> None:
+        """Have an endpoint leave: it refuses, and is listed as leaving."""
+        standin = list(self.worker.endpoints.values())[index]
+        standin.switch({'leaving': True})
+        self.list_hosts(frozenset({self.addresses[index]}))
+
+    def reset_counts(self) -> None:
+        """Forget what the endpoints have counted so far."""
+        self.worker.duplicates = 0
+        for endpoint in self.worker.endpoints.values():
+            endpoint.seen.over_capacity = 0
+            endpoint.seen.over_connections = 0
+
+    def list_hosts(self, leaving: frozenset[str] = frozenset()) -> None:
+        """Change the host list."""
+        self.hosts.change(
+            tuple(
+                hosts_standin.Host(
+                    address,
+                    'domain-a',
+                    f'rack-{index}',
+                    self.sizes.slots,
+                    self.sizes.connections,
+                    'leaving' if address in leaving else 'live',
+                )
+                for index, address in enumerate(self.addresses)
+            )
+        )
+
+    async def heal(self) -> None:
+        """Take every fault away, start what has ended, wait till whole."""
+        for entry in self.entries:
+            entry.send(signal.SIGCONT)
+            entry.mend()
+        for relay in self.relays:
+            relay.mend()
+        self.store.set_faults(
+            {'down': False, 'slow_s': 0.0, 'lose_answers': 0}
+        )
+        for endpoint in self.worker.endpoints.values():
+            endpoint.switch({'leaving': False, 'slow_s': 0.0})
+        self.hosts.set_faults({'lag_s': 0.0})
+        self.list_hosts()
+        for entry in self.entries:
+            if not entry.is_running:
+                await entry.start()
+        await self.whole()
+
+    async def whole(self) -> None:
+        """Wait until all are members and every slot is free."""
+        slots = self.sizes.endpoints * self.sizes.slots
+        await self._until(
+            lambda views: (
+                _are_joined(views)
+                and sum(view['slots_free'] for view in views) == slots
+            )
+        )
+
+    async def joined(self) -> None:
+        """Wait until all are members of one table."""
+        await self._until(_are_joined)
+
+    async def slots_free(self, entries: tuple[int, ...], count: int) -> None:
+        """Wait until some entries have this many free slots in all."""
+        async with asyncio.timeout(_READY_S):
+            while True:
+                views = [
+                    await self.entries[index].view('status')
+                    for index in entries
+                ]
+                known = [view for view in views if view is not None]
+                if sum(view['slots_free'] for view in known) == count:
+                    return
+                await asyncio.sleep(_CHECK_PERIOD_S)
+
+    async def _until(
+        self, is_reached: typing.Callable[[list[_View]], bool]
+    ) -> None:
+        end_s = time.monotonic() + _READY_S
+        views: list[_View | None] = []
+        while time.monotonic() < end_s:
+            views = [await entry.view('status') for entry in self.entries]
+            known = [view for view in views if view is not None]
+            if len(known) == len(views) and is_reached(known):
+                return
+            await asyncio.sleep(_CHECK_PERIOD_S)
+        last = [
+            f'{entry.name}: {line}'
+            for entry in self.entries
+            for line in entry.log_path.read_text().splitlines()[-10:]
+        ]
+        raise AssertionError(f'not whole in {_READY_S} s: {views} {last}')
+
+    def tracebacks(self) -> list[str]:
+        """Return the unexpected exceptions that the processes logged."""
+        return [
+            f'{entry.name}: {part}'
+            for entry in self.entries
+            for part in _tracebacks(entry.log_path.read_text())
+        ]
+
+    async def _start(self) -> None:
+        store = await serving.start(self.store)
+        hosts = await serving.start(self.hosts)
+        self._listeners += [store, hosts]
+        for _ in range(self.sizes.endpoints):
+            await self._start_endpoint()
+        self.list_hosts()
+        for entry in self.entries:
+            await entry.prepare(store.port, hosts.url)
+            await entry.start()
+        await self.whole()
+
+    async def _start_endpoint(self) -> None:
+        standin = endpoint_standin.EndpointStandin(self.worker, '')
+        listener = await serving.start(standin)
+        relay = relay_standin.Relay(_HOST, listener.port)
+        await relay.start(_HOST)
+        self._listeners.append(listener)
+        self.relays.append(relay)
+        self.worker.endpoints[listener.port] = standin
--- /dev/null
+++ b/tests/faults/test_matrix.py
@@ -0,0 +1,118 @@
+"""The fault matrix: every fault, and pairs of them, at every step."""
+
+from __future__ import annotations
+
+import asyncio
+import traceback
+import unittest
+
+from tests.faults import cells
+from tests.faults import cluster as clusters
+from tests.faults import trial
+
+_CLUSTERS = 3
+_FAULT = cells.Fault
+
+
+class FaultMatrixTest(unittest.TestCase):
+    """Strike each fault at each step of requests at three processes.
+
+    Callers send every kind of request through all entries; the fault
+    strikes when requests are in the step, and is taken away again. Then the
+    endpoints' own counts are compared with what the callers were told.
+    """
+
+    def _row(self, *faults: cells.Fault) -> None:
+        row = [cell for cell in cells.CELLS if cell.faults == faults]
+        self.assertTrue(row)
+        found = asyncio.run(_run_row(row))
+        for cell in row:
+            with self.subTest(str(cell)):
+                self.assertFalse(found[cell], '\n'.join(found[cell]))
+
+    def test_no_fault(self) -> None:
+        self._row()
+
+    def test_kill(self) -> None:
+        self._row(_FAULT.KILL)
+
+    def test_freeze(self) -> None:
+        self._row(_FAULT.FREEZE)
+
+    def test_cut(self) -> None:
+        self._row(_FAULT.CUT)
+
+    def test_silent(self) -> None:
+        self._row(_FAULT.SILENT)
+
+    def test_store_down(self) -> None:
+        self._row(_FAULT.STORE_DOWN)
+
+    def test_store_slow(self) -> None:
+        self._row(_FAULT.STORE_SLOW)
+
+    def test_store_answer_lost(self) -> None:
+        self._row(_FAULT.STORE_ANSWER_LOST)
+
+    def test_hosts_lag(self) -> None:
+        self._row(_FAULT.HOSTS_LAG)
+
+    def test_kill_and_freeze(self) -> None:
+        self._row(_FAULT.KILL, _FAULT.FREEZE)
+
+    def test_kill_and_store_down(self) -> None:
+        self._row(_FAULT.KILL, _FAULT.STORE_DOWN)
+
+    def test_kill_and_silent(self) -> None:
+        self._row(_FAULT.KILL, _FAULT.SILENT)
+
+    def test_freeze_and_store_down(self) -> None:
+        self._row(_FAULT.FREEZE, _FAULT.STORE_DOWN)
+
+    def test_freeze_and_cut(self) -> None:
+        self._row(_FAULT.FREEZE, _FAULT.CUT)
+
+    def test_store_answer_lost_and_slow(self) -> None:
+        self._row(_FAULT.STORE_ANSWER_LOST, _FAULT.STORE_SLOW)
+
+    def test_kill_and_cut(self) -> None:
+        self._row(_FAULT.KILL, _FAULT.CUT)
+
+    def test_kill_and_hosts_lag(self) -> None:
+        self._row(_FAULT.KILL, _FAULT.HOSTS_LAG)
+
+    def test_freeze_and_silent(self) -> None:
+        self._row(_FAULT.FREEZE, _FAULT.SILENT)
+
+    def test_freeze_and_store_answer_lost(self) -> None:
+        self._row(_FAULT.FREEZE, _FAULT.STORE_ANSWER_LOST)
+
+    def test_cut_and_store_down(self) -> None:
+        self._row(_FAULT.CUT, _FAULT.STORE_DOWN)
+
+    def test_silent_and_store_slow(self) -> None:
+        self._row(_FAULT.SILENT, _FAULT.STORE_SLOW)
+
+
+async def _run_row(row: list[cells.Cell]) -> dict[cells.Cell, list[str]]:
+    waiting = list(reversed(row))
+    found: dict[cells.Cell, list[str]] = {}
+    async with asyncio.TaskGroup() as tasks:
+        for _ in range(_CLUSTERS):
+            tasks.create_task(_run_cells(waiting, found))
+    return found
+
+
+async def _run_cells(
+    waiting: list[cells.Cell], found: dict[cells.Cell, list[str]]
+) -> None:
+    """Run cells on one cluster; on a new one after one that broke it."""
+    while waiting:
+        async with clusters.Cluster(clusters.Sizes()) as cluster:
+            while waiting:
+                cell = waiting.pop()
+                try:
+                    found[cell] = await trial.Trial(cluster, cell).run()
+                except Exception as error:
+                    found[cell] = traceback.format_exception(error)
+                    break
--- a/tests/standins/relay.py
+++ b/tests/standins/relay.py
@@ -71,7 +71,8 @@
                 self._copy(pair, reader, far_writer),
                 self._copy(pair, far_reader, writer),
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
+            # A cancelled server callback would be logged as an error.
             pass
         finally:
             self._pairs.discard(pair)
