--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_dispatcher.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_dispatcher.py
@@ -15,10 +15,12 @@
 from walnutpoint_entry import ownership
 from walnutpoint_entry import peers
 from walnutpoint_entry import placement
+from walnutpoint_entry.routing import _course
 from walnutpoint_entry.routing import _fleet
 from walnutpoint_entry.routing import _gate
 from walnutpoint_entry.routing import _hints
 from walnutpoint_entry.routing import _journal
+from walnutpoint_entry.routing import _room
 from walnutpoint_entry.routing import _waiting
 
 __all__ = ('Dispatcher',)
@@ -54,36 +56,6 @@
 _Served: typing.TypeAlias = expression.Result[model.Answer, errors.Failure]
 
 
-@dataclasses.dataclass(slots=True)
-class _Course:
-    """What has been tried for one request so far."""
-
-    request: model.Request
-    gate: _gate.StartGate
-    attempts: int = 0
-    tried: set[str] = dataclasses.field(default_factory=set)
-    refused_by: set[str] = dataclasses.field(default_factory=set)
-    lost: errors.Failure | None = None
-
-    def note(self, failure: errors.Failure) -> None:
-        """Note a failed attempt."""
-        if failure.outcome is errors.Outcome.UNKNOWN:
-            self.lost = failure
-
-    def failure(self, last: errors.Failure) -> errors.Failure:
-        """Return what its attempts together came to."""
-        # An idempotent request whose first attempt ran, and whose second one
-        # was refused, has run: its caller must not be told not-run.
-        return self.lost or last
-
-
-class RoomMaker(typing.Protocol):
-    """The part that can end batch tasks to free their slots."""
-
-    def make_room(self, slots: int) -> int:
-        """Free slots for urgent requests, and return how many."""
-
-
 class Dispatcher:
     """Serve requests on owned endpoints first, then on peers'."""
 
@@ -114,7 +86,7 @@
         journal: _journal.Journal,
         estimate: placement.WaitEstimate,
         waiting: _waiting.WaitingRoom,
-        room: RoomMaker,
+        room: _room.RoomMaker,
     ) -> None:
         self._timer = timer
         self._settings = settings
@@ -150,7 +122,7 @@
     ) -> _Served:
         """Run a request wherever a slot is free, as often as it may."""
         self._budget.observe_request(self._timer.now_s())
-        course = _Course(request, gate)
+        course = _course.Course(request, gate)
         while True:
             result = await self._attempt(course)
             if result.is_ok():
@@ -167,7 +139,7 @@
             lease = self._fleet.acquire(frozenset())
         if lease is None:
             return expression.Error(errors.Failure(_KIND.NO_FREE_SLOT))
-        course = _Course(request, _gate.OpenGate())
+        course = _course.Course(request, _gate.OpenGate())
         return await self._run_here(course, lease, 'peer')
 
     def drain(self) -> None:
@@ -190,7 +162,7 @@
         self._hints.spend(peer)
         return _waiting.Grant(peer=peer)
 
-    async def _attempt(self, course: _Course) -> _Served:
+    async def _attempt(self, course: _course.Course) -> _Served:
         await self._confirm()
         if not len(self._waiting) and self._ownership.is_confirmed():
             lease = self._fleet.acquire(frozenset(course.tried))
@@ -211,7 +183,7 @@
         if not self._ownership.is_confirmed():
             await self._timer.sleep(_CONFIRM_WAIT_S)
 
-    async def _spill(self, course: _Course) -> _Served | None:
+    async def _spill(self, course: _course.Course) -> _Served | None:
         for _ in range(self._settings.spill_attempts):
             peer = self._hints.freest(frozenset(course.refused_by))
             if peer is None:
@@ -222,7 +194,7 @@
                 return result
         return None
 
-    async def _queue(self, course: _Course) -> _Served:
+    async def _queue(self, course: _course.Course) -> _Served:
         request = course.request
         if not self._may_find_slot():
             return self._refused(course, errors.Failure(_KIND.NO_ENDPOINTS))
@@ -255,7 +227,7 @@
         return bool(self._fleet.total_slots or self._links.heard())
 
     async def _run_here(
-        self, course: _Course, lease: placement.SlotLease, reason: str
+        self, course: _course.Course, lease: placement.SlotLease, reason: str
     ) -> _Served:
         endpoint = lease.endpoint
         course.attempts += 1
@@ -299,11 +271,11 @@
             )
         )
 
-    def _may_start(self, course: _Course, endpoint: str) -> bool:
+    def _may_start(self, course: _course.Course, endpoint: str) -> bool:
         return self._ownership.may_act(endpoint) and course.gate.start()
 
     async def _run_at(
-        self, course: _Course, peer: ownership.Member, reason: str
+        self, course: _course.Course, peer: ownership.Member, reason: str
     ) -> _Served:
         link = self._links.find(peer)
         if link is None or not link.is_heard():
@@ -321,7 +293,9 @@
         self._decide(course, '', reason, 0, waited_s, failure, peer.name)
         return result
 
-    def _attempt_timeout_s(self, course: _Course, now_s: float) -> float:
+    def _attempt_timeout_s(
+        self, course: _course.Course, now_s: float
+    ) -> float:
         """Leave time for another attempt where one is allowed."""
         request = course.request
         left_s = request.deadline_at_s - now_s
@@ -331,7 +305,9 @@
         limit_s = max(_ATTEMPT_TIMEOUT_MIN_S, high_s * _ATTEMPT_TIMEOUT_FACTOR)
         return min(left_s, limit_s)
 
-    def _may_retry(self, course: _Course, failure: errors.Failure) -> bool:
+    def _may_retry(
+        self, course: _course.Course, failure: errors.Failure
+    ) -> bool:
         now_s = self._timer.now_s()
         if course.attempts >= _ATTEMPTS_MAX or course.gate.is_shut():
             return False
@@ -353,7 +329,7 @@
 
     def _learn(
         self,
-        course: _Course,
+        course: _course.Course,
         endpoint: str,
         called: expression.Result[
             endpoints_module.EndpointReply, errors.Failure
@@ -369,14 +345,16 @@
         elif called.error.kind in _ENDPOINT_FAULTS:
             self._fleet.observe(endpoint, False)
 
-    def _refused(self, course: _Course, failure: errors.Failure) -> _Served:
+    def _refused(
+        self, course: _course.Course, failure: errors.Failure
+    ) -> _Served:
         waited_s = self._timer.now_s() - course.request.received_at_s
         self._decide(course, '', 'refused', 0, waited_s, failure)
         return expression.Error(failure)
 
     def _decide(
         self,
-        course: _Course,
+        course: _course.Course,
         endpoint: str,
         reason: str,
         free: int,
