Count no worker's missing slots against another's free ones

Cause: on a worker whose slots requests use while room is kept for a task, the free slots are below none; summed over workers, a job owner was told that nothing could start where something could. Ruled out: clamping the count of one worker, which displacement needs as it is (a test of it failed so). Change: only workers with a slot count in what could start. Measured: the new test fails without the change (0 instead of 1); 129 tests of tasks and jobs pass.

--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_selection.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_selection.py
@@ -77,8 +77,7 @@
                 candidate.free.times(need),
                 self._free_slots(candidate.worker),
             )
-            for candidate in self._room.fitting(need, frozenset())
-            if self._health.may_start(candidate.worker)
+            for candidate in self._with_slots(need)
         )
 
     def free(self, worker: str) -> _amount.Amount:
@@ -109,11 +108,19 @@
         """Return what is free on each worker that may get new tasks."""
         one = _amount.Amount(slots=1)
         return tuple(
-            self.free(candidate.worker)
-            for candidate in self._room.fitting(one, frozenset())
-            if self._health.may_start(candidate.worker)
+            self.free(candidate.worker) for candidate in self._with_slots(one)
         )
 
+    def _with_slots(
+        self, need: _amount.Amount
+    ) -> collections.abc.Iterator[_choice.Candidate]:
+        # A worker short of slots must not make up for those of another.
+        for candidate in self._room.fitting(need, frozenset()):
+            if not self._health.may_start(candidate.worker):
+                continue
+            if self._free_slots(candidate.worker) > 0:
+                yield candidate
+
     def _is_allowed(
         self,
         worker: str,
@@ -127,6 +134,7 @@
         )
 
     def _free_slots(self, worker: str) -> int:
+        # Below none when requests use the slots that reserves wait for.
         return self._slots.free_slots(worker) - self._reserves.unfilled(worker)
 
     def _kept(
--- a/tests/walnutpoint_entry/tasks/test_room.py
+++ b/tests/walnutpoint_entry/tasks/test_room.py
@@ -201,6 +201,29 @@
 )
 
 
+class FreeTasksTest(unittest.TestCase):
+    """What could start on two workers."""
+
+    def test_worker_short_of_slots_hides_no_other(self) -> None:
+        """Requests use all slots of a worker that room is kept on.
+
+        Its count is below none; added to that of another worker, it would
+        tell a job owner that nothing can start where something can.
+        """
+        machine = CellMachine()
+        for worker in _WORKERS:
+            machine.open(worker)
+        for _ in range(_SLOTS):
+            machine.request('a')
+        machine.reserve('a', documents.Size(1.0, 1))
+        spec = fake.spec(
+            index=1,
+            size=documents.Size(1.0, 1, 1),
+            task_class=tasks.TaskClass.SERVICE,
+        )
+        self.assertEqual(1, machine.cell.free_tasks(spec))
+
+
 class AmountTest(unittest.TestCase):
     """Sums of sizes in floating point."""
 
