--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/amount.py
@@ -0,0 +1,55 @@
+"""Amounts of what tasks take of a worker."""
+
+from __future__ import annotations
+
+import dataclasses
+
+__all__ = ('Amount',)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Amount:
+    """A capacity vector in whole units, which add up without rounding."""
+
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    slots: int = 0
+
+    def __add__(self, other: Amount) -> Amount:
+        """Return the sum."""
+        return Amount(
+            self.cpu_millicores + other.cpu_millicores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+            self.slots + other.slots,
+        )
+
+    def __sub__(self, other: Amount) -> Amount:
+        """Return the difference."""
+        return Amount(
+            self.cpu_millicores - other.cpu_millicores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+            self.slots - other.slots,
+        )
+
+    def covers(self, need: Amount) -> bool:
+        """Tell whether this is enough for a need."""
+        return (
+            self.slots >= need.slots
+            and self.cpu_millicores >= need.cpu_millicores
+            and self.memory_mb >= need.memory_mb
+            and self.accelerators >= need.accelerators
+        )
+
+    def times(self, need: Amount) -> int:
+        """Return how many times this is enough for a need."""
+        counts = [self.slots // need.slots] if need.slots else []
+        if need.cpu_millicores:
+            counts.append(self.cpu_millicores // need.cpu_millicores)
+        if need.memory_mb:
+            counts.append(self.memory_mb // need.memory_mb)
+        if need.accelerators:
+            counts.append(self.accelerators // need.accelerators)
+        return max(0, min(counts, default=0))
--- a/packages/walnutpoint-core/src/walnutpoint_core/logs.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/logs.py
@@ -8,16 +8,59 @@
 
 import structlog
 
+from walnutpoint_core import _line_writer
+
 __all__ = (
     'configure',
+    'configure_stdout',
+    'flush',
     'get_logger',
 )
 
 _QUIET_LIBRARIES: typing.Final = ('httpcore', 'httpx', 'hypercorn')
+_STDOUT_FD: typing.Final = 1
+_writers: list[_line_writer.LineWriter] = []
+
+
+class _LineLogger:
+    """Hands rendered lines to a writer."""
+
+    __slots__ = ('_write',)
+
+    def __init__(self, writer: _line_writer.LineWriter) -> None:
+        self._write = writer.write_line
+
+    def msg(self, message: str) -> None:
+        """Write one line."""
+        self._write(message)
+
+    debug = info = warning = error = critical = exception = msg
 
 
 def configure(level: str) -> None:
     """Write every event at or above a level to standard error."""
+    _configure(level, structlog.PrintLoggerFactory(file=sys.stderr))
+
+
+def configure_stdout(level: str) -> None:
+    """Write every event to standard output, and never wait for a reader."""
+    writer = _line_writer.LineWriter(_STDOUT_FD)
+    _writers.append(writer)
+    _configure(level, lambda *_args: _LineLogger(writer))
+
+
+def flush() -> None:
+    """Write what is queued, as far as somebody reads."""
+    for writer in _writers:
+        writer.flush()
+
+
+def get_logger(name: str) -> typing.Any:
+    """Return the logger of one module."""
+    return structlog.get_logger(part=name)
+
+
+def _configure(level: str, factory: typing.Any) -> None:
     for library in _QUIET_LIBRARIES:
         logging.getLogger(library).setLevel(logging.WARNING)
     minimum = logging.getLevelNamesMapping()[level.upper()]
@@ -32,11 +75,6 @@
             ),
         ],
         wrapper_class=structlog.make_filtering_bound_logger(minimum),
-        logger_factory=structlog.PrintLoggerFactory(file=sys.stderr),
+        logger_factory=factory,
         cache_logger_on_first_use=True,
     )
-
-
-def get_logger(name: str) -> typing.Any:
-    """Return the logger of one module."""
-    return structlog.get_logger(part=name)
--- a/packages/walnutpoint-core/src/walnutpoint_core/ports.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/ports.py
@@ -12,14 +12,17 @@
 
 __all__ = (
     'Batch',
+    'Changes',
     'CommitReply',
     'Guard',
     'HostList',
     'KeyRevision',
     'Listing',
     'Put',
+    'Snapshot',
     'Store',
     'StoredValue',
+    'WatchedStore',
 )
 
 
@@ -79,6 +82,25 @@
 
     applied: bool
     revision: int
+    # Where a guard did not hold: the guarded keys that exist, as they are.
+    conflicts: tuple[StoredValue, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Snapshot:
+    """Values below a prefix; a watch from the revision misses nothing."""
+
+    revision: int
+    values: tuple[StoredValue, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Changes:
+    """What was written and removed below a prefix up to a revision."""
+
+    revision: int
+    values: tuple[StoredValue, ...]
+    removed: tuple[str, ...] = ()
 
 
 class Store(typing.Protocol):
@@ -112,3 +134,27 @@
         self, known_version: int | None
     ) -> expression.Result[model.HostListing | None, errors.Failure]:
         """Read the list, or None when the known version still stands."""
+
+
+class WatchedStore(typing.Protocol):
+    """A linearizable store whose changes can be followed."""
+
+    async def get(
+        self, key: str
+    ) -> expression.Result[StoredValue | None, errors.Failure]:
+        """Read one key."""
+
+    async def read(
+        self, prefix: str
+    ) -> expression.Result[Snapshot, errors.Failure]:
+        """Read every key below a prefix."""
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> expression.Result[Changes | None, errors.Failure]:
+        """Wait for changes; None where their history is gone."""
+
+    async def commit(
+        self, batch: Batch
+    ) -> expression.Result[CommitReply, errors.Failure]:
+        """Apply a batch; STORE_ANSWER_LOST says that it may yet apply."""
--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/__init__.py
@@ -0,0 +1,19 @@
+"""HTTP/1.1 for hot paths: a pooled client and a small server."""
+
+from walnutpoint_core.web._client import Client
+from walnutpoint_core.web._connection import ClientConnection
+from walnutpoint_core.web._message import Loss
+from walnutpoint_core.web._message import Request
+from walnutpoint_core.web._message import Response
+from walnutpoint_core.web._message import json_response
+from walnutpoint_core.web._server import Server
+
+__all__ = (
+    'Client',
+    'ClientConnection',
+    'Loss',
+    'Request',
+    'Response',
+    'Server',
+    'json_response',
+)
--- /dev/null
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/_connection.py
@@ -0,0 +1,153 @@
+"""One client connection: a single request in flight."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import typing
+
+import httptools
+
+from walnutpoint_core.web import _message
+
+__all__ = (
+    'ClientConnection',
+    'connect',
+)
+
+# Linux option; unanswered data closes the connection after this long. A
+# path that lost its state otherwise swallows requests for many minutes.
+_TCP_USER_TIMEOUT: typing.Final = getattr(socket, 'TCP_USER_TIMEOUT', 18)
+# Above every request timeout used here, below a process's stopping time.
+USER_TIMEOUT_MS: typing.Final = 3000
+
+
+class ClientConnection(asyncio.Protocol):
+    """A connection that carries one exchange after the other."""
+
+    __slots__ = (
+        '_body',
+        '_headers',
+        '_parser',
+        '_transport',
+        '_waiter',
+        'address',
+        'is_open',
+    )
+
+    def __init__(self, address: str) -> None:
+        self.address = address
+        self.is_open = False
+        self._transport: asyncio.Transport | None = None
+        self._waiter: asyncio.Future[_message.Response] | None = None
+        self._parser: httptools.HttpResponseParser | None = None
+        self._headers: dict[str, str] = {}
+        self._body: list[bytes] = []
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the options of the socket."""
+        self._transport = typing.cast(asyncio.Transport, transport)
+        sock = transport.get_extra_info('socket')
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP, _TCP_USER_TIMEOUT, USER_TIMEOUT_MS
+            )
+        self.is_open = True
+
+    def data_received(self, data: bytes) -> None:
+        """Parse a part of a response."""
+        if self._parser is None:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserError as error:
+            self._fail(f'unreadable response: {error}')
+            self.close()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange in flight."""
+        self.is_open = False
+        self._fail(f'connection lost: {exc or "closed by the other side"}')
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a response header."""
+        self._headers[name.decode('latin-1').lower()] = value.decode('latin-1')
+
+    def on_body(self, body: bytes) -> None:
+        """Collect a part of the body."""
+        self._body.append(body)
+
+    def on_message_complete(self) -> None:
+        """Hand the whole response to the waiting caller."""
+        parser, waiter = self._parser, self._waiter
+        self._parser = self._waiter = None
+        if parser is None or waiter is None or waiter.done():
+            return
+        if not parser.should_keep_alive():
+            self.close()
+        waiter.set_result(
+            _message.Response(
+                parser.get_status_code(), b''.join(self._body), self._headers
+            )
+        )
+
+    async def exchange(
+        self, request: _message.Request, timeout_s: float
+    ) -> _message.Response | _message.Loss:
+        """Send a request and read its whole response within a time."""
+        if not self.is_open or self._transport is None:
+            return _message.Loss(False, 'connection is closed')
+        loop = asyncio.get_running_loop()
+        waiter = self._waiter = loop.create_future()
+        self._parser = httptools.HttpResponseParser(self)
+        self._headers = {}
+        self._body = []
+        self._transport.write(_message.request_bytes(self.address, request))
+        alarm = loop.call_later(timeout_s, self._expire, waiter, timeout_s)
+        try:
+            return await waiter
+        except ConnectionError as error:
+            return _message.Loss(True, str(error))
+        finally:
+            alarm.cancel()
+            if not waiter.done() or waiter.cancelled():
+                self.close()
+
+    def close(self) -> None:
+        """Close the connection; an exchange in flight gets no response."""
+        self.is_open = False
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _expire(
+        self, waiter: asyncio.Future[_message.Response], timeout_s: float
+    ) -> None:
+        if self._waiter is waiter:
+            self._fail(f'no response within {timeout_s:g} s')
+            self.close()
+
+    def _fail(self, detail: str) -> None:
+        waiter = self._waiter
+        self._parser = self._waiter = None
+        if waiter is not None and not waiter.done():
+            waiter.set_exception(ConnectionError(detail))
+
+
+async def connect(
+    address: str, timeout_s: float
+) -> ClientConnection | _message.Loss:
+    """Open a connection within a time."""
+    host, _, port = address.rpartition(':')
+    loop = asyncio.get_running_loop()
+    try:
+        async with asyncio.timeout(timeout_s):
+            _, connection = await loop.create_connection(
+                lambda: ClientConnection(address), host, int(port)
+            )
+    except (OSError, TimeoutError) as error:
+        return _message.Loss(
+            False, f'no connection: {type(error).__name__} {error}'
+        )
+    return connection
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/placement/__init__.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/placement/__init__.py
@@ -4,14 +4,14 @@
 
 from walnutpoint_entry.placement import _budget
 from walnutpoint_entry.placement import _estimate
-from walnutpoint_entry.placement import _outlier
+from walnutpoint_scheduler import outlier
 from walnutpoint_entry.placement import _policy
 from walnutpoint_entry.placement import _pool
 from walnutpoint_entry.placement import _queue
 
 ClosedReason = _pool.ClosedReason
 EndpointView = _pool.EndpointView
-OutlierDetector = _outlier.OutlierDetector
+OutlierDetector = outlier.OutlierDetector
 PackPolicy = _policy.PackPolicy
 Policy = _policy.Policy
 RequestQueue = _queue.RequestQueue
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_cell.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_cell.py
@@ -12,7 +12,7 @@
 from walnutpoint_entry.tasks import _amount
 from walnutpoint_entry.tasks import _entries
 from walnutpoint_entry.tasks import _entry
-from walnutpoint_entry.tasks import _health
+from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _model
 from walnutpoint_entry.tasks import _reserves
 from walnutpoint_entry.tasks import _room
@@ -51,7 +51,7 @@
     )
 
     def __init__(
-        self, slots: _slots.SlotKeeper, health: _health.WorkerHealth
+        self, slots: _slots.SlotKeeper, health: worker_health.WorkerHealth
     ) -> None:
         self.room = _room.Room()
         self.health = health
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_selection.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_selection.py
@@ -8,7 +8,7 @@
 from walnutpoint_entry.tasks import _amount
 from walnutpoint_entry.tasks import _choice
 from walnutpoint_entry.tasks import _entries
-from walnutpoint_entry.tasks import _health
+from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _model
 from walnutpoint_entry.tasks import _reserves
 from walnutpoint_entry.tasks import _room
@@ -27,7 +27,7 @@
         room: _room.Room,
         slots: _slots.SlotKeeper,
         reserves: _reserves.Reserves,
-        health: _health.WorkerHealth,
+        health: worker_health.WorkerHealth,
         entries: _entries.Entries,
     ) -> None:
         self._room = room
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_service.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_service.py
@@ -20,7 +20,7 @@
 from walnutpoint_entry.tasks import _contact
 from walnutpoint_entry.tasks import _displacement
 from walnutpoint_entry.tasks import _entry
-from walnutpoint_entry.tasks import _health
+from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _leases
 from walnutpoint_entry.tasks import _model
 from walnutpoint_entry.tasks import _owner
@@ -71,7 +71,7 @@
             settings.eject_s,
             settings.eject_max_s,
         )
-        self._cell = _cell.Cell(slots, _health.WorkerHealth(outliers))
+        self._cell = _cell.Cell(slots, worker_health.WorkerHealth(outliers))
         self._leases = _leases.Leases(
             timer, self._times, owner, workers, self._cell, tasks
         )
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/__init__.py
@@ -0,0 +1,1 @@
+"""The scheduler: one elected process places tasks on all workers."""
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
@@ -0,0 +1,157 @@
+"""Which workers may run a step, as the advice service says."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import anyio.abc
+
+from walnutpoint_core import logs
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
+
+__all__ = ('AdviceBook',)
+
+_LOG: typing.Final = logs.get_logger('advice')
+# The most workers that one question may name (the service's limit).
+_NAMED_MAX: typing.Final = 100
+# A ticket this close to its end may be refused on arrival.
+_TICKET_MARGIN_S: typing.Final = 0.15
+_RETRY_S: typing.Final = 0.1
+
+
+class _StepAdvice:
+    __slots__ = ('asking', 'denied', 'expires_s', 'failures', 'retry_s',
+                 'tickets')
+
+    def __init__(self) -> None:
+        self.tickets: dict[str, str] = {}
+        self.expires_s: dict[str, float] = {}
+        self.denied: set[str] = set()
+        self.asking = False
+        self.failures = 0
+        self.retry_s = 0.0
+
+
+class AdviceBook:
+    """Remembers what was granted, and asks for what is missing.
+
+    The set of workers that may run a step never changes; only tickets
+    expire. A refresh therefore names granted workers only, since each name
+    costs the service time.
+    """
+
+    __slots__ = ('_changed', '_now_s', '_source', '_steps', '_tasks', 'calls')
+
+    def __init__(
+        self,
+        source: ports.AdviceSource,
+        now_s: collections.abc.Callable[[], float],
+        tasks: anyio.abc.TaskGroup,
+        changed: collections.abc.Callable[[], None],
+    ) -> None:
+        self._source = source
+        self._now_s = now_s
+        self._tasks = tasks
+        self._changed = changed
+        self._steps: dict[str, _StepAdvice] = {}
+        self.calls = 0
+
+    def ticket(self, step: str, worker_id: str) -> str | None:
+        """Return a ticket that is valid now."""
+        known = self._steps.get(step)
+        if known is None:
+            return None
+        expires_s = known.expires_s.get(worker_id, 0.0)
+        if expires_s < self._now_s() + _TICKET_MARGIN_S:
+            return None
+        return known.tickets[worker_id]
+
+    def permits(self, step: str, worker_id: str) -> bool | None:
+        """Return whether a worker may run a step; None if not known yet."""
+        known = self._steps.get(step)
+        if known is None:
+            return None
+        if worker_id in known.tickets:
+            return True
+        return False if worker_id in known.denied else None
+
+    def has_valid(self, step: str) -> bool:
+        """Return whether any ticket of a step is valid now."""
+        known = self._steps.get(step)
+        if known is None:
+            return False
+        limit_s = self._now_s() + _TICKET_MARGIN_S
+        return any(end_s > limit_s for end_s in known.expires_s.values())
+
+    def asking(self, step: str) -> bool:
+        """Return whether a question about a step is on its way."""
+        known = self._steps.get(step)
+        return known is not None and known.asking
+
+    def spoil(self, step: str, worker_id: str) -> None:
+        """Drop a ticket that a worker refused."""
+        known = self._steps.get(step)
+        if known is not None:
+            known.expires_s.pop(worker_id, None)
+
+    def forget(self, step: str) -> None:
+        """Drop what is known of a step."""
+        self._steps.pop(step, None)
+
+    def ask(
+        self,
+        step: str,
+        worker_ids: collections.abc.Iterable[str],
+        terms: cell.AdviceTerms,
+    ) -> None:
+        """Ask about the workers that are not known to be denied."""
+        known = self._steps.setdefault(step, _StepAdvice())
+        if known.asking or self._now_s() < known.retry_s:
+            return
+        named = [w for w in worker_ids if w not in known.denied][:_NAMED_MAX]
+        if named:
+            known.asking = True
+            self._tasks.start_soon(self._ask, step, known, named, terms)
+
+    async def _ask(
+        self,
+        step: str,
+        known: _StepAdvice,
+        named: list[str],
+        terms: cell.AdviceTerms,
+    ) -> None:
+        expected_s = terms.decide_s + terms.per_worker_s * len(named)
+        self.calls += 1
+        asked_s = self._now_s()
+        answer = await self._source.ask(
+            step, tuple(named), expected_s
+        )
+        known.asking = False
+        if answer.is_error():
+            known.failures += 1
+            known.retry_s = self._now_s() + _RETRY_S * min(known.failures, 5)
+            _LOG.info(
+                'advice.failed',
+                step=step,
+                named=len(named),
+                after_s=round(self._now_s() - asked_s, 3),
+                kind=answer.error.kind.value,
+                detail=answer.error.detail,
+            )
+            self._changed()
+            return
+        known.failures = 0
+        advice = answer.ok
+        # Valid from the moment of granting, which is not before half of
+        # the way back: counted from now, less a margin when used.
+        expires_s = self._now_s() + advice.valid_s
+        for worker_id in named:
+            ticket = advice.tickets.get(worker_id)
+            if ticket is None:
+                known.denied.add(worker_id)
+            else:
+                known.tickets[worker_id] = ticket
+                known.expires_s[worker_id] = expires_s
+        self._changed()
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -0,0 +1,87 @@
+"""What the parts of one term share."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+import anyio.abc
+
+from walnutpoint_core import timer
+from walnutpoint_scheduler import _advice
+from walnutpoint_scheduler import _journal
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
+from walnutpoint_scheduler import settings
+from walnutpoint_scheduler import worker_health
+
+__all__ = ('Context',)
+
+
+class Context:
+    """One term's memory and ways out; all of it ends with the term.
+
+    An order carries the token of the context that decided it. A scheduler
+    that was deposed and wins again gets a new context, so that nothing
+    decided in the old term can leave under the new token.
+    """
+
+    __slots__ = (
+        'advice',
+        'cell',
+        'health',
+        'jobs',
+        'journal',
+        'lost',
+        'now_ms',
+        'open_jobs',
+        'orders',
+        'roster',
+        'settings',
+        'started_s',
+        'tasks',
+        'timer',
+        'token',
+        'wake',
+    )
+
+    def __init__(
+        self,
+        token: int,
+        config: settings.SchedulerSettings,
+        clock: timer.Timer,
+        now_ms: collections.abc.Callable[[], int],
+        orders: ports.WorkerOrders,
+        tasks: anyio.abc.TaskGroup,
+        health: worker_health.WorkerHealth,
+    ) -> None:
+        self.token = token
+        self.settings = config
+        self.timer = clock
+        self.started_s = clock.now_s()
+        self.now_ms = now_ms
+        self.orders = orders
+        self.tasks = tasks
+        self.health = health
+        self.jobs: dict[str, _state.JobProgress] = {}
+        # Those of them that are not final.
+        self.open_jobs: dict[str, _state.JobProgress] = {}
+        self.roster = _roster.Roster()
+        self.cell = cell.Cell(0)
+        self.journal: _journal.Journal = typing.cast(typing.Any, None)
+        self.advice: _advice.AdviceBook = typing.cast(typing.Any, None)
+        self.lost: collections.abc.Callable[[str], None] = _ignore
+        self.wake: collections.abc.Callable[[], None] = lambda: None
+
+    def queue_of(self, job: _state.JobProgress) -> cell.Queue:
+        """Return a job's queue as configured now, or as it was last."""
+        queue = self.cell.queue(job.document.queue)
+        if queue is not None:
+            job.queue = queue
+        return job.queue
+
+
+def _ignore(_reason: str) -> None:
+    """Take no notice of a loss before the term listens."""
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_control.py
@@ -0,0 +1,135 @@
+"""The process's own entry, and the watch over claim and members."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from walnutpoint_core import logs
+from walnutpoint_core import ports
+from walnutpoint_core import timer
+from walnutpoint_core import web
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import _leadership
+from walnutpoint_scheduler import _membership
+from walnutpoint_scheduler import _messages
+from walnutpoint_scheduler import _peers
+from walnutpoint_scheduler import _relay
+
+__all__ = ('Control',)
+
+_LOG: typing.Final = logs.get_logger('control')
+_WATCH_S: typing.Final = 5.0
+_RETRY_S: typing.Final = 0.3
+_PROBE_S: typing.Final = 0.3
+# The entry is written again when it was removed by mistake; rarely.
+_LEAVE_S: typing.Final = 0.5
+
+
+class Control:
+    """Keeps this process listed, and follows the others."""
+
+    __slots__ = ('_leadership', '_listed', '_members', '_peers', '_seeds',
+                 '_store', '_timer')
+
+    def __init__(
+        self,
+        store: _relay.RelayedStore,
+        members: _membership.Membership,
+        leadership: _leadership.Leadership,
+        peers: _peers.Peers,
+        clock: timer.Timer,
+        seeds: tuple[str, ...],
+    ) -> None:
+        self._store = store
+        self._members = members
+        self._leadership = leadership
+        self._peers = peers
+        self._timer = clock
+        self._seeds = seeds
+        self._listed = False
+
+    async def run(self) -> None:
+        """Follow until cancelled."""
+        revision: int | None = None
+        while True:
+            if not self._listed:
+                await self._list_self()
+            if revision is None:
+                revision = await self._read()
+                if revision is None:
+                    await self._ask_seeds()
+                    await self._timer.sleep(_RETRY_S)
+                continue
+            changes = await self._store.watch(
+                _keys.CONTROL, revision, _WATCH_S
+            )
+            if changes.is_error():
+                await self._timer.sleep(_RETRY_S)
+                revision = None
+            elif changes.ok is None:
+                revision = None
+            else:
+                revision = changes.ok.revision
+                self._apply(changes.ok)
+
+    async def leave(self) -> None:
+        """Remove the own entry."""
+        await self._store.commit(
+            ports.Batch((), (), (_keys.member_key(self._members.me.name),))
+        )
+
+    async def _list_self(self) -> None:
+        me = self._members.me
+        reply = await self._store.commit(
+            ports.Batch(
+                (),
+                (
+                    ports.Put(
+                        _keys.member_key(me.name), msgspec.msgpack.encode(me)
+                    ),
+                ),
+            )
+        )
+        self._listed = reply.is_ok()
+
+    async def _read(self) -> int | None:
+        snapshot = await self._store.read(_keys.CONTROL)
+        if snapshot.is_error():
+            return None
+        claim = None
+        for item in snapshot.ok.values:
+            if item.key == _keys.SCHEDULER:
+                claim = item
+            else:
+                self._members.learn(item)
+        self._leadership.learn(claim)
+        return snapshot.ok.revision
+
+    def _apply(self, changes: ports.Changes) -> None:
+        for item in changes.values:
+            if item.key == _keys.SCHEDULER:
+                self._leadership.learn(item)
+            else:
+                self._members.learn(item)
+        for key in changes.removed:
+            if key.startswith(_keys.MEMBERS):
+                self._members.remove(key)
+
+    async def _ask_seeds(self) -> None:
+        """Learn of other processes where the store does not answer."""
+        for address in self._seeds:
+            if address == self._members.me.address:
+                continue
+            answer = await self._peers.probe(
+                address,
+                _messages.Probe(
+                    self._members.me.name, self._leadership.revision
+                ),
+                _PROBE_S,
+            )
+            if isinstance(answer, web.Loss):
+                continue
+            for member in answer.members:
+                self._members.add(member)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -0,0 +1,227 @@
+"""What the end of a run means for its task, its job and its worker."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import ports
+
+__all__ = (
+    'EndDesk',
+    'STALLED',
+    'run_text',
+)
+
+_LOG: typing.Final = logs.get_logger('ends')
+# The reason of a stop that speaks against the worker.
+STALLED: typing.Final = 'stalled'
+
+
+def run_text(run: ports.RunName) -> str:
+    """Return a run's name for a log line."""
+    task = run.task
+    return (
+        f'{task.job_id}.{task.occurrence}.{task.step}.{task.ordinal}'
+        f'#{run.attempt}'
+    )
+
+
+class EndDesk:
+    """Applies ends; every effect is noted for the journal."""
+
+    __slots__ = ('_context', 'stop', 'done', 'failed', 'lost')
+
+    def __init__(self, context: _context.Context) -> None:
+        self._context = context
+        # Set by whoever owns the order desk.
+        self.stop: collections.abc.Callable[[_state.Run, str], None] = (
+            _no_stop
+        )
+        self.done = 0
+        self.failed = 0
+        self.lost = 0
+
+    def finish(
+        self, worker: _roster.WorkerState, run: _state.Run, end: ports.End
+    ) -> None:
+        """Apply an end that a worker lists."""
+        worker.release(run)
+        task = run.task
+        if task is None:
+            return
+        if end.checkpoint:
+            task.checkpoint = end.checkpoint
+        _LOG.info(
+            'run.ended',
+            run=run_text(run.name),
+            worker=worker.worker_id,
+            how=end.kind.value,
+            number=end.number,
+            stopped_for=run.stop_reason or '-',
+        )
+        self._judge(worker, run, end.kind)
+        self._detach(task, run)
+        if end.kind is ports.EndKind.DONE:
+            self.done += 1
+            self._complete(task)
+        elif end.kind is ports.EndKind.FAILED:
+            self.failed += 1
+            self._count_failure(task, run)
+        self._settle(task)
+
+    def withdraw(self, run: _state.Run, reason: str) -> None:
+        """Apply that a run was never started, or left no trace."""
+        worker = self._context.roster.get(run.worker_id)
+        if worker is not None:
+            if run.name not in worker.runs:
+                return
+            worker.release(run)
+        _LOG.info(
+            'run.withdrawn',
+            run=run_text(run.name),
+            worker=run.worker_id,
+            reason=reason,
+        )
+        self._context.health.withdraw(run.worker_id)
+        task = run.task
+        if task is None:
+            return
+        self._detach(task, run)
+        if task.step.step.gang:
+            self._stop_gang(task.step, 'a member did not start')
+        self._settle(task)
+
+    def bury(self, worker: _roster.WorkerState, reason: str) -> None:
+        """Apply that a worker's life is over, and with it all its runs."""
+        if worker.gone:
+            return
+        worker.gone = True
+        worker.answering = False
+        self.expire(worker, reason)
+        self._context.orders.forget(worker.listed)
+
+    def expire(self, worker: _roster.WorkerState, reason: str) -> None:
+        """Apply that nothing which was started on a worker still runs."""
+        if worker.runs:
+            _LOG.warning(
+                'worker.runs_lost',
+                worker=worker.worker_id,
+                reason=reason,
+                runs=len(worker.runs),
+            )
+        for run in list(worker.runs.values()):
+            self.lost += 1
+            self.withdraw(run, reason)
+
+    def cancel(self, job: _state.JobProgress) -> None:
+        """End a job that its client account has cancelled."""
+        job.cancel_requested = True
+        if job.state.final:
+            return
+        self._conclude(job, _state.JobState.CANCELLED)
+
+    def recheck(self, job: _state.JobProgress) -> None:
+        """Conclude a job whose last task may have ended."""
+        if not job.state.final and job.finished:
+            self._conclude(job, _state.JobState.DONE)
+
+    def _detach(self, task: _state.TaskProgress, run: _state.Run) -> None:
+        if task.run is run:
+            task.run, task.copy = task.copy, None
+        elif task.copy is run:
+            task.copy = None
+
+    def _complete(self, task: _state.TaskProgress) -> None:
+        step = task.step
+        # One member's end stands for all of a gang.
+        members = step.tasks if step.step.gang else [task]
+        if step.step.lasting:
+            return
+        for member in members:
+            if step.finish(member):
+                for run in member.runs:
+                    if not step.step.gang:
+                        self.stop(run, 'another copy is done')
+        task.checkpoint = ''
+
+    def _count_failure(
+        self, task: _state.TaskProgress, run: _state.Run
+    ) -> None:
+        step = task.step
+        if step.step.lasting:
+            return
+        if step.step.gang:
+            # The attempt failed once, whoever of the gang says so.
+            if run.name.attempt <= step.failed_attempt:
+                return
+            step.failed_attempt = run.name.attempt
+            for member in step.tasks:
+                member.failures += 1
+        else:
+            task.failures += 1
+        limit = self._context.queue_of(step.job).attempts_max
+        if task.failures >= limit and not step.job.state.final:
+            self._conclude(step.job, _state.JobState.FAILED)
+
+    def _settle(self, task: _state.TaskProgress) -> None:
+        """Make a task whose run ended wait again, and note its job."""
+        job = task.step.job
+        if task.state is not _state.TaskState.DONE and task.run is None:
+            task.state = _state.TaskState.WAITING
+            task.waiting_since_s = self._context.timer.now_s()
+        self.recheck(job)
+        self._context.journal.note(job)
+        self._context.wake()
+
+    def _conclude(
+        self, job: _state.JobProgress, state: _state.JobState
+    ) -> None:
+        job.state = state
+        self._context.open_jobs.pop(job.document.job_id, None)
+        now_ms = self._context.now_ms()
+        _LOG.info(
+            'job.concluded',
+            job=job.document.job_id,
+            queue=job.document.queue,
+            state=state.value,
+            after_ms=now_ms - job.document.accepted_ms,
+        )
+        for run in job.runs():
+            self.stop(run, f'job {state.value}')
+        for step in job.steps():
+            self._context.advice.forget(step.key)
+        self._context.journal.note(job)
+        self._context.wake()
+
+    def _stop_gang(self, step: _state.StepProgress, reason: str) -> None:
+        for task in step.tasks:
+            for run in task.runs:
+                self.stop(run, reason)
+
+    def _judge(
+        self,
+        worker: _roster.WorkerState,
+        run: _state.Run,
+        kind: ports.EndKind,
+    ) -> None:
+        health = self._context.health
+        now_s = self._context.timer.now_s()
+        job_id = run.name.task.job_id
+        if kind is ports.EndKind.DONE:
+            health.prove(worker.worker_id, job_id, now_s)
+        elif kind is ports.EndKind.FAILED:
+            health.fail(worker.worker_id, job_id, 0.0, now_s)
+        elif run.stop_reason == STALLED:
+            health.withdraw(worker.worker_id)
+            health.fail_start(worker.worker_id, now_s)
+        else:
+            health.withdraw(worker.worker_id)
+
+
+def _no_stop(_run: _state.Run, _reason: str) -> None:
+    """Stand in until the order desk is connected."""
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -0,0 +1,200 @@
+"""How a term learns of jobs and cancels, and restores what was recorded."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from walnutpoint_core import logs
+from walnutpoint_core import ports as core_ports
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import _lease
+from walnutpoint_scheduler import _record
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import document
+from walnutpoint_core import amount
+
+__all__ = ('Intake',)
+
+_LOG: typing.Final = logs.get_logger('intake')
+_WATCH_S: typing.Final = 10.0
+_RETRY_S: typing.Final = 0.3
+# A queue that was removed before its job was first seen here.
+_LOST_QUEUE: typing.Final = ''
+
+
+class Intake:
+    """Follows the stored jobs and cancels, each change applied once."""
+
+    __slots__ = ('_context', '_ends', '_store', 'seen')
+
+    def __init__(
+        self,
+        context: _context.Context,
+        store: core_ports.WatchedStore,
+        ends: _ends.EndDesk,
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._ends = ends
+        self.seen = 0
+
+    async def restore(self) -> int | None:
+        """Read all jobs and records; return the revision to watch from."""
+        intake = await self._store.read(_keys.INTAKE)
+        records = await self._store.read(_keys.RECORDS)
+        if intake.is_error() or records.is_error():
+            return None
+        by_job = {item.key: item for item in records.ok.values}
+        cancels = []
+        for item in intake.ok.values:
+            if item.key.startswith(_keys.CANCELS):
+                cancels.append(item)
+                continue
+            job = self._decode(item)
+            if job is not None:
+                record = by_job.get(_keys.record_key(job.job_id))
+                self._restore_job(job, record)
+        for item in cancels:
+            self.cancel(item.key.removeprefix(_keys.CANCELS))
+        return intake.ok.revision
+
+    async def follow(self, revision: int) -> None:
+        """Apply changes until cancelled."""
+        while True:
+            changes = await self._store.watch(
+                _keys.INTAKE, revision, _WATCH_S
+            )
+            if changes.is_ok() and changes.ok is not None:
+                revision = changes.ok.revision
+                for item in changes.ok.values:
+                    self._apply(item)
+                continue
+            # The history is gone or the watch was cut: what was missed
+            # shows only in a full reading.
+            if changes.is_error():
+                await self._context.timer.sleep(_RETRY_S)
+            revision = await self.resync() or revision
+
+    async def resync(self) -> int | None:
+        """Apply everything that is stored; known jobs stay as they are."""
+        intake = await self._store.read(_keys.INTAKE)
+        if intake.is_error():
+            return None
+        for item in intake.ok.values:
+            self._apply(item)
+        return intake.ok.revision
+
+    def add(self, job: document.Job) -> None:
+        """Take a stored job into the term, unless it is known."""
+        context = self._context
+        if job.job_id in context.jobs:
+            return
+        self.seen += 1
+        progress = self._progress(job)
+        context.jobs[job.job_id] = progress
+        context.open_jobs[job.job_id] = progress
+        _LOG.info(
+            'job.seen',
+            job=job.job_id,
+            queue=job.queue,
+            steps=len(job.steps),
+            tasks=sum(step.task_count for step in job.steps),
+            age_ms=context.now_ms() - job.accepted_ms,
+        )
+        context.wake()
+
+    def cancel(self, job_id: str) -> None:
+        """Cancel a job whose cancel is stored."""
+        job = self._context.jobs.get(job_id)
+        if job is not None and not job.cancel_requested:
+            _LOG.info('job.cancel_seen', job=job_id, state=job.state.value)
+            self._ends.cancel(job)
+
+    def _apply(self, item: core_ports.StoredValue) -> None:
+        if item.key.startswith(_keys.CANCELS):
+            self.cancel(item.key.removeprefix(_keys.CANCELS))
+            return
+        if item.key.removeprefix(_keys.JOBS) in self._context.jobs:
+            return
+        job = self._decode(item)
+        if job is not None:
+            self.add(job)
+
+    def _decode(self, item: core_ports.StoredValue) -> document.Job | None:
+        try:
+            return document.decode_job(item.value)
+        except msgspec.DecodeError as error:
+            _LOG.error('job.unreadable', key=item.key, error=str(error))
+            return None
+
+    def _progress(self, job: document.Job) -> _state.JobProgress:
+        context = self._context
+        queue = context.cell.queue(job.queue)
+        if queue is None:
+            queue = job.accepted_by or cell.Queue(
+                job.queue, '', '', _LOST_QUEUE
+            )
+        return _state.JobProgress(job, queue, context.timer.now_s())
+
+    def _restore_job(
+        self, job: document.Job, item: core_ports.StoredValue | None
+    ) -> None:
+        context = self._context
+        progress = self._progress(job)
+        context.jobs[job.job_id] = progress
+        if item is not None:
+            record = _record.decode_record(item.value)
+            runs = _record.apply_record(progress, record, item.revision)
+            for task, worker_id, attempt in runs:
+                self._restore_run(task, worker_id, attempt)
+        if not progress.state.final:
+            context.open_jobs[job.job_id] = progress
+            self._ends.recheck(progress)
+
+    def _restore_run(
+        self, task: _state.TaskProgress, worker_id: str, attempt: int
+    ) -> None:
+        """Book a run that an earlier term may have started.
+
+        Until its worker has answered under this term's token, or has
+        certainly let its lease lapse, the task is not started elsewhere.
+        """
+        context = self._context
+        worker = context.roster.get(worker_id)
+        if worker is None:
+            worker = _roster.WorkerState(
+                _unlisted(worker_id),
+                _lease.WorkerLease(
+                    context.settings.lease_s, context.started_s
+                ),
+            )
+            worker.unlisted_s = context.started_s
+            context.roster.add(worker)
+        run = _state.Run(
+            _context.ports.RunName(task.name, attempt),
+            worker_id,
+            task.step.step.need,
+            context.started_s,
+            task,
+        )
+        run.phase = _state.RunPhase.ORDERED
+        run.decisive_from_s = context.started_s
+        task.state = _state.TaskState.ACTIVE
+        if task.run is None:
+            task.run = run
+        else:
+            task.copy = run
+        worker.book(run)
+
+
+def _unlisted(worker_id: str) -> cell.ListedWorker:
+    """Return a worker that a record names and the list does not."""
+    return cell.ListedWorker(
+        worker_id, '', '', '', False, amount.Amount(), (), ''
+    )
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
@@ -0,0 +1,211 @@
+"""The journal: records of jobs, written in groups under the term's token."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import typing
+
+import anyio
+import anyio.abc
+
+from walnutpoint_core import errors
+from walnutpoint_core import logs
+from walnutpoint_core import ports
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import _record
+from walnutpoint_scheduler import _state
+
+__all__ = ('Journal',)
+
+_LOG: typing.Final = logs.get_logger('journal')
+# The platform's store takes 32 entries a call: a guard and a put for each
+# job, and one guard for the token.
+_JOBS_PER_COMMIT: typing.Final = 15
+# Commits that may be on their way. Each takes some 4 ms, and some 300 ms
+# while the store is slow; 4 x 15 jobs keep up with 200 starts a second then.
+_COMMITS_MAX: typing.Final = 4
+# How long a change waits for others: half a commit's time, so that a burst
+# shares a call and a single change loses little.
+_GROUP_S: typing.Final = 0.002
+# Pause after a failed commit: a dozen tries in an outage of some seconds.
+_RETRY_S: typing.Final = 0.15
+
+
+class Journal:
+    """Writes records; only while the scheduler's key has the token's revision.
+
+    A deposed scheduler's write fails on that guard, however late it arrives.
+    A record's own revision is guarded as well: a write whose answer was lost
+    may be carried out seconds later, and would otherwise put an old record
+    over a newer one.
+    """
+
+    __slots__ = (
+        '_busy',
+        '_commits',
+        '_dirty',
+        '_lost',
+        '_now_ms',
+        '_store',
+        '_token',
+        '_waiters',
+        '_woken',
+        'failing_since_s',
+        'last_commit_s',
+        'rows',
+        'commits',
+    )
+
+    def __init__(
+        self,
+        store: ports.WatchedStore,
+        token: int,
+        now_ms: collections.abc.Callable[[], int],
+        lost: collections.abc.Callable[[str], None],
+    ) -> None:
+        """Create a journal; lost is called when another scheduler is."""
+        self._store = store
+        self._token = token
+        self._now_ms = now_ms
+        self._lost = lost
+        self._dirty: dict[str, _state.JobProgress] = {}
+        self._busy: set[str] = set()
+        self._waiters: dict[str, list[tuple[int, asyncio.Future[None]]]] = {}
+        self._woken = asyncio.Event()
+        self._commits = 0
+        self.failing_since_s: float | None = None
+        self.last_commit_s = 0.0
+        self.rows = 0
+        self.commits = 0
+
+    def note(self, job: _state.JobProgress) -> None:
+        """Write the job's record soon."""
+        job.changes += 1
+        self._dirty[job.document.job_id] = job
+        self._woken.set()
+
+    def saved(self, job: _state.JobProgress) -> asyncio.Future[None]:
+        """Return a future that is done once the job's changes are stored."""
+        future = asyncio.get_running_loop().create_future()
+        if job.saved_changes >= job.changes:
+            future.set_result(None)
+        else:
+            waiters = self._waiters.setdefault(job.document.job_id, [])
+            waiters.append((job.changes, future))
+        return future
+
+    @property
+    def pending(self) -> int:
+        """Return how many jobs have changes that are not stored."""
+        return len(self._dirty) + len(self._busy)
+
+    async def flush(self) -> None:
+        """Return once every change is stored."""
+        while self.pending:
+            await asyncio.sleep(_GROUP_S)
+
+    async def run(self) -> None:
+        """Write changed records until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            while True:
+                await self._woken.wait()
+                self._woken.clear()
+                await asyncio.sleep(_GROUP_S)
+                while self._commits < _COMMITS_MAX:
+                    jobs = self._take()
+                    if not jobs:
+                        break
+                    self._commits += 1
+                    tasks.start_soon(self._write, jobs)
+
+    def _take(self) -> list[_state.JobProgress]:
+        jobs = []
+        for job_id, job in self._dirty.items():
+            if job_id not in self._busy:
+                jobs.append(job)
+                if len(jobs) == _JOBS_PER_COMMIT:
+                    break
+        for job in jobs:
+            del self._dirty[job.document.job_id]
+            self._busy.add(job.document.job_id)
+        return jobs
+
+    async def _write(self, jobs: list[_state.JobProgress]) -> None:
+        changes = [job.changes for job in jobs]
+        reply = await self._store.commit(self._batch(jobs))
+        self._commits -= 1
+        for job in jobs:
+            self._busy.discard(job.document.job_id)
+        if reply.is_ok() and reply.ok.applied:
+            self.commits += 1
+            self.rows += len(jobs)
+            self.failing_since_s = None
+            for job, count in zip(jobs, changes, strict=True):
+                self._settle(job, count, reply.ok.revision)
+            self._woken.set()
+            return
+        for job in jobs:
+            self._dirty[job.document.job_id] = job
+        if reply.is_ok():
+            self._adopt(jobs, reply.ok)
+        else:
+            self._note_failure(reply.error)
+            await asyncio.sleep(_RETRY_S)
+        self._woken.set()
+
+    def _batch(self, jobs: list[_state.JobProgress]) -> ports.Batch:
+        guards = [ports.Guard(_keys.SCHEDULER, self._token)]
+        puts = []
+        now_ms = self._now_ms()
+        for job in jobs:
+            key = _keys.record_key(job.document.job_id)
+            guards.append(ports.Guard(key, job.record_revision))
+            puts.append(ports.Put(key, _record.encode_record(job, now_ms)))
+        return ports.Batch(tuple(guards), tuple(puts))
+
+    def _settle(
+        self, job: _state.JobProgress, changes: int, revision: int
+    ) -> None:
+        job.record_revision = revision
+        job.saved_changes = max(job.saved_changes, changes)
+        waiters = self._waiters.get(job.document.job_id)
+        if waiters is None:
+            return
+        left = []
+        for count, future in waiters:
+            if count > job.saved_changes:
+                left.append((count, future))
+            elif not future.done():
+                future.set_result(None)
+        if left:
+            self._waiters[job.document.job_id] = left
+        else:
+            del self._waiters[job.document.job_id]
+
+    def _adopt(
+        self, jobs: list[_state.JobProgress], reply: ports.CommitReply
+    ) -> None:
+        """Take the revisions that stand in the store.
+
+        Only the holder of the token writes records, so that another
+        revision under an unchanged token is an own write whose answer was
+        lost. The record is written again over it.
+        """
+        current = {item.key: item.revision for item in reply.conflicts}
+        token = current.get(_keys.SCHEDULER, 0)
+        if token != self._token:
+            self._lost(f'the scheduler key has revision {token}')
+            return
+        for job in jobs:
+            key = _keys.record_key(job.document.job_id)
+            job.record_revision = current.get(key, 0)
+
+    def _note_failure(self, failure: errors.Failure) -> None:
+        if self.failing_since_s is None:
+            self.failing_since_s = asyncio.get_running_loop().time()
+            _LOG.warning(
+                'journal.failing',
+                kind=failure.kind.value,
+                detail=failure.detail,
+            )
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -0,0 +1,293 @@
+"""Who schedules: the claim in the store, and when to take it over."""
+
+from __future__ import annotations
+
+import secrets
+import typing
+
+import anyio
+import msgspec
+
+from walnutpoint_core import logs
+from walnutpoint_core import ports
+from walnutpoint_core import timer
+from walnutpoint_core import web
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import _membership
+from walnutpoint_scheduler import _messages
+from walnutpoint_scheduler import _peers
+from walnutpoint_scheduler import _relay
+from walnutpoint_scheduler import _suspicion
+from walnutpoint_scheduler import settings
+
+__all__ = ('Leadership',)
+
+_LOG: typing.Final = logs.get_logger('leadership')
+# Between the tries of two candidates: a commit of some 4 ms and a reading.
+_RANK_DELAY_S: typing.Final = 0.04
+_RANK_DELAY_MAX_S: typing.Final = 0.6
+_RETRY_S: typing.Final = 0.1
+_WATCH_S: typing.Final = 10.0
+_WITNESSES: typing.Final = 3
+
+
+class Leadership:
+    """Follows the scheduler, and takes over on mere suspicion.
+
+    The store decides: a claim is a compare-and-swap on one key, and its
+    revision is the fencing token of all that follows. Taking over from a
+    scheduler that still runs is therefore safe, only wasteful.
+    """
+
+    __slots__ = (
+        '_claim',
+        '_members',
+        '_peers',
+        '_released',
+        '_revision',
+        '_settings',
+        '_store',
+        '_suspicion',
+        '_timer',
+        '_won',
+        'changes',
+        'heard_s',
+        'leaving',
+        'token',
+    )
+
+    def __init__(
+        self,
+        store: _relay.RelayedStore,
+        members: _membership.Membership,
+        peers: _peers.Peers,
+        clock: timer.Timer,
+        config: settings.SchedulerSettings,
+    ) -> None:
+        self._store = store
+        self._members = members
+        self._peers = peers
+        self._timer = clock
+        self._settings = config
+        self._claim: _messages.Claim | None = None
+        self._revision = 0
+        self._suspicion = _suspicion.Suspicion(clock)
+        self._won = anyio.Event()
+        self._released = False
+        # The token while this process schedules, else zero.
+        self.token = 0
+        # When the scheduler was last heard, whoever it is.
+        self.heard_s = 0.0
+        # How often another claim was seen.
+        self.changes = 0
+        # Whether this process stops, and claims nothing more.
+        self.leaving = False
+
+    @property
+    def scheduler(self) -> _messages.Member | None:
+        """Return who schedules as far as is known."""
+        if self._claim is None or self._claim.released:
+            return None
+        return self._claim.member
+
+    @property
+    def revision(self) -> int:
+        """Return the newest token that was seen."""
+        return self._revision
+
+    async def win(self) -> int:
+        """Return the token once this process is the scheduler."""
+        while not self.token:
+            await self._won.wait()
+        return self.token
+
+    def lose(self) -> None:
+        """Note that the term is over."""
+        self.token = 0
+        self._won = anyio.Event()
+
+    def learn(self, item: ports.StoredValue | None) -> None:
+        """Take the claim as it stands in the store."""
+        revision = item.revision if item is not None else 0
+        if revision < self._revision:
+            return
+        claim = None
+        if item is not None:
+            try:
+                claim = msgspec.msgpack.decode(
+                    item.value, type=_messages.Claim
+                )
+            except msgspec.DecodeError as error:
+                _LOG.error('claim.unreadable', error=str(error))
+        if revision != self._revision:
+            self.changes += 1
+            self._suspicion.note_change()
+            _LOG.info(
+                'scheduler.changed',
+                token=revision,
+                before=self._revision,
+                scheduler=claim.member.name if claim else '-',
+                released=claim.released if claim else False,
+            )
+        self._revision, self._claim = revision, claim
+
+    async def follow(self) -> None:
+        """Probe the scheduler until cancelled; take over where it fails."""
+        while True:
+            if self.token or self.leaving:
+                await self._timer.sleep(self._settings.probe_period_s)
+                continue
+            reason = await self._check()
+            if reason is _suspicion.Reason.NONE:
+                await self._timer.sleep(self._probe_period_s())
+                continue
+            await self._run_for_it(reason)
+
+    async def release(self, successor_known: bool = True) -> None:
+        """Let anyone take over at once."""
+        token, claim = self.token, self._claim
+        self.leaving = True
+        if not token or claim is None:
+            return
+        released = msgspec.structs.replace(claim, released=True)
+        reply = await self._store.commit(
+            ports.Batch(
+                (ports.Guard(_keys.SCHEDULER, token),),
+                (
+                    ports.Put(
+                        _keys.SCHEDULER, msgspec.msgpack.encode(released)
+                    ),
+                ),
+            )
+        )
+        _LOG.info(
+            'scheduler.released', token=token, stored=reply.is_ok()
+        )
+
+    def _probe_period_s(self) -> float:
+        # A scheduler of many processes is not to spend its core on probes:
+        # at most some hundred a second.
+        return max(
+            self._settings.probe_period_s, len(self._members.all()) * 0.01
+        )
+
+    async def _check(self) -> _suspicion.Reason:
+        """Return why the scheduler should be replaced, if it should."""
+        claim = self._claim
+        if claim is None:
+            return _suspicion.Reason.ABSENT
+        if claim.released:
+            return _suspicion.Reason.RELEASED
+        if claim.member.name == self._members.me.name:
+            # An own claim of an earlier life, or one whose answer came late.
+            return _suspicion.Reason.OWN_CLAIM
+        answer = await self._peers.probe(
+            claim.member.address,
+            _messages.Probe(self._members.me.name, self._revision),
+            self._settings.probe_timeout_s,
+        )
+        if self._claim is not claim:
+            return _suspicion.Reason.NONE
+        if isinstance(answer, web.Loss):
+            return self._suspicion.silent(answer)
+        self.heard_s = self._timer.now_s()
+        for member in answer.members:
+            self._members.add(member)
+        if answer.incarnation != claim.member.incarnation:
+            return _suspicion.Reason.RESTARTED
+        if not answer.schedules or answer.token != self._revision:
+            return self._suspicion.not_scheduling()
+        store_age_s = self._timer.now_s() - self._store.answered_s
+        return self._suspicion.answered(answer.store_age_s, store_age_s)
+
+    async def _run_for_it(self, reason: _suspicion.Reason) -> None:
+        """Claim the key, unless somebody else does or did."""
+        seen = self._revision
+        excluded = {self._claim.member.name} if self._claim else set()
+        if reason is _suspicion.Reason.OWN_CLAIM:
+            excluded = set()
+        now_s = self._timer.now_s()
+        rank = self._members.rank(seen, excluded, now_s)
+        await self._timer.sleep(min(rank * _RANK_DELAY_S, _RANK_DELAY_MAX_S))
+        if reason is _suspicion.Reason.SILENT and await self._is_heard():
+            self._suspicion.refute()
+            await self._timer.sleep(self._settings.probe_period_s)
+            return
+        current = await self._store.get(_keys.SCHEDULER)
+        if current.is_error():
+            await self._timer.sleep(_RETRY_S)
+            return
+        self.learn(current.ok)
+        if self._revision != seen or self.leaving:
+            return
+        _LOG.warning(
+            'scheduler.suspected',
+            reason=reason.value,
+            token=seen,
+            rank=rank,
+        )
+        await self._claim_key(seen)
+
+    async def _is_heard(self) -> bool:
+        """Return whether another process hears the silent scheduler.
+
+        Under a partial partition it serves everyone else; taking over would
+        make the other side suspect this process in turn, without end.
+        """
+        claim = self._claim
+        asked = 0
+        for member in self._members.others(self._timer.now_s()):
+            if asked == _WITNESSES:
+                break
+            if claim is not None and member.name == claim.member.name:
+                continue
+            asked += 1
+            answer = await self._peers.probe(
+                member.address,
+                _messages.Probe(self._members.me.name, self._revision),
+                self._settings.probe_timeout_s,
+            )
+            if isinstance(answer, web.Loss):
+                self._members.shun(member.address, self._timer.now_s())
+            elif answer.token > self._revision:
+                return True
+            elif answer.scheduler_age_s < self._suspicion.silence_s:
+                return True
+        return False
+
+    async def _claim_key(self, seen: int) -> None:
+        nonce = secrets.token_hex(8)
+        claim = _messages.Claim(self._members.me, nonce)
+        reply = await self._store.commit(
+            ports.Batch(
+                (ports.Guard(_keys.SCHEDULER, seen),),
+                (
+                    ports.Put(
+                        _keys.SCHEDULER, msgspec.msgpack.encode(claim)
+                    ),
+                ),
+            )
+        )
+        if reply.is_ok() and reply.ok.applied:
+            self._revision, self._claim = reply.ok.revision, claim
+            self._begin(reply.ok.revision, seen)
+            return
+        # Lost to another candidate, or without an answer: what stands in
+        # the store decides which. Only the newest nonce begins a term.
+        current = await self._store.get(_keys.SCHEDULER)
+        if current.is_error():
+            await self._timer.sleep(_RETRY_S)
+            return
+        self.learn(current.ok)
+        if self._claim is not None and self._claim.nonce == nonce:
+            self._begin(self._revision, seen)
+
+    def _begin(self, token: int, before: int) -> None:
+        if self.leaving:
+            return
+        self.changes += 1
+        self._suspicion.note_change()
+        self.token = token
+        self.heard_s = self._timer.now_s()
+        _LOG.warning('scheduler.won', token=token, before=before)
+        self._won.set()
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_lease.py
@@ -0,0 +1,66 @@
+"""What a worker's lease and clock say about the runs on it."""
+
+from __future__ import annotations
+
+import typing
+
+__all__ = ('WorkerLease',)
+
+_MS: typing.Final = 1000.0
+# A worker's clock may run 2% slow (the platform's bound); 1% on top for the
+# clock of this host.
+_SLOWEST_RATE: typing.Final = 0.97
+# A worker may need this long to end what runs after the lease has passed:
+# the platform's bound on a stop is 400 ms.
+_KILL_S: typing.Final = 0.5
+
+
+class WorkerLease:
+    """Tells when everything that a worker ran has certainly lapsed.
+
+    A worker that is cut off runs on until its lease passes on its own clock.
+    Starting its tasks elsewhere before that would run them twice; the lower
+    bound of its clock makes the wait long enough whatever its rate.
+    """
+
+    __slots__ = ('_clock_ms', '_length_s', '_read_s', '_until_ms', 'started_s')
+
+    def __init__(self, length_s: float, started_s: float) -> None:
+        self._length_s = length_s
+        # When this scheduler began: what others granted ends a length later.
+        self.started_s = started_s
+        self._clock_ms: int | None = None
+        self._read_s = 0.0
+        self._until_ms = 0
+
+    @property
+    def known(self) -> bool:
+        """Return whether the worker's clock was read."""
+        return self._clock_ms is not None
+
+    def read_clock(self, clock_ms: int, received_s: float) -> None:
+        """Learn the clock from an answer received at a time."""
+        if self._clock_ms is None or clock_ms >= self._clock_ms:
+            self._clock_ms = clock_ms
+            self._read_s = received_s
+
+    def extend(self, now_s: float) -> int | None:
+        """Return the end of a new lease on the worker's clock."""
+        if self._clock_ms is None:
+            return None
+        elapsed_ms = (now_s - self._read_s) * _MS
+        until_ms = int(self._clock_ms + elapsed_ms + self._length_s * _MS)
+        self._until_ms = max(self._until_ms, until_ms)
+        return until_ms
+
+    def lapsed(self, now_s: float) -> bool:
+        """Return whether nothing that was started there can still run."""
+        by_others_s = self.started_s + self._length_s / _SLOWEST_RATE + _KILL_S
+        if now_s < by_others_s:
+            return False
+        if self._clock_ms is None:
+            return True
+        lowest_ms = (
+            self._clock_ms + (now_s - self._read_s) * _MS * _SLOWEST_RATE
+        )
+        return lowest_ms > self._until_ms + _KILL_S * _MS
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -0,0 +1,247 @@
+"""The links to workers: leases kept, reports compared with what is booked."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _orders
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
+
+__all__ = ('WorkerLinks',)
+
+_LOG: typing.Final = logs.get_logger('links')
+# Pause before a worker that did not answer is asked again: some ten tries
+# within a lease, and a bounded load where many are unreachable.
+_RETRY_S: typing.Final = 0.25
+# How long a worker may be without answer before nothing is placed there.
+_FIRST_WAIT_S: typing.Final = 0.0
+# The most ends in one report; more may wait behind a full one.
+_REPORT_ENDS_MAX: typing.Final = 500
+
+
+class WorkerLinks:
+    """Asks each worker for its report again and again, one task each."""
+
+    __slots__ = ('_context', '_desk', '_ends', 'reports')
+
+    def __init__(
+        self,
+        context: _context.Context,
+        ends: _ends.EndDesk,
+        desk: _orders.OrderDesk,
+    ) -> None:
+        self._context = context
+        self._ends = ends
+        self._desk = desk
+        self.reports = 0
+
+    def open(self, worker: _roster.WorkerState) -> None:
+        """Follow one life of a worker until it is over."""
+        self._context.tasks.start_soon(self._follow, worker)
+
+    async def _follow(self, worker: _roster.WorkerState) -> None:
+        context = self._context
+        wait_s = _FIRST_WAIT_S
+        while not worker.gone:
+            asked_s = context.timer.now_s()
+            reply = await context.orders.renew(
+                worker.listed,
+                ports.Renewal(
+                    context.token,
+                    worker.acknowledged,
+                    worker.lease.extend(asked_s),
+                    wait_s,
+                ),
+            )
+            if worker.gone:
+                return
+            if isinstance(reply, ports.Report):
+                saving = self._take(worker, reply, asked_s)
+                wait_s = context.settings.report_wait_s
+                if saving is not None:
+                    wait_s = await self._acknowledge(worker, saving)
+                continue
+            if not self._note_silence(worker, reply):
+                return
+            await context.timer.sleep(_RETRY_S)
+
+    def _take(
+        self,
+        worker: _roster.WorkerState,
+        report: ports.Report,
+        asked_s: float,
+    ) -> asyncio.Future[typing.Any] | None:
+        """Apply a report, and return what must be stored before the ack."""
+        context = self._context
+        now_s = context.timer.now_s()
+        self.reports += 1
+        worker.lease.read_clock(report.clock_ms, now_s)
+        worker.answered_s = now_s
+        if not worker.answering:
+            worker.answering = True
+            _LOG.info(
+                'worker.answering',
+                worker=worker.worker_id,
+                address=worker.listed.address,
+                running=len(report.running),
+                ends=len(report.ends),
+                token=context.token,
+            )
+            context.wake()
+        touched = self._take_ends(worker, report)
+        listed = self._take_running(worker, report)
+        self._drop_missing(worker, listed, asked_s)
+        if not report.ends:
+            return None
+        pending = [
+            context.journal.saved(job)
+            for job in touched.values()
+            if job.saved_changes < job.changes
+        ]
+        return asyncio.gather(*pending)
+
+    def _take_ends(
+        self, worker: _roster.WorkerState, report: ports.Report
+    ) -> dict[str, _state.JobProgress]:
+        context = self._context
+        touched: dict[str, _state.JobProgress] = {}
+        for end in report.ends:
+            job = context.jobs.get(end.run.task.job_id)
+            if job is not None:
+                touched[job.document.job_id] = job
+            if end.number <= worker.processed:
+                continue
+            worker.processed = end.number
+            run = worker.runs.get(end.run)
+            if run is not None:
+                self._ends.finish(worker, run, end)
+            else:
+                # Ended before this term and stored, or given up on since.
+                _LOG.info(
+                    'run.end_ignored',
+                    run=_ends.run_text(end.run),
+                    worker=worker.worker_id,
+                    how=end.kind.value,
+                    number=end.number,
+                )
+        return touched
+
+    def _take_running(
+        self, worker: _roster.WorkerState, report: ports.Report
+    ) -> set[ports.RunName]:
+        now_s = self._context.timer.now_s()
+        listed: set[ports.RunName] = set()
+        for row in report.running:
+            listed.add(row.run)
+            run = worker.runs.get(row.run)
+            if run is None:
+                run = self._book_stray(worker, row)
+            if run.phase in _UNCONFIRMED:
+                run.phase = _state.RunPhase.RUNNING
+                run.started_s = run.percent_changed_s = now_s
+            if row.percent != run.percent:
+                run.percent = row.percent
+                run.percent_changed_s = now_s
+            run.load = row.load
+            if run.task is not None and row.checkpoint:
+                run.task.checkpoint = row.checkpoint
+        return listed
+
+    def _book_stray(
+        self, worker: _roster.WorkerState, row: ports.RunningTask
+    ) -> _state.Run:
+        """Book the room of a run that nobody asked for, and stop it.
+
+        It is from an order of an earlier term that was carried out late, or
+        of a job that has ended since: running on, it would take room that
+        is counted as free, or run a task twice.
+        """
+        context = self._context
+        task_name = row.run.task
+        job = context.jobs.get(task_name.job_id)
+        need = worker.free
+        if job is not None and task_name.step < len(job.document.steps):
+            need = job.document.steps[task_name.step].need
+        run = _state.Run(
+            row.run, worker.worker_id, need, context.timer.now_s(), None
+        )
+        run.phase = _state.RunPhase.RUNNING
+        worker.book(run)
+        self._desk.stop(run, 'not asked for')
+        return run
+
+    def _drop_missing(
+        self,
+        worker: _roster.WorkerState,
+        listed: set[ports.RunName],
+        asked_s: float,
+    ) -> None:
+        """Withdraw the runs that a decisive report does not list."""
+        for run in list(worker.runs.values()):
+            if run.name in listed or run.decisive_from_s is None:
+                continue
+            if asked_s >= run.decisive_from_s:
+                self._ends.withdraw(run, 'not listed by its worker')
+
+    async def _acknowledge(
+        self,
+        worker: _roster.WorkerState,
+        saving: asyncio.Future[typing.Any],
+    ) -> float:
+        """Return how long the next report may wait for another end.
+
+        An end is stored before it is acknowledged: the worker forgets it
+        then, and a later scheduler could learn of it nowhere. While the
+        store does not answer, the lease is renewed all the same.
+        """
+        upto = worker.processed
+        done, _ = await asyncio.wait(
+            [saving], timeout=self._context.settings.report_wait_s
+        )
+        if not done:
+            return 0.0
+        worker.acknowledged = max(worker.acknowledged, upto)
+        return self._context.settings.report_wait_s
+
+    def _note_silence(
+        self, worker: _roster.WorkerState, reply: ports.OrderReply
+    ) -> bool:
+        """Learn from a failed call, and tell whether to go on."""
+        context = self._context
+        now_s = context.timer.now_s()
+        if reply.outcome is ports.OrderOutcome.FENCED:
+            context.lost(f'worker {worker.worker_id} knows a newer token')
+            return False
+        if reply.outcome is ports.OrderOutcome.OTHER_LIFE:
+            self._ends.bury(worker, 'another life answered')
+            context.wake()
+            return False
+        if worker.answering or not worker.answered_s:
+            _LOG.warning(
+                'worker.silent',
+                worker=worker.worker_id,
+                address=worker.listed.address,
+                outcome=reply.outcome.value,
+                runs=len(worker.runs),
+            )
+        worker.answering = False
+        if worker.runs and worker.lease.lapsed(now_s):
+            self._ends.expire(worker, 'lease lapsed without an answer')
+            context.wake()
+        return True
+
+
+_UNCONFIRMED: typing.Final = frozenset(
+    {
+        _state.RunPhase.PLANNED,
+        _state.RunPhase.ORDERED,
+        _state.RunPhase.IN_DOUBT,
+    }
+)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
@@ -0,0 +1,123 @@
+"""Messages between the processes of the system."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from walnutpoint_core import ports as core_ports
+
+__all__ = (
+    'AdviceAnswer',
+    'AdviceQuestion',
+    'Claim',
+    'Member',
+    'PendingAnswer',
+    'PendingQuestion',
+    'Probe',
+    'ProbeAnswer',
+    'StateAnswer',
+    'StateQuestion',
+    'StoreAnswer',
+    'StoreQuestion',
+)
+
+
+class Member(msgspec.Struct, frozen=True):
+    """One process as it lists itself."""
+
+    name: str
+    address: str
+    domain: str
+    # A new one at each start of the process.
+    incarnation: str
+
+
+class Claim(msgspec.Struct, frozen=True):
+    """Who schedules; the revision of its key is the fencing token."""
+
+    member: Member
+    # Tells one try to claim from another of the same process.
+    nonce: str
+    # The scheduler has stopped as planned: anyone may take over at once.
+    released: bool = False
+
+
+class Probe(msgspec.Struct, frozen=True):
+    """Ask whether a process still schedules."""
+
+    sender: str
+    token: int
+
+
+class ProbeAnswer(msgspec.Struct, frozen=True):
+    """Whether the asked process schedules, and how well it could."""
+
+    incarnation: str
+    schedules: bool
+    token: int
+    # How long ago the store last answered it.
+    store_age_s: float
+    # How long ago it last heard the scheduler, or that it is the one.
+    scheduler_age_s: float
+    cell_version: int
+    members: tuple[Member, ...] = ()
+
+
+class PendingQuestion(msgspec.Struct, frozen=True):
+    """Ask how many jobs of a queue have not begun."""
+
+    queue: str
+
+
+class PendingAnswer(msgspec.Struct, frozen=True):
+    """The count, or None from a process that does not schedule."""
+
+    count: int | None
+
+
+class StateQuestion(msgspec.Struct, frozen=True):
+    """Ask for a job's state while the store does not answer."""
+
+    job_id: str
+
+
+class StateAnswer(msgspec.Struct, frozen=True):
+    """The state, or None where it is not known for certain."""
+
+    state: str | None
+
+
+class AdviceQuestion(msgspec.Struct, frozen=True):
+    """Ask the advice service from this host."""
+
+    step: str
+    workers: tuple[str, ...]
+    expected_s: float
+
+
+class AdviceAnswer(msgspec.Struct, frozen=True):
+    """Tickets by worker, or what went wrong."""
+
+    tickets: dict[str, str]
+    valid_s: float
+    failure: str = ''
+
+
+class StoreQuestion(msgspec.Struct, frozen=True):
+    """One store operation to carry out for a process without the store."""
+
+    operation: typing.Literal['get', 'read', 'commit']
+    key: str = ''
+    batch: core_ports.Batch | None = None
+
+
+class StoreAnswer(msgspec.Struct, frozen=True):
+    """The result of a store operation."""
+
+    failure_kind: str = ''
+    detail: str = ''
+    value: core_ports.StoredValue | None = None
+    snapshot: core_ports.Snapshot | None = None
+    reply: core_ports.CommitReply | None = None
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -0,0 +1,207 @@
+"""Orders to start and stop runs, and what becomes of unanswered ones."""
+
+from __future__ import annotations
+
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import ports
+
+__all__ = ('OrderDesk',)
+
+_LOG: typing.Final = logs.get_logger('orders')
+# A start without an answer may be seen in the worker's next report; only
+# after this long is it blocked, which costs the task another attempt.
+_DOUBT_S: typing.Final = 0.25
+# Between two tries of a stop: an unanswered one took its timeout already.
+_STOP_RETRY_S: typing.Final = 0.1
+_NOT_STARTED: typing.Final = frozenset(
+    {
+        ports.OrderOutcome.OUTDATED,
+        ports.OrderOutcome.EXPIRED,
+        ports.OrderOutcome.NO_ROOM,
+        ports.OrderOutcome.BAD_TICKET,
+        ports.OrderOutcome.UNHEALTHY,
+        ports.OrderOutcome.REJECTED,
+        ports.OrderOutcome.UNSENT,
+    }
+)
+_WORKER_FAULTS: typing.Final = frozenset(
+    {ports.OrderOutcome.UNHEALTHY, ports.OrderOutcome.UNSENT}
+)
+
+
+class OrderDesk:
+    """Sends orders, and follows each until its fate is certain."""
+
+    __slots__ = ('_context', '_ends', 'refused', 'started', 'unanswered')
+
+    def __init__(
+        self, context: _context.Context, ends: _ends.EndDesk
+    ) -> None:
+        self._context = context
+        self._ends = ends
+        self.started = 0
+        self.refused = 0
+        self.unanswered = 0
+
+    def launch(
+        self, job: _state.JobProgress, runs: list[_state.Run]
+    ) -> None:
+        """Journal planned runs and start them then."""
+        job.begun = True
+        if job.state is _state.JobState.QUEUED:
+            job.state = _state.JobState.RUNNING
+        self._context.journal.note(job)
+        self._context.tasks.start_soon(self._launch, job, runs)
+
+    def stop(self, run: _state.Run, reason: str) -> None:
+        """Stop a run; its room is free once its end is listed."""
+        if run.phase is _state.RunPhase.STOPPING:
+            return
+        planned = run.phase is _state.RunPhase.PLANNED
+        run.phase = _state.RunPhase.STOPPING
+        run.stop_reason = reason
+        _LOG.info(
+            'run.stopping',
+            run=_ends.run_text(run.name),
+            worker=run.worker_id,
+            reason=reason,
+        )
+        if not planned:
+            self._context.tasks.start_soon(self._stop, run)
+
+    async def _launch(
+        self, job: _state.JobProgress, runs: list[_state.Run]
+    ) -> None:
+        await self._context.journal.saved(job)
+        for run in runs:
+            self._context.tasks.start_soon(self._start, job, run)
+
+    async def _start(
+        self, job: _state.JobProgress, run: _state.Run
+    ) -> None:
+        context = self._context
+        worker = context.roster.get(run.worker_id)
+        if run.phase is not _state.RunPhase.PLANNED or worker is None:
+            # Stopped before the order was sent, or the worker is gone.
+            self._ends.withdraw(run, 'not sent')
+            return
+        task = typing.cast(_state.TaskProgress, run.task)
+        until_ms = worker.lease.extend(context.timer.now_s())
+        if until_ms is None:
+            self._ends.withdraw(run, 'worker not read yet')
+            return
+        run.phase = _state.RunPhase.ORDERED
+        reply = await context.orders.start(
+            worker.listed,
+            ports.Start(
+                run.name,
+                job.document.payload,
+                until_ms,
+                context.token,
+                task.checkpoint,
+                run.ticket,
+            ),
+        )
+        self._learn(run, worker, reply)
+
+    def _learn(
+        self,
+        run: _state.Run,
+        worker: _roster.WorkerState,
+        reply: ports.OrderReply,
+    ) -> None:
+        context = self._context
+        now_s = context.timer.now_s()
+        outcome = reply.outcome
+        if reply.clock_ms is not None:
+            worker.lease.read_clock(reply.clock_ms, now_s)
+        if run.name not in worker.runs:
+            return
+        if outcome is ports.OrderOutcome.DONE:
+            self.started += 1
+            run.decisive_from_s = now_s
+            if run.phase is _state.RunPhase.ORDERED:
+                run.phase = _state.RunPhase.RUNNING
+                run.started_s = run.percent_changed_s = now_s
+            return
+        if outcome is ports.OrderOutcome.FENCED:
+            context.lost(f'worker {run.worker_id} knows a newer token')
+            return
+        _LOG.info(
+            'run.start_failed',
+            run=_ends.run_text(run.name),
+            worker=run.worker_id,
+            outcome=outcome.value,
+            token=context.token,
+        )
+        if outcome is ports.OrderOutcome.OTHER_LIFE:
+            self._ends.bury(worker, 'another life answered')
+            return
+        if outcome in _NOT_STARTED:
+            self.refused += 1
+            self._withdraw_refused(run, worker, outcome)
+            return
+        self.unanswered += 1
+        if run.phase is _state.RunPhase.ORDERED:
+            run.phase = _state.RunPhase.IN_DOUBT
+            context.tasks.start_soon(self._resolve, run)
+
+    def _withdraw_refused(
+        self,
+        run: _state.Run,
+        worker: _roster.WorkerState,
+        outcome: ports.OrderOutcome,
+    ) -> None:
+        context = self._context
+        if outcome is ports.OrderOutcome.BAD_TICKET and run.task is not None:
+            context.advice.spoil(run.task.step.key, run.worker_id)
+        if outcome in _WORKER_FAULTS:
+            context.health.fail_start(run.worker_id, context.timer.now_s())
+            worker.answering = False
+        self._ends.withdraw(run, outcome.value)
+
+    async def _resolve(self, run: _state.Run) -> None:
+        """Block a run whose start has no answer, unless it shows up.
+
+        The order may be carried out many seconds later. The same worker
+        refuses it for good once it has taken a stop for that attempt, and
+        only then may the task be started elsewhere.
+        """
+        await self._context.timer.sleep(_DOUBT_S)
+        if run.phase is _state.RunPhase.IN_DOUBT:
+            self.stop(run, 'start unanswered')
+
+    async def _stop(self, run: _state.Run) -> None:
+        context = self._context
+        while True:
+            worker = context.roster.get(run.worker_id)
+            if worker is None or run.name not in worker.runs:
+                return
+            reply = await context.orders.stop(
+                worker.listed, run.name, context.token
+            )
+            now_s = context.timer.now_s()
+            if reply.clock_ms is not None:
+                worker.lease.read_clock(reply.clock_ms, now_s)
+            if reply.outcome is ports.OrderOutcome.DONE:
+                run.decisive_from_s = now_s
+                return
+            if reply.outcome is ports.OrderOutcome.FENCED:
+                context.lost(f'worker {run.worker_id} knows a newer token')
+                return
+            if reply.outcome is ports.OrderOutcome.OTHER_LIFE:
+                self._ends.bury(worker, 'another life answered')
+                return
+            _LOG.info(
+                'run.stop_failed',
+                run=_ends.run_text(run.name),
+                worker=run.worker_id,
+                outcome=reply.outcome.value,
+            )
+            await context.timer.sleep(_STOP_RETRY_S)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -0,0 +1,306 @@
+"""One pass over the waiting steps: who starts where."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_scheduler import _choice
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _orders
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
+
+__all__ = ('Placer',)
+
+_LOG: typing.Final = logs.get_logger('placer')
+_MS: typing.Final = 1000.0
+# A job that ends within this many times its objective still counts for
+# something; beyond, it comes after all others of its priority.
+_LATE_FACTOR: typing.Final = 3.0
+# Waiting steps that renew their tickets before there is room for them.
+_REFRESH_STEPS_MAX: typing.Final = 10
+
+
+class Placer:
+    """Plans runs in the order of what their callers lose by waiting."""
+
+    __slots__ = ('_context', '_desk', '_refreshed', 'passes', 'placed')
+
+    def __init__(
+        self, context: _context.Context, desk: _orders.OrderDesk
+    ) -> None:
+        self._context = context
+        self._desk = desk
+        self._refreshed = 0
+        self.passes = 0
+        self.placed = 0
+
+    def run(self) -> None:
+        """Place every waiting task that has a place."""
+        self.passes += 1
+        self._refreshed = 0
+        choosers: dict[str, _choice.Chooser] = {}
+        for _, queue, step in self._ordered():
+            chooser = choosers.get(queue.pool)
+            if chooser is None:
+                chooser = choosers[queue.pool] = _choice.Chooser(
+                    self._context.roster.in_pool(queue.pool),
+                    self._context.health,
+                )
+            if step.step.gang:
+                self._place_gang(chooser, queue, step)
+            else:
+                self._place_step(chooser, queue, step)
+
+    def waiting_count(self) -> int:
+        """Return how many tasks may be placed and are not."""
+        return sum(len(step.waiting()) for _, _, step in self._ordered())
+
+    def _ordered(
+        self,
+    ) -> list[
+        tuple[tuple[int, int, float, str], cell.Queue, _state.StepProgress]
+    ]:
+        context = self._context
+        now_ms = context.now_ms()
+        rows = []
+        for job in context.open_jobs.values():
+            queue = context.queue_of(job)
+            for step in self._ready(job, now_ms):
+                rows.append((_order_key(queue, step, now_ms), queue, step))
+        rows.sort(key=lambda row: row[0])
+        return rows
+
+    def _ready(
+        self, job: _state.JobProgress, now_ms: float
+    ) -> collections.abc.Iterator[_state.StepProgress]:
+        early_ms = self._context.settings.early_s * _MS
+        for number in job.due(now_ms, early_ms):
+            steps = job.occurrence(number)
+            for step in steps:
+                if step.done or not step.waiting():
+                    continue
+                if all(steps[earlier].done for earlier in step.step.after):
+                    if step.ready_s is None:
+                        step.ready_s = self._context.timer.now_s()
+                    yield step
+
+    def _place_step(
+        self,
+        chooser: _choice.Chooser,
+        queue: cell.Queue,
+        step: _state.StepProgress,
+    ) -> None:
+        waiting = step.waiting()
+        runs: list[_state.Run] = []
+        for task in waiting:
+            fitting = chooser.fitting(step.step, step.key)
+            ticketed = self._ticketed(queue, step, fitting)
+            worker = chooser.best(step.step, ticketed, queue.priority)
+            if worker is None:
+                break
+            runs.append(self._plan(task, worker, queue, task.attempt + 1))
+        if runs:
+            self._desk.launch(step.job, runs)
+        missing = len(waiting) - len(runs)
+        if missing:
+            self._ask(chooser, queue, step)
+            self._hold(chooser, queue, step, missing)
+
+    def _place_gang(
+        self,
+        chooser: _choice.Chooser,
+        queue: cell.Queue,
+        step: _state.StepProgress,
+    ) -> None:
+        """Start all members at once, or none.
+
+        Members that wait for others hold room idle, and two gangs that are
+        each half placed would wait for one another.
+        """
+        if any(task.runs for task in step.tasks):
+            return
+        for group in self._gang_groups(chooser, step):
+            picked = self._pick_gang(chooser, queue, step, group)
+            if picked is None:
+                continue
+            attempt = max(task.attempt for task in step.tasks) + 1
+            checkpoint = next(
+                (t.checkpoint for t in step.tasks if t.checkpoint), ''
+            )
+            runs = []
+            for task, worker in zip(step.tasks, picked, strict=True):
+                task.checkpoint = checkpoint
+                runs.append(self._plan(task, worker, queue, attempt))
+            self._desk.launch(step.job, runs)
+            return
+        self._ask(chooser, queue, step)
+        self._hold(chooser, queue, step, len(step.tasks))
+
+    def _gang_groups(
+        self, chooser: _choice.Chooser, step: _state.StepProgress
+    ) -> list[list[_roster.WorkerState]]:
+        """Return the sets of workers to try, the best first."""
+        everyone = list(chooser.able(step.step))
+        racks: dict[str, list[_roster.WorkerState]] = {}
+        for worker in everyone:
+            racks.setdefault(worker.listed.rack, []).append(worker)
+        groups = []
+        if step.step.rack_affinity in racks:
+            groups.append(racks[step.step.rack_affinity])
+        if step.step.same_rack:
+            groups += sorted(racks.values(), key=len, reverse=True)
+        groups.append(everyone)
+        return groups
+
+    def _pick_gang(
+        self,
+        chooser: _choice.Chooser,
+        queue: cell.Queue,
+        step: _state.StepProgress,
+        group: list[_roster.WorkerState],
+    ) -> list[_roster.WorkerState] | None:
+        context = self._context
+        need = step.step.need
+        picked: list[_roster.WorkerState] = []
+        for worker in sorted(
+            group,
+            key=lambda w: chooser.free(w).cpu_millicores,
+            reverse=True,
+        ):
+            if context.health.is_suspect(worker.worker_id):
+                continue
+            if not context.health.may_start(worker.worker_id):
+                continue
+            if not self._ticketed(queue, step, [worker]):
+                continue
+            count = chooser.free(worker).times(need)
+            if step.step.per_worker_max:
+                count = min(count, step.step.per_worker_max)
+            picked += [worker] * count
+            if len(picked) >= len(step.tasks):
+                return picked[: len(step.tasks)]
+        return None
+
+    def _ticketed(
+        self,
+        queue: cell.Queue,
+        step: _state.StepProgress,
+        workers: list[_roster.WorkerState],
+    ) -> list[_roster.WorkerState]:
+        if queue.advice is None:
+            return workers
+        advice = self._context.advice
+        return [w for w in workers if advice.ticket(step.key, w.worker_id)]
+
+    def _plan(
+        self,
+        task: _state.TaskProgress,
+        worker: _roster.WorkerState,
+        queue: cell.Queue,
+        attempt: int,
+    ) -> _state.Run:
+        context = self._context
+        task.attempt = attempt
+        run = _state.Run(
+            _run_name(task, attempt),
+            worker.worker_id,
+            task.step.step.need,
+            context.timer.now_s(),
+            task,
+        )
+        if queue.advice is not None:
+            ticket = context.advice.ticket(task.step.key, worker.worker_id)
+            run.ticket = ticket or ''
+        task.run = run
+        task.state = _state.TaskState.ACTIVE
+        worker.book(run)
+        context.health.begin(worker.worker_id, context.timer.now_s())
+        self.placed += 1
+        _LOG.info(
+            'run.placed',
+            run=_ends.run_text(run.name),
+            queue=queue.name,
+            worker=worker.worker_id,
+            free_millicores=worker.free.cpu_millicores,
+            waited_s=round(
+                context.timer.now_s() - (task.step.ready_s or 0.0), 3
+            ),
+            token=context.token,
+        )
+        return run
+
+    def _ask(
+        self,
+        chooser: _choice.Chooser,
+        queue: cell.Queue,
+        step: _state.StepProgress,
+    ) -> None:
+        """Ask for advice where a ticket is what a step waits for."""
+        if queue.advice is None:
+            return
+        advice = self._context.advice
+        able = [w.worker_id for w in chooser.able(step.step)]
+        unknown = [
+            w for w in able if advice.permits(step.key, w) is None
+        ]
+        granted = [w for w in able if advice.permits(step.key, w)]
+        if unknown and not granted:
+            advice.ask(step.key, unknown, queue.advice)
+        elif not advice.has_valid(step.key):
+            if self._refreshed < _REFRESH_STEPS_MAX:
+                self._refreshed += 1
+                advice.ask(step.key, granted + unknown, queue.advice)
+
+    def _hold(
+        self,
+        chooser: _choice.Chooser,
+        queue: cell.Queue,
+        step: _state.StepProgress,
+        missing: int,
+    ) -> None:
+        """Keep room free for tasks that wait, against those behind them."""
+        advice = self._context.advice
+        workers = [
+            w
+            for w in chooser.able(step.step)
+            if queue.advice is None or advice.permits(step.key, w.worker_id)
+        ]
+        need = step.step.need
+        for _ in range(min(missing, len(workers))):
+            worker = max(
+                workers, key=lambda w: chooser.free(w).cpu_millicores
+            )
+            chooser.hold(worker, need)
+
+
+def _order_key(
+    queue: cell.Queue, step: _state.StepProgress, now_ms: float
+) -> tuple[int, int, float, str]:
+    job = step.job
+    document = job.document
+    begin_ms = float(document.accepted_ms)
+    if document.occurrence_count:
+        begin_ms = float(document.due_ms(step.occurrence))
+    chain_ms = _state.chain_s(document.steps) * _MS
+    objective_ms = chain_ms * queue.stretch + queue.allowance_s * _MS
+    left_ms = step.step.estimate_ms
+    deadline_ms = begin_ms + objective_ms
+    if document.lasting or now_ms + left_ms <= deadline_ms:
+        tier = 0
+    elif now_ms + left_ms <= begin_ms + _LATE_FACTOR * objective_ms:
+        tier = 1
+    else:
+        tier = 2
+    return queue.priority, tier, deadline_ms, step.key
+
+
+def _run_name(
+    task: _state.TaskProgress, attempt: int
+) -> ports.RunName:
+    return ports.RunName(task.name, attempt)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -0,0 +1,107 @@
+"""The journal's record of a job, and how it is read back."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from walnutpoint_scheduler import _state
+
+__all__ = (
+    'JobRecord',
+    'apply_record',
+    'decode_record',
+    'encode_record',
+)
+
+
+class TaskRecord(msgspec.Struct, array_like=True):
+    """One task that was planned at least once."""
+
+    index: int
+    attempt: int
+    failures: int
+    done: bool
+    checkpoint: str
+    # The worker of each run that is not known to be over, with its attempt.
+    runs: list[tuple[str, int]]
+
+
+class StepRecord(msgspec.Struct, array_like=True):
+    """One step: whether it is done, else its tasks."""
+
+    occurrence: int
+    number: int
+    done: bool
+    tasks: list[TaskRecord]
+
+
+class JobRecord(msgspec.Struct, array_like=True):
+    """What must outlive the scheduler's term."""
+
+    state: str
+    begun: bool
+    # The time of day at which the record was written, to remove old ones.
+    written_ms: int
+    steps: list[StepRecord]
+
+
+_ENCODER: typing.Final = msgspec.msgpack.Encoder()
+_DECODER: typing.Final = msgspec.msgpack.Decoder(JobRecord)
+
+
+def decode_record(value: bytes) -> JobRecord:
+    """Read a record; raise msgspec.DecodeError where it is none."""
+    return _DECODER.decode(value)
+
+
+def encode_record(job: _state.JobProgress, now_ms: int) -> bytes:
+    """Serialize what a job's record has to say."""
+    steps = [] if job.state.final else [_step_record(s) for s in job.steps()]
+    return _ENCODER.encode(
+        JobRecord(job.state.value, job.begun, now_ms, steps)
+    )
+
+
+def apply_record(
+    job: _state.JobProgress, record: JobRecord, revision: int
+) -> list[tuple[_state.TaskProgress, str, int]]:
+    """Restore a job, and return the runs that may be at work."""
+    job.state = _state.JobState(record.state)
+    job.begun = record.begun
+    job.record_revision = revision
+    runs: list[tuple[_state.TaskProgress, str, int]] = []
+    for step_record in record.steps:
+        step = job.occurrence(step_record.occurrence)[step_record.number]
+        if step_record.done:
+            for task in step.tasks:
+                step.finish(task)
+            continue
+        for saved in step_record.tasks:
+            task = step.tasks[saved.index]
+            task.attempt = saved.attempt
+            task.failures = saved.failures
+            task.checkpoint = saved.checkpoint
+            if saved.done:
+                step.finish(task)
+            runs += [(task, worker, at) for worker, at in saved.runs]
+    return runs
+
+
+def _step_record(step: _state.StepProgress) -> StepRecord:
+    if step.done:
+        return StepRecord(step.occurrence, step.number, True, [])
+    tasks = [
+        TaskRecord(
+            task.index,
+            task.attempt,
+            task.failures,
+            task.state is _state.TaskState.DONE,
+            task.checkpoint,
+            [(run.worker_id, run.name.attempt) for run in task.runs],
+        )
+        for task in step.tasks
+        if task.attempt
+    ]
+    return StepRecord(step.occurrence, step.number, False, tasks)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -0,0 +1,140 @@
+"""The workers that a term knows: what runs there, and what is believed."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import typing
+
+from walnutpoint_core import amount
+from walnutpoint_scheduler import _lease
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
+
+__all__ = (
+    'Roster',
+    'WorkerState',
+)
+
+_NOTHING: typing.Final = amount.Amount()
+
+
+class WorkerState:
+    """One life of a worker in the memory of a term."""
+
+    __slots__ = (
+        'acknowledged',
+        'answering',
+        'answered_s',
+        'gone',
+        'images',
+        'lease',
+        'listed',
+        'listed_until_s',
+        'processed',
+        'runs',
+        'step_counts',
+        'taken',
+        'unlisted_s',
+    )
+
+    def __init__(
+        self, listed: cell.ListedWorker, lease: _lease.WorkerLease
+    ) -> None:
+        self.listed = listed
+        self.lease = lease
+        self.runs: dict[ports.RunName, _state.Run] = {}
+        self.taken = _NOTHING
+        self.step_counts: collections.Counter[str] = collections.Counter()
+        # Whether the newest call was answered under this term's token.
+        self.answering = False
+        self.answered_s = 0.0
+        # Ends up to this number were taken into account, and stored.
+        self.processed = 0
+        self.acknowledged = 0
+        # Whether this life is certainly over.
+        self.gone = False
+        self.unlisted_s: float | None = None
+
+    @property
+    def worker_id(self) -> str:
+        """Return the identifier of this life."""
+        return self.listed.worker_id
+
+    @property
+    def free(self) -> amount.Amount:
+        """Return the room that is neither used nor booked."""
+        return self.listed.capacity - self.taken
+
+    @property
+    def open_for_starts(self) -> bool:
+        """Return whether new runs may be placed here."""
+        return (
+            self.answering
+            and not self.gone
+            and not self.listed.draining
+            and self.unlisted_s is None
+        )
+
+    def book(self, run: _state.Run) -> None:
+        """Take room for a run."""
+        if run.name in self.runs:
+            return
+        self.runs[run.name] = run
+        self.taken = self.taken + run.need
+        if run.task is not None:
+            self.step_counts[run.task.step.key] += 1
+
+    def release(self, run: _state.Run) -> None:
+        """Give back the room of a run that is over."""
+        if self.runs.pop(run.name, None) is None:
+            return
+        self.taken = self.taken - run.need
+        if run.task is not None:
+            self.step_counts[run.task.step.key] -= 1
+
+    def serving_runs(self) -> list[_state.Run]:
+        """Return the runs whose users have a target for response times."""
+        return [
+            run
+            for run in self.runs.values()
+            if run.task is not None and run.task.step.step.latency_target_ms
+        ]
+
+
+class Roster:
+    """The workers of a term."""
+
+    __slots__ = ('_largest', 'workers')
+
+    def __init__(self) -> None:
+        self.workers: dict[str, WorkerState] = {}
+        self._largest: dict[str, list[amount.Amount]] = {}
+
+    def add(self, worker: WorkerState) -> None:
+        """Add a worker's life."""
+        self.workers[worker.worker_id] = worker
+        largest = self._largest.setdefault(worker.listed.pool, [])
+        if worker.listed.capacity not in largest:
+            largest.append(worker.listed.capacity)
+
+    def remove(self, worker_id: str) -> None:
+        """Forget a worker's life."""
+        self.workers.pop(worker_id, None)
+
+    def get(self, worker_id: str) -> WorkerState | None:
+        """Return a worker's life."""
+        return self.workers.get(worker_id)
+
+    def in_pool(self, pool: str) -> collections.abc.Iterator[WorkerState]:
+        """Return the workers of a pool."""
+        return (w for w in self.workers.values() if w.listed.pool == pool)
+
+    def largest(self) -> dict[str, list[amount.Amount]]:
+        """Return the capacities that were seen of each pool."""
+        return self._largest
+
+    def holder(self, run: _state.Run) -> WorkerState | None:
+        """Return the worker that a run is booked on."""
+        return self.workers.get(run.worker_id)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -0,0 +1,315 @@
+"""Jobs, their steps and tasks, and the runs of tasks in one term."""
+
+from __future__ import annotations
+
+import collections.abc
+import enum
+import typing
+
+from walnutpoint_core import amount
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import document
+from walnutpoint_scheduler import ports
+
+__all__ = (
+    'JobProgress',
+    'JobState',
+    'Run',
+    'RunPhase',
+    'StepProgress',
+    'TaskProgress',
+    'TaskState',
+)
+
+_MS: typing.Final = 1000.0
+
+
+class JobState(enum.Enum):
+    """What a caller is shown of a job."""
+
+    QUEUED = 'queued'
+    RUNNING = 'running'
+    DONE = 'done'
+    FAILED = 'failed'
+    CANCELLED = 'cancelled'
+
+    @property
+    def final(self) -> bool:
+        """Return whether nothing of the job will start any more."""
+        return self in _FINAL
+
+
+_FINAL: typing.Final = frozenset(
+    {JobState.DONE, JobState.FAILED, JobState.CANCELLED}
+)
+
+
+class TaskState(enum.Enum):
+    """Whether a task may be placed."""
+
+    WAITING = 0
+    ACTIVE = 1
+    DONE = 2
+
+
+class RunPhase(enum.Enum):
+    """How far the order for a run has come."""
+
+    # The journal does not have it yet, and no order was sent.
+    PLANNED = 'planned'
+    ORDERED = 'ordered'
+    RUNNING = 'running'
+    # The order has no answer, and the worker must block the run first.
+    IN_DOUBT = 'in_doubt'
+    STOPPING = 'stopping'
+
+
+class Run:
+    """One run of a task on a worker, which books room until its end."""
+
+    __slots__ = (
+        'decisive_from_s',
+        'fills',
+        'load',
+        'name',
+        'need',
+        'pace_percent',
+        'percent',
+        'percent_changed_s',
+        'phase',
+        'planned_s',
+        'started_s',
+        'stop_reason',
+        'task',
+        'ticket',
+        'worker_id',
+    )
+
+    def __init__(
+        self,
+        name: ports.RunName,
+        worker_id: str,
+        need: amount.Amount,
+        planned_s: float,
+        task: TaskProgress | None,
+    ) -> None:
+        self.name = name
+        self.worker_id = worker_id
+        self.need = need
+        self.planned_s = planned_s
+        # None for a run that no record of this term asks for.
+        self.task = task
+        self.phase = RunPhase.PLANNED
+        self.ticket = ''
+        self.started_s: float | None = None
+        # A report asked for after this time that does not list the run says
+        # that it is over, or never was.
+        self.decisive_from_s: float | None = None
+        self.percent = 0.0
+        self.percent_changed_s = planned_s
+        self.load = 0.0
+        self.pace_percent = 100
+        self.stop_reason = ''
+        self.fills = task is not None and task.step.step.fills
+
+
+class TaskProgress:
+    """One task: how often it was started and how it stands."""
+
+    __slots__ = (
+        'attempt',
+        'checkpoint',
+        'copy',
+        'failures',
+        'index',
+        'run',
+        'state',
+        'step',
+        'waiting_since_s',
+    )
+
+    def __init__(self, step: StepProgress, index: int) -> None:
+        self.step = step
+        self.index = index
+        self.state = TaskState.WAITING
+        # The highest attempt that was ever planned; it is never used again.
+        self.attempt = 0
+        self.failures = 0
+        self.checkpoint = ''
+        self.run: Run | None = None
+        # A second run at the same time, where the step allows copies.
+        self.copy: Run | None = None
+        self.waiting_since_s = 0.0
+
+    @property
+    def name(self) -> ports.TaskName:
+        """Return the task's name."""
+        step = self.step
+        return ports.TaskName(
+            step.job.document.job_id, step.occurrence, step.number, self.index
+        )
+
+    @property
+    def runs(self) -> tuple[Run, ...]:
+        """Return the runs that are not over."""
+        return tuple(run for run in (self.run, self.copy) if run is not None)
+
+
+class StepProgress:
+    """One step of one occurrence."""
+
+    __slots__ = (
+        'done_count',
+        'failed_attempt',
+        'job',
+        'number',
+        'occurrence',
+        'ready_s',
+        'step',
+        'tasks',
+    )
+
+    def __init__(
+        self,
+        job: JobProgress,
+        occurrence: int,
+        number: int,
+        step: document.Step,
+    ) -> None:
+        self.job = job
+        self.occurrence = occurrence
+        self.number = number
+        self.step = step
+        self.tasks = [TaskProgress(self, i) for i in range(step.task_count)]
+        self.done_count = 0
+        # The newest attempt of a gang that is counted as failed.
+        self.failed_attempt = 0
+        # When the scheduler first saw that the step may start.
+        self.ready_s: float | None = None
+
+    @property
+    def key(self) -> str:
+        """Return the step's name."""
+        return f'{self.job.document.job_id}.{self.occurrence}.{self.number}'
+
+    @property
+    def done(self) -> bool:
+        """Return whether every task is done."""
+        return self.done_count >= len(self.tasks)
+
+    def waiting(self) -> list[TaskProgress]:
+        """Return the tasks that may be placed."""
+        return [t for t in self.tasks if t.state is TaskState.WAITING]
+
+    def finish(self, task: TaskProgress) -> bool:
+        """Mark a task done, and tell whether it was not before."""
+        if task.state is TaskState.DONE:
+            return False
+        task.state = TaskState.DONE
+        self.done_count += 1
+        return True
+
+
+class JobProgress:
+    """One job in the memory of a term."""
+
+    __slots__ = (
+        'begun',
+        'cancel_requested',
+        'changes',
+        'document',
+        'notes',
+        'occurrences',
+        'queue',
+        'record_revision',
+        'saved_changes',
+        'seen_s',
+        'state',
+    )
+
+    def __init__(
+        self, job: document.Job, queue: cell.Queue, seen_s: float
+    ) -> None:
+        self.document = job
+        self.queue = queue
+        self.seen_s = seen_s
+        self.state = JobState.QUEUED
+        self.cancel_requested = False
+        self.begun = False
+        self.occurrences: dict[int, tuple[StepProgress, ...]] = {}
+        # The journal's revision of the record; zero where there is none.
+        self.record_revision = 0
+        self.changes = 0
+        self.saved_changes = 0
+        self.notes = ''
+
+    def occurrence(self, number: int) -> tuple[StepProgress, ...]:
+        """Return the steps of an occurrence, made when first asked for."""
+        steps = self.occurrences.get(number)
+        if steps is None:
+            steps = tuple(
+                StepProgress(self, number, index, step)
+                for index, step in enumerate(self.document.steps)
+            )
+            self.occurrences[number] = steps
+        return steps
+
+    @property
+    def occurrence_count(self) -> int:
+        """Return how often the steps run."""
+        return max(1, self.document.occurrence_count)
+
+    def due(self, now_ms: float, early_ms: float) -> range:
+        """Return the occurrences that may start by a time of day."""
+        if not self.document.occurrence_count:
+            return range(1)
+        first, interval = self.document.first_due_ms, self.document.interval_ms
+        if now_ms + early_ms < first:
+            return range(0)
+        if interval <= 0:
+            return range(self.occurrence_count)
+        count = int((now_ms + early_ms - first) // interval) + 1
+        return range(min(count, self.occurrence_count))
+
+    def task(self, name: ports.TaskName) -> TaskProgress | None:
+        """Return a task by its name, if the job has it."""
+        if not 0 <= name.occurrence < self.occurrence_count:
+            return None
+        if not 0 <= name.step < len(self.document.steps):
+            return None
+        step = self.occurrence(name.occurrence)[name.step]
+        if not 0 <= name.ordinal < len(step.tasks):
+            return None
+        return step.tasks[name.ordinal]
+
+    def steps(self) -> collections.abc.Iterator[StepProgress]:
+        """Return every step of every occurrence that was begun."""
+        for steps in self.occurrences.values():
+            yield from steps
+
+    def runs(self) -> list[Run]:
+        """Return every run that is not over."""
+        return [
+            run
+            for step in self.steps()
+            for task in step.tasks
+            for run in task.runs
+        ]
+
+    @property
+    def finished(self) -> bool:
+        """Return whether every task of every occurrence is done."""
+        if self.document.lasting:
+            return False
+        if len(self.occurrences) < self.occurrence_count:
+            return False
+        return all(step.done for step in self.steps())
+
+
+def chain_s(steps: tuple[document.Step, ...]) -> float:
+    """Return the estimated time of the longest chain of steps."""
+    ends: list[float] = []
+    for step in steps:
+        begin = max((ends[earlier] for earlier in step.after), default=0.0)
+        ends.append(begin + step.estimate_ms / _MS)
+    return max(ends, default=0.0)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspicion.py
@@ -0,0 +1,117 @@
+"""When a scheduler is to be replaced, damped against changing in turns."""
+
+from __future__ import annotations
+
+import collections
+import enum
+import typing
+
+from walnutpoint_core import timer
+from walnutpoint_core import web
+
+__all__ = (
+    'Reason',
+    'Suspicion',
+)
+
+# Probes without answer before a scheduler counts as silent. A paused
+# process answers none; one lost packet is sent again within two.
+_MISSES: typing.Final = 2
+# A new scheduler reads jobs and asks workers first, and is not judged yet.
+_GRACE_S: typing.Final = 0.8
+# The store may be slow for everyone: 70 times its usual 4 ms.
+_STORE_AGE_S: typing.Final = 1.5
+_OWN_STORE_AGE_S: typing.Final = 0.7
+# Each change of the scheduler within this time doubles what it takes.
+_MEMORY_S: typing.Final = 10.0
+_CALM_CHANGES: typing.Final = 2
+_DOUBLINGS_MAX: typing.Final = 4
+# A scheduler that any other process heard this lately is not silent.
+_HEARD_S: typing.Final = 0.5
+
+
+class Reason(enum.Enum):
+    """Why the scheduler should be replaced."""
+
+    NONE = 'none'
+    ABSENT = 'no scheduler is known'
+    RELEASED = 'it has stopped as planned'
+    OWN_CLAIM = 'the claim is an own one without a term'
+    RESTARTED = 'its process was restarted'
+    REFUSED = 'its address refuses connections'
+    SILENT = 'it does not answer'
+    IDLE = 'it does not schedule'
+    WITHOUT_STORE = 'it does not reach the store'
+
+
+class Suspicion:
+    """Counts what speaks against the present scheduler."""
+
+    __slots__ = ('_changed_s', '_changes', '_idle', '_misses', '_refusals',
+                 '_timer', '_without_store')
+
+    def __init__(self, clock: timer.Timer) -> None:
+        self._timer = clock
+        self._misses = 0
+        self._refusals = 0
+        self._idle = 0
+        self._without_store = 0
+        self._changed_s = clock.now_s()
+        self._changes: collections.deque[float] = collections.deque()
+
+    @property
+    def silence_s(self) -> float:
+        """Return how lately another process must have heard it."""
+        return _HEARD_S
+
+    def note_change(self) -> None:
+        """Begin anew with another scheduler."""
+        self._misses = self._refusals = 0
+        self._idle = self._without_store = 0
+        self._changed_s = self._timer.now_s()
+        self._changes.append(self._changed_s)
+
+    def refute(self) -> None:
+        """Note that another process hears the scheduler."""
+        self._misses = 0
+
+    def silent(self, loss: web.Loss) -> Reason:
+        """Judge a probe without an answer."""
+        if not loss.maybe_sent and 'Refused' in loss.detail:
+            # Nobody listens there: the process is gone. The first refusal
+            # may be the moment between two of its lives, the second is not.
+            self._refusals += 1
+            if self._refusals >= 2 * self._factor():
+                return Reason.REFUSED
+            return Reason.NONE
+        self._misses += 1
+        if self._misses >= _MISSES * self._factor():
+            return Reason.SILENT
+        return Reason.NONE
+
+    def not_scheduling(self) -> Reason:
+        """Judge an answer that denies the term."""
+        self._misses = self._refusals = 0
+        self._idle += 1
+        if self._in_grace() or self._idle < _MISSES * self._factor():
+            return Reason.NONE
+        return Reason.IDLE
+
+    def answered(self, its_store_age_s: float, own_age_s: float) -> Reason:
+        """Judge an answer of a scheduler at work."""
+        self._misses = self._refusals = self._idle = 0
+        cut = its_store_age_s > _STORE_AGE_S and own_age_s < _OWN_STORE_AGE_S
+        self._without_store = self._without_store + 1 if cut else 0
+        if self._in_grace() or self._without_store < _MISSES * self._factor():
+            return Reason.NONE
+        return Reason.WITHOUT_STORE
+
+    def _in_grace(self) -> bool:
+        return self._timer.now_s() - self._changed_s < _GRACE_S
+
+    def _factor(self) -> int:
+        now_s = self._timer.now_s()
+        while self._changes and now_s - self._changes[0] > _MEMORY_S:
+            self._changes.popleft()
+        extra = max(0, len(self._changes) - _CALM_CHANGES)
+        return 1 << min(extra, _DOUBLINGS_MAX)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -0,0 +1,188 @@
+"""What is looked at from time to time: stalls, leaving workers, pacing."""
+
+from __future__ import annotations
+
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _orders
+from walnutpoint_scheduler import _pacing
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _state
+
+__all__ = ('Watch',)
+
+_LOG: typing.Final = logs.get_logger('watch')
+_MS: typing.Final = 1000.0
+_PERIOD_S: typing.Final = 0.2
+_WHOLE: typing.Final = 100.0
+# A report this old does not say that a task stands still.
+_FRESH_S: typing.Final = 0.9
+# A lasting task is at work after a start-up of less than a second.
+_LASTING_STALL_S: typing.Final = 3.0
+# Filling tasks get what is left, which may be little for seconds.
+_FILLING_STALL_FACTOR: typing.Final = 4.0
+# What still runs this long before a leaving worker goes is stopped, so that
+# its checkpoint is returned: a stop takes at most 0.4 s.
+_LEAVE_MARGIN_S: typing.Final = 0.9
+# Tickets for a next step are asked for when the step before is this much
+# shorter than their validity from its end.
+_PREFETCH_MARGIN_S: typing.Final = 0.6
+
+
+class Watch:
+    """Checks all runs and workers once per period."""
+
+    __slots__ = ('_context', '_desk', '_pacer', '_leaving_s', 'stalled')
+
+    def __init__(
+        self, context: _context.Context, desk: _orders.OrderDesk
+    ) -> None:
+        self._context = context
+        self._desk = desk
+        self._pacer = _pacing.Pacer(context)
+        self._leaving_s: dict[str, float] = {}
+        self.stalled = 0
+
+    async def run(self) -> None:
+        """Check until cancelled."""
+        async for now_s in self._context.timer.subscribe(lambda: _PERIOD_S):
+            for worker in list(self._context.roster.workers.values()):
+                self._check_worker(worker, now_s)
+            for job in list(self._context.open_jobs.values()):
+                self._prefetch(job, now_s)
+
+    def _check_worker(
+        self, worker: _roster.WorkerState, now_s: float
+    ) -> None:
+        if worker.listed.draining:
+            self._empty(worker, now_s)
+        if not worker.answering or now_s - worker.answered_s > _FRESH_S:
+            return
+        for run in list(worker.runs.values()):
+            if run.task is None or run.phase is not _state.RunPhase.RUNNING:
+                continue
+            if self._stands_still(run, run.task, now_s):
+                self._stop_stalled(run, run.task)
+        self._pacer.check(worker, now_s)
+
+    def _stands_still(
+        self, run: _state.Run, task: _state.TaskProgress, now_s: float
+    ) -> bool:
+        step = task.step.step
+        still_s = now_s - run.percent_changed_s
+        if step.lasting:
+            return run.percent < _WHOLE and still_s > _LASTING_STALL_S
+        limit_s = self._context.settings.stall_s
+        if step.fills:
+            limit_s *= _FILLING_STALL_FACTOR
+        if run.pace_percent < _WHOLE:
+            return False
+        if step.gang and run.percent <= 0.0:
+            # Not all members may be present yet.
+            limit_s *= _FILLING_STALL_FACTOR
+        return still_s > limit_s
+
+    def _stop_stalled(
+        self, run: _state.Run, task: _state.TaskProgress
+    ) -> None:
+        """Run a task elsewhere that makes no progress.
+
+        Its worker holds it without working on it, and would do so until the
+        job is of no use; the stop returns what was saved.
+        """
+        self.stalled += 1
+        self._desk.stop(run, _ends.STALLED)
+        if task.step.step.gang:
+            for member in task.step.tasks:
+                for other in member.runs:
+                    self._desk.stop(other, 'a member stands still')
+
+    def _empty(self, worker: _roster.WorkerState, now_s: float) -> None:
+        """Move what would end with a leaving worker."""
+        leave_s = self._leaving_s.get(worker.worker_id)
+        if leave_s is None:
+            remaining_s = worker.listed.remaining_s
+            leave_s = now_s + (remaining_s or 0.0)
+            self._leaving_s[worker.worker_id] = leave_s
+        for run in list(worker.runs.values()):
+            task = run.task
+            if task is None or run.phase is not _state.RunPhase.RUNNING:
+                continue
+            if task.step.step.lasting:
+                self._desk.stop(run, 'worker leaves')
+            elif now_s > leave_s - _LEAVE_MARGIN_S and (
+                now_s + _left_s(run, task, now_s) > leave_s
+            ):
+                self._desk.stop(run, 'worker leaves')
+
+    def _prefetch(self, job: _state.JobProgress, now_s: float) -> None:
+        """Ask for the next step's advice while the step before runs.
+
+        An answer takes up to a second; asked for at the end of a step, it
+        would be added to every step of the job.
+        """
+        context = self._context
+        terms = context.queue_of(job).advice
+        if terms is None or job.state.final:
+            return
+        for steps in job.occurrences.values():
+            for step in steps:
+                if step.done or step.ready_s is not None:
+                    continue
+                if not step.step.after:
+                    continue
+                before = [steps[n] for n in step.step.after]
+                left_s = max(_step_left_s(s, now_s) for s in before)
+                if left_s > terms.valid_s - _PREFETCH_MARGIN_S:
+                    continue
+                if context.advice.has_valid(step.key):
+                    continue
+                context.advice.ask(
+                    step.key, self._able(job, step), terms
+                )
+
+    def _able(
+        self, job: _state.JobProgress, step: _state.StepProgress
+    ) -> list[str]:
+        pool = self._context.queue_of(job).pool
+        return [
+            worker.worker_id
+            for worker in self._context.roster.in_pool(pool)
+            if worker.open_for_starts
+            and worker.listed.capacity.covers(step.step.need)
+            and (
+                not step.step.required_label
+                or step.step.required_label in worker.listed.labels
+            )
+        ]
+
+
+def _left_s(
+    run: _state.Run, task: _state.TaskProgress, now_s: float
+) -> float:
+    """Return the estimated time that a run still takes."""
+    estimate_s = task.step.step.estimate_ms / _MS
+    if run.started_s is None:
+        return estimate_s
+    elapsed_s = now_s - run.started_s
+    if run.percent < 5.0:
+        return max(estimate_s - elapsed_s, 0.0)
+    return elapsed_s * (_WHOLE - run.percent) / run.percent
+
+
+def _step_left_s(step: _state.StepProgress, now_s: float) -> float:
+    """Return the estimated time until a step is done."""
+    if step.done:
+        return 0.0
+    left_s = 0.0
+    for task in step.tasks:
+        if task.state is _state.TaskState.DONE:
+            continue
+        if task.run is None:
+            left_s = max(left_s, step.step.estimate_ms / _MS)
+        else:
+            left_s = max(left_s, _left_s(task.run, task, now_s))
+    return left_s
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/cell.py
@@ -0,0 +1,103 @@
+"""The operators' configuration of a cell, and its workers as listed."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+import msgspec
+
+from walnutpoint_core import amount
+
+__all__ = (
+    'AdviceTerms',
+    'Cell',
+    'ListedWorker',
+    'Pool',
+    'Queue',
+)
+
+_BODY_SIZE_BYTES: typing.Final = 262_144
+
+
+class AdviceTerms(msgspec.Struct, frozen=True):
+    """What asking which workers may run a step costs, and how long it holds.
+
+    An answer takes decide_s and per_worker_s for each worker named.
+    """
+
+    decide_s: float
+    per_worker_s: float
+    valid_s: float
+
+
+class Queue(msgspec.Struct, frozen=True):
+    """Where jobs are handed in, and how they are treated."""
+
+    name: str
+    host: str
+    prefix: str
+    pool: str
+    # Zero comes first and may displace others.
+    priority: int = 0
+    attempts_max: int = 1
+    # The objective is the job's longest chain of work times the stretch,
+    # and the allowance more.
+    stretch: float = 1.0
+    allowance_s: float = 0.0
+    timeout_s: float = 0.0
+    advice: AdviceTerms | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Pool:
+    """A set of workers that serve the same queues."""
+
+    name: str
+    standby: bool = False
+    # Whether its workers refuse what does not fit.
+    checks_room: bool = False
+    health_path: str = ''
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cell:
+    """One version of the configuration."""
+
+    version: int
+    queues: tuple[Queue, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    body_size_bytes: int = _BODY_SIZE_BYTES
+
+    def queue(self, name: str) -> Queue | None:
+        """Return a queue by its name."""
+        for queue in self.queues:
+            if queue.name == name:
+                return queue
+        return None
+
+    def queue_at(self, host: str, path: str) -> Queue | None:
+        """Return the queue whose prefix is the longest that a path has."""
+        found: Queue | None = None
+        for queue in self.queues:
+            if queue.host == host and path.startswith(queue.prefix):
+                if found is None or len(queue.prefix) > len(found.prefix):
+                    found = queue
+        return found
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ListedWorker:
+    """One life of a worker as it lists itself."""
+
+    worker_id: str
+    pool: str
+    address: str
+    domain: str
+    draining: bool
+    capacity: amount.Amount
+    labels: tuple[str, ...]
+    rack: str
+    clock_ms: int = 0
+    # How long a draining worker stays at least.
+    remaining_s: float | None = None
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -0,0 +1,108 @@
+"""A job as a client account handed it in, and its stored form."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+from walnutpoint_core import amount
+from walnutpoint_scheduler import cell
+
+__all__ = (
+    'Job',
+    'Step',
+    'decode_job',
+    'encode_job',
+    'step_faults',
+)
+
+_TASKS_MAX: typing.Final = 10_000
+
+
+class Step(msgspec.Struct, frozen=True, omit_defaults=True):
+    """Equal tasks that may start once all earlier steps they need end."""
+
+    task_count: int
+    cpu_millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    estimate_ms: int = 0
+    after: tuple[int, ...] = ()
+    checkpoints: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    required_label: str = ''
+    rack_affinity: str = ''
+    per_worker_max: int = 0
+    speculative: bool = False
+    lasting: bool = False
+    image: str = ''
+    latency_target_ms: int = 0
+    # A filling task takes only processor time that other tasks leave.
+    fills: bool = False
+    # How many tasks of a lasting step the scheduler may take away at once.
+    away_max: int = 0
+
+    @property
+    def need(self) -> amount.Amount:
+        """Return what one task takes of a worker."""
+        millicores = 0 if self.fills else self.cpu_millicores
+        return amount.Amount(millicores, self.memory_mb, self.accelerators)
+
+
+class Job(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One accepted job."""
+
+    job_id: str
+    queue: str
+    payload: str
+    steps: tuple[Step, ...]
+    # The time of day at which the job was accepted.
+    accepted_ms: int = 0
+    # A job with occurrences runs its steps once for each.
+    occurrence_count: int = 0
+    first_due_ms: int = 0
+    interval_ms: int = 0
+    # The queue as it was then: it may be removed while the job runs.
+    accepted_by: cell.Queue | None = None
+
+    @property
+    def lasting(self) -> bool:
+        """Return whether the job runs until it is cancelled."""
+        return any(step.lasting for step in self.steps)
+
+    def due_ms(self, occurrence: int) -> int:
+        """Return the time of day at which an occurrence is due."""
+        return self.first_due_ms + occurrence * self.interval_ms
+
+
+_ENCODER: typing.Final = msgspec.msgpack.Encoder()
+_DECODER: typing.Final = msgspec.msgpack.Decoder(Job)
+
+
+def encode_job(job: Job) -> bytes:
+    """Serialize a job for the store."""
+    return _ENCODER.encode(job)
+
+
+def decode_job(value: bytes) -> Job:
+    """Read a stored job; raise msgspec.DecodeError where it is none."""
+    return _DECODER.decode(value)
+
+
+def step_faults(steps: tuple[Step, ...]) -> str | None:
+    """Return what makes steps impossible, or None for sound ones."""
+    if not steps:
+        return 'a job needs a step'
+    if sum(step.task_count for step in steps) > _TASKS_MAX:
+        return f'a job has at most {_TASKS_MAX} tasks'
+    for number, step in enumerate(steps):
+        if step.task_count < 1:
+            return f'step {number}: count must be at least 1'
+        if min(step.cpu_millicores, step.memory_mb, step.accelerators) < 0:
+            return f'step {number}: what a task needs is not negative'
+        # Only earlier steps may be named, so that no cycle can be written.
+        if any(not 0 <= earlier < number for earlier in step.after):
+            return f'step {number}: after names earlier steps only'
+    return None
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -0,0 +1,287 @@
+"""One process of the system: it takes jobs, and schedules when elected."""
+
+from __future__ import annotations
+
+import collections.abc
+import secrets
+import typing
+
+import anyio
+import anyio.abc
+
+from walnutpoint_core import logs
+from walnutpoint_core import ports as core_ports
+from walnutpoint_core import timer
+from walnutpoint_core import web
+from walnutpoint_scheduler import _advisors
+from walnutpoint_scheduler import _control
+from walnutpoint_scheduler import _leadership
+from walnutpoint_scheduler import _membership
+from walnutpoint_scheduler import _messages
+from walnutpoint_scheduler import _peer_desk
+from walnutpoint_scheduler import _peers
+from walnutpoint_scheduler import _relay
+from walnutpoint_scheduler import _term
+from walnutpoint_scheduler import cell as cells
+from walnutpoint_scheduler import ports
+from walnutpoint_scheduler import settings
+from walnutpoint_scheduler import submission
+
+__all__ = (
+    'Identity',
+    'Process',
+)
+
+_LOG: typing.Final = logs.get_logger('process')
+# Bytes of a message between processes: a reading of all jobs fits.
+_PEER_BODY_SIZE_BYTES: typing.Final = 64 * 1024 * 1024
+# A process whose configuration and store were not heard of for this long
+# has nothing to serve new connections with.
+_READY_STORE_AGE_S: typing.Final = 2.0
+# Pause before a part that failed is run again.
+_RESTART_S: typing.Final = 0.2
+_CONNECT_TIMEOUT_S: typing.Final = 0.3
+_IDLE_CONNECTIONS: typing.Final = 4
+
+
+class Identity:
+    """The name and addresses of a process."""
+
+    __slots__ = ('domain', 'name', 'peer_address', 'seeds')
+
+    def __init__(
+        self, name: str, peer_address: str, domain: str, seeds: tuple[str, ...]
+    ) -> None:
+        self.name = name
+        self.peer_address = peer_address
+        self.domain = domain
+        self.seeds = seeds
+
+
+class Process:
+    """The parts of one process, and the tasks that keep them going."""
+
+    __slots__ = (
+        '_advice',
+        '_cell',
+        '_cells',
+        '_control',
+        '_directory',
+        '_leadership',
+        '_members',
+        '_now_ms',
+        '_orders',
+        '_peer_server',
+        '_peers',
+        '_settings',
+        '_store',
+        '_tasks',
+        '_term',
+        '_timer',
+        'submissions',
+        'terms',
+    )
+
+    def __init__(
+        self,
+        identity: Identity,
+        store: core_ports.WatchedStore,
+        make_cells: collections.abc.Callable[
+            [core_ports.WatchedStore], ports.CellSource
+        ],
+        make_directory: collections.abc.Callable[
+            [core_ports.WatchedStore], ports.WorkerDirectory
+        ],
+        orders: ports.WorkerOrders,
+        advice: ports.AdviceSource,
+        clock: timer.Timer,
+        now_ms: collections.abc.Callable[[], int],
+        config: settings.SchedulerSettings,
+    ) -> None:
+        """Assemble the parts; nothing is sent before run()."""
+        me = _messages.Member(
+            identity.name,
+            identity.peer_address,
+            identity.domain,
+            secrets.token_hex(8),
+        )
+        self._timer = clock
+        self._now_ms = now_ms
+        self._settings = config
+        self._orders = orders
+        self._members = _membership.Membership(me)
+        self._peers = _peers.Peers(
+            web.Client(_CONNECT_TIMEOUT_S, _IDLE_CONNECTIONS)
+        )
+        self._store = _relay.RelayedStore(
+            store, self._members, self._peers, clock
+        )
+        self._cells = make_cells(self._store)
+        self._directory = make_directory(self._store)
+        self._leadership = _leadership.Leadership(
+            self._store, self._members, self._peers, clock, config
+        )
+        self._control = _control.Control(
+            self._store,
+            self._members,
+            self._leadership,
+            self._peers,
+            clock,
+            identity.seeds,
+        )
+        self._advice = _advisors.Advisors(
+            advice, self._members, self._peers, clock
+        )
+        self._cell: cells.Cell | None = None
+        self._term: _term.Term | None = None
+        self._tasks: anyio.abc.TaskGroup | None = None
+        self.terms = 0
+        self.submissions = submission.Submissions(
+            self._store,
+            self._leadership,
+            self._peers,
+            clock,
+            lambda: self._term,
+            self._spawn,
+        )
+        self._peer_server = web.Server(
+            identity.peer_address,
+            _peer_desk.PeerDesk(
+                me,
+                store,
+                self._members,
+                self._leadership,
+                advice,
+                clock,
+                lambda: self._term,
+                self._store,
+                lambda: self._cell,
+            ).answer,
+            _PEER_BODY_SIZE_BYTES,
+        )
+
+    @property
+    def cell(self) -> cells.Cell | None:
+        """Return the configuration in force, or None before the first."""
+        return self._cell
+
+    @property
+    def ready(self) -> bool:
+        """Return whether new callers should come here."""
+        age_s = self._timer.now_s() - self._store.answered_s
+        return (
+            self._cell is not None
+            and not self._leadership.leaving
+            and age_s < _READY_STORE_AGE_S
+        )
+
+    @property
+    def store_answers(self) -> bool:
+        """Return whether the store has answered lately."""
+        age_s = self._timer.now_s() - self._store.answered_s
+        return age_s < _READY_STORE_AGE_S
+
+    def figures(self) -> dict[str, float]:
+        """Return gauges and counters of the process."""
+        figures = {
+            'schedules': float(self._term is not None),
+            'token': float(self._leadership.revision),
+            'cell_version': float(self._cell.version if self._cell else 0),
+            'members': float(len(self._members.all())),
+            'store_relayed': float(self._store.relayed),
+            'scheduler_changes': float(self._leadership.changes),
+        }
+        if self._term is not None:
+            figures |= self._term.figures()
+        return figures
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            self._tasks = tasks
+            await self._peer_server.start()
+            tasks.start_soon(self._keep, self._follow_cell)
+            tasks.start_soon(self._keep, self._control.run)
+            tasks.start_soon(self._keep, self._leadership.follow)
+            await self._serve_terms()
+
+    async def stop(self) -> None:
+        """Hand over what this process schedules."""
+        self._leadership.leaving = True
+        if self._term is not None:
+            term = self._term
+            await term.hand_over()
+            await self._leadership.release()
+        await self._control.leave()
+
+    async def _keep(
+        self,
+        work: collections.abc.Callable[
+            [], collections.abc.Awaitable[None]
+        ],
+    ) -> None:
+        """Run a part again where it fails.
+
+        An unforeseen fault in one part would otherwise end the process, and
+        with it the callers of all others.
+        """
+        while True:
+            try:
+                await work()
+            except Exception as error:
+                _LOG.exception('part.failed', error=repr(error))
+            await self._timer.sleep(_RESTART_S)
+
+    def _spawn(self, work: typing.Any, *arguments: object) -> None:
+        if self._tasks is not None:
+            self._tasks.start_soon(work, *arguments)
+
+    async def _serve_terms(self) -> None:
+        while True:
+            token = await self._leadership.win()
+            while self._cell is None:
+                await self._timer.sleep(self._settings.cell_period_s)
+            term = self._term = _term.Term(
+                token,
+                _term.Outside(
+                    self._store,
+                    self._directory,
+                    self._orders,
+                    self._advice,
+                    self._timer,
+                    self._now_ms,
+                ),
+                self._settings,
+            )
+            self.terms += 1
+            try:
+                await term.run(self._cell)
+            except Exception as error:
+                _LOG.exception(
+                    'term.failed', token=token, error=repr(error)
+                )
+            self._term = None
+            self._leadership.lose()
+
+    async def _follow_cell(self) -> None:
+        period_s = self._settings.cell_period_s
+        async for _ in self._timer.subscribe(lambda: period_s):
+            newest = await self._cells.fetch()
+            if newest.is_ok() and newest.ok is not None:
+                self._use_cell(newest.ok)
+
+    def _use_cell(self, newest: cells.Cell) -> None:
+        current = self._cell
+        # A relayed reading may be older than one that came before it.
+        if current is not None and newest.version <= current.version:
+            return
+        self._cell = newest
+        _LOG.info(
+            'cell.applied',
+            version=newest.version,
+            before=current.version if current else 0,
+            queues=len(newest.queues),
+            pools=len(newest.pools),
+        )
+        if self._term is not None:
+            self._term.use_cell(newest)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
@@ -0,0 +1,52 @@
+"""The settings of the scheduler, with their units and sources."""
+
+from __future__ import annotations
+
+import typing
+
+import msgspec
+
+__all__ = ('SchedulerSettings',)
+
+_Time = typing.Annotated[float, msgspec.Meta(gt=0.0, le=600.0)]
+_Share = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+
+
+class SchedulerSettings(
+    msgspec.Struct, frozen=True, forbid_unknown_fields=True
+):
+    """Times and limits; a platform's own bounds replace some of them."""
+
+    # Long enough to live through a takeover (some 0.2 to 1 s) and to renew
+    # twice after it; what runs on a dead worker comes back this much later.
+    lease_s: _Time = 3.5
+    # The longest lease that workers grant; a longer one is cut there.
+    lease_max_s: _Time = 10.0
+    # How long a worker holds a report back until something ends. Shorter
+    # finds stalled tasks and dead workers sooner, at a call each.
+    report_wait_s: _Time = 0.5
+    # Beyond the wait: twenty times a round trip between failure domains.
+    report_timeout_s: _Time = 0.4
+    # An order is answered within some ms; an unanswered one costs this long.
+    order_timeout_s: _Time = 0.3
+    # Due occurrences start at most this long before their time.
+    early_s: typing.Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
+    # Final records stay readable for this long.
+    keep_final_s: _Time = 150.0
+    # How long a task may stand still before it is run elsewhere. Progress
+    # is reported in hundredths, every report_wait_s at the latest.
+    stall_s: _Time = 1.3
+    # The longest that an entry which lapsed in an outage may stay away.
+    unlisted_s: _Time = 2.5
+    # The share of a worker's processors that batch work leaves to urgent.
+    urgent_reserve: _Share = 0.0
+    # The longest harm to response times before filling tasks are slowed.
+    harm_s: _Time = 4.0
+    # Between two probes of the scheduler by another process: with two
+    # probes missed a frozen one is noticed within half a second.
+    probe_period_s: _Time = 0.15
+    probe_timeout_s: _Time = 0.3
+    # Between two readings of the operators' configuration.
+    cell_period_s: _Time = 0.5
+    # Between two full readings of what is also watched.
+    resync_period_s: _Time = 2.0
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -0,0 +1,272 @@
+"""What client accounts may ask: hand in, look, cancel, count."""
+
+from __future__ import annotations
+
+import collections.abc
+import enum
+import typing
+
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import logs
+from walnutpoint_core import ports
+from walnutpoint_core import timer
+from walnutpoint_core import web
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import _leadership
+from walnutpoint_scheduler import _messages
+from walnutpoint_scheduler import _peers
+from walnutpoint_scheduler import _record
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _term
+from walnutpoint_scheduler import document
+
+__all__ = (
+    'Submissions',
+    'Taken',
+)
+
+_LOG: typing.Final = logs.get_logger('submission')
+# Tries of a write whose answer was lost; each takes a store timeout.
+_TRIES: typing.Final = 3
+_PEER_TIMEOUT_S: typing.Final = 0.4
+# A count may be two seconds old; half of that leaves time for the way.
+_COUNT_KEPT_S: typing.Final = 1.0
+
+
+class Taken(enum.Enum):
+    """What became of a job that was handed in."""
+
+    NEW = 'new'
+    KNOWN = 'known'
+
+
+class Submissions:
+    """Answers client accounts, from the store and the scheduler's memory."""
+
+    __slots__ = (
+        '_counts',
+        '_leadership',
+        '_peers',
+        '_spawn',
+        '_store',
+        '_term',
+        '_timer',
+    )
+
+    def __init__(
+        self,
+        store: ports.WatchedStore,
+        leadership: _leadership.Leadership,
+        peers: _peers.Peers,
+        clock: timer.Timer,
+        term: collections.abc.Callable[[], _term.Term | None],
+        spawn: collections.abc.Callable[..., None],
+    ) -> None:
+        self._store = store
+        self._leadership = leadership
+        self._peers = peers
+        self._timer = clock
+        # This process's own term, if it schedules.
+        self._term = term
+        # Telling the scheduler must not hold up the answer: it may be paused.
+        self._spawn = spawn
+        self._counts: dict[str, tuple[float, int]] = {}
+
+    async def submit(
+        self, job: document.Job, deadline_s: float
+    ) -> expression.Result[Taken, errors.Failure]:
+        """Store a job once; only a stored job is said to be accepted.
+
+        A write without an answer may be carried out seconds later. The same
+        write is repeated until it is certain: its guard lets it take effect
+        once. If that does not come in time the answer is unknown, never a
+        refusal.
+        """
+        key = _keys.job_key(job.job_id)
+        batch = ports.Batch(
+            (ports.Guard(key, 0),),
+            (ports.Put(key, document.encode_job(job)),),
+        )
+        maybe_stored = False
+        failure = errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
+        for _ in range(_TRIES):
+            reply = await self._store.commit(batch)
+            if reply.is_ok():
+                return await self._conclude(job, reply.ok)
+            failure = reply.error
+            lost = errors.ErrorKind.STORE_ANSWER_LOST
+            maybe_stored = maybe_stored or failure.kind is lost
+            if not maybe_stored or self._timer.now_s() > deadline_s:
+                break
+        if maybe_stored:
+            kind = errors.ErrorKind.STORE_ANSWER_LOST
+            failure = errors.Failure(kind, failure.detail)
+        _LOG.warning(
+            'job.refused',
+            job=job.job_id,
+            queue=job.queue,
+            kind=failure.kind.value,
+            detail=failure.detail,
+        )
+        return expression.Error(failure)
+
+    async def state(
+        self, job_id: str
+    ) -> expression.Result[str | None, errors.Failure]:
+        """Return a job's state, or None where there is no such job."""
+        record = await self._store.get(_keys.record_key(job_id))
+        if record.is_ok() and record.ok is not None:
+            return expression.Ok(
+                _record.decode_record(record.ok.value).state
+            )
+        if record.is_ok():
+            stored = await self._store.get(_keys.job_key(job_id))
+            if stored.is_ok():
+                if stored.ok is None:
+                    return expression.Ok(None)
+                return expression.Ok(_state.JobState.QUEUED.value)
+        remembered = await self._remembered_state(job_id)
+        if remembered is not None:
+            return expression.Ok(remembered)
+        return expression.Error(
+            errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
+        )
+
+    async def cancel(
+        self, job_id: str, deadline_s: float
+    ) -> expression.Result[bool, errors.Failure]:
+        """Store a cancel; False where there is no such job."""
+        stored = await self._store.get(_keys.job_key(job_id))
+        if stored.is_ok() and stored.ok is None:
+            return expression.Ok(False)
+        # The value says nothing; the key is the request. Writing it twice
+        # changes nothing, so that it is repeated until it is certain.
+        batch = ports.Batch(
+            (), (ports.Put(_keys.cancel_key(job_id), b'1'),)
+        )
+        failure = errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
+        for _ in range(_TRIES):
+            if stored.is_error():
+                stored = await self._store.get(_keys.job_key(job_id))
+                if stored.is_ok() and stored.ok is None:
+                    return expression.Ok(False)
+            reply = await self._store.commit(batch)
+            if reply.is_ok():
+                _LOG.info('job.cancel_stored', job=job_id)
+                self._tell_cancel(job_id)
+                return expression.Ok(True)
+            failure = reply.error
+            if self._timer.now_s() > deadline_s:
+                break
+        _LOG.warning(
+            'job.cancel_failed', job=job_id, kind=failure.kind.value
+        )
+        return expression.Error(failure)
+
+    async def pending(
+        self, queue: str
+    ) -> expression.Result[int, errors.Failure]:
+        """Return how many accepted jobs of a queue have not begun."""
+        now_s = self._timer.now_s()
+        known = self._counts.get(queue)
+        if known is not None and now_s - known[0] < _COUNT_KEPT_S:
+            return expression.Ok(known[1])
+        count = await self._ask_pending(queue)
+        if count is None:
+            return expression.Error(
+                errors.Failure(
+                    errors.ErrorKind.PEER_UNREACHABLE,
+                    'the scheduler does not answer',
+                )
+            )
+        self._counts[queue] = (now_s, count)
+        return expression.Ok(count)
+
+    async def _conclude(
+        self, job: document.Job, reply: ports.CommitReply
+    ) -> expression.Result[Taken, errors.Failure]:
+        if reply.applied:
+            _LOG.info(
+                'job.accepted',
+                job=job.job_id,
+                queue=job.queue,
+                revision=reply.revision,
+            )
+            self._tell_job(job)
+            return expression.Ok(Taken.NEW)
+        for item in reply.conflicts:
+            stored = document.decode_job(item.value)
+            if stored.queue != job.queue or stored.steps != job.steps:
+                return expression.Error(
+                    errors.Failure(
+                        errors.ErrorKind.KEY_MISMATCH,
+                        'the identifier belongs to another job',
+                    )
+                )
+        _LOG.info('job.known', job=job.job_id, queue=job.queue)
+        self._tell_job(job)
+        return expression.Ok(Taken.KNOWN)
+
+    def _tell_job(self, job: document.Job) -> None:
+        """Let the scheduler know at once; its watch would tell it later."""
+        term = self._term()
+        if term is not None:
+            term.add(job)
+            return
+        self._spawn(self._tell, _peers.JOB_PATH, document.encode_job(job))
+
+    def _tell_cancel(self, job_id: str) -> None:
+        term = self._term()
+        if term is not None:
+            term.cancel(job_id)
+            return
+        self._spawn(self._tell, _peers.CANCEL_PATH, job_id.encode())
+
+    async def _tell(self, path: str, body: bytes) -> None:
+        scheduler = self._leadership.scheduler
+        if scheduler is None:
+            return
+        answer = await self._peers.post(
+            scheduler.address, path, body, _PEER_TIMEOUT_S
+        )
+        if isinstance(answer, web.Loss):
+            _LOG.info(
+                'scheduler.not_told',
+                path=path,
+                scheduler=scheduler.name,
+                detail=answer.detail,
+            )
+
+    async def _remembered_state(self, job_id: str) -> str | None:
+        term = self._term()
+        if term is not None:
+            return term.state(job_id)
+        scheduler = self._leadership.scheduler
+        if scheduler is None:
+            return None
+        answer = await self._peers.ask(
+            scheduler.address,
+            _peers.STATE_PATH,
+            _messages.StateQuestion(job_id),
+            _messages.StateAnswer,
+            _PEER_TIMEOUT_S,
+        )
+        return None if isinstance(answer, web.Loss) else answer.state
+
+    async def _ask_pending(self, queue: str) -> int | None:
+        term = self._term()
+        if term is not None:
+            return term.pending(queue)
+        scheduler = self._leadership.scheduler
+        if scheduler is None:
+            return None
+        answer = await self._peers.ask(
+            scheduler.address,
+            _peers.PENDING_PATH,
+            _messages.PendingQuestion(queue),
+            _messages.PendingAnswer,
+            _PEER_TIMEOUT_S,
+        )
+        return None if isinstance(answer, web.Loss) else answer.count
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_health.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_health.py
@@ -6,7 +6,7 @@
 import dataclasses
 import typing
 
-from walnutpoint_entry import placement
+from walnutpoint_scheduler import outlier
 
 __all__ = ('WorkerHealth',)
 
@@ -30,7 +30,7 @@
 
     __slots__ = ('_jobs', '_outliers', '_starting', '_suspects')
 
-    def __init__(self, outliers: placement.OutlierDetector) -> None:
+    def __init__(self, outliers: outlier.OutlierDetector) -> None:
         self._outliers = outliers
         self._suspects: set[str] = set()
         self._starting: collections.Counter[str] = collections.Counter()
--- a/tests/walnutpoint_entry/tasks/test_room.py
+++ b/tests/walnutpoint_entry/tasks/test_room.py
@@ -15,7 +15,7 @@
 from walnutpoint_entry import tasks
 from walnutpoint_entry.tasks import _amount
 from walnutpoint_entry.tasks import _cell
-from walnutpoint_entry.tasks import _health
+from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _reserves
 from walnutpoint_entry.tasks import _wire
 
@@ -48,7 +48,7 @@
             _PLACEMENT.eject_max_s,
         )
         self.slots = fake.Slots(_SLOTS)
-        self.cell = _cell.Cell(self.slots, _health.WorkerHealth(outliers))
+        self.cell = _cell.Cell(self.slots, worker_health.WorkerHealth(outliers))
         self.index = 0
         self.now_s = 0.0
         self.requests: list[str] = []
--- a/tests/walnutpoint_entry/tasks/test_service.py
+++ b/tests/walnutpoint_entry/tasks/test_service.py
@@ -11,7 +11,7 @@
 from walnutpoint_entry import ownership
 from walnutpoint_entry import placement
 from walnutpoint_entry import tasks
-from walnutpoint_entry.tasks import _health
+from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _tombstones
 
 from tests.walnutpoint_entry import samples
@@ -755,7 +755,7 @@
         self.assertEqual(6, bench.service.free_tasks(sound))
 
     def test_job_that_fails_everywhere_makes_few_suspects(self) -> None:
-        health = _health.WorkerHealth(placement.OutlierDetector(3, 2.0, 60.0))
+        health = worker_health.WorkerHealth(placement.OutlierDetector(3, 2.0, 60.0))
         for worker in 'abcdef':
             health.watch(worker)
             health.begin(worker, 0.0)
