Ask for lost reports at once, and shorten the gap of a takeover

Ruled out: interference of tasks (duration against free room is flat).

Change: one immediate second question, watches say nothing of the way to the store, release without waiting, claim without a reading first, all readings of a term at once. States are told from the scheduler's memory of what is stored. A model package holds stand-ins in virtual time.

--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/__init__.py
@@ -0,0 +1,1 @@
+"""A cell in virtual time, which drives the scheduler's own modules."""
--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/store.py
@@ -0,0 +1,207 @@
+"""A stand-in of the store, with switches for its faults."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import random
+import typing
+
+import anyio
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import ports
+
+__all__ = (
+    'MemoryStore',
+    'StoreFault',
+)
+
+_LATENCY_S: typing.Final = 0.004
+_LATE_RANGE_S: typing.Final = (1.0, 6.0)
+_HISTORY_MAX: typing.Final = 10_000
+
+
+class StoreFault(enum.Enum):
+    """How the store fails at present."""
+
+    NONE = 'none'
+    # Every call is refused, and nothing is done.
+    REFUSES = 'refuses'
+    # Every call runs into its timeout, and nothing is done.
+    SILENT = 'silent'
+    # Commits are applied, and their answers lost.
+    LOSES_ANSWERS = 'loses_answers'
+    # Commits are not answered, and applied seconds later.
+    APPLIES_LATE = 'applies_late'
+
+
+class MemoryStore:
+    """A linearizable store in memory."""
+
+    __slots__ = ('_changed', '_compacted', '_history', '_random', 'commits',
+                 'fault', 'fault_share', 'items', 'latency_s', 'reads',
+                 'revision', 'timeout_s')
+
+    def __init__(self, seed: int = 1) -> None:
+        self.items: dict[str, ports.StoredValue] = {}
+        self.revision = 1
+        self.latency_s = _LATENCY_S
+        self.timeout_s = 0.4
+        self.fault = StoreFault.NONE
+        # The share of commits that a fault strikes.
+        self.fault_share = 1.0
+        self.commits = 0
+        self.reads = 0
+        self._history: list[tuple[int, str, ports.StoredValue | None]] = []
+        self._compacted = 0
+        self._changed = asyncio.Event()
+        self._random = random.Random(seed)  # noqa: S311
+
+    def put(self, key: str, value: bytes) -> int:
+        """Write as the operators and workers do."""
+        self.revision += 1
+        self._write(key, value)
+        self._notify()
+        return self.revision
+
+    def forget_history(self) -> None:
+        """Cut every watch, and drop what changed so far."""
+        self._compacted = self.revision
+        self._history.clear()
+        self._notify()
+
+    async def get(
+        self, key: str
+    ) -> expression.Result[ports.StoredValue | None, errors.Failure]:
+        """Read one key."""
+        failure = await self._arrive()
+        if failure is not None:
+            return expression.Error(failure)
+        self.reads += 1
+        return expression.Ok(self.items.get(key))
+
+    async def read(
+        self, prefix: str
+    ) -> expression.Result[ports.Snapshot, errors.Failure]:
+        """Read every key below a prefix."""
+        failure = await self._arrive()
+        if failure is not None:
+            return expression.Error(failure)
+        self.reads += 1
+        values = tuple(
+            item
+            for key, item in sorted(self.items.items())
+            if key.startswith(prefix)
+        )
+        return expression.Ok(ports.Snapshot(self.revision, values))
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> expression.Result[ports.Changes | None, errors.Failure]:
+        """Wait for changes; None where their history is gone."""
+        failure = await self._arrive()
+        if failure is not None:
+            return expression.Error(failure)
+        self.reads += 1
+        with anyio.move_on_after(wait_s):
+            while True:
+                if after_revision < self._compacted:
+                    return expression.Ok(None)
+                events = [
+                    event
+                    for event in self._history
+                    if event[0] > after_revision
+                    and event[1].startswith(prefix)
+                ]
+                if events:
+                    return expression.Ok(self._changes(events))
+                await self._changed.wait()
+        return expression.Ok(ports.Changes(self.revision, ()))
+
+    async def commit(
+        self, batch: ports.Batch
+    ) -> expression.Result[ports.CommitReply, errors.Failure]:
+        """Apply a batch; STORE_ANSWER_LOST says that it may yet apply."""
+        struck = self._random.random() < self.fault_share
+        if struck and self.fault is StoreFault.LOSES_ANSWERS:
+            await anyio.sleep(self.latency_s / 2)
+            self._apply(batch)
+            return await self._lose()
+        if struck and self.fault is StoreFault.APPLIES_LATE:
+            asyncio.get_running_loop().call_later(
+                self._random.uniform(*_LATE_RANGE_S), self._apply, batch
+            )
+            return await self._lose()
+        failure = await self._arrive()
+        if failure is not None:
+            return expression.Error(failure)
+        reply = self._apply(batch)
+        await anyio.sleep(self.latency_s / 2)
+        return expression.Ok(reply)
+
+    async def _arrive(self) -> errors.Failure | None:
+        if self.fault is StoreFault.SILENT:
+            await anyio.sleep(self.timeout_s)
+            return errors.Failure(
+                errors.ErrorKind.STORE_UNAVAILABLE, 'no answer'
+            )
+        await anyio.sleep(self.latency_s / 2)
+        if self.fault is StoreFault.REFUSES:
+            return errors.Failure(
+                errors.ErrorKind.STORE_UNAVAILABLE, 'refused'
+            )
+        return None
+
+    async def _lose(
+        self,
+    ) -> expression.Result[ports.CommitReply, errors.Failure]:
+        await anyio.sleep(self.timeout_s)
+        return expression.Error(
+            errors.Failure(errors.ErrorKind.STORE_ANSWER_LOST, 'no answer')
+        )
+
+    def _apply(self, batch: ports.Batch) -> ports.CommitReply:
+        self.commits += 1
+        conflicts = False
+        for guard in batch.guards:
+            item = self.items.get(guard.key)
+            if (item.revision if item else 0) != guard.revision:
+                conflicts = True
+        if conflicts:
+            current = tuple(
+                self.items[guard.key]
+                for guard in batch.guards
+                if guard.key in self.items
+            )
+            return ports.CommitReply(False, self.revision, current)
+        self.revision += 1
+        for put in batch.puts:
+            self._write(put.key, put.value)
+        for key in batch.deletes:
+            if self.items.pop(key, None) is not None:
+                self._history.append((self.revision, key, None))
+        self._notify()
+        return ports.CommitReply(True, self.revision)
+
+    def _write(self, key: str, value: bytes) -> None:
+        item = ports.StoredValue(key, value, self.revision)
+        self.items[key] = item
+        self._history.append((self.revision, key, item))
+        if len(self._history) > _HISTORY_MAX:
+            self._compacted = self._history[_HISTORY_MAX // 2][0]
+            del self._history[: _HISTORY_MAX // 2]
+
+    def _changes(
+        self, events: list[tuple[int, str, ports.StoredValue | None]]
+    ) -> ports.Changes:
+        return ports.Changes(
+            self.revision,
+            tuple(item for _, _, item in events if item is not None),
+            tuple(key for _, key, item in events if item is None),
+        )
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -0,0 +1,364 @@
+"""Stand-ins of workers, which count by themselves what they ran."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc
+import random
+import typing
+
+import anyio
+import expression
+
+from walnutpoint_core import amount
+from walnutpoint_core import errors
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
+
+__all__ = (
+    'Fleet',
+    'Ledger',
+    'Worker',
+    'listed_worker',
+)
+
+_MS: typing.Final = 1000.0
+_TRANSIT_S: typing.Final = 0.001
+_STOP_S: typing.Final = 0.1
+_UNANSWERED_S: typing.Final = 0.3
+_LATE_RANGE_S: typing.Final = (2.0, 12.0)
+_LEASE_MAX_S: typing.Final = 10.0
+_WHOLE: typing.Final = 100.0
+_TICK_S: typing.Final = 0.02
+
+
+class Ledger:
+    """What all workers ran, and what they should not have run."""
+
+    __slots__ = ('done', 'running', 'starts', 'violations')
+
+    def __init__(self) -> None:
+        self.starts: collections.Counter[ports.TaskName] = (
+            collections.Counter()
+        )
+        self.done: set[ports.TaskName] = set()
+        self.running: dict[ports.TaskName, str] = {}
+        self.violations: list[str] = []
+
+    def start(self, task: ports.TaskName, worker: str) -> None:
+        """Count a start; a second run at a time is a violation."""
+        self.starts[task] += 1
+        if task in self.running:
+            self.violations.append(
+                f'{task} runs on {self.running[task]} and {worker}'
+            )
+        if task in self.done:
+            self.violations.append(f'{task} starts again after its end')
+        self.running[task] = worker
+
+    def end(self, task: ports.TaskName, worker: str, done: bool) -> None:
+        """Count an end."""
+        if self.running.get(task) == worker:
+            del self.running[task]
+        if done:
+            self.done.add(task)
+
+
+class _Run:
+    __slots__ = ('checkpoint', 'elapsed_s', 'ends_s', 'length_s', 'name',
+                 'started_s')
+
+    def __init__(
+        self, name: ports.RunName, started_s: float, length_s: float
+    ) -> None:
+        self.name = name
+        self.started_s = started_s
+        self.length_s = length_s
+        self.ends_s = started_s + length_s
+        self.checkpoint = ''
+        self.elapsed_s = 0.0
+
+
+Length = collections.abc.Callable[[ports.TaskName], float]
+
+
+class Worker:
+    """One life of a worker: leases, fencing tokens, runs and ends."""
+
+    __slots__ = ('_blocked', '_changed', '_ledger', '_length', '_numbers',
+                 '_until_ms', 'clock_rate', 'cut', 'ends', 'fails', 'hangs',
+                 'listed', 'loses_answers_share', 'late_share', 'random',
+                 'runs', 'token')
+
+    def __init__(
+        self,
+        listed: cell.ListedWorker,
+        length: Length,
+        ledger: Ledger,
+        seed: int,
+    ) -> None:
+        self.listed = listed
+        self.runs: dict[ports.RunName, _Run] = {}
+        self.ends: list[ports.End] = []
+        self.token = 0
+        # Switches of its faults.
+        self.cut = False
+        self.fails = False
+        self.hangs = False
+        self.late_share = 0.0
+        self.loses_answers_share = 0.0
+        self.clock_rate = 1.0
+        self.random = random.Random(seed)  # noqa: S311
+        self._blocked: dict[ports.TaskName, int] = {}
+        self._ledger = ledger
+        self._length = length
+        self._numbers = 0
+        self._until_ms = 0.0
+        self._changed = asyncio.Event()
+
+    def clock_ms(self) -> int:
+        """Return the worker's own clock."""
+        return int(_now_s() * self.clock_rate * _MS)
+
+    def start(self, order: ports.Start) -> ports.OrderReply:
+        """Carry out a start."""
+        self.advance()
+        outcome = self._refusal(order)
+        if outcome is None:
+            self._begin(order)
+            outcome = ports.OrderOutcome.DONE
+        return ports.OrderReply(outcome, self.clock_ms())
+
+    def stop(self, run: ports.RunName, token: int) -> ports.OrderReply:
+        """Carry out a stop; a run that is not there is blocked."""
+        self.advance()
+        if token < self.token:
+            return ports.OrderReply(
+                ports.OrderOutcome.FENCED, self.clock_ms()
+            )
+        self.token = token
+        blocked = self._blocked.get(run.task, 0)
+        self._blocked[run.task] = max(blocked, run.attempt)
+        if run in self.runs:
+            asyncio.get_running_loop().call_later(
+                _STOP_S, self._end, run, ports.EndKind.STOPPED
+            )
+        return ports.OrderReply(ports.OrderOutcome.DONE, self.clock_ms())
+
+    async def renew(
+        self, order: ports.Renewal
+    ) -> ports.Report | ports.OrderReply:
+        """Carry out a renewal and report."""
+        self.advance()
+        if order.token < self.token:
+            return ports.OrderReply(
+                ports.OrderOutcome.FENCED, self.clock_ms()
+            )
+        self.token = order.token
+        self.ends = [e for e in self.ends if e.number > order.acknowledged]
+        self._extend(order.lease_until_ms)
+        if not self.ends and order.wait_s > 0:
+            with anyio.move_on_after(order.wait_s):
+                await self._changed.wait()
+        return ports.Report(
+            self.clock_ms(),
+            tuple(self._row(run) for run in self.runs.values()),
+            tuple(self.ends),
+        )
+
+    def advance(self) -> None:
+        """End what is due, and everything where the lease has lapsed."""
+        now_s = _now_s()
+        if self.runs and self.clock_ms() > self._until_ms:
+            for name in list(self.runs):
+                self._end(name, ports.EndKind.LAPSED)
+        for run in list(self.runs.values()):
+            if not self.hangs and run.ends_s <= now_s:
+                kind = ports.EndKind.DONE
+                if self.fails:
+                    kind = ports.EndKind.FAILED
+                self._end(run.name, kind)
+
+    def crash(self) -> None:
+        """Lose everything."""
+        for run in list(self.runs.values()):
+            self._ledger.end(run.name.task, self.listed.worker_id, False)
+        self.runs.clear()
+        self.ends.clear()
+
+    def _refusal(self, order: ports.Start) -> ports.OrderOutcome | None:
+        if order.token < self.token:
+            return ports.OrderOutcome.FENCED
+        self.token = order.token
+        if order.run in self.runs:
+            return ports.OrderOutcome.DONE
+        if order.run.attempt <= self._blocked.get(order.run.task, 0):
+            return ports.OrderOutcome.OUTDATED
+        if order.lease_until_ms <= self.clock_ms():
+            return ports.OrderOutcome.EXPIRED
+        return None
+
+    def _begin(self, order: ports.Start) -> None:
+        self._extend(order.lease_until_ms)
+        self._ledger.start(order.run.task, self.listed.worker_id)
+        length_s = self._length(order.run.task)
+        self.runs[order.run] = _Run(order.run, _now_s(), length_s)
+        asyncio.get_running_loop().call_later(
+            length_s + _TICK_S, self.advance
+        )
+
+    def _extend(self, until_ms: int | None) -> None:
+        if until_ms is not None:
+            limit_ms = self.clock_ms() + _LEASE_MAX_S * _MS
+            self._until_ms = max(self._until_ms, min(until_ms, limit_ms))
+
+    def _end(self, name: ports.RunName, kind: ports.EndKind) -> None:
+        run = self.runs.pop(name, None)
+        if run is None:
+            return
+        blocked = self._blocked.get(name.task, 0)
+        self._blocked[name.task] = max(blocked, name.attempt)
+        self._ledger.end(
+            name.task, self.listed.worker_id, kind is ports.EndKind.DONE
+        )
+        self._numbers += 1
+        self.ends.append(ports.End(self._numbers, name, kind, ''))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def _row(self, run: _Run) -> ports.RunningTask:
+        elapsed_s = 0.0 if self.hangs else _now_s() - run.started_s
+        percent = min(_WHOLE, _WHOLE * elapsed_s / max(run.length_s, 0.001))
+        return ports.RunningTask(run.name, run.checkpoint, percent, 0.0)
+
+
+class Fleet:
+    """Carries orders to the workers, over a network with faults."""
+
+    __slots__ = ('_revision', 'calls', 'ledger', 'workers')
+
+    def __init__(self) -> None:
+        self.workers: dict[str, Worker] = {}
+        self.ledger = Ledger()
+        self.calls = 0
+        self._revision = 1
+
+    def add(
+        self, listed: cell.ListedWorker, length: Length, seed: int = 1
+    ) -> Worker:
+        """Add a worker."""
+        worker = Worker(listed, length, self.ledger, seed)
+        self.workers[listed.worker_id] = worker
+        self._revision += 1
+        return worker
+
+    def remove(self, worker_id: str) -> None:
+        """Take a worker off the list and end its life."""
+        self.workers.pop(worker_id).crash()
+        self._revision += 1
+
+    async def start(
+        self, worker: cell.ListedWorker, order: ports.Start
+    ) -> ports.OrderReply:
+        """Start a run."""
+        return await self._deliver(worker, lambda w: w.start(order))
+
+    async def stop(
+        self, worker: cell.ListedWorker, run: ports.RunName, token: int
+    ) -> ports.OrderReply:
+        """Stop a run."""
+        return await self._deliver(worker, lambda w: w.stop(run, token))
+
+    async def pace(
+        self,
+        worker: cell.ListedWorker,
+        run: ports.RunName,
+        percent: int,
+        token: int,
+    ) -> ports.OrderReply:
+        """Slow a run: these workers have no notion of it."""
+        return ports.OrderReply(ports.OrderOutcome.DONE)
+
+    async def renew(
+        self, worker: cell.ListedWorker, order: ports.Renewal
+    ) -> ports.Report | ports.OrderReply:
+        """Renew a lease and return the report."""
+        self.calls += 1
+        await anyio.sleep(_TRANSIT_S)
+        live = self.workers.get(worker.worker_id)
+        if live is None or live.cut:
+            await anyio.sleep(_UNANSWERED_S)
+            return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
+        return await live.renew(order)
+
+    def forget(self, worker: cell.ListedWorker) -> None:
+        """Close the connections, of which there are none."""
+
+    async def fetch(
+        self,
+    ) -> expression.Result[ports.WorkerListing, errors.Failure]:
+        """Return every listed worker."""
+        await anyio.sleep(_TRANSIT_S)
+        return expression.Ok(
+            ports.WorkerListing(
+                tuple(w.listed for w in self.workers.values()),
+                self._revision,
+            )
+        )
+
+    async def wait(self, revision: int, wait_s: float) -> bool:
+        """Return early where the list has changed since a revision."""
+        end_s = _now_s() + wait_s
+        while self._revision == revision and _now_s() < end_s:
+            await anyio.sleep(_TICK_S)
+        return True
+
+    async def _deliver(
+        self,
+        worker: cell.ListedWorker,
+        act: collections.abc.Callable[[Worker], ports.OrderReply],
+    ) -> ports.OrderReply:
+        self.calls += 1
+        await anyio.sleep(_TRANSIT_S)
+        live = self.workers.get(worker.worker_id)
+        if live is None or live.cut:
+            await anyio.sleep(_UNANSWERED_S)
+            return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
+        if live.random.random() < live.late_share:
+            asyncio.get_running_loop().call_later(
+                live.random.uniform(*_LATE_RANGE_S), act, live
+            )
+            await anyio.sleep(_UNANSWERED_S)
+            return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
+        reply = act(live)
+        if live.random.random() < live.loses_answers_share:
+            await anyio.sleep(_UNANSWERED_S)
+            return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
+        await anyio.sleep(_TRANSIT_S)
+        return reply
+
+
+def listed_worker(
+    number: int,
+    pool: str = 'pool',
+    cpu_millicores: int = 16_000,
+    memory_mb: int = 64_000,
+    per_rack: int = 8,
+) -> cell.ListedWorker:
+    """Return the listing of one of many equal workers."""
+    rack = f'rack-{number // per_rack}'
+    return cell.ListedWorker(
+        f'worker-{number}',
+        pool,
+        f'127.0.0.1:{20_000 + number}',
+        'domain-0',
+        False,
+        amount.Amount(cpu_millicores, memory_mb, 0),
+        ('kind-a', rack),
+        rack,
+    )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -2,10 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import collections.abc
 import typing
 
 import msgspec
 
+from walnutpoint_core import amount
 from walnutpoint_core import logs
 from walnutpoint_core import ports as core_ports
 from walnutpoint_scheduler import _context
@@ -17,9 +20,11 @@
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
-from walnutpoint_core import amount
 
-__all__ = ('Intake',)
+__all__ = (
+    'Intake',
+    'StoredJobs',
+)
 
 _LOG: typing.Final = logs.get_logger('intake')
 _WATCH_S: typing.Final = 10.0
@@ -28,6 +33,24 @@
 _LOST_QUEUE: typing.Final = ''
 
 
+class StoredJobs:
+    """All jobs as they stood in the store, and what to watch from."""
+
+    __slots__ = ('cancels', 'jobs', 'records', 'revision')
+
+    def __init__(
+        self,
+        revision: int,
+        cancels: collections.abc.Sequence[core_ports.StoredValue],
+        jobs: list[core_ports.StoredValue],
+        records: list[core_ports.StoredValue],
+    ) -> None:
+        self.revision = revision
+        self.cancels = cancels
+        self.jobs = jobs
+        self.records = records
+
+
 class Intake:
     """Follows the stored jobs and cancels, each change applied once."""
 
@@ -44,25 +67,34 @@
         self._ends = ends
         self.seen = 0
 
-    async def restore(self) -> int | None:
-        """Read all jobs and records; return the revision to watch from."""
-        intake = await self._store.read(_keys.INTAKE)
-        records = await self._store.read(_keys.RECORDS)
-        if intake.is_error() or records.is_error():
+    async def read(self) -> StoredJobs | None:
+        """Read all jobs and records, in parts at the same time."""
+        shards = _keys.shards()
+        parts = await asyncio.gather(
+            self._store.read(_keys.CANCELS),
+            *(self._store.read(_keys.JOBS + shard) for shard in shards),
+            *(self._store.read(_keys.RECORDS + shard) for shard in shards),
+        )
+        if any(part.is_error() for part in parts):
             return None
-        by_job = {item.key: item for item in records.ok.values}
-        cancels = []
-        for item in intake.ok.values:
-            if item.key.startswith(_keys.CANCELS):
-                cancels.append(item)
-                continue
+        cancels, rest = parts[0], parts[1:]
+        return StoredJobs(
+            min(part.ok.revision for part in parts),
+            cancels.ok.values,
+            [item for part in rest[: len(shards)] for item in part.ok.values],
+            [item for part in rest[len(shards) :] for item in part.ok.values],
+        )
+
+    def restore(self, stored: StoredJobs) -> None:
+        """Take what an earlier term left."""
+        by_key = {item.key: item for item in stored.records}
+        for item in stored.jobs:
             job = self._decode(item)
             if job is not None:
-                record = by_job.get(_keys.record_key(job.job_id))
+                record = by_key.get(_keys.record_key(job.job_id))
                 self._restore_job(job, record)
-        for item in cancels:
-            self.cancel(item.key.removeprefix(_keys.CANCELS))
-        return intake.ok.revision
+        for item in stored.cancels:
+            self.cancel(_keys.job_id(item.key))
 
     async def follow(self, revision: int) -> None:
         """Apply changes until cancelled."""
@@ -118,9 +150,9 @@
 
     def _apply(self, item: core_ports.StoredValue) -> None:
         if item.key.startswith(_keys.CANCELS):
-            self.cancel(item.key.removeprefix(_keys.CANCELS))
+            self.cancel(_keys.job_id(item.key))
             return
-        if item.key.removeprefix(_keys.JOBS) in self._context.jobs:
+        if _keys.job_id(item.key) in self._context.jobs:
             return
         job = self._decode(item)
         if job is not None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
@@ -12,6 +12,7 @@
 from walnutpoint_core import errors
 from walnutpoint_core import logs
 from walnutpoint_core import ports
+from walnutpoint_core import timer
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _record
 from walnutpoint_scheduler import _state
@@ -25,9 +26,9 @@
 # Commits that may be on their way. Each takes some 4 ms, and some 300 ms
 # while the store is slow; 4 x 15 jobs keep up with 200 starts a second then.
 _COMMITS_MAX: typing.Final = 4
-# How long a change waits for others: half a commit's time, so that a burst
-# shares a call and a single change loses little.
-_GROUP_S: typing.Final = 0.002
+# How long a change waits for others: a commit's own time. Calls are paid
+# for, and 5 ms are half a hundredth of the shortest objective.
+_GROUP_S: typing.Final = 0.005
 # Pause after a failed commit: a dozen tries in an outage of some seconds.
 _RETRY_S: typing.Final = 0.15
 
@@ -48,13 +49,14 @@
         '_lost',
         '_now_ms',
         '_store',
+        '_timer',
         '_token',
         '_waiters',
         '_woken',
+        'commits',
+        'committed_s',
         'failing_since_s',
-        'last_commit_s',
         'rows',
-        'commits',
     )
 
     def __init__(
@@ -62,12 +64,14 @@
         store: ports.WatchedStore,
         token: int,
         now_ms: collections.abc.Callable[[], int],
+        clock: timer.Timer,
         lost: collections.abc.Callable[[str], None],
     ) -> None:
         """Create a journal; lost is called when another scheduler is."""
         self._store = store
         self._token = token
         self._now_ms = now_ms
+        self._timer = clock
         self._lost = lost
         self._dirty: dict[str, _state.JobProgress] = {}
         self._busy: set[str] = set()
@@ -75,7 +79,7 @@
         self._woken = asyncio.Event()
         self._commits = 0
         self.failing_since_s: float | None = None
-        self.last_commit_s = 0.0
+        self.committed_s = 0.0
         self.rows = 0
         self.commits = 0
 
@@ -100,11 +104,6 @@
         """Return how many jobs have changes that are not stored."""
         return len(self._dirty) + len(self._busy)
 
-    async def flush(self) -> None:
-        """Return once every change is stored."""
-        while self.pending:
-            await asyncio.sleep(_GROUP_S)
-
     async def run(self) -> None:
         """Write changed records until cancelled."""
         async with anyio.create_task_group() as tasks:
@@ -132,7 +131,7 @@
         return jobs
 
     async def _write(self, jobs: list[_state.JobProgress]) -> None:
-        changes = [job.changes for job in jobs]
+        changes = [(job.changes, job.state.value) for job in jobs]
         reply = await self._store.commit(self._batch(jobs))
         self._commits -= 1
         for job in jobs:
@@ -140,8 +139,12 @@
         if reply.is_ok() and reply.ok.applied:
             self.commits += 1
             self.rows += len(jobs)
+            if self.failing_since_s is not None:
+                _LOG.info('journal.regained', pending=self.pending)
             self.failing_since_s = None
-            for job, count in zip(jobs, changes, strict=True):
+            self.committed_s = self._timer.now_s()
+            for job, (count, state) in zip(jobs, changes, strict=True):
+                job.saved_state = state
                 self._settle(job, count, reply.ok.revision)
             self._woken.set()
             return
@@ -203,7 +206,7 @@
 
     def _note_failure(self, failure: errors.Failure) -> None:
         if self.failing_since_s is None:
-            self.failing_since_s = asyncio.get_running_loop().time()
+            self.failing_since_s = self._timer.now_s()
             _LOG.warning(
                 'journal.failing',
                 kind=failure.kind.value,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -213,11 +213,6 @@
             self._suspicion.refute()
             await self._timer.sleep(self._settings.probe_period_s)
             return
-        current = await self._store.get(_keys.SCHEDULER)
-        if current.is_error():
-            await self._timer.sleep(_RETRY_S)
-            return
-        self.learn(current.ok)
         if self._revision != seen or self.leaving:
             return
         _LOG.warning(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -49,6 +49,7 @@
     async def _follow(self, worker: _roster.WorkerState) -> None:
         context = self._context
         wait_s = _FIRST_WAIT_S
+        failures = 0
         while not worker.gone:
             asked_s = context.timer.now_s()
             reply = await context.orders.renew(
@@ -63,11 +64,18 @@
             if worker.gone:
                 return
             if isinstance(reply, ports.Report):
+                failures = 0
                 saving = self._take(worker, reply, asked_s)
                 wait_s = context.settings.report_wait_s
                 if saving is not None:
                     wait_s = await self._acknowledge(worker, saving)
                 continue
+            failures += 1
+            wait_s = _FIRST_WAIT_S
+            if failures == 1 and reply.outcome is ports.OrderOutcome.UNKNOWN:
+                # One answer may be lost on its way; asking again at once
+                # costs a call, waiting hides what has ended there.
+                continue
             if not self._note_silence(worker, reply):
                 return
             await context.timer.sleep(_RETRY_S)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -69,6 +69,7 @@
 ) -> list[tuple[_state.TaskProgress, str, int]]:
     """Restore a job, and return the runs that may be at work."""
     job.state = _state.JobState(record.state)
+    job.saved_state = record.state
     job.begun = record.begun
     job.record_revision = revision
     runs: list[tuple[_state.TaskProgress, str, int]] = []
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -109,7 +109,10 @@
     ) -> expression.Result[ports.Changes | None, errors.Failure]:
         """Wait for changes; a watch is never relayed."""
         answer = await self._direct.watch(prefix, after_revision, wait_s)
-        self._note(answer)
+        # A watch may be cut, or hear nothing, while the store serves calls:
+        # its failure says nothing of the way there.
+        if answer.is_ok():
+            self.answered_s = self._timer.now_s()
         return answer
 
     async def commit(
@@ -152,6 +155,15 @@
         if isinstance(relayed, _messages.StoreAnswer):
             return relayed
         maybe_applied = maybe_applied or relayed
+        if not tried:
+            # No other process has a way either: the own one is the last.
+            self._tried_s = self._timer.now_s()
+            answer = await direct()
+            self._note(answer)
+            if answer.is_ok():
+                return answer
+            failure = answer.error
+            maybe_applied = maybe_applied or _may_apply(failure)
         kind = errors.ErrorKind.STORE_UNAVAILABLE
         if maybe_applied and question.operation == 'commit':
             kind = errors.ErrorKind.STORE_ANSWER_LOST
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -223,6 +223,7 @@
         'queue',
         'record_revision',
         'saved_changes',
+        'saved_state',
         'seen_s',
         'state',
     )
@@ -241,6 +242,8 @@
         self.record_revision = 0
         self.changes = 0
         self.saved_changes = 0
+        # What may be told of the job: its state as last stored.
+        self.saved_state = JobState.QUEUED.value
         self.notes = ''
 
     def occurrence(self, number: int) -> tuple[StepProgress, ...]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -43,8 +43,6 @@
 # How often the token is confirmed while nothing is journaled.
 _CONFIRM_S: typing.Final = 0.5
 _RETRY_S: typing.Final = 0.1
-# The longest wait of a planned stop for changes that are not stored yet.
-_FLUSH_S: typing.Final = 1.0
 # A worker that fails three different tasks in a row is set aside for one
 # second, then two, up to eight: the users' faulty workers recover in some
 # 6 s, and one probe at a time is lost to them meanwhile.
@@ -148,9 +146,7 @@
         if not self.ready or self._context is None:
             return None
         job = self._context.jobs.get(job_id)
-        if job is None or job.saved_changes < job.changes:
-            return None
-        return job.state.value
+        return None if job is None else job.saved_state
 
     def figures(self) -> dict[str, float]:
         """Return gauges and counters of the term."""
@@ -181,14 +177,6 @@
         if self._scope is not None:
             self._scope.cancel()
 
-    async def hand_over(self) -> None:
-        """Store what is noted, then end."""
-        context = self._context
-        if context is not None and self.ready:
-            with anyio.move_on_after(_FLUSH_S):
-                await context.journal.flush()
-        self.end('planned stop')
-
     async def _schedule(
         self, tasks: anyio.abc.TaskGroup, first: cell.Cell
     ) -> None:
@@ -210,7 +198,11 @@
         context.lost = self.end
         context.wake = self._woken.set
         context.journal = _journal.Journal(
-            outside.store, self.token, outside.now_ms, self.end
+            outside.store,
+            self.token,
+            outside.now_ms,
+            outside.timer,
+            self.end,
         )
         context.advice = _advice.AdviceBook(
             outside.advice, outside.timer.now_s, tasks, self._woken.set
@@ -249,14 +241,18 @@
         self, intake: _intake.Intake, directory: _directory.Directory
     ) -> int:
         """Read everything; workers first, so that runs find theirs."""
-        while not await directory.read():
-            await self._outside.timer.sleep(_RETRY_S)
         while True:
-            revision = await intake.restore()
-            if revision is not None:
-                directory.open_links()
-                return revision
+            # All at once: while the store is slow each reading takes 70
+            # times as long, and nothing starts before the last.
+            values, workers_read = await asyncio.gather(
+                intake.read(), directory.read()
+            )
+            if values is not None and workers_read:
+                break
             await self._outside.timer.sleep(_RETRY_S)
+        intake.restore(values)
+        directory.open_links()
+        return values.revision
 
     async def _place(self, placer: _placer.Placer) -> None:
         while True:
@@ -270,9 +266,18 @@
                 _LOG.exception('pass.failed', error=repr(error))
             await self._outside.timer.sleep(_PASS_GAP_S)
 
+    def _journal_confirms(self) -> bool:
+        """Return whether a commit under the token has just succeeded."""
+        if self._context is None:
+            return False
+        now_s = self._outside.timer.now_s()
+        return now_s - self._context.journal.committed_s < _CONFIRM_S
+
     async def _confirm(self) -> None:
         """Notice another scheduler also while nothing is journaled."""
         async for _ in self._outside.timer.subscribe(lambda: _CONFIRM_S):
+            if self._journal_confirms():
+                continue
             claim = await self._outside.store.get(_keys.SCHEDULER)
             if claim.is_ok():
                 revision = claim.ok.revision if claim.ok else 0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -209,8 +209,10 @@
         """Hand over what this process schedules."""
         self._leadership.leaving = True
         if self._term is not None:
-            term = self._term
-            await term.hand_over()
+            # What is noted and not stored yet is dropped: no order for it
+            # was sent, and no end in it was acknowledged. Waiting for the
+            # store would only lengthen the gap.
+            self._term.end('planned stop')
             await self._leadership.release()
         await self._control.leave()
 
@@ -239,8 +241,6 @@
     async def _serve_terms(self) -> None:
         while True:
             token = await self._leadership.win()
-            while self._cell is None:
-                await self._timer.sleep(self._settings.cell_period_s)
             term = self._term = _term.Term(
                 token,
                 _term.Outside(
@@ -254,6 +254,8 @@
                 self._settings,
             )
             self.terms += 1
+            while self._cell is None:
+                await self._timer.sleep(_RESTART_S)
             try:
                 await term.run(self._cell)
             except Exception as error:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
@@ -25,8 +25,9 @@
     # How long a worker holds a report back until something ends. Shorter
     # finds stalled tasks and dead workers sooner, at a call each.
     report_wait_s: _Time = 0.5
-    # Beyond the wait: twenty times a round trip between failure domains.
-    report_timeout_s: _Time = 0.4
+    # Beyond the wait: fifty times a round trip between failure domains. A
+    # worker's answer may be lost, and its ends are not seen meanwhile.
+    report_timeout_s: _Time = 0.15
     # An order is answered within some ms; an unanswered one costs this long.
     order_timeout_s: _Time = 0.3
     # Due occurrences start at most this long before their time.
@@ -47,6 +48,6 @@
     probe_period_s: _Time = 0.15
     probe_timeout_s: _Time = 0.3
     # Between two readings of the operators' configuration.
-    cell_period_s: _Time = 0.5
+    cell_period_s: _Time = 0.8
     # Between two full readings of what is also watched.
     resync_period_s: _Time = 2.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -115,7 +115,14 @@
     async def state(
         self, job_id: str
     ) -> expression.Result[str | None, errors.Failure]:
-        """Return a job's state, or None where there is no such job."""
+        """Return a job's state, or None where there is no such job.
+
+        The scheduler is asked first, which costs a tenth of a store call and
+        saves 280 ms while the store is slow; it tells only what is stored.
+        """
+        remembered = await self._remembered_state(job_id)
+        if remembered is not None:
+            return expression.Ok(remembered)
         record = await self._store.get(_keys.record_key(job_id))
         if record.is_ok() and record.ok is not None:
             return expression.Ok(
@@ -127,9 +134,6 @@
                 if stored.ok is None:
                     return expression.Ok(None)
                 return expression.Ok(_state.JobState.QUEUED.value)
-        remembered = await self._remembered_state(job_id)
-        if remembered is not None:
-            return expression.Ok(remembered)
         return expression.Error(
             errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
         )
