Refuse at once in a known outage of the store, and notice its end

Ruled out: a longer wait (the store was away 4 to 5 s).

Change: once no way to the store has answered for 0.3 s, jobs are refused before anything is sent, so the refusal is true; every process asks the store by itself meanwhile; a write in doubt is repeated until it is certain or the caller's time ends. Retry-After follows the age of the outage.

--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -36,7 +36,7 @@
 class Ledger:
     """What all workers ran, and what they should not have run."""
 
-    __slots__ = ('done', 'running', 'starts', 'violations')
+    __slots__ = ('done', 'on_start', 'running', 'starts', 'violations')
 
     def __init__(self) -> None:
         self.starts: collections.Counter[ports.TaskName] = (
@@ -45,9 +45,13 @@
         self.done: set[ports.TaskName] = set()
         self.running: dict[ports.TaskName, str] = {}
         self.violations: list[str] = []
+        self.on_start: collections.abc.Callable[
+            [ports.TaskName, str], None
+        ] = lambda _task, _worker: None
 
     def start(self, task: ports.TaskName, worker: str) -> None:
         """Count a start; a second run at a time is a violation."""
+        self.on_start(task, worker)
         self.starts[task] += 1
         if task in self.running:
             self.violations.append(
@@ -212,6 +216,10 @@
         if until_ms is not None:
             limit_ms = self.clock_ms() + _LEASE_MAX_S * _MS
             self._until_ms = max(self._until_ms, min(until_ms, limit_ms))
+            left_s = (self._until_ms - self.clock_ms()) / _MS
+            asyncio.get_running_loop().call_later(
+                left_s / self.clock_rate + _TICK_S, self.advance
+            )
 
     def _end(self, name: ports.RunName, kind: ports.EndKind) -> None:
         run = self.runs.pop(name, None)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -12,6 +12,7 @@
 from walnutpoint_core import ports
 from walnutpoint_core import timer
 from walnutpoint_core import web
+from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _membership
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _peers
@@ -23,6 +24,12 @@
 _FAILURES_MAX: typing.Final = 2
 # How often the own way is tried again meanwhile.
 _RETRY_S: typing.Final = 1.0
+# Without an answer for this long, after failures, the store counts as down:
+# some calls of each process, which come in every second.
+_DOWN_S: typing.Final = 0.3
+# Between two questions in an outage, besides their timeouts: its end is
+# noticed within some 0.1 s where it refuses, and 0.6 s where it is silent.
+_OUTAGE_PROBE_S: typing.Final = 0.1
 _RELAYS_MAX: typing.Final = 2
 _TIMEOUT_S: typing.Final = 0.7
 # A process that has no way either is not asked again for this long.
@@ -73,6 +80,32 @@
         """Return the own way to the store."""
         return self._direct
 
+    @property
+    def is_down(self) -> bool:
+        """Return whether no way to the store has answered for a while."""
+        silent_s = self._timer.now_s() - self.answered_s
+        return not self.reaches_directly and silent_s > _DOWN_S
+
+    @property
+    def silent_s(self) -> float:
+        """Return how long the store has not answered."""
+        return self._timer.now_s() - self.answered_s
+
+    async def watch_outages(self) -> None:
+        """Ask again and again while the store does not answer.
+
+        In an outage callers are refused without a call, so that nobody
+        else would notice its end.
+        """
+        question = _messages.StoreQuestion('get', _keys.SCHEDULER)
+        async for _ in self._timer.subscribe(lambda: _OUTAGE_PROBE_S):
+            if self.reaches_directly:
+                continue
+            answer = await self._direct.get(_keys.SCHEDULER)
+            self._note(answer)
+            if answer.is_error():
+                await self._relay(question)
+
     @property
     def reaches_directly(self) -> bool:
         """Return whether the newest direct calls were answered."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -203,6 +203,7 @@
             tasks.start_soon(self._keep, self._follow_cell)
             tasks.start_soon(self._keep, self._control.run)
             tasks.start_soon(self._keep, self._leadership.follow)
+            tasks.start_soon(self._keep, self._store.watch_outages)
             await self._serve_terms()
 
     async def stop(self) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -18,6 +18,7 @@
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _record
+from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _term
 from walnutpoint_scheduler import document
@@ -28,8 +29,17 @@
 )
 
 _LOG: typing.Final = logs.get_logger('submission')
-# Tries of a write whose answer was lost; each takes a store timeout.
-_TRIES: typing.Final = 3
+# How long a write in doubt is repeated before its outcome is called unknown:
+# callers of jobs wait for some 3 s, and may not ask again after that answer.
+_DOUBT_MAX_S: typing.Final = 2.5
+# Left of the caller's time for the answer to arrive.
+_ANSWER_S: typing.Final = 0.1
+_RETRY_S: typing.Final = 0.05
+# When to come back in an outage, which lasts some 2 to 5 s and is over within
+# a second where it has lasted long. Callers give up after four repeats.
+_YOUNG_OUTAGE_S: typing.Final = 1.0
+_RETRY_YOUNG_S: typing.Final = 2.0
+_RETRY_OLD_S: typing.Final = 1.0
 _PEER_TIMEOUT_S: typing.Final = 0.4
 # A count may be two seconds old; half of that leaves time for the way.
 _COUNT_KEPT_S: typing.Final = 1.0
@@ -57,7 +67,7 @@
 
     def __init__(
         self,
-        store: ports.WatchedStore,
+        store: _relay.RelayedStore,
         leadership: _leadership.Leadership,
         peers: _peers.Peers,
         clock: timer.Timer,
@@ -89,20 +99,36 @@
             (ports.Guard(key, 0),),
             (ports.Put(key, document.encode_job(job)),),
         )
+        if self._store.is_down:
+            return self._refuse(job, self._outage())
+        end_s = min(
+            deadline_s - _ANSWER_S, self._timer.now_s() + _DOUBT_MAX_S
+        )
         maybe_stored = False
-        failure = errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
-        for _ in range(_TRIES):
+        while True:
             reply = await self._store.commit(batch)
             if reply.is_ok():
                 return await self._conclude(job, reply.ok)
-            failure = reply.error
             lost = errors.ErrorKind.STORE_ANSWER_LOST
-            maybe_stored = maybe_stored or failure.kind is lost
-            if not maybe_stored or self._timer.now_s() > deadline_s:
-                break
-        if maybe_stored:
-            kind = errors.ErrorKind.STORE_ANSWER_LOST
-            failure = errors.Failure(kind, failure.detail)
+            maybe_stored = maybe_stored or reply.error.kind is lost
+            if not maybe_stored:
+                return self._refuse(job, self._outage())
+            if self._timer.now_s() > end_s:
+                return self._refuse(job, errors.Failure(lost))
+            await self._timer.sleep(_RETRY_S)
+
+    def _outage(self) -> errors.Failure:
+        """Return the failure of a call that the store did not take."""
+        young = self._store.silent_s < _YOUNG_OUTAGE_S
+        return errors.Failure(
+            errors.ErrorKind.STORE_UNAVAILABLE,
+            f'the store is silent for {self._store.silent_s:.1f} s',
+            _RETRY_YOUNG_S if young else _RETRY_OLD_S,
+        )
+
+    def _refuse(
+        self, job: document.Job, failure: errors.Failure
+    ) -> expression.Result[Taken, errors.Failure]:
         _LOG.warning(
             'job.refused',
             job=job.job_id,
@@ -123,6 +149,8 @@
         remembered = await self._remembered_state(job_id)
         if remembered is not None:
             return expression.Ok(remembered)
+        if self._store.is_down:
+            return expression.Error(self._outage())
         record = await self._store.get(_keys.record_key(job_id))
         if record.is_ok() and record.ok is not None:
             return expression.Ok(
@@ -150,20 +178,17 @@
         batch = ports.Batch(
             (), (ports.Put(_keys.cancel_key(job_id), b'1'),)
         )
-        failure = errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
-        for _ in range(_TRIES):
-            if stored.is_error():
-                stored = await self._store.get(_keys.job_key(job_id))
-                if stored.is_ok() and stored.ok is None:
-                    return expression.Ok(False)
+        failure = self._outage()
+        while stored.is_ok() and not self._store.is_down:
             reply = await self._store.commit(batch)
             if reply.is_ok():
                 _LOG.info('job.cancel_stored', job=job_id)
                 self._tell_cancel(job_id)
                 return expression.Ok(True)
             failure = reply.error
-            if self._timer.now_s() > deadline_s:
+            if self._timer.now_s() > deadline_s - _ANSWER_S:
                 break
+            await self._timer.sleep(_RETRY_S)
         _LOG.warning(
             'job.cancel_failed', job=job_id, kind=failure.kind.value
         )
--- /dev/null
+++ b/tests/walnutpoint_scheduler/harness.py
@@ -0,0 +1,187 @@
+"""One term over stand-ins of the store, workers and advice."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import contextlib
+import dataclasses
+import typing
+
+import anyio
+
+from walnutpoint_core import ports as core_ports
+from walnutpoint_model import advice
+from walnutpoint_model import store
+from walnutpoint_model import virtual_time
+from walnutpoint_model import workers
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import _record
+from walnutpoint_scheduler import _term
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import document
+from walnutpoint_scheduler import settings
+
+__all__ = (
+    'Bed',
+    'core_ports',
+    'document',
+    'job',
+    'play',
+    'reborn',
+    'step',
+    'until',
+    'workers',
+)
+
+QUEUE = cell.Queue(
+    'urgent', 'host', '/urgent/', 'pool', 0, 3, 1.5, 0.25, 3.0
+)
+BATCH = cell.Queue('batch', 'host', '/batch/', 'pool', 2, 3, 2.2, 1.2, 3.0)
+ADVISED = cell.Queue(
+    'advised',
+    'host',
+    '/advised/',
+    'pool',
+    2,
+    3,
+    2.2,
+    1.2,
+    3.0,
+    cell.AdviceTerms(0.4, 0.006, 2.0),
+)
+CELL = cell.Cell(1, (QUEUE, BATCH, ADVISED), (cell.Pool('pool'),))
+LENGTH_S = 0.6
+
+
+def job(
+    number: int,
+    *steps: document.Step,
+    queue: cell.Queue = QUEUE,
+    accepted_ms: int = 0,
+    **fields: typing.Any,
+) -> document.Job:
+    """Return a job with a recognizable identifier."""
+    return document.Job(
+        f'{number:016x}',
+        queue.name,
+        'payload',
+        steps or (step(),),
+        accepted_ms,
+        accepted_by=queue,
+        **fields,
+    )
+
+
+def step(count: int = 2, **fields: typing.Any) -> document.Step:
+    """Return a step of small tasks."""
+    values = {'cpu_millicores': 1000, 'memory_mb': 100, 'estimate_ms': 600}
+    return document.Step(count, **(values | fields))
+
+
+class Bed:
+    """Store, workers and terms of one test."""
+
+    def __init__(self, worker_count: int = 4) -> None:
+        self.store = store.MemoryStore()
+        self.fleet = workers.Fleet()
+        self.advice = advice.AdviceService(
+            typing.cast(cell.AdviceTerms, ADVISED.advice), 0.6
+        )
+        self.timer = virtual_time.LoopTimer()
+        self.length_s: collections.abc.Callable[
+            [typing.Any], float
+        ] = lambda _task: LENGTH_S
+        for number in range(worker_count):
+            self.add_worker(number)
+
+    def add_worker(self, number: int, **fields: typing.Any) -> workers.Worker:
+        """Add a worker that runs tasks of the bed's length."""
+        return self.fleet.add(
+            workers.listed_worker(number, **fields),
+            lambda task: self.length_s(task),
+            number,
+        )
+
+    def hand_in(self, handed: document.Job) -> None:
+        """Store a job as a process that accepted it does."""
+        self.store.put(
+            _keys.job_key(handed.job_id), document.encode_job(handed)
+        )
+
+    def cancel(self, job_id: str) -> None:
+        """Store a cancel."""
+        self.store.put(_keys.cancel_key(job_id), b'1')
+
+    def claim(self) -> int:
+        """Make another term's token the newest."""
+        return self.store.put(_keys.SCHEDULER, b'claim')
+
+    def now_ms(self) -> int:
+        """Return the time of day."""
+        return int(asyncio.get_running_loop().time() * 1000)
+
+    def term(
+        self, token: int | None = None, **changes: typing.Any
+    ) -> _term.Term:
+        """Return a term that holds the newest token, unless told."""
+        return _term.Term(
+            self.claim() if token is None else token,
+            _term.Outside(
+                self.store,
+                self.fleet,
+                self.fleet,
+                self.advice,
+                self.timer,
+                self.now_ms,
+            ),
+            settings.SchedulerSettings(**changes),
+        )
+
+    @contextlib.asynccontextmanager
+    async def scheduling(
+        self, **changes: typing.Any
+    ) -> collections.abc.AsyncIterator[_term.Term]:
+        """Run a term, and end it at the end of the block."""
+        term = self.term(**changes)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(term.run, CELL)
+            yield term
+            term.end('end of the test')
+
+    def state(self, job_id: str) -> str:
+        """Return a job's state as the store has it."""
+        item = self.store.items.get(_keys.record_key(job_id))
+        if item is None:
+            return 'queued'
+        return _record.decode_record(item.value).state
+
+
+def reborn(
+    listed: cell.ListedWorker, worker_id: str
+) -> cell.ListedWorker:
+    """Return the listing of another life at the same address."""
+    return dataclasses.replace(listed, worker_id=worker_id)
+
+
+async def until(
+    condition: collections.abc.Callable[[], bool], limit_s: float = 60.0
+) -> float:
+    """Wait for a condition and return how long that took."""
+    loop = asyncio.get_running_loop()
+    start_s = loop.time()
+    while not condition():
+        if loop.time() - start_s > limit_s:
+            raise AssertionError(f'not within {limit_s} s')
+        await anyio.sleep(0.005)
+    return loop.time() - start_s
+
+
+def play(
+    scene: collections.abc.Callable[
+        [], collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ],
+) -> None:
+    """Run a scene in virtual time."""
+    virtual_time.run(scene())
+
--- /dev/null
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -0,0 +1,239 @@
+"""What client accounts are answered, and what is true of it."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+import unittest
+
+import anyio
+
+from tests.walnutpoint_scheduler import harness
+from walnutpoint_core import errors
+from walnutpoint_core import web
+from walnutpoint_model import store
+from walnutpoint_model import virtual_time
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import _leadership
+from walnutpoint_scheduler import _membership
+from walnutpoint_scheduler import _messages
+from walnutpoint_scheduler import _peers
+from walnutpoint_scheduler import _relay
+from walnutpoint_scheduler import settings
+from walnutpoint_scheduler import submission
+
+
+class Desk:
+    """Submissions of a process that knows no other."""
+
+    def __init__(self) -> None:
+        self.store = store.MemoryStore()
+        clock = virtual_time.LoopTimer()
+        members = _membership.Membership(
+            _messages.Member('me', '127.0.0.1:1', 'domain-0', 'life')
+        )
+        peers = _peers.Peers(web.Client())
+        self.relayed = _relay.RelayedStore(
+            self.store, members, peers, clock
+        )
+        self.submissions = submission.Submissions(
+            self.relayed,
+            _leadership.Leadership(
+                self.relayed,
+                members,
+                peers,
+                clock,
+                settings.SchedulerSettings(),
+            ),
+            peers,
+            clock,
+            lambda: None,
+            lambda *_: None,
+        )
+
+    async def submit(
+        self, number: int, wait_s: float = 3.0
+    ) -> typing.Any:
+        """Hand in a job that is waited for so long."""
+        now_s = asyncio.get_running_loop().time()
+        return await self.submissions.submit(
+            harness.job(number), now_s + wait_s
+        )
+
+
+class SubmitTest(unittest.TestCase):
+    """Accepted means stored, refused means that it never runs."""
+
+    def test_accepted_job_is_stored_once(self) -> None:
+        async def scene() -> None:
+            desk = Desk()
+            first = await desk.submit(1)
+            again = await desk.submit(1)
+            self.assertIs(submission.Taken.NEW, first.ok)
+            self.assertIs(submission.Taken.KNOWN, again.ok)
+            key = _keys.job_key(harness.job(1).job_id)
+            self.assertIn(key, desk.store.items)
+
+        harness.play(scene)
+
+    def test_another_job_under_a_known_name_is_refused(self) -> None:
+        async def scene() -> None:
+            desk = Desk()
+            await desk.submit(1)
+            other = await desk.submissions.submit(
+                harness.job(1, harness.step(7)), 2000.0
+            )
+            self.assertIs(
+                errors.ErrorKind.KEY_MISMATCH, other.error.kind
+            )
+
+        harness.play(scene)
+
+    def test_refusing_store_means_refused_and_never_stored(self) -> None:
+        """The caller is told at once to come back.
+
+        The store refuses every call, which says that nothing was done; the
+        job is not stored then, nor at any later time.
+        """
+
+        async def scene() -> None:
+            desk = Desk()
+            desk.store.fault = store.StoreFault.REFUSES
+            began_s = asyncio.get_running_loop().time()
+            answer = await desk.submit(1)
+            took_s = asyncio.get_running_loop().time() - began_s
+            self.assertIs(
+                errors.ErrorKind.STORE_UNAVAILABLE, answer.error.kind
+            )
+            self.assertLess(took_s, 0.1)
+            await anyio.sleep(20)
+            self.assertFalse(desk.store.items)
+
+        harness.play(scene)
+
+    def test_lost_answer_is_resolved_before_anything_is_said(self) -> None:
+        """The caller hears that its job was accepted.
+
+        The write was applied and its answer lost. Repeating it finds the
+        job in the store; a refusal would have been a lie.
+        """
+
+        async def scene() -> None:
+            desk = Desk()
+            desk.store.fault = store.StoreFault.LOSES_ANSWERS
+
+            async def mend() -> None:
+                await anyio.sleep(0.3)
+                desk.store.fault = store.StoreFault.NONE
+
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(mend)
+                answer = await desk.submit(1)
+            self.assertTrue(answer.is_ok())
+
+        harness.play(scene)
+
+    def test_write_in_doubt_is_never_called_a_refusal(self) -> None:
+        """The caller hears that the outcome is unknown.
+
+        Every commit is unanswered and may be applied seconds later, beyond
+        the time that the caller waits.
+        """
+
+        async def scene() -> None:
+            desk = Desk()
+            desk.store.fault = store.StoreFault.APPLIES_LATE
+            answer = await desk.submit(1)
+            self.assertIs(errors.Outcome.UNKNOWN, answer.error.outcome)
+
+        harness.play(scene)
+
+    def test_known_outage_is_answered_at_once(self) -> None:
+        """Pattern: callers keep coming while the store is silent.
+
+        The first calls run into their timeouts. From then on the outage is
+        known, and a job is refused at once, before anything is sent: held
+        for a timeout each, every caller would lose half a second and then
+        hear that its outcome is unknown, after which it may not ask again.
+        """
+
+        async def scene() -> None:
+            desk = Desk()
+            await desk.submit(1)
+            desk.store.fault = store.StoreFault.SILENT
+            for _ in range(3):
+                await desk.relayed.get('any')
+            began_s = asyncio.get_running_loop().time()
+            answer = await desk.submit(2)
+            took_s = asyncio.get_running_loop().time() - began_s
+            self.assertIs(errors.Outcome.NOT_RUN, answer.error.outcome)
+            self.assertLess(took_s, 0.01)
+
+        harness.play(scene)
+
+    def test_end_of_an_outage_is_noticed_without_callers(self) -> None:
+        """Pattern: the first caller after an outage.
+
+        The process asks the store again and again by itself, so that the
+        outage is known to be over within 0.7 s and nobody is refused for
+        an outage that has ended.
+        """
+
+        async def scene() -> None:
+            desk = Desk()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(desk.relayed.watch_outages)
+                await desk.submit(1)
+                desk.store.fault = store.StoreFault.SILENT
+                for _ in range(3):
+                    await desk.relayed.get('any')
+                self.assertTrue(desk.relayed.is_down)
+                await anyio.sleep(3)
+                desk.store.fault = store.StoreFault.NONE
+                await harness.until(
+                    lambda: not desk.relayed.is_down, limit_s=0.7
+                )
+                answer = await desk.submit(2)
+                self.assertTrue(answer.is_ok())
+                tasks.cancel_scope.cancel()
+
+        harness.play(scene)
+
+
+class StateTest(unittest.TestCase):
+    """States and cancels."""
+
+    def test_unknown_job_has_no_state(self) -> None:
+        async def scene() -> None:
+            desk = Desk()
+            state = await desk.submissions.state('f' * 16)
+            self.assertIsNone(state.ok)
+            cancelled = await desk.submissions.cancel('f' * 16, 2000.0)
+            self.assertFalse(cancelled.ok)
+
+        harness.play(scene)
+
+    def test_stored_job_is_queued_until_its_record_says_more(self) -> None:
+        async def scene() -> None:
+            desk = Desk()
+            await desk.submit(1)
+            job_id = harness.job(1).job_id
+            state = await desk.submissions.state(job_id)
+            self.assertEqual('queued', state.ok)
+            cancelled = await desk.submissions.cancel(job_id, 2000.0)
+            self.assertTrue(cancelled.ok)
+            self.assertIn(_keys.cancel_key(job_id), desk.store.items)
+
+        harness.play(scene)
+
+    def test_state_is_not_guessed_in_an_outage(self) -> None:
+        """The caller is told to come back, not that its job is unknown."""
+
+        async def scene() -> None:
+            desk = Desk()
+            await desk.submit(1)
+            desk.store.fault = store.StoreFault.REFUSES
+            state = await desk.submissions.state(harness.job(1).job_id)
+            self.assertTrue(state.is_error())
+
+        harness.play(scene)
--- /dev/null
+++ b/tests/walnutpoint_scheduler/test_term_faults.py
@@ -0,0 +1,362 @@
+"""Failures of workers, store and schedulers while jobs run."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from tests.walnutpoint_scheduler import harness
+from walnutpoint_model import store
+from walnutpoint_scheduler import _keys
+
+
+class TakeoverTest(unittest.TestCase):
+    """Another term goes on where one was lost."""
+
+    def test_running_tasks_are_adopted(self) -> None:
+        """The caller sees its job end as if nothing had happened.
+
+        A scheduler dies while three tasks run. The next one finds them in
+        the journal, hears from their workers that they run, and starts
+        nothing twice.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed()
+            bed.length_s = lambda task: 2.0
+            handed = harness.job(1, harness.step(3))
+            async with bed.scheduling():
+                bed.hand_in(handed)
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 3
+                )
+            async with bed.scheduling():
+                await harness.until(
+                    lambda: bed.state(handed.job_id) == 'done'
+                )
+            self.assertEqual([], bed.fleet.ledger.violations)
+            self.assertEqual(3, sum(bed.fleet.ledger.starts.values()))
+
+        harness.play(scene)
+
+    def test_deposed_scheduler_neither_orders_nor_records(self) -> None:
+        """Two schedulers are alive at once; each task still runs once.
+
+        A paused scheduler wakes after another took over. Its orders carry
+        the older token, which workers refuse, and its journal writes fail
+        on their guard, whereupon its term ends.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed()
+            old = bed.term()
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(old.run, harness.CELL)
+                await anyio.sleep(1)
+                new = bed.term()
+                tasks.start_soon(new.run, harness.CELL)
+                for number in range(20):
+                    bed.hand_in(harness.job(number, harness.step(4)))
+                await harness.until(
+                    lambda: all(
+                        bed.state(f'{n:016x}') == 'done' for n in range(20)
+                    )
+                )
+                self.assertTrue(old.reason)
+                new.end('end of the test')
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_silent_worker_keeps_its_task_until_its_lease_lapsed(
+        self,
+    ) -> None:
+        """The caller's task comes late, and never runs in two places.
+
+        A worker is cut off and runs on; the scheduler dies, and the next
+        one can't reach the worker either. It knows from the journal that
+        the task may run there, and waits for the longest lease that anyone
+        could have granted before it starts the task elsewhere.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(3)
+            bed.length_s = lambda task: 6.0
+            handed = harness.job(1, harness.step(1))
+            async with bed.scheduling():
+                bed.hand_in(handed)
+                await harness.until(lambda: bool(bed.fleet.ledger.running))
+            name = next(iter(bed.fleet.ledger.running.values()))
+            bed.fleet.workers[name].cut = True
+            async with bed.scheduling():
+                waited_s = await harness.until(
+                    lambda: sum(bed.fleet.ledger.starts.values()) == 2
+                )
+                bed.fleet.workers[name].cut = False
+                await harness.until(
+                    lambda: bed.state(handed.job_id) == 'done'
+                )
+            self.assertGreater(waited_s, 3.0)
+            self.assertLess(waited_s, 6.0)
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_end_that_was_not_acknowledged_is_not_lost(self) -> None:
+        """The caller's job ends though its scheduler died with the news.
+
+        A task ends while the store refuses everything: the end can't be
+        stored, so it is not acknowledged. The next scheduler hears it from
+        the worker again; the task is not run a second time.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed()
+            handed = harness.job(1, harness.step(2))
+            async with bed.scheduling():
+                bed.hand_in(handed)
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 2
+                )
+                bed.store.fault = store.StoreFault.REFUSES
+                await harness.until(lambda: not bed.fleet.ledger.running)
+                await anyio.sleep(0.3)
+            bed.store.fault = store.StoreFault.NONE
+            async with bed.scheduling():
+                await harness.until(
+                    lambda: bed.state(handed.job_id) == 'done'
+                )
+            self.assertEqual(2, sum(bed.fleet.ledger.starts.values()))
+
+        harness.play(scene)
+
+
+class StoreTest(unittest.TestCase):
+    """The store is down, loses answers or applies writes late."""
+
+    def test_jobs_go_on_after_an_outage(self) -> None:
+        """Callers wait out the outage; nothing is lost or run twice.
+
+        Tasks that run when the store goes away keep their leases; what
+        ends is acknowledged, and what waits is started, once it is back.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed()
+            bed.length_s = lambda task: 1.0
+            handed = harness.job(
+                1, harness.step(2), harness.step(2, after=(0,))
+            )
+            async with bed.scheduling() as term:
+                bed.hand_in(handed)
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 2
+                )
+                bed.store.fault = store.StoreFault.SILENT
+                await anyio.sleep(6)
+                bed.store.fault = store.StoreFault.NONE
+                await harness.until(
+                    lambda: bed.state(handed.job_id) == 'done'
+                )
+                self.assertEqual('', term.reason)
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_late_write_does_not_put_back_an_older_record(self) -> None:
+        """Jobs stay done though an old record's write comes afterwards.
+
+        Half of the commits get no answer and are applied seconds later. A
+        record's own revision is guarded, so that an old one loses against
+        the newer one that was written meanwhile.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed()
+            jobs = [
+                harness.job(
+                    number, harness.step(3), harness.step(2, after=(0,))
+                )
+                for number in range(10)
+            ]
+            async with bed.scheduling():
+                bed.store.fault = store.StoreFault.APPLIES_LATE
+                bed.store.fault_share = 0.5
+                for handed in jobs:
+                    bed.hand_in(handed)
+                await harness.until(
+                    lambda: all(
+                        bed.state(j.job_id) == 'done' for j in jobs
+                    )
+                )
+                bed.store.fault = store.StoreFault.NONE
+                await anyio.sleep(8)
+            for handed in jobs:
+                self.assertEqual('done', bed.state(handed.job_id))
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_forgotten_history_hides_no_job(self) -> None:
+        """A job is started though the watch never told of it.
+
+        The store drops its history while jobs come. The watch says that
+        changes are gone, and everything is read anew.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed()
+            handed = harness.job(1, harness.step(1))
+            async with bed.scheduling():
+                await anyio.sleep(1)
+                bed.store.items[_keys.job_key(handed.job_id)] = (
+                    _silent_item(bed, handed)
+                )
+                bed.store.forget_history()
+                await harness.until(
+                    lambda: bed.state(handed.job_id) == 'done'
+                )
+
+        harness.play(scene)
+
+
+class WorkerFaultTest(unittest.TestCase):
+    """Workers fail in each way that an order can."""
+
+    def test_late_orders_never_run_a_task_twice(self) -> None:
+        """Starts get no answer and are carried out seconds later.
+
+        The worker is told to stop the attempt first, which blocks it for
+        good; only then is the task started elsewhere.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed()
+            for worker in bed.fleet.workers.values():
+                worker.late_share = 0.3
+            jobs = [harness.job(n, harness.step(5)) for n in range(20)]
+            async with bed.scheduling():
+                for handed in jobs:
+                    bed.hand_in(handed)
+                await harness.until(
+                    lambda: all(
+                        bed.state(j.job_id) == 'done' for j in jobs
+                    )
+                )
+                await anyio.sleep(15)
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_lost_answers_never_run_a_task_twice(self) -> None:
+        """Starts are carried out and their answers lost.
+
+        The worker's next report shows the run, which is then taken for
+        started; it is neither stopped nor started again.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed()
+            for worker in bed.fleet.workers.values():
+                worker.loses_answers_share = 0.3
+            jobs = [harness.job(n, harness.step(5)) for n in range(20)]
+            async with bed.scheduling():
+                for handed in jobs:
+                    bed.hand_in(handed)
+                await harness.until(
+                    lambda: all(
+                        bed.state(j.job_id) == 'done' for j in jobs
+                    )
+                )
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_crashed_worker_is_known_by_its_new_life(self) -> None:
+        """Tasks of a crashed worker come back within a second.
+
+        A new life lists itself at the old one's address: what the old one
+        ran is over, and no lease is waited for.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(2)
+            bed.length_s = lambda task: 5.0
+            handed = harness.job(1, harness.step(2, per_worker_max=1))
+            async with bed.scheduling():
+                bed.hand_in(handed)
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 2
+                )
+                bed.fleet.remove('worker-0')
+                reborn = harness.workers.listed_worker(0)
+                bed.fleet.add(
+                    harness.reborn(reborn, 'worker-0b'),
+                    lambda task: 5.0,
+                )
+                waited_s = await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 2
+                )
+            self.assertLess(waited_s, 1.0)
+
+        harness.play(scene)
+
+    def test_stalled_task_is_run_elsewhere(self) -> None:
+        """A job ends though one worker holds its task without working.
+
+        The task's percent stands still in the reports. It is stopped, and
+        its worker counts as faulty.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(4)
+            bed.fleet.workers['worker-0'].hangs = True
+            jobs = [harness.job(n, harness.step(8)) for n in range(3)]
+            async with bed.scheduling():
+                for handed in jobs:
+                    bed.hand_in(handed)
+                waited_s = await harness.until(
+                    lambda: all(
+                        bed.state(j.job_id) == 'done' for j in jobs
+                    )
+                )
+            self.assertLess(waited_s, 5.0)
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_failing_worker_does_not_use_up_attempts(self) -> None:
+        """Jobs are done though one worker fails all that it starts.
+
+        It fails at once, so it is always free and would draw every task.
+        After a few failures of different jobs in a row it gets none.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(6)
+            bed.fleet.workers['worker-0'].fails = True
+            jobs = [harness.job(n, harness.step(4)) for n in range(30)]
+            async with bed.scheduling():
+                for handed in jobs:
+                    bed.hand_in(handed)
+                    await anyio.sleep(0.1)
+                await harness.until(
+                    lambda: all(
+                        bed.state(j.job_id) in ('done', 'failed')
+                        for j in jobs
+                    )
+                )
+            states = [bed.state(j.job_id) for j in jobs]
+            self.assertEqual(0, states.count('failed'))
+
+        harness.play(scene)
+
+
+def _silent_item(bed, handed):
+    bed.store.revision += 1
+    return harness.core_ports.StoredValue(
+        _keys.job_key(handed.job_id),
+        harness.document.encode_job(handed),
+        bed.store.revision,
+    )
