--- a/packages/walnutpoint-core/src/walnutpoint_core/web/__init__.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/__init__.py
@@ -6,11 +6,13 @@
 from walnutpoint_core.web._message import Request
 from walnutpoint_core.web._message import Response
 from walnutpoint_core.web._message import json_response
+from walnutpoint_core.web._server import Handler
 from walnutpoint_core.web._server import Server
 
 __all__ = (
     'Client',
     'ClientConnection',
+    'Handler',
     'Loss',
     'Request',
     'Response',
--- a/packages/walnutpoint-core/src/walnutpoint_core/web/_server.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/_server.py
@@ -13,7 +13,10 @@
 from walnutpoint_core import logs
 from walnutpoint_core.web import _message
 
-__all__ = ('Server',)
+__all__ = (
+    'Handler',
+    'Server',
+)
 
 _LOG: typing.Final = logs.get_logger('web')
 _TCP_USER_TIMEOUT: typing.Final = getattr(socket, 'TCP_USER_TIMEOUT', 18)
--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
@@ -0,0 +1,195 @@
+"""A whole cell in virtual time: processes, workers, store and advice."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import contextlib
+import typing
+
+import anyio
+import anyio.abc
+import expression
+
+from walnutpoint_core import errors
+from walnutpoint_core import ports as core_ports
+from walnutpoint_model import advice
+from walnutpoint_model import network
+from walnutpoint_model import store
+from walnutpoint_model import virtual_time
+from walnutpoint_model import workers
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import process
+from walnutpoint_scheduler import settings
+
+__all__ = (
+    'CellModel',
+    'ModelProcess',
+)
+
+_MS: typing.Final = 1000
+_NO_ADVICE: typing.Final = cell.AdviceTerms(0.05, 0.0003, 2.0)
+
+
+class _FixedCells:
+    """A configuration source that has one configuration."""
+
+    __slots__ = ('_cell',)
+
+    def __init__(self, configured: cell.Cell) -> None:
+        self._cell = configured
+
+    async def fetch(
+        self,
+    ) -> expression.Result[cell.Cell | None, errors.Failure]:
+        """Return the configuration."""
+        return expression.Ok(self._cell)
+
+
+class _ReachedStore:
+    """The store as one process reaches it."""
+
+    __slots__ = ('_store', 'refused')
+
+    def __init__(self, shared: store.MemoryStore) -> None:
+        self._store = shared
+        self.refused = False
+
+    async def get(self, key: str) -> typing.Any:
+        """Read one key."""
+        return self._refusal() or await self._store.get(key)
+
+    async def read(self, prefix: str) -> typing.Any:
+        """Read every key below a prefix."""
+        return self._refusal() or await self._store.read(prefix)
+
+    async def watch(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> typing.Any:
+        """Wait for changes."""
+        return self._refusal() or await self._store.watch(
+            prefix, after_revision, wait_s
+        )
+
+    async def commit(self, batch: core_ports.Batch) -> typing.Any:
+        """Apply a batch."""
+        return self._refusal() or await self._store.commit(batch)
+
+    def _refusal(self) -> typing.Any:
+        if not self.refused:
+            return None
+        return expression.Error(
+            errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE, 'refused')
+        )
+
+
+class ModelProcess:
+    """One process and the switches of its host."""
+
+    __slots__ = ('_scope', 'address', 'name', 'process', 'store')
+
+    def __init__(
+        self, name: str, address: str, reached: _ReachedStore
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.store = reached
+        self.process: process.Process = typing.cast(typing.Any, None)
+        self._scope: anyio.CancelScope | None = None
+
+    async def run(self) -> None:
+        """Run until killed."""
+        with anyio.CancelScope() as self._scope:
+            await self.process.run()
+
+    def kill(self) -> None:
+        """End at once, without a word to anyone."""
+        if self._scope is not None:
+            self._scope.cancel()
+
+
+class CellModel:
+    """Builds, breaks and mends the parts of a cell."""
+
+    __slots__ = ('_config', '_lives', '_tasks', 'advice', 'configured',
+                 'fleet', 'network', 'processes', 'store', 'timer')
+
+    def __init__(
+        self,
+        configured: cell.Cell,
+        tasks: anyio.abc.TaskGroup,
+        config: settings.SchedulerSettings | None = None,
+        seed: int = 1,
+        terms: cell.AdviceTerms = _NO_ADVICE,
+        granted_share: float = 0.7,
+    ) -> None:
+        self.configured = configured
+        self.store = store.MemoryStore(seed)
+        self.network = network.Network()
+        self.fleet = workers.Fleet()
+        self.advice = advice.AdviceService(terms, granted_share)
+        self.timer = virtual_time.LoopTimer()
+        self.processes: dict[str, ModelProcess] = {}
+        self._tasks = tasks
+        self._config = config or settings.SchedulerSettings()
+        self._lives = 0
+
+    def now_ms(self) -> int:
+        """Return the time of day."""
+        return int(asyncio.get_running_loop().time() * _MS)
+
+    def start(self, name: str) -> ModelProcess:
+        """Start a process, or another life of it."""
+        address = f'{name}:1'
+        model = ModelProcess(name, address, _ReachedStore(self.store))
+        model.process = process.Process(
+            process.Identity(name, address, 'domain-0', ()),
+            model.store,
+            lambda _store: _FixedCells(self.configured),
+            lambda _store: self.fleet,
+            self.fleet,
+            self.advice,
+            self.timer,
+            self.now_ms,
+            self._config,
+            network.ProcessNetwork(self.network, address),
+        )
+        self.processes[name] = model
+        self._tasks.start_soon(model.run)
+        return model
+
+    def kill(self, name: str) -> None:
+        """Kill a process; its address refuses connections."""
+        model = self.processes.pop(name)
+        self.network.close(model.address)
+        model.kill()
+
+    async def stop(self, name: str) -> None:
+        """Stop a process as planned."""
+        model = self.processes.pop(name)
+        await model.process.stop()
+        self.network.close(model.address)
+        model.kill()
+
+    def scheduler(self) -> str | None:
+        """Return the process with the newest term that schedules."""
+        best: tuple[float, str] | None = None
+        for name, model in self.processes.items():
+            figures = model.process.figures()
+            if figures['schedules'] and figures.get('workers_known'):
+                found = (figures['token'], name)
+                best = max(best, found) if best else found
+        return best[1] if best else None
+
+
+@contextlib.asynccontextmanager
+async def running(
+    configured: cell.Cell, process_count: int, **options: typing.Any
+) -> collections.abc.AsyncIterator[CellModel]:
+    """Run a cell during a block."""
+    async with anyio.create_task_group() as tasks:
+        model = CellModel(configured, tasks, **options)
+        for number in range(process_count):
+            model.start(f'host-{number}')
+        yield model
+        tasks.cancel_scope.cancel()
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peers.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peers.py
@@ -17,6 +17,7 @@
 __all__ = (
     'ADVICE_PATH',
     'CANCEL_PATH',
+    'Exchange',
     'JOB_PATH',
     'PENDING_PATH',
     'PROBE_PATH',
@@ -38,12 +39,21 @@
 _AnswerT = typing.TypeVar('_AnswerT')
 
 
+class Exchange(typing.Protocol):
+    """A way to send a request and read its response."""
+
+    async def exchange(
+        self, address: str, request: web.Request, timeout_s: float
+    ) -> web.Response | web.Loss:
+        """Send a request and read its whole response."""
+
+
 class Peers:
     """Asks other processes, each call bounded in time."""
 
     __slots__ = ('_client',)
 
-    def __init__(self, client: web.Client) -> None:
+    def __init__(self, client: Exchange) -> None:
         self._client = client
 
     async def ask(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -28,7 +28,10 @@
 from walnutpoint_scheduler import submission
 
 __all__ = (
+    'HttpNetwork',
     'Identity',
+    'Listener',
+    'Network',
     'Process',
 )
 
@@ -58,6 +61,44 @@
         self.seeds = seeds
 
 
+class Listener(typing.Protocol):
+    """An address that answers."""
+
+    async def start(self) -> None:
+        """Begin to answer."""
+
+
+class Network(typing.Protocol):
+    """How processes of the system reach one another."""
+
+    async def exchange(
+        self, address: str, request: web.Request, timeout_s: float
+    ) -> web.Response | web.Loss:
+        """Send a request and read its whole response."""
+
+    def server(self, address: str, handler: web.Handler) -> Listener:
+        """Return a listener that passes requests to a handler."""
+
+
+class HttpNetwork:
+    """Processes on hosts, over TCP."""
+
+    __slots__ = ('_client',)
+
+    def __init__(self) -> None:
+        self._client = web.Client(_CONNECT_TIMEOUT_S, _IDLE_CONNECTIONS)
+
+    async def exchange(
+        self, address: str, request: web.Request, timeout_s: float
+    ) -> web.Response | web.Loss:
+        """Send a request and read its whole response."""
+        return await self._client.exchange(address, request, timeout_s)
+
+    def server(self, address: str, handler: web.Handler) -> Listener:
+        """Return a listener that passes requests to a handler."""
+        return web.Server(address, handler, _PEER_BODY_SIZE_BYTES)
+
+
 class Process:
     """The parts of one process, and the tasks that keep them going."""
 
@@ -97,8 +138,10 @@
         clock: timer.Timer,
         now_ms: collections.abc.Callable[[], int],
         config: settings.SchedulerSettings,
+        network: Network | None = None,
     ) -> None:
         """Assemble the parts; nothing is sent before run()."""
+        network = network or HttpNetwork()
         me = _messages.Member(
             identity.name,
             identity.peer_address,
@@ -110,9 +153,7 @@
         self._settings = config
         self._orders = orders
         self._members = _membership.Membership(me)
-        self._peers = _peers.Peers(
-            web.Client(_CONNECT_TIMEOUT_S, _IDLE_CONNECTIONS)
-        )
+        self._peers = _peers.Peers(network)
         self._store = _relay.RelayedStore(
             store, self._members, self._peers, clock
         )
@@ -144,7 +185,7 @@
             lambda: self._term,
             self._spawn,
         )
-        self._peer_server = web.Server(
+        self._peer_server = network.server(
             identity.peer_address,
             _peer_desk.PeerDesk(
                 me,
@@ -157,7 +198,6 @@
                 self._store,
                 lambda: self._cell,
             ).answer,
-            _PEER_BODY_SIZE_BYTES,
         )
 
     @property
--- /dev/null
+++ b/tests/walnutpoint_scheduler/test_takeover.py
@@ -0,0 +1,227 @@
+"""Several processes of one cell, and the loss of the one that schedules."""
+
+from __future__ import annotations
+
+import contextlib
+import unittest
+
+import anyio
+
+from tests.walnutpoint_scheduler import harness
+from walnutpoint_model import cell_model
+from walnutpoint_model import workers
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import document
+
+PROCESSES = 5
+WORKERS = 6
+
+
+@contextlib.asynccontextmanager
+async def cell(process_count: int = PROCESSES):
+    """Run a cell whose tasks take 0.6 s."""
+    async with cell_model.running(harness.CELL, process_count) as model:
+        for number in range(WORKERS):
+            model.fleet.add(
+                workers.listed_worker(number), lambda task: 0.6, number
+            )
+        await harness.until(lambda: model.scheduler() is not None)
+        yield model
+
+
+def hand_in(model, number: int, *steps) -> str:
+    """Store a job as an accepting process does."""
+    handed = harness.job(number, *steps)
+    model.store.put(
+        _keys.job_key(handed.job_id), document.encode_job(handed)
+    )
+    return handed.job_id
+
+
+async def first_start_s(model, number: int) -> float:
+    """Hand in a job and return the time until its first start."""
+    job_id = hand_in(model, number, harness.step(1))
+    return await harness.until(
+        lambda: any(
+            task.job_id == job_id for task in model.fleet.ledger.starts
+        )
+    )
+
+
+class TakeoverTest(unittest.TestCase):
+    """The gap without starts, by what happens to the scheduler."""
+
+    def test_killed_scheduler_is_replaced_within_a_tenth(self) -> None:
+        """Callers notice nothing but some 100 ms.
+
+        The scheduler's process is killed, so its address refuses
+        connections. The others see that at their next probe, and the first
+        in order takes over at the second refusal.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                model.kill(model.scheduler())
+                gap_s = await first_start_s(model, 1)
+                self.assertLess(gap_s, 0.6)
+                self.assertEqual([], model.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_silent_scheduler_is_replaced_within_a_second(self) -> None:
+        """Callers wait for a second at most.
+
+        The scheduler's host is paused: it neither answers nor refuses. Two
+        probes run into their timeouts, no other process hears it either,
+        and one of them takes over.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                paused = model.processes[model.scheduler()]
+                model.network.silent.add(paused.address)
+                paused.kill()
+                gap_s = await first_start_s(model, 1)
+                self.assertLess(gap_s, 1.5)
+
+        harness.play(scene)
+
+    def test_planned_stop_leaves_no_gap(self) -> None:
+        """Callers notice nothing of a restart.
+
+        The stopping process marks its claim as released; the others see
+        that through their watches and one takes over at once.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                await model.stop(model.scheduler())
+                gap_s = await first_start_s(model, 1)
+                self.assertLess(gap_s, 0.25)
+
+        harness.play(scene)
+
+    def test_partial_cut_does_not_move_the_scheduler(self) -> None:
+        """Nobody notices that two processes can't reach each other.
+
+        One process can't reach the scheduler, which serves all others. It
+        asks them, hears that the scheduler lives, and leaves it alone: a
+        takeover would be followed by another from the other side.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                scheduler = model.processes[model.scheduler()]
+                other = next(
+                    m for m in model.processes.values() if m is not scheduler
+                )
+                model.network.cut(scheduler.address, other.address)
+                before = model.store.items[_keys.SCHEDULER].revision
+                await anyio.sleep(10)
+                after = model.store.items[_keys.SCHEDULER].revision
+                self.assertEqual(before, after)
+
+        harness.play(scene)
+
+    def test_split_does_not_move_the_scheduler_in_turns(self) -> None:
+        """Callers of both sides are served, with few changes.
+
+        Half of the processes can't reach the other half, all reach the
+        store. The half without the scheduler elects one of its own; each
+        further change takes twice the silence of the one before.
+        """
+
+        async def scene() -> None:
+            async with cell(6) as model:
+                models = list(model.processes.values())
+                for one in models[:3]:
+                    for other in models[3:]:
+                        model.network.cut(one.address, other.address)
+                before = model.processes[
+                    model.scheduler()
+                ].process.figures()['scheduler_changes']
+                await anyio.sleep(20)
+                changes = max(
+                    m.process.figures()['scheduler_changes'] for m in models
+                )
+                self.assertLess(changes - before, 12)
+                self.assertLess(await first_start_s(model, 1), 3.0)
+
+        harness.play(scene)
+
+    def test_scheduler_without_the_store_works_through_a_peer(self) -> None:
+        """Callers are served while one host is turned away by the store.
+
+        The store refuses the scheduler's host and serves the others; its
+        operations go through one of them.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                scheduler = model.processes[model.scheduler()]
+                scheduler.store.refused = True
+                await anyio.sleep(0.5)
+                job_id = hand_in(model, 1, harness.step(1))
+                took_s = await harness.until(
+                    lambda: job_id
+                    in {t.job_id for t in model.fleet.ledger.done}
+                )
+                self.assertLess(took_s, 3.0)
+
+        harness.play(scene)
+
+    def test_all_processes_killed_lose_nothing(self) -> None:
+        """Callers see their jobs end once the processes are back.
+
+        Every process dies at once while tasks run. The new lives find a
+        claim of a process that is no more, one of them takes over, and
+        adopts what the workers still run.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                ids = [
+                    hand_in(model, number, harness.step(4))
+                    for number in range(10)
+                ]
+                await anyio.sleep(0.3)
+                names = list(model.processes)
+                for name in names:
+                    model.kill(name)
+                await anyio.sleep(1.0)
+                for name in names:
+                    model.start(name)
+                await harness.until(
+                    lambda: len(model.fleet.ledger.done) == 4 * len(ids)
+                )
+                self.assertEqual([], model.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_kills_in_series_run_nothing_twice(self) -> None:
+        """Every job is done once though each new scheduler dies too."""
+
+        async def scene() -> None:
+            async with cell() as model:
+                ids = []
+                for number in range(30):
+                    ids.append(
+                        hand_in(
+                            model,
+                            number,
+                            harness.step(3),
+                            harness.step(2, after=(0,)),
+                        )
+                    )
+                    name = model.scheduler()
+                    if name is not None and number % 2:
+                        model.kill(name)
+                        await anyio.sleep(0.1)
+                        model.start(name)
+                    await anyio.sleep(0.4)
+                await harness.until(
+                    lambda: len(model.fleet.ledger.done) == 5 * len(ids)
+                )
+                self.assertEqual([], model.fleet.ledger.violations)
+
+        harness.play(scene)
