Bury a worker's old life only when its new one has answered

A worker was cut off, crashed behind the cut and came back; the entry of its old life was listed once more, at the address of the new one, and the new one's tasks were taken for lost and started again. Ruled out: a late order (the second starts carry the present token). Change: the list ends no life; an answer under the new name does. The test failed first with two starts of one task.

--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -244,13 +244,14 @@
 class Fleet:
     """Carries orders to the workers, over a network with faults."""
 
-    __slots__ = ('_revision', 'calls', 'ledger', 'workers')
+    __slots__ = ('_lingering', '_revision', 'calls', 'ledger', 'workers')
 
     def __init__(self) -> None:
         self.workers: dict[str, Worker] = {}
         self.ledger = Ledger()
         self.calls = 0
         self._revision = 1
+        self._lingering: list[cell.ListedWorker] = []
 
     def add(
         self, listed: cell.ListedWorker, length: Length, seed: int = 1
@@ -266,6 +267,17 @@
         self.workers.pop(worker_id).crash()
         self._revision += 1
 
+    def list_other_life(self, listed: cell.ListedWorker) -> None:
+        """List a life that is over beside the one at its address."""
+        self._lingering.append(listed)
+        self._revision += 1
+
+    def _other_life_answers(self, worker: cell.ListedWorker) -> bool:
+        return worker.worker_id not in self.workers and any(
+            live.listed.address == worker.address
+            for live in self.workers.values()
+        )
+
     async def start(
         self, worker: cell.ListedWorker, order: ports.Start
     ) -> ports.OrderReply:
@@ -294,6 +306,8 @@
         """Renew a lease and return the report."""
         self.calls += 1
         await anyio.sleep(_TRANSIT_S)
+        if self._other_life_answers(worker):
+            return ports.OrderReply(ports.OrderOutcome.OTHER_LIFE)
         live = self.workers.get(worker.worker_id)
         if live is None or live.cut:
             await anyio.sleep(_UNANSWERED_S)
@@ -310,7 +324,10 @@
         await anyio.sleep(_TRANSIT_S)
         return expression.Ok(
             ports.WorkerListing(
-                tuple(w.listed for w in self.workers.values()),
+                (
+                    *(w.listed for w in self.workers.values()),
+                    *self._lingering,
+                ),
                 self._revision,
             )
         )
@@ -329,6 +346,8 @@
     ) -> ports.OrderReply:
         self.calls += 1
         await anyio.sleep(_TRANSIT_S)
+        if self._other_life_answers(worker):
+            return ports.OrderReply(ports.OrderOutcome.OTHER_LIFE)
         live = self.workers.get(worker.worker_id)
         if live is None or live.cut:
             await anyio.sleep(_UNANSWERED_S)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -106,12 +106,6 @@
 
     def _add(self, listed: cell.ListedWorker) -> None:
         context = self._context
-        for other in list(context.roster.workers.values()):
-            same_address = other.listed.address == listed.address
-            if same_address and not other.gone:
-                # A worker that crashed comes back with another identifier
-                # at its address, and runs nothing.
-                self._ends.bury(other, 'a new life is listed there')
         worker = _roster.WorkerState(
             listed,
             _lease.WorkerLease(context.settings.lease_s, context.started_s),
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -94,6 +94,7 @@
         worker.answered_s = now_s
         if not worker.answering:
             worker.answering = True
+            self._bury_others(worker)
             _LOG.info(
                 'worker.answering',
                 worker=worker.worker_id,
@@ -115,6 +116,20 @@
         ]
         return asyncio.gather(*pending)
 
+    def _bury_others(self, worker: _roster.WorkerState) -> None:
+        """End the other lives at the address of one that has answered.
+
+        A worker that crashed comes back under another name and runs
+        nothing. The list alone does not tell which life is there: an old
+        one may stay in it, or come back, and ending the wrong one starts
+        its tasks a second time. A call names the life that it is meant
+        for, so that an answer is proof.
+        """
+        address = worker.listed.address
+        for other in list(self._context.roster.workers.values()):
+            if other is not worker and other.listed.address == address:
+                self._ends.bury(other, 'a new life answers there')
+
     def _take_ends(
         self, worker: _roster.WorkerState, report: ports.Report
     ) -> dict[str, _state.JobProgress]:
--- a/tests/walnutpoint_scheduler/test_term_faults.py
+++ b/tests/walnutpoint_scheduler/test_term_faults.py
@@ -302,6 +302,37 @@
 
         harness.play(scene)
 
+    def test_lingering_entry_of_an_old_life_ends_nothing(self) -> None:
+        """Tasks of a living worker are not started a second time.
+
+        A worker crashed and came back under another name. The entry of its
+        old life is listed again for a while, at the address of the new one.
+        Only an answer tells which life is there; the list does not.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(2)
+            bed.length_s = lambda task: 3.0
+            old = harness.workers.listed_worker(0)
+            bed.fleet.remove('worker-0')
+            bed.fleet.add(
+                harness.reborn(old, 'worker-0b'), lambda task: 3.0
+            )
+            handed = harness.job(1, harness.step(2, per_worker_max=1))
+            async with bed.scheduling():
+                bed.hand_in(handed)
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 2
+                )
+                bed.fleet.list_other_life(old)
+                await harness.until(
+                    lambda: bed.state(handed.job_id) == 'done'
+                )
+            self.assertEqual([], bed.fleet.ledger.violations)
+            self.assertEqual(2, sum(bed.fleet.ledger.starts.values()))
+
+        harness.play(scene)
+
     def test_stalled_task_is_run_elsewhere(self) -> None:
         """A job ends though one worker holds its task without working.
 
