Decide unanswered starts by a look, run copies, and shorten the lease

Ruled out: interference, advice (asked ahead), a too long stop. Change: order timeout 0.15 s, then a report at once and a stop that blocks the attempt; lease 2.5 s; copies where allowed.

--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -15,6 +15,7 @@
 from walnutpoint_core import errors
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
+from walnutpoint_scheduler import settings
 
 __all__ = (
     'Fleet',
@@ -93,7 +94,7 @@
     __slots__ = ('_blocked', '_changed', '_ledger', '_length', '_numbers',
                  '_until_ms', 'clock_rate', 'cut', 'ends', 'fails', 'hangs',
                  'listed', 'loses_answers_share', 'late_share', 'random',
-                 'runs', 'token')
+                 'runs', 'stops_are_late', 'token')
 
     def __init__(
         self,
@@ -111,6 +112,7 @@
         self.fails = False
         self.hangs = False
         self.late_share = 0.0
+        self.stops_are_late = True
         self.loses_answers_share = 0.0
         self.clock_rate = 1.0
         self.random = random.Random(seed)  # noqa: S311
@@ -244,12 +246,22 @@
 class Fleet:
     """Carries orders to the workers, over a network with faults."""
 
-    __slots__ = ('_lingering', '_revision', 'calls', 'ledger', 'workers')
+    __slots__ = (
+        '_lingering',
+        '_revision',
+        'calls',
+        'ledger',
+        'order_timeout_s',
+        'workers',
+    )
 
     def __init__(self) -> None:
         self.workers: dict[str, Worker] = {}
         self.ledger = Ledger()
         self.calls = 0
+        self.order_timeout_s = (
+            settings.SchedulerSettings().order_timeout_s
+        )
         self._revision = 1
         self._lingering: list[cell.ListedWorker] = []
 
@@ -288,7 +300,9 @@
         self, worker: cell.ListedWorker, run: ports.RunName, token: int
     ) -> ports.OrderReply:
         """Stop a run."""
-        return await self._deliver(worker, lambda w: w.stop(run, token))
+        return await self._deliver(
+            worker, lambda w: w.stop(run, token), is_stop=True
+        )
 
     async def pace(
         self,
@@ -343,6 +357,8 @@
         self,
         worker: cell.ListedWorker,
         act: collections.abc.Callable[[Worker], ports.OrderReply],
+        *,
+        is_stop: bool = False,
     ) -> ports.OrderReply:
         self.calls += 1
         await anyio.sleep(_TRANSIT_S)
@@ -352,15 +368,16 @@
         if live is None or live.cut:
             await anyio.sleep(_UNANSWERED_S)
             return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
-        if live.random.random() < live.late_share:
+        may_be_late = live.stops_are_late or not is_stop
+        if may_be_late and live.random.random() < live.late_share:
             asyncio.get_running_loop().call_later(
                 live.random.uniform(*_LATE_RANGE_S), act, live
             )
-            await anyio.sleep(_UNANSWERED_S)
+            await anyio.sleep(self.order_timeout_s)
             return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
         reply = act(live)
         if live.random.random() < live.loses_answers_share:
-            await anyio.sleep(_UNANSWERED_S)
+            await anyio.sleep(self.order_timeout_s)
             return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
         await anyio.sleep(_TRANSIT_S)
         return reply
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -31,6 +31,7 @@
     __slots__ = (
         'advice',
         'cell',
+        'copies_wanted',
         'health',
         'jobs',
         'journal',
@@ -68,6 +69,8 @@
         self.jobs: dict[str, _state.JobProgress] = {}
         # Those of them that are not final.
         self.open_jobs: dict[str, _state.JobProgress] = {}
+        # Tasks whose run is in question, and that may run twice at a time.
+        self.copies_wanted: dict[ports.TaskName, _state.TaskProgress] = {}
         self.roster = _roster.Roster()
         self.cell = cell.Cell(0)
         self.journal: _journal.Journal = typing.cast(typing.Any, None)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_lease.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_lease.py
@@ -7,12 +7,12 @@
 __all__ = ('WorkerLease',)
 
 _MS: typing.Final = 1000.0
-# A worker's clock may run 2% slow (the platform's bound); 1% on top for the
-# clock of this host.
-_SLOWEST_RATE: typing.Final = 0.97
-# A worker may need this long to end what runs after the lease has passed:
-# the platform's bound on a stop is 400 ms.
-_KILL_S: typing.Final = 0.5
+# A worker's clock may run 2% slow (the platform's bound); half a percent on
+# top for the clock of this host.
+_SLOWEST_RATE: typing.Final = 0.975
+# A worker ends everything as the lease passes; this much for its timers, and
+# for an order that was on its way.
+_KILL_S: typing.Final = 0.25
 
 
 class WorkerLease:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -46,6 +46,23 @@
         """Follow one life of a worker until it is over."""
         self._context.tasks.start_soon(self._follow, worker)
 
+    async def look(self, worker: _roster.WorkerState) -> None:
+        """Ask for one report at once, beside the one that is waited for."""
+        context = self._context
+        asked_s = context.timer.now_s()
+        reply = await context.orders.renew(
+            worker.listed,
+            ports.Renewal(
+                context.token,
+                worker.acknowledged,
+                worker.lease.extend(asked_s),
+                0.0,
+            ),
+        )
+        if isinstance(reply, ports.Report) and not worker.gone:
+            # What ended is acknowledged with the report that is waited for.
+            self._take(worker, reply, asked_s)
+
     async def _follow(self, worker: _roster.WorkerState) -> None:
         context = self._context
         wait_s = _FIRST_WAIT_S
@@ -164,6 +181,9 @@
         for row in report.running:
             listed.add(row.run)
             run = worker.runs.get(row.run)
+            if run is None and row.run in worker.ended:
+                # An older report that was overtaken by the one with its end.
+                continue
             if run is None:
                 run = self._book_stray(worker, row)
             if run.phase in _UNCONFIRMED:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import typing
 
 from walnutpoint_core import logs
@@ -14,11 +15,9 @@
 __all__ = ('OrderDesk',)
 
 _LOG: typing.Final = logs.get_logger('orders')
-# A start without an answer may be seen in the worker's next report; only
-# after this long is it blocked, which costs the task another attempt.
-_DOUBT_S: typing.Final = 0.25
 # Between two tries of a stop: an unanswered one took its timeout already.
 _STOP_RETRY_S: typing.Final = 0.1
+_UNANSWERED: typing.Final = 'start unanswered'
 _NOT_STARTED: typing.Final = frozenset(
     {
         ports.OrderOutcome.OUTDATED,
@@ -38,13 +37,24 @@
 class OrderDesk:
     """Sends orders, and follows each until its fate is certain."""
 
-    __slots__ = ('_context', '_ends', 'refused', 'started', 'unanswered')
+    __slots__ = (
+        '_context',
+        '_ends',
+        'look',
+        'refused',
+        'started',
+        'unanswered',
+    )
 
     def __init__(
         self, context: _context.Context, ends: _ends.EndDesk
     ) -> None:
         self._context = context
         self._ends = ends
+        # Asks a worker for a report at once; set by whoever owns the links.
+        self.look: collections.abc.Callable[
+            [_roster.WorkerState], collections.abc.Awaitable[None]
+        ] = _no_look
         self.started = 0
         self.refused = 0
         self.unanswered = 0
@@ -148,6 +158,8 @@
             self._withdraw_refused(run, worker, outcome)
             return
         self.unanswered += 1
+        # Placed there again at once, the task would meet the same silence.
+        context.health.fail_start(run.worker_id, now_s)
         if run.phase is _state.RunPhase.ORDERED:
             run.phase = _state.RunPhase.IN_DOUBT
             context.tasks.start_soon(self._resolve, run)
@@ -173,9 +185,12 @@
         refuses it for good once it has taken a stop for that attempt, and
         only then may the task be started elsewhere.
         """
-        await self._context.timer.sleep(_DOUBT_S)
+        worker = self._context.roster.get(run.worker_id)
+        if worker is None:
+            return
+        await self.look(worker)
         if run.phase is _state.RunPhase.IN_DOUBT:
-            self.stop(run, 'start unanswered')
+            self.stop(run, _UNANSWERED)
 
     async def _stop(self, run: _state.Run) -> None:
         context = self._context
@@ -191,6 +206,8 @@
                 worker.lease.read_clock(reply.clock_ms, now_s)
             if reply.outcome is ports.OrderOutcome.DONE:
                 run.decisive_from_s = now_s
+                if run.stop_reason == _UNANSWERED:
+                    await self.look(worker)
                 return
             if reply.outcome is ports.OrderOutcome.FENCED:
                 context.lost(f'worker {run.worker_id} knows a newer token')
@@ -205,3 +222,7 @@
                 outcome=reply.outcome.value,
             )
             await context.timer.sleep(_STOP_RETRY_S)
+
+
+async def _no_look(_worker: _roster.WorkerState) -> None:
+    """Stand in until the links are connected."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -56,6 +56,7 @@
                 self._place_gang(chooser, queue, step)
             else:
                 self._place_step(chooser, queue, step)
+        self._place_copies(choosers)
 
     def waiting_count(self) -> int:
         """Return how many tasks may be placed and are not."""
@@ -112,6 +113,37 @@
             self._ask(chooser, queue, step)
             self._hold(chooser, queue, step, missing)
 
+    def _place_copies(
+        self, choosers: dict[str, _choice.Chooser]
+    ) -> None:
+        """Start second runs with what room is left."""
+        context = self._context
+        wanted = list(context.copies_wanted.values())
+        context.copies_wanted.clear()
+        for task in wanted:
+            job, run = task.step.job, task.run
+            if job.state.final or run is None or task.copy is not None:
+                continue
+            queue = context.queue_of(job)
+            chooser = choosers.get(queue.pool)
+            if chooser is None:
+                chooser = choosers[queue.pool] = _choice.Chooser(
+                    context.roster.in_pool(queue.pool), context.health
+                )
+            fitting = [
+                worker
+                for worker in chooser.fitting(task.step.step, task.step.key)
+                if worker.worker_id != run.worker_id
+            ]
+            ticketed = self._ticketed(queue, task.step, fitting)
+            worker = chooser.best(task.step.step, ticketed, queue.priority)
+            if worker is None:
+                self._ask(chooser, queue, task.step)
+                continue
+            copy = self._plan(task, worker, queue, task.attempt + 1)
+            task.run, task.copy = run, copy
+            self._desk.launch(job, [copy])
+
     def _place_gang(
         self,
         chooser: _choice.Chooser,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -18,6 +18,8 @@
 )
 
 _NOTHING: typing.Final = amount.Amount()
+# Ends of some seconds on the busiest worker.
+_ENDED_MAX: typing.Final = 64
 
 
 class WorkerState:
@@ -27,8 +29,8 @@
         'acknowledged',
         'answering',
         'answered_s',
+        'ended',
         'gone',
-        'images',
         'lease',
         'listed',
         'listed_until_s',
@@ -55,6 +57,11 @@
         self.acknowledged = 0
         # Whether this life is certainly over.
         self.gone = False
+        # Runs that ended lately: reports on two connections may come in
+        # the wrong order.
+        self.ended: collections.deque[ports.RunName] = collections.deque(
+            maxlen=_ENDED_MAX
+        )
         self.unlisted_s: float | None = None
 
     @property
@@ -90,6 +97,7 @@
         """Give back the room of a run that is over."""
         if self.runs.pop(run.name, None) is None:
             return
+        self.ended.append(run.name)
         self.taken = self.taken - run.need
         if run.task is not None:
             self.step_counts[run.task.step.key] -= 1
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -211,6 +211,7 @@
         desk = _orders.OrderDesk(context, ends)
         ends.stop = desk.stop
         links = _links.WorkerLinks(context, ends, desk)
+        desk.look = links.look
         directory = _directory.Directory(
             context, outside.directory, ends, links
         )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -27,6 +27,13 @@
 # What still runs this long before a leaving worker goes is stopped, so that
 # its checkpoint is returned: a stop takes at most 0.4 s.
 _LEAVE_MARGIN_S: typing.Final = 0.9
+# A run counts as a straggler from this much beyond its estimate on, if it
+# still needs the estimate once more: estimates are off by half either way.
+_STRAGGLE_FACTOR: typing.Final = 1.3
+_STRAGGLE_S: typing.Final = 0.2
+_AT_WORK: typing.Final = frozenset(
+    {_state.RunPhase.ORDERED, _state.RunPhase.RUNNING}
+)
 # Tickets for a next step are asked for when the step before is this much
 # shorter than their validity from its end.
 _PREFETCH_MARGIN_S: typing.Final = 0.6
@@ -57,6 +64,7 @@
     def _check_worker(
         self, worker: _roster.WorkerState, now_s: float
     ) -> None:
+        self._want_copies(worker, now_s)
         if worker.listed.draining:
             self._empty(worker, now_s)
         if not worker.answering or now_s - worker.answered_s > _FRESH_S:
@@ -68,6 +76,25 @@
                 self._stop_stalled(run, run.task)
         self._pacer.check(worker, now_s)
 
+    def _want_copies(
+        self, worker: _roster.WorkerState, now_s: float
+    ) -> None:
+        """Ask for second runs of what may be lost or takes too long.
+
+        Only where the client account allows two runs of a task at a time:
+        otherwise the lease of a silent worker has to lapse first.
+        """
+        silent = not worker.answering
+        for run in worker.runs.values():
+            task = run.task
+            if task is None or not task.step.step.speculative:
+                continue
+            if task.copy is not None or run.phase not in _AT_WORK:
+                continue
+            if silent or _straggles(run, task, now_s):
+                self._context.copies_wanted[task.name] = task
+                self._context.wake()
+
     def _stands_still(
         self, run: _state.Run, task: _state.TaskProgress, now_s: float
     ) -> bool:
@@ -160,6 +187,19 @@
         ]
 
 
+def _straggles(
+    run: _state.Run, task: _state.TaskProgress, now_s: float
+) -> bool:
+    """Return whether a run takes much longer than it should."""
+    if run.started_s is None:
+        return False
+    expected_s = task.step.step.estimate_ms / _MS
+    elapsed_s = now_s - run.started_s
+    if elapsed_s < expected_s * _STRAGGLE_FACTOR + _STRAGGLE_S:
+        return False
+    return _left_s(run, task, now_s) > expected_s
+
+
 def _left_s(
     run: _state.Run, task: _state.TaskProgress, now_s: float
 ) -> float:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
@@ -17,9 +17,10 @@
 ):
     """Times and limits; a platform's own bounds replace some of them."""
 
-    # Long enough to live through a takeover (some 0.2 to 1 s) and to renew
-    # twice after it; what runs on a dead worker comes back this much later.
-    lease_s: _Time = 3.5
+    # Long enough for all processes to lose power, start again and take over
+    # (some 1.8 s), and renewed every report_wait_s; what runs on a dead
+    # worker comes back this much later.
+    lease_s: _Time = 2.5
     # The longest lease that workers grant; a longer one is cut there.
     lease_max_s: _Time = 10.0
     # How long a worker holds a report back until something ends. Shorter
@@ -29,7 +30,7 @@
     # worker's answer may be lost, and its ends are not seen meanwhile.
     report_timeout_s: _Time = 0.15
     # An order is answered within some ms; an unanswered one costs this long.
-    order_timeout_s: _Time = 0.3
+    order_timeout_s: _Time = 0.15
     # Due occurrences start at most this long before their time.
     early_s: typing.Annotated[float, msgspec.Meta(ge=0.0)] = 0.0
     # Final records stay readable for this long.
--- a/tests/walnutpoint_scheduler/test_term_faults.py
+++ b/tests/walnutpoint_scheduler/test_term_faults.py
@@ -97,8 +97,8 @@
                 await harness.until(
                     lambda: bed.state(handed.job_id) == 'done'
                 )
-            self.assertGreater(waited_s, 3.0)
-            self.assertLess(waited_s, 6.0)
+            self.assertGreater(waited_s, 2.5)
+            self.assertLess(waited_s, 3.5)
             self.assertEqual([], bed.fleet.ledger.violations)
 
         harness.play(scene)
@@ -273,6 +273,58 @@
 
         harness.play(scene)
 
+    def test_unanswered_start_costs_a_fifth_of_a_second(self) -> None:
+        """Pattern: one in twenty orders is unanswered for some seconds.
+
+        A job of ten tasks then meets one in two times of five. The order's
+        timeout, a look, a stop and another look decide it; the task starts
+        elsewhere within 0.25 s, against an objective of 1.2 s and more.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(4)
+            late = bed.fleet.workers['worker-0']
+            late.late_share = 1.0
+            starts: list[float] = []
+            bed.fleet.ledger.on_start = lambda _task, _worker: starts.append(
+                bed.now_ms() / 1000
+            )
+            async with bed.scheduling():
+                await anyio.sleep(1)
+                late.stops_are_late = False
+                bed.hand_in(harness.job(1, harness.step(8)))
+                begin_s = bed.now_ms() / 1000
+                await harness.until(lambda: len(starts) == 8)
+            self.assertLess(max(starts) - begin_s, 0.3)
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_copy_starts_when_a_worker_falls_silent(self) -> None:
+        """Pattern: a worker is lost while it runs tasks that allow copies.
+
+        The lease of a silent worker must lapse before its tasks may run
+        elsewhere, nearly three seconds. Where the client account allows a
+        second run, it starts as soon as the worker is silent.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(4)
+            handed = harness.job(1, harness.step(4, speculative=True))
+            async with bed.scheduling():
+                await anyio.sleep(1)
+                bed.hand_in(handed)
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 4
+                )
+                bed.fleet.workers['worker-0'].cut = True
+                waited_s = await harness.until(
+                    lambda: bed.state(handed.job_id) == 'done'
+                )
+            self.assertLess(waited_s, 2.0)
+
+        harness.play(scene)
+
     def test_crashed_worker_is_known_by_its_new_life(self) -> None:
         """Tasks of a crashed worker come back within a second.
 
