Read a doubted store before writing to it

Ruled out: shorter timeouts alone (a slow store takes 280 ms a call). Change: one unanswered call with nothing answered since makes the outage known; the scheduler's own view of the store travels with each probe, and a process in doubt reads before it writes, so that its refusal is true.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -28,6 +28,9 @@
 _RANK_DELAY_MAX_S: typing.Final = 0.6
 _RETRY_S: typing.Final = 0.1
 _WATCH_S: typing.Final = 10.0
+# The scheduler calls the store many times a second. Without an answer for
+# this long, twice a call's time while the store is slow, it may be down.
+_DOUBTED_AGE_S: typing.Final = 0.6
 _WITNESSES: typing.Final = 3
 
 
@@ -197,6 +200,8 @@
             return _suspicion.Reason.RESTARTED
         if not answer.schedules or answer.token != self._revision:
             return self._suspicion.not_scheduling()
+        if answer.store_age_s > _DOUBTED_AGE_S:
+            self._store.doubt()
         store_age_s = self._timer.now_s() - self._store.answered_s
         return self._suspicion.answered(answer.store_age_s, store_age_s)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from walnutpoint_core import errors
 from walnutpoint_core import logs
 from walnutpoint_core import ports as core_ports
 from walnutpoint_core import timer
@@ -151,6 +152,11 @@
 
     async def _store_operation(self, body: bytes) -> object:
         question = _decode(body, _messages.StoreQuestion)
+        if not self._relayed.reaches_directly:
+            # Asking on behalf of another would cost it a timeout.
+            return _messages.StoreAnswer(
+                errors.ErrorKind.STORE_UNAVAILABLE.value, 'no way either'
+            )
         return await _relay.serve(self._store, question)
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -24,9 +24,9 @@
 _FAILURES_MAX: typing.Final = 2
 # How often the own way is tried again meanwhile.
 _RETRY_S: typing.Final = 1.0
-# Without an answer for this long, after failures, the store counts as down:
-# some calls of each process, which come in every second.
-_DOWN_S: typing.Final = 0.3
+# Without an answer for this long, and with a failure, the store counts as
+# down: longer than a call while it is slow, some 280 ms.
+_DOWN_S: typing.Final = 0.35
 # Between two questions in an outage, besides their timeouts: its end is
 # noticed within some 0.1 s where it refuses, and 0.6 s where it is silent.
 _OUTAGE_PROBE_S: typing.Final = 0.1
@@ -48,6 +48,7 @@
     __slots__ = (
         '_blind_until_s',
         '_direct',
+        '_doubted_s',
         '_failures',
         '_members',
         '_peers',
@@ -70,6 +71,8 @@
         self._timer = clock
         self._failures = 0
         self._tried_s = 0.0
+        # When the store was last said not to answer.
+        self._doubted_s = 0.0
         self._blind_until_s: dict[str, float] = {}
         # When the store last answered, whichever way.
         self.answered_s = 0.0
@@ -83,14 +86,26 @@
     @property
     def is_down(self) -> bool:
         """Return whether no way to the store has answered for a while."""
-        silent_s = self._timer.now_s() - self.answered_s
-        return not self.reaches_directly and silent_s > _DOWN_S
+        return self._failures > 0 and self.silent_s > _DOWN_S
 
     @property
     def silent_s(self) -> float:
         """Return how long the store has not answered."""
         return self._timer.now_s() - self.answered_s
 
+    def doubt(self) -> None:
+        """Take another process's word that the store does not answer."""
+        self._doubted_s = self._timer.now_s()
+
+    async def is_certain(self) -> bool:
+        """Return whether the store answers, asking it where in doubt."""
+        if self.is_down:
+            return False
+        if self.answered_s >= self._doubted_s:
+            return True
+        answer = await self.get(_keys.SCHEDULER)
+        return answer.is_ok()
+
     async def watch_outages(self) -> None:
         """Ask again and again while the store does not answer.
 
@@ -99,7 +114,7 @@
         """
         question = _messages.StoreQuestion('get', _keys.SCHEDULER)
         async for _ in self._timer.subscribe(lambda: _OUTAGE_PROBE_S):
-            if self.reaches_directly:
+            if not self._failures:
                 continue
             answer = await self._direct.get(_keys.SCHEDULER)
             self._note(answer)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -99,7 +99,7 @@
             (ports.Guard(key, 0),),
             (ports.Put(key, document.encode_job(job)),),
         )
-        if self._store.is_down:
+        if not await self._store.is_certain():
             return self._refuse(job, self._outage())
         end_s = min(
             deadline_s - _ANSWER_S, self._timer.now_s() + _DOUBT_MAX_S
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -171,6 +171,43 @@
 
         harness.play(scene)
 
+    def test_one_unanswered_call_is_enough_when_all_is_silent(self) -> None:
+        """Pattern: the first second of a silent outage.
+
+        A process with few callers learns of it from one call that runs into
+        its timeout, when nothing has been answered since before that call.
+        """
+
+        async def scene() -> None:
+            desk = Desk()
+            await desk.submit(1)
+            desk.store.fault = store.StoreFault.SILENT
+            await desk.relayed.get('any')
+            self.assertTrue(desk.relayed.is_down)
+
+        harness.play(scene)
+
+    def test_doubted_store_is_read_before_it_is_written(self) -> None:
+        """The caller is refused truthfully in place of left in doubt.
+
+        The scheduler, which calls the store all the time, says that it has
+        no answer. A job is not written before a reading has succeeded:
+        after a write without an answer a refusal would not be true.
+        """
+
+        async def scene() -> None:
+            desk = Desk()
+            await desk.submit(1)
+            desk.store.fault = store.StoreFault.SILENT
+            desk.relayed.doubt()
+            answer = await desk.submit(2)
+            self.assertIs(errors.Outcome.NOT_RUN, answer.error.outcome)
+            desk.store.fault = store.StoreFault.NONE
+            answer = await desk.submit(3)
+            self.assertTrue(answer.is_ok())
+
+        harness.play(scene)
+
     def test_end_of_an_outage_is_noticed_without_callers(self) -> None:
         """Pattern: the first caller after an outage.
 
