--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -203,6 +203,7 @@
             answer = await desk.submit(2)
             self.assertIs(errors.Outcome.NOT_RUN, answer.error.outcome)
             desk.store.fault = store.StoreFault.NONE
+            await desk.relayed.get('any')
             answer = await desk.submit(3)
             self.assertTrue(answer.is_ok())
 
