--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -36,8 +36,10 @@
 _ANSWER_S: typing.Final = 0.1
 _RETRY_S: typing.Final = 0.05
 # When to come back in an outage, which lasts some 2 to 5 s and is over within
-# a second where it has lasted long. Callers give up after four repeats.
-_YOUNG_OUTAGE_S: typing.Final = 1.0
+# a second where it has lasted long. Callers come back after about half of
+# what they are told, and give up after four repeats: told 1 s each time,
+# those of the first second were all refused for good.
+_YOUNG_OUTAGE_S: typing.Final = 3.0
 _RETRY_YOUNG_S: typing.Final = 2.0
 _RETRY_OLD_S: typing.Final = 1.0
 _PEER_TIMEOUT_S: typing.Final = 0.4
