Check the change of schedulers exhaustively, and end isolated terms

Change: a scheduler that heard neither the store nor any process for 0.7 s ends its term, and a probe tells it of a newer token.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -31,6 +31,9 @@
 # The scheduler calls the store many times a second. Without an answer for
 # this long, twice a call's time while the store is slow, it may be down.
 _DOUBTED_AGE_S: typing.Final = 0.6
+# Others probe a scheduler several times in this time, and the store answers
+# it more often. Shorter than what a successor adds to the longest lease.
+_ISOLATED_S: typing.Final = 0.7
 _WITNESSES: typing.Final = 3
 
 
@@ -56,6 +59,7 @@
         'changes',
         'heard_s',
         'leaving',
+        'probed_s',
         'token',
     )
 
@@ -85,6 +89,15 @@
         self.changes = 0
         # Whether this process stops, and claims nothing more.
         self.leaving = False
+        # When another process last asked this one how it stands.
+        self.probed_s = 0.0
+
+    def is_isolated(self) -> bool:
+        """Return whether neither the store nor any process was heard."""
+        if len(self._members.all()) == 1:
+            return False
+        heard_s = max(self.probed_s, self._store.answered_s)
+        return self._timer.now_s() - heard_s > _ISOLATED_S
 
     @property
     def scheduler(self) -> _messages.Member | None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
@@ -96,9 +96,15 @@
             return web.Response(400)
         return web.Response(200, msgspec.msgpack.encode(answer))
 
-    async def _probe(self, _body: bytes) -> object:
+    async def _probe(self, body: bytes) -> object:
+        question = _decode(body, _messages.Probe)
         now_s = self._timer.now_s()
+        self._leadership.probed_s = now_s
         term = self._term()
+        if term is not None and question.token > term.token:
+            # The store may turn this host away, and hide the newer claim.
+            term.end(f'{question.sender} knows token {question.token}')
+            term = None
         heard_s = now_s if term else self._leadership.heard_s
         newest = self._cell()
         return _messages.ProbeAnswer(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -43,6 +43,8 @@
 # How often the token is confirmed while nothing is journaled.
 _CONFIRM_S: typing.Final = 0.5
 _RETRY_S: typing.Final = 0.1
+# How often a scheduler asks itself whether it still hears anybody.
+_ALONE_S: typing.Final = 0.1
 # A worker that fails three different tasks in a row is set aside for one
 # second, then two, up to eight: the users' faulty workers recover in some
 # 6 s, and one probe at a time is lost to them meanwhile.
@@ -54,7 +56,15 @@
 class Outside:
     """The ways out of a term."""
 
-    __slots__ = ('advice', 'directory', 'now_ms', 'orders', 'store', 'timer')
+    __slots__ = (
+        'advice',
+        'directory',
+        'is_isolated',
+        'now_ms',
+        'orders',
+        'store',
+        'timer',
+    )
 
     def __init__(
         self,
@@ -64,7 +74,9 @@
         advice: ports.AdviceSource,
         clock: timer.Timer,
         now_ms: collections.abc.Callable[[], int],
+        is_isolated: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
+        self.is_isolated = is_isolated
         self.store = store
         self.directory = directory
         self.orders = orders
@@ -235,6 +247,7 @@
         tasks.start_soon(intake.follow, revision)
         tasks.start_soon(_watch.Watch(context, desk).run)
         tasks.start_soon(self._confirm)
+        tasks.start_soon(self._notice_isolation)
         tasks.start_soon(_retention.Retention(context, outside.store).run)
         await self._place(placer)
 
@@ -267,6 +280,17 @@
                 _LOG.exception('pass.failed', error=repr(error))
             await self._outside.timer.sleep(_PASS_GAP_S)
 
+    async def _notice_isolation(self) -> None:
+        """End the term where nobody can say that it was taken over.
+
+        A worker that only this scheduler reaches would keep its lease for
+        ever, while a successor counts on it to lapse and starts the
+        worker's tasks elsewhere.
+        """
+        async for _ in self._outside.timer.subscribe(lambda: _ALONE_S):
+            if self._outside.is_isolated():
+                self.end('neither the store nor any process is heard')
+
     def _journal_confirms(self) -> bool:
         """Return whether a commit under the token has just succeeded."""
         if self._context is None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -291,6 +291,7 @@
                     self._advice,
                     self._timer,
                     self._now_ms,
+                    self._leadership.is_isolated,
                 ),
                 self._settings,
             )
--- a/specs/_cases.py
+++ b/specs/_cases.py
@@ -20,6 +20,7 @@
 from specs import proposal
 from specs import quorum
 from specs import succession
+from specs import term
 
 
 class Build(typing.Protocol):
@@ -53,6 +54,7 @@
     Model('memory', memory.build, memory.Guard, memory.GOALS),
     Model('lease', lease.build, lease.Guard, lease.GOALS),
     Model('gang', gang.build, gang.Guard, gang.GOALS),
+    Model('term', term.build, term.Guard, term.GOALS),
 )
 
 
--- a/tests/walnutpoint_scheduler/test_takeover.py
+++ b/tests/walnutpoint_scheduler/test_takeover.py
@@ -170,6 +170,51 @@
 
         harness.play(scene)
 
+    def test_isolated_scheduler_gives_up_by_itself(self) -> None:
+        """No task runs twice though the old scheduler reaches a worker.
+
+        The scheduler is cut off from the store and from all processes, and
+        goes on renewing leases of workers that it reaches. Another takes
+        over, and counts on those leases to lapse: so the isolated one must
+        stop granting them within a second, without being told.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                isolated = model.processes[model.scheduler()]
+                isolated.store.refused = True
+                for other in model.processes.values():
+                    if other is not isolated:
+                        model.network.cut(isolated.address, other.address)
+                await harness.until(
+                    lambda: not isolated.process.figures()['schedules'],
+                    limit_s=1.0,
+                )
+
+        harness.play(scene)
+
+    def test_probe_tells_a_deposed_scheduler_of_the_newer_one(self) -> None:
+        """A scheduler that the store turns away hears of its successor.
+
+        It can't read the key any more; every probe of another process says
+        which token is the newest that it knows.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                old = model.processes[model.scheduler()]
+                old.store.refused = True
+                model.store.put(
+                    _keys.SCHEDULER,
+                    model.store.items[_keys.SCHEDULER].value,
+                )
+                await harness.until(
+                    lambda: not old.process.figures()['schedules'],
+                    limit_s=1.0,
+                )
+
+        harness.play(scene)
+
     def test_all_processes_killed_lose_nothing(self) -> None:
         """Callers see their jobs end once the processes are back.
 
