--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 JUNIT ?= build/junit.xml
 BIN := $(VENV)/bin
-PACKAGES := $(wildcard packages/*)
+PACKAGES := $(wildcard packages/*) platform
 STAMP := $(VENV)/.up-to-date
 
 .PHONY: venv test demo lint format-check model-check
--- a/packages/walnutpoint-core/src/walnutpoint_core/_line_writer.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/_line_writer.py
@@ -23,26 +23,37 @@
     line, and with it every caller.
     """
 
-    __slots__ = ('_fd', '_lines', '_loop', '_lost', '_rest', '_scheduled')
+    __slots__ = (
+        '_fd',
+        '_lines',
+        '_loop',
+        '_lost',
+        '_lost_total',
+        '_rest',
+        '_scheduled',
+    )
 
     def __init__(self, fd: int) -> None:
         self._fd = fd
         self._lines: collections.deque[str] = collections.deque()
         self._rest = b''
+        # Lines dropped since the last line that says so, and in all.
         self._lost = 0
+        self._lost_total = 0
         self._scheduled = False
         self._loop: asyncio.AbstractEventLoop | None = None
         os.set_blocking(fd, False)
 
     @property
     def lost(self) -> int:
-        """Return how many lines were dropped since the last report."""
-        return self._lost
+        """Return how many lines were dropped since the process began."""
+        return self._lost_total
 
     def write_line(self, line: str) -> None:
         """Queue a line."""
         if len(self._lines) >= _LINES_MAX:
             self._lost += 1
+            self._lost_total += 1
             return
         self._lines.append(line)
         try:
@@ -68,7 +79,7 @@
                 return False
             except OSError:
                 # Nobody reads any more: there is nobody to tell.
-                self._lost += len(self._lines)
+                self._lost_total += len(self._lines)
                 self._lines.clear()
                 self._rest = b''
                 return True
--- a/packages/walnutpoint-core/src/walnutpoint_core/logs.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/logs.py
@@ -15,6 +15,7 @@
     'configure_stdout',
     'flush',
     'get_logger',
+    'lost',
 )
 
 _QUIET_LIBRARIES: typing.Final = ('httpcore', 'httpx', 'hypercorn')
@@ -49,6 +50,11 @@
     _configure(level, lambda *_args: _LineLogger(writer))
 
 
+def lost() -> int:
+    """Return how many lines were dropped since the process began."""
+    return sum(writer.lost for writer in _writers)
+
+
 def flush() -> None:
     """Write what is queued, as far as somebody reads."""
     for writer in _writers:
--- a/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
@@ -111,8 +111,18 @@
 class CellModel:
     """Builds, breaks and mends the parts of a cell."""
 
-    __slots__ = ('_config', '_lives', '_tasks', 'advice', 'configured',
-                 'fleet', 'network', 'processes', 'store', 'timer')
+    __slots__ = (
+        '_config',
+        '_lives',
+        '_tasks',
+        'advice',
+        'configured',
+        'fleet',
+        'network',
+        'processes',
+        'store',
+        'timer',
+    )
 
     def __init__(
         self,
--- a/packages/walnutpoint-model/src/walnutpoint_model/store.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/store.py
@@ -40,9 +40,20 @@
 class MemoryStore:
     """A linearizable store in memory."""
 
-    __slots__ = ('_changed', '_compacted', '_history', '_random', 'commits',
-                 'fault', 'fault_share', 'items', 'latency_s', 'reads',
-                 'revision', 'timeout_s')
+    __slots__ = (
+        '_changed',
+        '_compacted',
+        '_history',
+        '_random',
+        'commits',
+        'fault',
+        'fault_share',
+        'items',
+        'latency_s',
+        'reads',
+        'revision',
+        'timeout_s',
+    )
 
     def __init__(self, seed: int = 1) -> None:
         self.items: dict[str, ports.StoredValue] = {}
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -71,8 +71,14 @@
 
 
 class _Run:
-    __slots__ = ('checkpoint', 'elapsed_s', 'ends_s', 'length_s', 'name',
-                 'started_s')
+    __slots__ = (
+        'checkpoint',
+        'elapsed_s',
+        'ends_s',
+        'length_s',
+        'name',
+        'started_s',
+    )
 
     def __init__(
         self, name: ports.RunName, started_s: float, length_s: float
@@ -91,10 +97,26 @@
 class Worker:
     """One life of a worker: leases, fencing tokens, runs and ends."""
 
-    __slots__ = ('_blocked', '_changed', '_ledger', '_length', '_numbers',
-                 '_until_ms', 'clock_rate', 'cut', 'ends', 'fails', 'hangs',
-                 'listed', 'loses_answers_share', 'late_share', 'random',
-                 'runs', 'stops_are_late', 'token')
+    __slots__ = (
+        '_blocked',
+        '_changed',
+        '_ledger',
+        '_length',
+        '_numbers',
+        '_until_ms',
+        'clock_rate',
+        'cut',
+        'ends',
+        'fails',
+        'hangs',
+        'listed',
+        'loses_answers_share',
+        'late_share',
+        'random',
+        'runs',
+        'stops_are_late',
+        'token',
+    )
 
     def __init__(
         self,
@@ -140,9 +162,7 @@
         """Carry out a stop; a run that is not there is blocked."""
         self.advance()
         if token < self.token:
-            return ports.OrderReply(
-                ports.OrderOutcome.FENCED, self.clock_ms()
-            )
+            return ports.OrderReply(ports.OrderOutcome.FENCED, self.clock_ms())
         self.token = token
         blocked = self._blocked.get(run.task, 0)
         self._blocked[run.task] = max(blocked, run.attempt)
@@ -158,9 +178,7 @@
         """Carry out a renewal and report."""
         self.advance()
         if order.token < self.token:
-            return ports.OrderReply(
-                ports.OrderOutcome.FENCED, self.clock_ms()
-            )
+            return ports.OrderReply(ports.OrderOutcome.FENCED, self.clock_ms())
         self.token = order.token
         self.ends = [e for e in self.ends if e.number > order.acknowledged]
         self._extend(order.lease_until_ms)
@@ -210,9 +228,7 @@
         self._ledger.start(order.run.task, self.listed.worker_id)
         length_s = self._length(order.run.task)
         self.runs[order.run] = _Run(order.run, _now_s(), length_s)
-        asyncio.get_running_loop().call_later(
-            length_s + _TICK_S, self.advance
-        )
+        asyncio.get_running_loop().call_later(length_s + _TICK_S, self.advance)
 
     def _extend(self, until_ms: int | None) -> None:
         if until_ms is not None:
@@ -259,9 +275,7 @@
         self.workers: dict[str, Worker] = {}
         self.ledger = Ledger()
         self.calls = 0
-        self.order_timeout_s = (
-            settings.SchedulerSettings().order_timeout_s
-        )
+        self.order_timeout_s = settings.SchedulerSettings().order_timeout_s
         self._revision = 1
         self._lingering: list[cell.ListedWorker] = []
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
@@ -8,12 +8,16 @@
 import anyio.abc
 
 from walnutpoint_core import logs
+from walnutpoint_core import metrics
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 
 __all__ = ('AdviceBook',)
 
 _LOG: typing.Final = logs.get_logger('advice')
+_ADVICE: typing.Final = metrics.Latency(
+    'advice', 'Questions for advice by outcome, waiting included.'
+)
 # The most workers that one question may name (the service's limit).
 _NAMED_MAX: typing.Final = 100
 # A ticket this close to its end may be refused on arrival.
@@ -22,8 +26,14 @@
 
 
 class _StepAdvice:
-    __slots__ = ('asking', 'denied', 'expires_s', 'failures', 'retry_s',
-                 'tickets')
+    __slots__ = (
+        'asking',
+        'denied',
+        'expires_s',
+        'failures',
+        'retry_s',
+        'tickets',
+    )
 
     def __init__(self) -> None:
         self.tickets: dict[str, str] = {}
@@ -125,10 +135,10 @@
         expected_s = terms.decide_s + terms.per_worker_s * len(named)
         self.calls += 1
         asked_s = self._now_s()
-        answer = await self._source.ask(
-            step, tuple(named), expected_s
-        )
+        answer = await self._source.ask(step, tuple(named), expected_s)
         known.asking = False
+        took_s = self._now_s() - asked_s
+        _ADVICE.observe('failed' if answer.is_error() else 'done', took_s)
         if answer.is_error():
             known.failures += 1
             known.retry_s = self._now_s() + _RETRY_S * min(known.failures, 5)
@@ -136,7 +146,7 @@
                 'advice.failed',
                 step=step,
                 named=len(named),
-                after_s=round(self._now_s() - asked_s, 3),
+                after_s=round(took_s, 3),
                 kind=answer.error.kind.value,
                 detail=answer.error.detail,
             )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
@@ -120,9 +120,7 @@
         elif answer.failure:
             detail = f'through {member.name}: {answer.failure}'
         else:
-            return expression.Ok(
-                ports.Advice(answer.tickets, answer.valid_s)
-            )
+            return expression.Ok(ports.Advice(answer.tickets, answer.valid_s))
         return expression.Error(
             errors.Failure(errors.ErrorKind.PEER_UNREACHABLE, detail)
         )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_control.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_control.py
@@ -30,8 +30,15 @@
 class Control:
     """Keeps this process listed, and follows the others."""
 
-    __slots__ = ('_leadership', '_listed', '_members', '_peers', '_seeds',
-                 '_store', '_timer')
+    __slots__ = (
+        '_leadership',
+        '_listed',
+        '_members',
+        '_peers',
+        '_seeds',
+        '_store',
+        '_timer',
+    )
 
     def __init__(
         self,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -25,8 +25,14 @@
 class Directory:
     """Adds, updates and buries workers as the list changes."""
 
-    __slots__ = ('_context', '_ends', '_links', '_opened', '_revision',
-                 '_source')
+    __slots__ = (
+        '_context',
+        '_ends',
+        '_links',
+        '_opened',
+        '_revision',
+        '_source',
+    )
 
     def __init__(
         self,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -6,6 +6,7 @@
 import typing
 
 from walnutpoint_core import logs
+from walnutpoint_core import metrics
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
@@ -18,6 +19,12 @@
 )
 
 _LOG: typing.Final = logs.get_logger('ends')
+_ENDS: typing.Final = metrics.Counter('run_ends', 'Ends of runs by kind.')
+_JOBS: typing.Final = metrics.Counter('jobs_ended', 'Jobs by final state.')
+_TOOK: typing.Final = metrics.Latency(
+    'job', 'Time from accepting a job to its end, by final state.'
+)
+_MS: typing.Final = 1000.0
 # The reason of a stop that speaks against the worker.
 STALLED: typing.Final = 'stalled'
 
@@ -39,9 +46,7 @@
     def __init__(self, context: _context.Context) -> None:
         self._context = context
         # Set by whoever owns the order desk.
-        self.stop: collections.abc.Callable[[_state.Run, str], None] = (
-            _no_stop
-        )
+        self.stop: collections.abc.Callable[[_state.Run, str], None] = _no_stop
         self.done = 0
         self.failed = 0
         self.lost = 0
@@ -56,6 +61,7 @@
             return
         if end.checkpoint:
             task.checkpoint = end.checkpoint
+        _ENDS.add(end.kind.value)
         _LOG.info(
             'run.ended',
             run=run_text(run.name),
@@ -184,6 +190,8 @@
         job.state = state
         self._context.open_jobs.pop(job.document.job_id, None)
         now_ms = self._context.now_ms()
+        _JOBS.add(state.value)
+        _TOOK.observe(state.value, (now_ms - job.document.accepted_ms) / _MS)
         _LOG.info(
             'job.concluded',
             job=job.document.job_id,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -99,9 +99,7 @@
     async def follow(self, revision: int) -> None:
         """Apply changes until cancelled."""
         while True:
-            changes = await self._store.watch(
-                _keys.INTAKE, revision, _WATCH_S
-            )
+            changes = await self._store.watch(_keys.INTAKE, revision, _WATCH_S)
             if changes.is_ok() and changes.ok is not None:
                 revision = changes.ok.revision
                 for item in changes.ok.values:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from walnutpoint_core import logs
+from walnutpoint_core import metrics
 from walnutpoint_core import ports
 from walnutpoint_core import timer
 from walnutpoint_core import web
@@ -23,6 +24,9 @@
 __all__ = ('Leadership',)
 
 _LOG: typing.Final = logs.get_logger('leadership')
+_SUSPICIONS: typing.Final = metrics.Counter(
+    'suspicions', 'Tries to replace the scheduler by reason.'
+)
 # Between the tries of two candidates: a commit of some 4 ms and a reading.
 _RANK_DELAY_S: typing.Final = 0.04
 _RANK_DELAY_MAX_S: typing.Final = 0.6
@@ -176,9 +180,7 @@
                 ),
             )
         )
-        _LOG.info(
-            'scheduler.released', token=token, stored=reply.is_ok()
-        )
+        _LOG.info('scheduler.released', token=token, stored=reply.is_ok())
 
     def _probe_period_s(self) -> float:
         # A scheduler of many processes is not to spend its core on probes:
@@ -233,6 +235,7 @@
             return
         if self._revision != seen or self.leaving:
             return
+        _SUSPICIONS.add(reason.name.lower())
         _LOG.warning(
             'scheduler.suspected',
             reason=reason.value,
@@ -274,11 +277,7 @@
         reply = await self._store.commit(
             ports.Batch(
                 (ports.Guard(_keys.SCHEDULER, seen),),
-                (
-                    ports.Put(
-                        _keys.SCHEDULER, msgspec.msgpack.encode(claim)
-                    ),
-                ),
+                (ports.Put(_keys.SCHEDULER, msgspec.msgpack.encode(claim)),),
             )
         )
         if reply.is_ok() and reply.ok.applied:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_membership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_membership.py
@@ -35,9 +35,7 @@
         if not item.key.startswith(_keys.MEMBERS):
             return
         try:
-            member = msgspec.msgpack.decode(
-                item.value, type=_messages.Member
-            )
+            member = msgspec.msgpack.decode(item.value, type=_messages.Member)
         except msgspec.DecodeError as error:
             _LOG.error('member.unreadable', key=item.key, error=str(error))
             return
@@ -96,6 +94,8 @@
             and (member is self.me or not self.is_shunned(member, now_s))
         ]
         candidates.sort(
-            key=lambda m: xxhash.xxh64_intdigest(f'{m.name}/{revision}'.encode())
+            key=lambda m: xxhash.xxh64_intdigest(
+                f'{m.name}/{revision}'.encode()
+            )
         )
         return candidates.index(self.me) if self.me in candidates else 0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -6,6 +6,7 @@
 import typing
 
 from walnutpoint_core import logs
+from walnutpoint_core import metrics
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _roster
@@ -15,6 +16,7 @@
 __all__ = ('OrderDesk',)
 
 _LOG: typing.Final = logs.get_logger('orders')
+_STARTS: typing.Final = metrics.Counter('starts', 'Start orders by outcome.')
 # Between two tries of a stop: an unanswered one took its timeout already.
 _STOP_RETRY_S: typing.Final = 0.1
 _UNANSWERED: typing.Final = 'start unanswered'
@@ -46,9 +48,7 @@
         'unanswered',
     )
 
-    def __init__(
-        self, context: _context.Context, ends: _ends.EndDesk
-    ) -> None:
+    def __init__(self, context: _context.Context, ends: _ends.EndDesk) -> None:
         self._context = context
         self._ends = ends
         # Asks a worker for a report at once; set by whoever owns the links.
@@ -59,9 +59,7 @@
         self.refused = 0
         self.unanswered = 0
 
-    def launch(
-        self, job: _state.JobProgress, runs: list[_state.Run]
-    ) -> None:
+    def launch(self, job: _state.JobProgress, runs: list[_state.Run]) -> None:
         """Journal planned runs and start them then."""
         job.begun = True
         if job.state is _state.JobState.QUEUED:
@@ -92,9 +90,7 @@
         for run in runs:
             self._context.tasks.start_soon(self._start, job, run)
 
-    async def _start(
-        self, job: _state.JobProgress, run: _state.Run
-    ) -> None:
+    async def _start(self, job: _state.JobProgress, run: _state.Run) -> None:
         context = self._context
         worker = context.roster.get(run.worker_id)
         if run.phase is not _state.RunPhase.PLANNED or worker is None:
@@ -129,6 +125,7 @@
         context = self._context
         now_s = context.timer.now_s()
         outcome = reply.outcome
+        _STARTS.add(outcome.value)
         if reply.clock_ms is not None:
             worker.lease.read_clock(reply.clock_ms, now_s)
         if run.name not in worker.runs:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
@@ -152,9 +152,7 @@
             return _messages.AdviceAnswer(
                 {}, 0.0, f'{answer.error.kind.value}: {answer.error.detail}'
             )
-        return _messages.AdviceAnswer(
-            answer.ok.tickets, answer.ok.valid_s
-        )
+        return _messages.AdviceAnswer(answer.ok.tickets, answer.ok.valid_s)
 
     async def _store_operation(self, body: bytes) -> object:
         question = _decode(body, _messages.StoreQuestion)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -6,6 +6,7 @@
 import typing
 
 from walnutpoint_core import logs
+from walnutpoint_core import metrics
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
@@ -18,6 +19,9 @@
 __all__ = ('Placer',)
 
 _LOG: typing.Final = logs.get_logger('placer')
+_WAITED: typing.Final = metrics.Latency(
+    'start_wait', 'Time from ready to placed, by priority of the queue.'
+)
 _MS: typing.Final = 1000.0
 # A job that ends within this many times its objective still counts for
 # something; beyond, it comes after all others of its priority.
@@ -113,9 +117,7 @@
             self._ask(chooser, queue, step)
             self._hold(chooser, queue, step, missing)
 
-    def _place_copies(
-        self, choosers: dict[str, _choice.Chooser]
-    ) -> None:
+    def _place_copies(self, choosers: dict[str, _choice.Chooser]) -> None:
         """Start second runs with what room is left."""
         context = self._context
         wanted = list(context.copies_wanted.values())
@@ -254,15 +256,15 @@
         worker.book(run)
         context.health.begin(worker.worker_id, context.timer.now_s())
         self.placed += 1
+        waited_s = context.timer.now_s() - (task.step.ready_s or 0.0)
+        _WAITED.observe(str(queue.priority), waited_s)
         _LOG.info(
             'run.placed',
             run=_ends.run_text(run.name),
             queue=queue.name,
             worker=worker.worker_id,
             free_millicores=worker.free.cpu_millicores,
-            waited_s=round(
-                context.timer.now_s() - (task.step.ready_s or 0.0), 3
-            ),
+            waited_s=round(waited_s, 3),
             token=context.token,
         )
         return run
@@ -278,9 +280,7 @@
             return
         advice = self._context.advice
         able = [w.worker_id for w in chooser.able(step.step)]
-        unknown = [
-            w for w in able if advice.permits(step.key, w) is None
-        ]
+        unknown = [w for w in able if advice.permits(step.key, w) is None]
         granted = [w for w in able if advice.permits(step.key, w)]
         if unknown and not granted:
             advice.ask(step.key, unknown, queue.advice)
@@ -305,9 +305,7 @@
         ]
         need = step.step.need
         for _ in range(min(missing, len(workers))):
-            worker = max(
-                workers, key=lambda w: chooser.free(w).cpu_millicores
-            )
+            worker = max(workers, key=lambda w: chooser.free(w).cpu_millicores)
             chooser.hold(worker, need)
 
 
@@ -332,7 +330,5 @@
     return queue.priority, tier, deadline_ms, step.key
 
 
-def _run_name(
-    task: _state.TaskProgress, attempt: int
-) -> ports.RunName:
+def _run_name(task: _state.TaskProgress, attempt: int) -> ports.RunName:
     return ports.RunName(task.name, attempt)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -147,9 +147,7 @@
             _messages.StoreQuestion('read', prefix),
         )
         if isinstance(answer, _messages.StoreAnswer):
-            return expression.Ok(
-                typing.cast(ports.Snapshot, answer.snapshot)
-            )
+            return expression.Ok(typing.cast(ports.Snapshot, answer.snapshot))
         return answer
 
     async def watch(
@@ -172,9 +170,7 @@
             _messages.StoreQuestion('commit', batch=batch),
         )
         if isinstance(answer, _messages.StoreAnswer):
-            return expression.Ok(
-                typing.cast(ports.CommitReply, answer.reply)
-            )
+            return expression.Ok(typing.cast(ports.CommitReply, answer.reply))
         return answer
 
     async def _carry_out(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspicion.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspicion.py
@@ -47,8 +47,15 @@
 class Suspicion:
     """Counts what speaks against the present scheduler."""
 
-    __slots__ = ('_changed_s', '_changes', '_idle', '_misses', '_refusals',
-                 '_timer', '_without_store')
+    __slots__ = (
+        '_changed_s',
+        '_changes',
+        '_idle',
+        '_misses',
+        '_refusals',
+        '_timer',
+        '_without_store',
+    )
 
     def __init__(self, clock: timer.Timer) -> None:
         self._timer = clock
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -9,6 +9,7 @@
 import anyio
 
 from walnutpoint_core import logs
+from walnutpoint_core import metrics
 from walnutpoint_core import ports as core_ports
 from walnutpoint_core import timer
 from walnutpoint_scheduler import _advice
@@ -36,6 +37,9 @@
 )
 
 _LOG: typing.Final = logs.get_logger('term')
+_RESTORED: typing.Final = metrics.Latency(
+    'term_restore', 'Time from winning the key to the first placement.'
+)
 # Between two passes: several ends and jobs share one.
 _PASS_GAP_S: typing.Final = 0.002
 # A pass without cause, for occurrences that fall due and tickets that end.
@@ -234,13 +238,15 @@
 
         revision = await self._restore(intake, directory)
         self.ready = True
+        restored_s = outside.timer.now_s() - context.started_s
+        _RESTORED.observe('term', restored_s)
         _LOG.info(
             'term.started',
             token=self.token,
             jobs=len(context.jobs),
             open=len(context.open_jobs),
             workers=len(context.roster.workers),
-            restored_s=round(outside.timer.now_s() - context.started_s, 3),
+            restored_s=round(restored_s, 3),
         )
         tasks.start_soon(context.journal.run)
         tasks.start_soon(directory.follow)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -61,9 +61,7 @@
             for job in list(self._context.open_jobs.values()):
                 self._prefetch(job, now_s)
 
-    def _check_worker(
-        self, worker: _roster.WorkerState, now_s: float
-    ) -> None:
+    def _check_worker(self, worker: _roster.WorkerState, now_s: float) -> None:
         self._want_copies(worker, now_s)
         if worker.listed.draining:
             self._empty(worker, now_s)
@@ -76,9 +74,7 @@
                 self._stop_stalled(run, run.task)
         self._pacer.check(worker, now_s)
 
-    def _want_copies(
-        self, worker: _roster.WorkerState, now_s: float
-    ) -> None:
+    def _want_copies(self, worker: _roster.WorkerState, now_s: float) -> None:
         """Ask for second runs of what may be lost or takes too long.
 
         Only where the client account allows two runs of a task at a time:
@@ -167,9 +163,7 @@
                     continue
                 if context.advice.has_valid(step.key):
                     continue
-                context.advice.ask(
-                    step.key, self._able(job, step), terms
-                )
+                context.advice.ask(step.key, self._able(job, step), terms)
 
     def _able(
         self, job: _state.JobProgress, step: _state.StepProgress
@@ -200,9 +194,7 @@
     return _left_s(run, task, now_s) > expected_s
 
 
-def _left_s(
-    run: _state.Run, task: _state.TaskProgress, now_s: float
-) -> float:
+def _left_s(run: _state.Run, task: _state.TaskProgress, now_s: float) -> float:
     """Return the estimated time that a run still takes."""
     estimate_s = task.step.step.estimate_ms / _MS
     if run.started_s is None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -246,6 +246,10 @@
             tasks.start_soon(self._keep, self._store.watch_outages)
             await self._serve_terms()
 
+    def use_settings(self, config: settings.SchedulerSettings) -> None:
+        """Apply other settings from the next term on."""
+        self._settings = config
+
     async def stop(self) -> None:
         """Hand over what this process schedules."""
         self._leadership.leaving = True
@@ -259,9 +263,7 @@
 
     async def _keep(
         self,
-        work: collections.abc.Callable[
-            [], collections.abc.Awaitable[None]
-        ],
+        work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
     ) -> None:
         """Run a part again where it fails.
 
@@ -301,9 +303,7 @@
             try:
                 await term.run(self._cell)
             except Exception as error:
-                _LOG.exception(
-                    'term.failed', token=token, error=repr(error)
-                )
+                _LOG.exception('term.failed', token=token, error=repr(error))
             self._term = None
             self._leadership.lose()
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -10,6 +10,7 @@
 
 from walnutpoint_core import errors
 from walnutpoint_core import logs
+from walnutpoint_core import metrics
 from walnutpoint_core import ports
 from walnutpoint_core import timer
 from walnutpoint_core import web
@@ -29,6 +30,9 @@
 )
 
 _LOG: typing.Final = logs.get_logger('submission')
+_SUBMITTED: typing.Final = metrics.Counter(
+    'submissions', 'Jobs handed in by outcome.'
+)
 # How long a write in doubt is repeated before its outcome is called unknown:
 # callers of jobs wait for some 3 s, and may not ask again after that answer.
 _DOUBT_MAX_S: typing.Final = 2.5
@@ -103,9 +107,7 @@
         )
         if not await self._store.is_certain():
             return self._refuse(job, self._outage())
-        end_s = min(
-            deadline_s - _ANSWER_S, self._timer.now_s() + _DOUBT_MAX_S
-        )
+        end_s = min(deadline_s - _ANSWER_S, self._timer.now_s() + _DOUBT_MAX_S)
         maybe_stored = False
         while True:
             reply = await self._store.commit(batch)
@@ -131,6 +133,7 @@
     def _refuse(
         self, job: document.Job, failure: errors.Failure
     ) -> expression.Result[Taken, errors.Failure]:
+        _SUBMITTED.add(failure.kind.value)
         _LOG.warning(
             'job.refused',
             job=job.job_id,
@@ -155,9 +158,7 @@
             return expression.Error(self._outage())
         record = await self._store.get(_keys.record_key(job_id))
         if record.is_ok() and record.ok is not None:
-            return expression.Ok(
-                _record.decode_record(record.ok.value).state
-            )
+            return expression.Ok(_record.decode_record(record.ok.value).state)
         if record.is_ok():
             stored = await self._store.get(_keys.job_key(job_id))
             if stored.is_ok():
@@ -177,9 +178,7 @@
             return expression.Ok(False)
         # The value says nothing; the key is the request. Writing it twice
         # changes nothing, so that it is repeated until it is certain.
-        batch = ports.Batch(
-            (), (ports.Put(_keys.cancel_key(job_id), b'1'),)
-        )
+        batch = ports.Batch((), (ports.Put(_keys.cancel_key(job_id), b'1'),))
         failure = self._outage()
         while stored.is_ok() and not self._store.is_down:
             reply = await self._store.commit(batch)
@@ -191,9 +190,7 @@
             if self._timer.now_s() > deadline_s - _ANSWER_S:
                 break
             await self._timer.sleep(_RETRY_S)
-        _LOG.warning(
-            'job.cancel_failed', job=job_id, kind=failure.kind.value
-        )
+        _LOG.warning('job.cancel_failed', job=job_id, kind=failure.kind.value)
         return expression.Error(failure)
 
     async def pending(
@@ -218,6 +215,7 @@
     async def _conclude(
         self, job: document.Job, reply: ports.CommitReply
     ) -> expression.Result[Taken, errors.Failure]:
+        _SUBMITTED.add('accepted' if reply.applied else 'known')
         if reply.applied:
             _LOG.info(
                 'job.accepted',
--- /dev/null
+++ b/tests/walnutpoint_platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/walnutpoint_platform/site.py
@@ -0,0 +1,189 @@
+"""Real processes on loopback: a small platform and several entries."""
+
+from __future__ import annotations
+
+import http.client
+import json
+import os
+import pathlib
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import time
+import typing
+
+HOST: typing.Final = '127.0.0.1'
+PORTS: typing.Final = 60
+WORKERS: typing.Final = 6
+READY_S: typing.Final = 20.0
+
+
+def free_ports(count: int) -> int:
+    """Return the first of some free ports in a row."""
+    for first in range(21_000 + os.getpid() % 97 * 80, 32_000, count):
+        if all(_is_free(first + offset) for offset in range(count)):
+            return first
+    raise RuntimeError('no free ports')
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+class Site:
+    """Starts, breaks and ends the processes; ends only its own."""
+
+    def __init__(self, process_count: int = 3) -> None:
+        self.first_port = free_ports(PORTS)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix='walnutpoint-'))
+        self.processes: dict[int, subprocess.Popen[bytes]] = {}
+        self.count = process_count
+        self.platform = self._spawn(
+            'platform',
+            ['-m', 'walnutpoint_standins', str(self.first_port), '6'],
+            {},
+        )
+        self.wait(lambda: self.ledger() is not None)
+        for number in range(process_count):
+            self.start(number)
+        self.wait(lambda: all(map(self.ready, range(process_count))))
+
+    def front(self, number: int) -> int:
+        """Return the port for clients of one process."""
+        return self.first_port + 20 + 3 * number
+
+    def start(self, number: int) -> None:
+        """Start a process, or another life of it."""
+        front = self.front(number)
+        node = self.folder / f'node-{number}.conf'
+        node.write_text(
+            f'nodeName=node-{number}\nzone=zone-a\n'
+            f'listen.front={HOST}:{front}\n'
+            f'listen.ready={HOST}:{front + 1}\n'
+            f'listen.control={HOST}:{front + 2}\n'
+            f'platform.addr={HOST}:{self.first_port}\n'
+            f'advice={HOST}:{self.first_port + 1}\n'
+            'bounds.graceS=6\ncontrolMode=push\n'
+        )
+        self.processes[number] = self._spawn(
+            f'node-{number}',
+            ['-m', 'walnutpoint_platform'],
+            {'WALNUTPOINT_NODE_FILE': str(node)},
+        )
+
+    def kill(self, number: int) -> None:
+        """Kill a process."""
+        process = self.processes.pop(number)
+        process.kill()
+        process.wait()
+
+    def terminate(self, number: int) -> int:
+        """Stop a process as planned and return its exit code."""
+        process = self.processes.pop(number)
+        process.terminate()
+        return process.wait(timeout=10)
+
+    def signal(self, number: int, which: signal.Signals) -> None:
+        """Send a signal to a process."""
+        self.processes[number].send_signal(which)
+
+    def ready(self, number: int) -> bool:
+        """Return whether a process says that it is ready."""
+        port = self.front(number) + 1
+        return self.call(port, 'GET', '/api/ready')[0] == 200
+
+    def log(self, number: int) -> str:
+        """Return the log of a process so far."""
+        return (self.folder / f'node-{number}.log').read_text()
+
+    def scheduler(self) -> int:
+        """Return the process that won last, by the logs."""
+        best = (0, 0)
+        for number in self.processes:
+            for line in self.log(number).splitlines():
+                if 'event=scheduler.won' in line:
+                    token = int(line.rpartition('token=')[2].split()[0])
+                    best = max(best, (token, number))
+        return best[1]
+
+    def ledger(self) -> dict[str, typing.Any] | None:
+        """Return what the workers counted."""
+        status, body = self.call(self.first_port + 2, 'GET', '/ledger')
+        return json.loads(body) if status == 200 else None
+
+    def fault(self, name: str) -> None:
+        """Set a fault of the store."""
+        self.call(self.first_port + 2, 'POST', '/fault', name)
+
+    def submit(self, number: int, job_id: str, count: int = 3) -> int:
+        """Hand in a job at a process and return the status."""
+        body = json.dumps(
+            {
+                'spec': 'x',
+                'steps': [
+                    {'count': count, 'cpu': 500, 'memMb': 64,
+                     'estimateMs': 400},
+                    {'count': 1, 'cpu': 500, 'memMb': 64,
+                     'estimateMs': 400, 'after': [0]},
+                ],
+            }
+        )  # fmt: skip
+        return self.call(
+            self.front(number), 'POST', f'/urgent/{job_id}', body
+        )[0]
+
+    def state(self, number: int, job_id: str) -> str:
+        """Return a job's state, or the status in place of one."""
+        status, body = self.call(
+            self.front(number), 'GET', f'/urgent/{job_id}'
+        )
+        return json.loads(body)['state'] if status == 200 else str(status)
+
+    def call(
+        self, port: int, method: str, path: str, body: str | None = None
+    ) -> tuple[int, bytes]:
+        """Send one request; status 0 says that there was no answer."""
+        connection = http.client.HTTPConnection(HOST, port, timeout=4)
+        try:
+            connection.request(method, path, body, {'Host': 'cell.example'})
+            response = connection.getresponse()
+            return response.status, response.read()
+        except (OSError, http.client.HTTPException):
+            return 0, b''
+        finally:
+            connection.close()
+
+    def wait(
+        self, condition: typing.Callable[[], bool], limit_s: float = READY_S
+    ) -> float:
+        """Wait for a condition and return how long that took."""
+        begin_s = time.monotonic()
+        while not condition():
+            if time.monotonic() - begin_s > limit_s:
+                raise AssertionError(f'not within {limit_s} s')
+            time.sleep(0.02)
+        return time.monotonic() - begin_s
+
+    def close(self) -> None:
+        """End every process that this site started."""
+        for process in [*self.processes.values(), self.platform]:
+            process.kill()
+            process.wait()
+
+    def _spawn(
+        self, name: str, arguments: list[str], variables: dict[str, str]
+    ) -> subprocess.Popen[bytes]:
+        log = (self.folder / f'{name}.log').open('ab')
+        return subprocess.Popen(
+            [sys.executable, *arguments],
+            stdout=log,
+            stderr=log,
+            env=os.environ | variables,
+        )
--- /dev/null
+++ b/tests/walnutpoint_platform/test_processes.py
@@ -0,0 +1,137 @@
+"""The whole path as separate processes over real sockets."""
+
+from __future__ import annotations
+
+import signal
+import time
+import unittest
+
+from tests.walnutpoint_platform import site
+
+
+class ProcessesTest(unittest.TestCase):
+    """Jobs are done once whatever happens to the scheduler."""
+
+    def setUp(self) -> None:
+        self.site = site.Site()
+        self.addCleanup(self.site.close)
+
+    def _submit(self, first: int, count: int) -> list[str]:
+        ids = [f'{first + n:016x}' for n in range(count)]
+        for number, job_id in enumerate(ids):
+            live = sorted(self.site.processes)
+            for attempt in range(40):
+                entry = live[(number + attempt) % len(live)]
+                if self.site.submit(entry, job_id) == 200:
+                    break
+                time.sleep(0.1)
+            else:
+                raise AssertionError(f'{job_id} was never accepted')
+        return ids
+
+    def _wait_done(self, ids: list[str]) -> None:
+        entry = min(self.site.processes)
+        for job_id in ids:
+            self.site.wait(
+                lambda job_id=job_id: self.site.state(entry, job_id) == 'done'
+            )
+        ledger = self.site.ledger()
+        assert ledger is not None
+        self.assertEqual([], ledger['violations'])
+
+    def test_jobs_are_done_on_a_calm_site(self) -> None:
+        ids = self._submit(1, 8)
+        self._wait_done(ids)
+        again = self.site.submit(0, ids[0])
+        self.assertEqual(200, again)
+        self.assertEqual('410', self.site.state(0, 'f' * 16))
+
+    def test_killed_scheduler_loses_nothing(self) -> None:
+        """Callers see all their jobs end.
+
+        The scheduler's process is killed while tasks run; another takes
+        over, adopts them and goes on.
+        """
+        ids = self._submit(1, 6)
+        self.site.kill(self.site.scheduler())
+        ids += self._submit(100, 6)
+        self._wait_done(ids)
+
+    def test_paused_scheduler_is_replaced_and_harmless(self) -> None:
+        """Callers see all their jobs end, each task run once.
+
+        The scheduler is stopped by a signal and goes on seconds later,
+        when another has long taken over.
+        """
+        ids = self._submit(1, 4)
+        paused = self.site.scheduler()
+        self.site.signal(paused, signal.SIGSTOP)
+        others = [n for n in self.site.processes if n != paused]
+        job_id = 'a' * 16
+        self.site.wait(lambda: self.site.submit(others[0], job_id) == 200)
+        self.site.wait(lambda: self.site.state(others[0], job_id) == 'done')
+        self.site.signal(paused, signal.SIGCONT)
+        ids += [job_id, *self._submit(200, 4)]
+        self._wait_done(ids)
+
+    def test_all_processes_killed_forget_nothing(self) -> None:
+        """An accepted job ends though every process died right after."""
+        ids = self._submit(1, 5)
+        for number in list(self.site.processes):
+            self.site.kill(number)
+        for number in range(self.site.count):
+            self.site.start(number)
+        self.site.wait(lambda: self.site.ready(0))
+        self._wait_done(ids)
+
+    def test_refused_job_never_runs(self) -> None:
+        """A caller who is refused may hand its job in elsewhere.
+
+        The store refuses every call; the job is refused at once and is not
+        found in the store when that is over.
+        """
+        self.site.fault('refuses')
+        time.sleep(1)
+        job_id = 'b' * 16
+        began_s = time.monotonic()
+        self.assertEqual(503, self.site.submit(0, job_id))
+        self.assertLess(time.monotonic() - began_s, 1.0)
+        self.site.fault('none')
+        self._wait_done(self._submit(1, 2))
+        self.assertEqual('410', self.site.state(0, job_id))
+
+    def test_planned_stop_hands_over(self) -> None:
+        """Callers notice nothing of a planned stop; it ends with 0."""
+        ids = self._submit(1, 4)
+        self.assertEqual(0, self.site.terminate(self.site.scheduler()))
+        ids += self._submit(50, 4)
+        self._wait_done(ids)
+
+    def test_hangup_changes_nothing_that_runs(self) -> None:
+        """A signal to read the settings again ends no process."""
+        ids = self._submit(1, 2)
+        for number in self.site.processes:
+            self.site.signal(number, signal.SIGHUP)
+        ids += self._submit(20, 2)
+        self._wait_done(ids)
+        self.assertIn('event=settings.reloaded', self.site.log(0))
+
+    def test_bad_jobs_are_refused_at_once(self) -> None:
+        """A caller hears what is wrong, and nothing is stored."""
+        front = self.site.front(0)
+        bad = (
+            ('/urgent/' + '1' * 16, 'no json', 400),
+            ('/urgent/' + '1' * 16, '{"spec":"x","steps":[]}', 400),
+            (
+                '/urgent/' + '1' * 16,
+                '{"spec":"x","steps":[{"count":1,"after":[0]}]}',
+                400,
+            ),
+            ('/urgent/short', '{"spec":"x","steps":[{"count":1}]}', 400),
+            ('/nowhere/' + '1' * 16, '{}', 404),
+        )
+        for path, body, status in bad:
+            self.assertEqual(
+                status, self.site.call(front, 'POST', path, body)[0], path
+            )
+        self.assertEqual('410', self.site.state(0, '1' * 16))
--- a/tests/walnutpoint_scheduler/harness.py
+++ b/tests/walnutpoint_scheduler/harness.py
@@ -34,9 +34,7 @@
     'workers',
 )
 
-QUEUE = cell.Queue(
-    'urgent', 'host', '/urgent/', 'pool', 0, 3, 1.5, 0.25, 3.0
-)
+QUEUE = cell.Queue('urgent', 'host', '/urgent/', 'pool', 0, 3, 1.5, 0.25, 3.0)
 BATCH = cell.Queue('batch', 'host', '/batch/', 'pool', 2, 3, 2.2, 1.2, 3.0)
 ADVISED = cell.Queue(
     'advised',
@@ -89,9 +87,9 @@
             typing.cast(cell.AdviceTerms, ADVISED.advice), 0.6
         )
         self.timer = virtual_time.LoopTimer()
-        self.length_s: collections.abc.Callable[
-            [typing.Any], float
-        ] = lambda _task: LENGTH_S
+        self.length_s: collections.abc.Callable[[typing.Any], float] = (
+            lambda _task: LENGTH_S
+        )
         for number in range(worker_count):
             self.add_worker(number)
 
@@ -157,9 +155,7 @@
         return _record.decode_record(item.value).state
 
 
-def reborn(
-    listed: cell.ListedWorker, worker_id: str
-) -> cell.ListedWorker:
+def reborn(listed: cell.ListedWorker, worker_id: str) -> cell.ListedWorker:
     """Return the listing of another life at the same address."""
     return dataclasses.replace(listed, worker_id=worker_id)
 
@@ -184,4 +180,3 @@
 ) -> None:
     """Run a scene in virtual time."""
     virtual_time.run(scene())
-
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -33,9 +33,7 @@
             _messages.Member('me', '127.0.0.1:1', 'domain-0', 'life')
         )
         peers = _peers.Peers(web.Client())
-        self.relayed = _relay.RelayedStore(
-            self.store, members, peers, clock
-        )
+        self.relayed = _relay.RelayedStore(self.store, members, peers, clock)
         self.submissions = submission.Submissions(
             self.relayed,
             _leadership.Leadership(
@@ -51,9 +49,7 @@
             lambda *_: None,
         )
 
-    async def submit(
-        self, number: int, wait_s: float = 3.0
-    ) -> typing.Any:
+    async def submit(self, number: int, wait_s: float = 3.0) -> typing.Any:
         """Hand in a job that is waited for so long."""
         now_s = asyncio.get_running_loop().time()
         return await self.submissions.submit(
@@ -83,9 +79,7 @@
             other = await desk.submissions.submit(
                 harness.job(1, harness.step(7)), 2000.0
             )
-            self.assertIs(
-                errors.ErrorKind.KEY_MISMATCH, other.error.kind
-            )
+            self.assertIs(errors.ErrorKind.KEY_MISMATCH, other.error.kind)
 
         harness.play(scene)
 
--- a/tests/walnutpoint_scheduler/test_takeover.py
+++ b/tests/walnutpoint_scheduler/test_takeover.py
@@ -32,9 +32,7 @@
 def hand_in(model, number: int, *steps) -> str:
     """Store a job as an accepting process does."""
     handed = harness.job(number, *steps)
-    model.store.put(
-        _keys.job_key(handed.job_id), document.encode_job(handed)
-    )
+    model.store.put(_keys.job_key(handed.job_id), document.encode_job(handed))
     return handed.job_id
 
 
@@ -137,9 +135,9 @@
                 for one in models[:3]:
                     for other in models[3:]:
                         model.network.cut(one.address, other.address)
-                before = model.processes[
-                    model.scheduler()
-                ].process.figures()['scheduler_changes']
+                before = model.processes[model.scheduler()].process.figures()[
+                    'scheduler_changes'
+                ]
                 await anyio.sleep(20)
                 changes = max(
                     m.process.figures()['scheduler_changes'] for m in models
@@ -163,8 +161,9 @@
                 await anyio.sleep(0.5)
                 job_id = hand_in(model, 1, harness.step(1))
                 took_s = await harness.until(
-                    lambda: job_id
-                    in {t.job_id for t in model.fleet.ledger.done}
+                    lambda: (
+                        job_id in {t.job_id for t in model.fleet.ledger.done}
+                    )
                 )
                 self.assertLess(took_s, 3.0)
 
--- a/tests/walnutpoint_scheduler/test_term.py
+++ b/tests/walnutpoint_scheduler/test_term.py
@@ -18,9 +18,7 @@
             handed = harness.job(1, harness.step(3), harness.step(2))
             async with bed.scheduling():
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: bed.state(handed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
             self.assertEqual([], bed.fleet.ledger.violations)
             self.assertEqual(5, len(bed.fleet.ledger.done))
 
@@ -42,9 +40,7 @@
             bed.fleet.ledger.on_start = note
             async with bed.scheduling():
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: bed.state(handed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
             self.assertEqual(
                 [3, 3], [done for step, done in seen if step == 1]
             )
@@ -90,9 +86,7 @@
             handed = harness.job(1, harness.step(3))
             async with bed.scheduling():
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: len(bed.fleet.ledger.running) == 3
-                )
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 3)
                 bed.cancel(handed.job_id)
                 await harness.until(
                     lambda: not bed.fleet.ledger.running, limit_s=0.5
@@ -112,15 +106,11 @@
             gang = harness.job(2, wide)
             async with bed.scheduling():
                 bed.hand_in(filler)
-                await harness.until(
-                    lambda: len(bed.fleet.ledger.running) == 4
-                )
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 4)
                 bed.hand_in(gang)
                 await anyio.sleep(0.5)
                 self.assertEqual(4, len(bed.fleet.ledger.running))
-                await harness.until(
-                    lambda: bed.state(gang.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(gang.job_id) == 'done')
             self.assertEqual([], bed.fleet.ledger.violations)
 
         harness.play(scene)
@@ -144,9 +134,7 @@
             bed.fleet.ledger.on_start = note
             async with bed.scheduling():
                 bed.hand_in(timed)
-                await harness.until(
-                    lambda: bed.state(timed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(timed.job_id) == 'done')
             for due_ms, started_ms in zip(
                 (2000, 3000, 4000), starts, strict=True
             ):
@@ -200,9 +188,7 @@
             )
             async with bed.scheduling():
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: bed.state(handed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
             self.assertEqual(12, len(ran))
             for key, worker in ran:
                 self.assertTrue(bed.advice.permits(key, worker))
--- a/tests/walnutpoint_scheduler/test_term_faults.py
+++ b/tests/walnutpoint_scheduler/test_term_faults.py
@@ -28,13 +28,9 @@
             handed = harness.job(1, harness.step(3))
             async with bed.scheduling():
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: len(bed.fleet.ledger.running) == 3
-                )
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 3)
             async with bed.scheduling():
-                await harness.until(
-                    lambda: bed.state(handed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
             self.assertEqual([], bed.fleet.ledger.violations)
             self.assertEqual(3, sum(bed.fleet.ledger.starts.values()))
 
@@ -94,9 +90,7 @@
                     lambda: sum(bed.fleet.ledger.starts.values()) == 2
                 )
                 bed.fleet.workers[name].cut = False
-                await harness.until(
-                    lambda: bed.state(handed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
             self.assertGreater(waited_s, 2.5)
             self.assertLess(waited_s, 3.5)
             self.assertEqual([], bed.fleet.ledger.violations)
@@ -116,17 +110,13 @@
             handed = harness.job(1, harness.step(2))
             async with bed.scheduling():
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: len(bed.fleet.ledger.running) == 2
-                )
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 2)
                 bed.store.fault = store.StoreFault.REFUSES
                 await harness.until(lambda: not bed.fleet.ledger.running)
                 await anyio.sleep(0.3)
             bed.store.fault = store.StoreFault.NONE
             async with bed.scheduling():
-                await harness.until(
-                    lambda: bed.state(handed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
             self.assertEqual(2, sum(bed.fleet.ledger.starts.values()))
 
         harness.play(scene)
@@ -150,15 +140,11 @@
             )
             async with bed.scheduling() as term:
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: len(bed.fleet.ledger.running) == 2
-                )
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 2)
                 bed.store.fault = store.StoreFault.SILENT
                 await anyio.sleep(6)
                 bed.store.fault = store.StoreFault.NONE
-                await harness.until(
-                    lambda: bed.state(handed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
                 self.assertEqual('', term.reason)
             self.assertEqual([], bed.fleet.ledger.violations)
 
@@ -186,9 +172,7 @@
                 for handed in jobs:
                     bed.hand_in(handed)
                 await harness.until(
-                    lambda: all(
-                        bed.state(j.job_id) == 'done' for j in jobs
-                    )
+                    lambda: all(bed.state(j.job_id) == 'done' for j in jobs)
                 )
                 bed.store.fault = store.StoreFault.NONE
                 await anyio.sleep(8)
@@ -210,13 +194,11 @@
             handed = harness.job(1, harness.step(1))
             async with bed.scheduling():
                 await anyio.sleep(1)
-                bed.store.items[_keys.job_key(handed.job_id)] = (
-                    _silent_item(bed, handed)
+                bed.store.items[_keys.job_key(handed.job_id)] = _silent_item(
+                    bed, handed
                 )
                 bed.store.forget_history()
-                await harness.until(
-                    lambda: bed.state(handed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
 
         harness.play(scene)
 
@@ -240,9 +222,7 @@
                 for handed in jobs:
                     bed.hand_in(handed)
                 await harness.until(
-                    lambda: all(
-                        bed.state(j.job_id) == 'done' for j in jobs
-                    )
+                    lambda: all(bed.state(j.job_id) == 'done' for j in jobs)
                 )
                 await anyio.sleep(15)
             self.assertEqual([], bed.fleet.ledger.violations)
@@ -265,9 +245,7 @@
                 for handed in jobs:
                     bed.hand_in(handed)
                 await harness.until(
-                    lambda: all(
-                        bed.state(j.job_id) == 'done' for j in jobs
-                    )
+                    lambda: all(bed.state(j.job_id) == 'done' for j in jobs)
                 )
             self.assertEqual([], bed.fleet.ledger.violations)
 
@@ -314,9 +292,7 @@
             async with bed.scheduling():
                 await anyio.sleep(1)
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: len(bed.fleet.ledger.running) == 4
-                )
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 4)
                 bed.fleet.workers['worker-0'].cut = True
                 waited_s = await harness.until(
                     lambda: bed.state(handed.job_id) == 'done'
@@ -338,9 +314,7 @@
             handed = harness.job(1, harness.step(2, per_worker_max=1))
             async with bed.scheduling():
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: len(bed.fleet.ledger.running) == 2
-                )
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 2)
                 bed.fleet.remove('worker-0')
                 reborn = harness.workers.listed_worker(0)
                 bed.fleet.add(
@@ -367,19 +341,13 @@
             bed.length_s = lambda task: 3.0
             old = harness.workers.listed_worker(0)
             bed.fleet.remove('worker-0')
-            bed.fleet.add(
-                harness.reborn(old, 'worker-0b'), lambda task: 3.0
-            )
+            bed.fleet.add(harness.reborn(old, 'worker-0b'), lambda task: 3.0)
             handed = harness.job(1, harness.step(2, per_worker_max=1))
             async with bed.scheduling():
                 bed.hand_in(handed)
-                await harness.until(
-                    lambda: len(bed.fleet.ledger.running) == 2
-                )
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 2)
                 bed.fleet.list_other_life(old)
-                await harness.until(
-                    lambda: bed.state(handed.job_id) == 'done'
-                )
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
             self.assertEqual([], bed.fleet.ledger.violations)
             self.assertEqual(2, sum(bed.fleet.ledger.starts.values()))
 
@@ -400,9 +368,7 @@
                 for handed in jobs:
                     bed.hand_in(handed)
                 waited_s = await harness.until(
-                    lambda: all(
-                        bed.state(j.job_id) == 'done' for j in jobs
-                    )
+                    lambda: all(bed.state(j.job_id) == 'done' for j in jobs)
                 )
             self.assertLess(waited_s, 5.0)
             self.assertEqual([], bed.fleet.ledger.violations)
@@ -426,8 +392,7 @@
                     await anyio.sleep(0.1)
                 await harness.until(
                     lambda: all(
-                        bed.state(j.job_id) in ('done', 'failed')
-                        for j in jobs
+                        bed.state(j.job_id) in ('done', 'failed') for j in jobs
                     )
                 )
             states = [bed.state(j.job_id) for j in jobs]
