--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
@@ -11,6 +11,7 @@
 from absl import flags
 
 from walnutpoint_cli import _command_config
+from walnutpoint_cli import _command_course
 from walnutpoint_cli import _command_document
 from walnutpoint_cli import _command_jobs
 from walnutpoint_cli import _command_request
@@ -32,6 +33,7 @@
 _Words: typing.TypeAlias = tuple[str, ...]
 
 _REQUEST: typing.Final = 'request'
+_EXPLAIN: typing.Final = _command_view.View.EXPLAIN.value
 _VIEWS: typing.Final = tuple(view.value for view in _command_view.View)
 _JOB: typing.Final = re.compile(r'[^/\s]+/[^/\s]+')
 
@@ -43,6 +45,10 @@
         return functools.partial(
             _command_request.execute, _flags.request_options(), sys.stdout
         )
+    if name == _EXPLAIN and len(words) > 1:
+        return functools.partial(
+            _command_course.execute, words[0], words[1:], sys.stdout
+        )
     if name in _VIEWS:
         wanted = int(name == _command_view.View.EXPLAIN.value)
         _take(name, words, wanted)
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/main.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/main.py
@@ -8,6 +8,8 @@
   endpoints   show the endpoints, their owners and their slots
   owners      show the entry processes and what they own
   explain ID  show what happened to the request with this id
+  explain ID FILE...  rebuild a job's course from log files of several hosts;
+              - reads standard input
   apply FILE  put a document in force; - reads standard input
   diff FILE   show what a document would change
   get         show what is in force as a document to edit, with --team of one
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
@@ -11,7 +11,10 @@
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import ports
 
-__all__ = ('Pacer',)
+__all__ = (
+    'Pacer',
+    'next_percent',
+)
 
 _LOG: typing.Final = logs.get_logger('pacing')
 # Tails from this share of the target on are answered by slowing down: the
@@ -52,7 +55,7 @@
             (_target_share(run) for run in worker.serving_runs()), default=0.0
         )
         for run in filling:
-            percent = _next_percent(run.pace_percent, worst)
+            percent = next_percent(run.pace_percent, worst)
             if percent != run.pace_percent:
                 self._changed_s[worker.worker_id] = now_s
                 self._set(worker, run, percent, worst)
@@ -98,7 +101,7 @@
     return run.load / task.step.step.latency_target_ms
 
 
-def _next_percent(percent: int, worst_share: float) -> int:
+def next_percent(percent: int, worst_share: float) -> int:
     """Return the next pace for the worst share of a target beside it."""
     if worst_share >= _HIGH_SHARE:
         lower = int(percent * _DECREASE_FACTOR)
--- /dev/null
+++ b/tests/walnutpoint_cli/test_course.py
@@ -0,0 +1,97 @@
+"""The course of a job, rebuilt from log lines."""
+
+from __future__ import annotations
+
+import io
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+
+from walnutpoint_cli import _command_course
+from walnutpoint_cli import _course
+
+LINES_A = """\
+timestamp=2026-01-01T10:00:00.000000Z level=info event=job.accepted \
+part=submission job=aa queue=urgent revision=7
+not a log line
+timestamp=2026-01-01T10:00:00.500000Z level=warning event=store.lost \
+part=store kind=store_unavailable detail="no answer"
+timestamp=2026-01-01T10:00:09.000000Z level=warning event=store.lost \
+part=store kind=store_unavailable detail=later
+"""
+LINES_B = """\
+timestamp=2026-01-01T10:00:00.010000Z level=info event=run.placed \
+part=placer run=aa.0.0.1#1 worker=w1 free_millicores=5 token=3
+timestamp=2026-01-01T10:00:00.020000Z level=info event=run.placed \
+part=placer run=bb.0.0.1#1 worker=w1 free_millicores=5 token=3
+timestamp=2026-01-01T10:00:03.020000Z level=info event=run.ended \
+part=ends run=aa.0.0.1#1 worker=w1 how=done number=1
+timestamp=2026-01-01T10:00:03.030000Z level=info event=job.concluded \
+part=ends job=aa queue=urgent state=done after_ms=3030
+"""
+
+
+def _lines() -> list[_course.Line]:
+    found = []
+    for source, text in (('a', LINES_A), ('b', LINES_B)):
+        for row in text.splitlines():
+            line = _course.parse_line(row, source)
+            if line is not None:
+                found.append(line)
+    return found
+
+
+class CourseTest(unittest.TestCase):
+    """Lines of several hosts become one timeline."""
+
+    def test_only_the_jobs_own_lines_count(self) -> None:
+        course = _course.rebuild(_lines(), 'aa')
+        self.assertEqual(
+            ['job.accepted', 'run.placed', 'run.ended', 'job.concluded'],
+            [line.event for line in course.own],
+        )
+
+    def test_what_was_around_is_shown_and_the_rest_is_not(self) -> None:
+        course = _course.rebuild(_lines(), 'aa')
+        self.assertEqual(
+            ['no answer'], [line.fields['detail'] for line in course.around]
+        )
+
+    def test_longest_wait_and_decision_are_named(self) -> None:
+        course = _course.rebuild(_lines(), 'aa')
+        self.assertAlmostEqual(3.01, course.longest_wait_s, places=3)
+        assert course.waited_for is not None
+        assert course.decisive is not None
+        self.assertEqual('run.ended', course.waited_for.event)
+        self.assertEqual('done', course.decisive.fields['state'])
+
+    def test_prefix_of_a_collector_names_time_and_host(self) -> None:
+        line = _course.parse_line(
+            '  12.5000 host-1 timestamp=2026-01-01T10:00:00Z level=info '
+            'event=job.seen job=aa',
+            'file',
+        )
+        assert line is not None
+        self.assertEqual(('host-1', 12.5), (line.source, line.time_s))
+
+    def test_command_reads_files_and_tells_when_nothing_is_known(
+        self,
+    ) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            files = []
+            for name, text in (('a', LINES_A), ('b', LINES_B)):
+                path = pathlib.Path(folder, f'{name}.log')
+                path.write_text(text)
+                files.append(str(path))
+            output = io.StringIO()
+            code = anyio.run(
+                _command_course.execute, 'aa', tuple(files), output
+            )
+            self.assertEqual(0, code)
+            self.assertIn('decided by: job.concluded on b', output.getvalue())
+            code = anyio.run(
+                _command_course.execute, 'zz', tuple(files), output
+            )
+            self.assertEqual(1, code)
--- a/tests/walnutpoint_entry/tasks/test_room.py
+++ b/tests/walnutpoint_entry/tasks/test_room.py
@@ -48,7 +48,9 @@
             _PLACEMENT.eject_max_s,
         )
         self.slots = fake.Slots(_SLOTS)
-        self.cell = _cell.Cell(self.slots, worker_health.WorkerHealth(outliers))
+        self.cell = _cell.Cell(
+            self.slots, worker_health.WorkerHealth(outliers)
+        )
         self.index = 0
         self.now_s = 0.0
         self.requests: list[str] = []
--- a/tests/walnutpoint_entry/tasks/test_service.py
+++ b/tests/walnutpoint_entry/tasks/test_service.py
@@ -755,7 +755,9 @@
         self.assertEqual(6, bench.service.free_tasks(sound))
 
     def test_job_that_fails_everywhere_makes_few_suspects(self) -> None:
-        health = worker_health.WorkerHealth(placement.OutlierDetector(3, 2.0, 60.0))
+        health = worker_health.WorkerHealth(
+            placement.OutlierDetector(3, 2.0, 60.0)
+        )
         for worker in 'abcdef':
             health.watch(worker)
             health.begin(worker, 0.0)
--- /dev/null
+++ b/tests/walnutpoint_platform/test_node.py
@@ -0,0 +1,42 @@
+"""The platform's settings file."""
+
+from __future__ import annotations
+
+import unittest
+
+from walnutpoint_platform import _node
+
+SOUND = """\
+nodeName=edge-1
+zone=zone-a
+listen.front=10.0.0.1:80
+listen.ready=10.0.0.1:81
+listen.control=10.0.0.1:82
+seeds=10.0.0.1:82,10.0.0.2:82
+platform.addr=10.0.0.9:90
+bounds.holdMaxMs=6000
+brandNew.thing=1
+"""
+
+
+class NodeTest(unittest.TestCase):
+    """Known fields are checked, unknown ones are passed over."""
+
+    def test_sound_file_is_read(self) -> None:
+        node = _node.parse(SOUND).ok
+        self.assertEqual('edge-1', node.name)
+        self.assertEqual(6.0, node.lease_max_s)
+        self.assertEqual(2, len(node.seeds))
+        self.assertEqual(('brandNew.thing',), node.unknown)
+
+    def test_every_fault_is_told(self) -> None:
+        text = SOUND.replace('nodeName=edge-1\n', '').replace(
+            'listen.ready=10.0.0.1:81', 'listen.ready=x'
+        )
+        faults = _node.parse(text + 'no equals sign\nbounds.graceS=y\n')
+        text = ' '.join(faults.error)
+        for part in ('nodeName', 'listen.ready', 'line', 'bounds.graceS'):
+            self.assertIn(part, text)
+
+    def test_missing_file_is_a_fault(self) -> None:
+        self.assertTrue(_node.read('/nowhere.conf').is_error())
--- /dev/null
+++ b/tests/walnutpoint_scheduler/test_lease.py
@@ -0,0 +1,37 @@
+"""When everything on a worker has certainly lapsed."""
+
+from __future__ import annotations
+
+import unittest
+
+from walnutpoint_scheduler import _lease
+
+
+class LeaseTest(unittest.TestCase):
+    """The lower bound of the worker's clock decides."""
+
+    def test_lease_is_on_the_workers_own_clock(self) -> None:
+        lease = _lease.WorkerLease(2.5, started_s=100.0)
+        self.assertIsNone(lease.extend(100.0))
+        lease.read_clock(5000, 100.0)
+        self.assertEqual(5000 + 1000 + 2500, lease.extend(101.0))
+
+    def test_slow_clock_is_waited_for(self) -> None:
+        """A worker 2% slow still runs when its lease seems to be over."""
+        lease = _lease.WorkerLease(2.5, started_s=0.0)
+        lease.read_clock(0, 10.0)
+        lease.extend(10.0)
+        self.assertFalse(lease.lapsed(10.0 + 2.5 / 0.98))
+        self.assertTrue(lease.lapsed(10.0 + 3.0))
+
+    def test_leases_of_earlier_terms_are_waited_for(self) -> None:
+        """Nothing is known of a worker that never answered this term."""
+        lease = _lease.WorkerLease(2.5, started_s=50.0)
+        self.assertFalse(lease.lapsed(52.6))
+        self.assertTrue(lease.lapsed(53.0))
+
+    def test_overtaken_answer_does_not_set_the_clock_back(self) -> None:
+        lease = _lease.WorkerLease(2.5, started_s=0.0)
+        lease.read_clock(2000, 2.0)
+        lease.read_clock(1000, 2.1)
+        self.assertEqual(2000 + 2500, lease.extend(2.0))
--- /dev/null
+++ b/tests/walnutpoint_scheduler/test_settings_file.py
@@ -0,0 +1,45 @@
+"""The scheduler's settings file."""
+
+from __future__ import annotations
+
+import unittest
+
+from walnutpoint_scheduler import settings
+from walnutpoint_scheduler import settings_file
+
+
+class SettingsFileTest(unittest.TestCase):
+    """A file holds whole, or not at all."""
+
+    def test_fields_left_out_have_their_defaults(self) -> None:
+        loaded = settings_file.parse('lease_s: 3.0\n').ok
+        self.assertEqual(3.0, loaded.lease_s)
+        self.assertEqual(settings.SchedulerSettings().stall_s, loaded.stall_s)
+
+    def test_empty_file_is_sound(self) -> None:
+        self.assertTrue(settings_file.parse('').is_ok())
+
+    def test_every_fault_is_named_by_its_field(self) -> None:
+        faults = settings_file.parse('lease_s: -1\nfoo: 2\nstall_s: x\n')
+        text = ' '.join(faults.error)
+        for name in ('lease_s', 'foo', 'stall_s'):
+            self.assertIn(name, text)
+
+    def test_lease_beyond_what_workers_grant_is_a_fault(self) -> None:
+        faults = settings_file.parse('lease_s: 9\nlease_max_s: 6\n')
+        self.assertIn('lease_s', faults.error[0])
+
+    def test_text_that_is_no_mapping_is_a_fault(self) -> None:
+        for text in ('- 1\n', 'a: [\n'):
+            self.assertTrue(settings_file.parse(text).is_error())
+
+    def test_missing_file_is_a_fault(self) -> None:
+        self.assertTrue(settings_file.load('/nowhere.yaml').is_error())
+
+    def test_changes_are_told_by_field(self) -> None:
+        before = settings.SchedulerSettings()
+        after = settings.SchedulerSettings(lease_s=3.0)
+        self.assertEqual(
+            {'lease_s': f'{before.lease_s}->3.0'},
+            settings_file.changes(before, after),
+        )
