Read less at a takeover, and let strong hosts schedule

A page of up to 1 MB over a link of 5 Mbit/s takes longer than the 0.45 s of a store call, so that a term on a weak host never finished its reading, and the next one began the same. Ruled out: the claim itself (won within 0.2 s).

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -89,9 +89,12 @@
         """Take what an earlier term left."""
         by_key = {item.key: item for item in stored.records}
         for item in stored.jobs:
+            record = by_key.get(_keys.record_key(_keys.job_id(item.key)))
+            if item.value == document.FINAL:
+                self._restore_final(_keys.job_id(item.key), record)
+                continue
             job = self._decode(item)
             if job is not None:
-                record = by_key.get(_keys.record_key(job.job_id))
                 self._restore_job(job, record)
         for item in stored.cancels:
             self.cancel(_keys.job_id(item.key))
@@ -152,6 +155,8 @@
             return
         if _keys.job_id(item.key) in self._context.jobs:
             return
+        if item.value == document.FINAL:
+            return
         job = self._decode(item)
         if job is not None:
             self.add(job)
@@ -187,6 +192,23 @@
             context.open_jobs[job.job_id] = progress
             self._ends.recheck(progress)
 
+    def _restore_final(
+        self, job_id: str, item: core_ports.StoredValue | None
+    ) -> None:
+        """Remember a final job by its state alone."""
+        if item is None:
+            return
+        context = self._context
+        record = _record.decode_record(item.value)
+        progress = _state.JobProgress(
+            document.Job(job_id, _LOST_QUEUE, '', ()),
+            cell.Queue(_LOST_QUEUE, '', '', ''),
+            context.started_s,
+        )
+        progress.buried = True
+        _record.apply_record(progress, record, item.revision)
+        context.jobs[job_id] = progress
+
     def _restore_run(
         self, task: _state.TaskProgress, worker_id: str, attempt: int
     ) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
@@ -16,13 +16,14 @@
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _record
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import document
 
 __all__ = ('Journal',)
 
 _LOG: typing.Final = logs.get_logger('journal')
-# The platform's store takes 32 entries a call: a guard and a put for each
-# job, and one guard for the token.
-_JOBS_PER_COMMIT: typing.Final = 15
+# The platform's store takes 32 entries a call: a guard and up to two puts for
+# each job, and one guard for the token.
+_JOBS_PER_COMMIT: typing.Final = 10
 # Commits that may be on their way. Each takes some 4 ms, and some 300 ms
 # while the store is slow; 4 x 15 jobs keep up with 200 starts a second then.
 _COMMITS_MAX: typing.Final = 4
@@ -145,6 +146,7 @@
             self.committed_s = self._timer.now_s()
             for job, (count, state) in zip(jobs, changes, strict=True):
                 job.saved_state = state
+                job.buried = job.buried or _state.JobState(state).final
                 self._settle(job, count, reply.ok.revision)
             self._woken.set()
             return
@@ -165,6 +167,14 @@
             key = _keys.record_key(job.document.job_id)
             guards.append(ports.Guard(key, job.record_revision))
             puts.append(ports.Put(key, _record.encode_record(job, now_ms)))
+            if job.state.final and not job.buried:
+                # The next term reads all documents first: a final job's
+                # shrinks to its name, which still answers a late repeat.
+                puts.append(
+                    ports.Put(
+                        _keys.job_key(job.document.job_id), document.FINAL
+                    )
+                )
         return ports.Batch(tuple(guards), tuple(puts))
 
     def _settle(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -30,6 +30,9 @@
 # Between the tries of two candidates: a commit of some 4 ms and a reading.
 _RANK_DELAY_S: typing.Final = 0.04
 _RANK_DELAY_MAX_S: typing.Final = 0.6
+# A weak host leaves this much more time to others, also while it does not
+# know them yet, as at the first start of all.
+_WEAK_DELAY_S: typing.Final = 0.4
 _RETRY_S: typing.Final = 0.1
 _WATCH_S: typing.Final = 10.0
 # The scheduler calls the store many times a second. Without an answer for
@@ -228,7 +231,11 @@
             excluded = set()
         now_s = self._timer.now_s()
         rank = self._members.rank(seen, excluded, now_s)
-        await self._timer.sleep(min(rank * _RANK_DELAY_S, _RANK_DELAY_MAX_S))
+        weakness = 1.0 - self._members.me.strength
+        await self._timer.sleep(
+            min(rank * _RANK_DELAY_S, _RANK_DELAY_MAX_S)
+            + weakness * _WEAK_DELAY_S
+        )
         if reason is _suspicion.Reason.SILENT and await self._is_heard():
             self._suspicion.refute()
             await self._timer.sleep(self._settings.probe_period_s)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_membership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_membership.py
@@ -84,8 +84,10 @@
     ) -> int:
         """Return how many members come before this one as a candidate.
 
-        The order differs for each revision of the scheduler's key, so that
-        no process is always first.
+        Strong hosts come first: the scheduler takes a core and the worker
+        links, and on a weak host every start of the cell is late. Among
+        equals the order differs for each revision of the scheduler's key,
+        so that no process is always first.
         """
         candidates = [
             member
@@ -94,8 +96,9 @@
             and (member is self.me or not self.is_shunned(member, now_s))
         ]
         candidates.sort(
-            key=lambda m: xxhash.xxh64_intdigest(
-                f'{m.name}/{revision}'.encode()
+            key=lambda m: (
+                -m.strength,
+                xxhash.xxh64_intdigest(f'{m.name}/{revision}'.encode()),
             )
         )
         return candidates.index(self.me) if self.me in candidates else 0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
@@ -32,6 +32,8 @@
     domain: str
     # A new one at each start of the process.
     incarnation: str
+    # How well its host could schedule: 1 is as good as any.
+    strength: float = 1.0
 
 
 class Claim(msgspec.Struct, frozen=True):
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -215,6 +215,7 @@
 
     __slots__ = (
         'begun',
+        'buried',
         'cancel_requested',
         'changes',
         'document',
@@ -237,6 +238,8 @@
         self.state = JobState.QUEUED
         self.cancel_requested = False
         self.begun = False
+        # Whether the stored document is replaced by its name alone.
+        self.buried = False
         self.occurrences: dict[int, tuple[StepProgress, ...]] = {}
         # The journal's revision of the record; zero where there is none.
         self.record_revision = 0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -10,6 +10,7 @@
 from walnutpoint_scheduler import cell
 
 __all__ = (
+    'FINAL',
     'Job',
     'Step',
     'decode_job',
@@ -86,6 +87,10 @@
     return _ENCODER.encode(job)
 
 
+# What is stored in place of a final job's document.
+FINAL: typing.Final = b'\x00'
+
+
 def decode_job(value: bytes) -> Job:
     """Read a stored job; raise msgspec.DecodeError where it is none."""
     return _DECODER.decode(value)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -50,11 +50,17 @@
 class Identity:
     """The name and addresses of a process."""
 
-    __slots__ = ('domain', 'name', 'peer_address', 'seeds')
+    __slots__ = ('domain', 'name', 'peer_address', 'seeds', 'strength')
 
     def __init__(
-        self, name: str, peer_address: str, domain: str, seeds: tuple[str, ...]
+        self,
+        name: str,
+        peer_address: str,
+        domain: str,
+        seeds: tuple[str, ...],
+        strength: float = 1.0,
     ) -> None:
+        self.strength = strength
         self.name = name
         self.peer_address = peer_address
         self.domain = domain
@@ -147,6 +153,7 @@
             identity.peer_address,
             identity.domain,
             secrets.token_hex(8),
+            identity.strength,
         )
         self._timer = clock
         self._now_ms = now_ms
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -226,6 +226,8 @@
             self._tell_job(job)
             return expression.Ok(Taken.NEW)
         for item in reply.conflicts:
+            if item.value == document.FINAL:
+                continue
             stored = document.decode_job(item.value)
             if stored.queue != job.queue or stored.steps != job.steps:
                 return expression.Error(
