--- a/packages/walnutpoint-entry/src/walnutpoint_entry/placement/__init__.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/placement/__init__.py
@@ -4,10 +4,10 @@
 
 from walnutpoint_entry.placement import _budget
 from walnutpoint_entry.placement import _estimate
-from walnutpoint_scheduler import outlier
 from walnutpoint_entry.placement import _policy
 from walnutpoint_entry.placement import _pool
 from walnutpoint_entry.placement import _queue
+from walnutpoint_scheduler import outlier
 
 ClosedReason = _pool.ClosedReason
 EndpointView = _pool.EndpointView
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_cell.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_cell.py
@@ -12,13 +12,13 @@
 from walnutpoint_entry.tasks import _amount
 from walnutpoint_entry.tasks import _entries
 from walnutpoint_entry.tasks import _entry
-from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _model
 from walnutpoint_entry.tasks import _reserves
 from walnutpoint_entry.tasks import _room
 from walnutpoint_entry.tasks import _selection
 from walnutpoint_entry.tasks import _slots
 from walnutpoint_entry.tasks import _wire
+from walnutpoint_scheduler import worker_health
 
 __all__ = (
     'Cell',
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_selection.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_selection.py
@@ -8,11 +8,11 @@
 from walnutpoint_entry.tasks import _amount
 from walnutpoint_entry.tasks import _choice
 from walnutpoint_entry.tasks import _entries
-from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _model
 from walnutpoint_entry.tasks import _reserves
 from walnutpoint_entry.tasks import _room
 from walnutpoint_entry.tasks import _slots
+from walnutpoint_scheduler import worker_health
 
 __all__ = ('Selection',)
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_service.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/tasks/_service.py
@@ -20,7 +20,6 @@
 from walnutpoint_entry.tasks import _contact
 from walnutpoint_entry.tasks import _displacement
 from walnutpoint_entry.tasks import _entry
-from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _leases
 from walnutpoint_entry.tasks import _model
 from walnutpoint_entry.tasks import _owner
@@ -30,6 +29,7 @@
 from walnutpoint_entry.tasks import _vacancy
 from walnutpoint_entry.tasks import _wire
 from walnutpoint_entry.tasks import _worker
+from walnutpoint_scheduler import worker_health
 
 __all__ = ('TaskService',)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -11,7 +11,6 @@
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
-from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 
 __all__ = ('WorkerLinks',)
--- a/tests/walnutpoint_entry/tasks/test_room.py
+++ b/tests/walnutpoint_entry/tasks/test_room.py
@@ -15,9 +15,9 @@
 from walnutpoint_entry import tasks
 from walnutpoint_entry.tasks import _amount
 from walnutpoint_entry.tasks import _cell
-from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _reserves
 from walnutpoint_entry.tasks import _wire
+from walnutpoint_scheduler import worker_health
 
 from tests.walnutpoint_entry.tasks import fake
 
--- a/tests/walnutpoint_entry/tasks/test_service.py
+++ b/tests/walnutpoint_entry/tasks/test_service.py
@@ -11,8 +11,8 @@
 from walnutpoint_entry import ownership
 from walnutpoint_entry import placement
 from walnutpoint_entry import tasks
-from walnutpoint_scheduler import worker_health
 from walnutpoint_entry.tasks import _tombstones
+from walnutpoint_scheduler import worker_health
 
 from tests.walnutpoint_entry import samples
 from tests.walnutpoint_entry.tasks import fake
--- a/tests/walnutpoint_platform/site.py
+++ b/tests/walnutpoint_platform/site.py
@@ -6,7 +6,6 @@
 import json
 import os
 import pathlib
-import signal
 import socket
 import subprocess
 import sys
@@ -90,7 +89,7 @@
         process.terminate()
         return process.wait(timeout=10)
 
-    def signal(self, number: int, which: signal.Signals) -> None:
+    def signal(self, number: int, which: int) -> None:
         """Send a signal to a process."""
         self.processes[number].send_signal(which)
 
