--- a/tests/docs/test_operators.py
+++ b/tests/docs/test_operators.py
@@ -17,7 +17,7 @@
 from walnutpoint_entry.ownership import _table
 
 _ROOT = pathlib.Path(__file__).parents[2]
-_PAGE = (_ROOT / 'docs' / 'operators.md').read_text()
+_PAGE = (_ROOT / 'docs' / 'OPERATIONS.md').read_text()
 _EVENT = re.compile(
     r'_(?:LOG|log)\.(debug|info|warning|error)\(\s*\'(\w+)\'', re.MULTILINE
 )
