--- a/tests/docs/test_operators.py
+++ b/tests/docs/test_operators.py
@@ -19,13 +19,13 @@
 _ROOT = pathlib.Path(__file__).parents[2]
 _PAGE = (_ROOT / 'docs' / 'OPERATIONS.md').read_text()
 _EVENT = re.compile(
-    r'_(?:LOG|log)\.(debug|info|warning|error)\(\s*\'(\w+)\'', re.MULTILINE
+    r'_(?:LOG|log)\.(debug|info|warning|error)\(\s*\'([\w.]+)\'', re.MULTILINE
 )
 _SETTING_ROW = re.compile(
     r'^\| `(\w+\.\w+)` \| ([^|]*) \| ([^|]*) \| ([^|]*) \|$', re.MULTILINE
 )
 _EVENT_ROW = re.compile(
-    r'^\| `(\w+)` \| (debug|info|warning|error) \|', re.MULTILINE
+    r'^\| `([\w.]+)` \| (debug|info|warning|error) \|', re.MULTILINE
 )
 _METRIC_ROW = re.compile(
     r'^\| `(walnutpoint_\w+)` \| (gauge|counter) \|', re.MULTILINE
@@ -98,10 +98,18 @@
     return rows
 
 
+def _sources() -> list[pathlib.Path]:
+    return sorted(
+        path
+        for folder in ('packages', 'platform')
+        for path in (_ROOT / folder).rglob('*.py')
+    )
+
+
 def _events() -> set[tuple[str, str]]:
     return {
         (event, level)
-        for path in sorted((_ROOT / 'packages').rglob('*.py'))
+        for path in _sources()
         for level, event in _EVENT.findall(path.read_text())
     }
 
@@ -125,7 +133,7 @@
     def test_every_log_call_names_its_event(self) -> None:
         """An event that is not written out would be missed above."""
         calls = re.compile(r'_(?:LOG|log)\.(?:debug|info|warning|error)\(')
-        for path in (_ROOT / 'packages').rglob('*.py'):
+        for path in _sources():
             text = path.read_text()
             self.assertEqual(
                 len(calls.findall(text)), len(_EVENT.findall(text)), path
