--- a/tests/walnutpoint_platform/test_processes.py
+++ b/tests/walnutpoint_platform/test_processes.py
@@ -6,7 +6,7 @@
 import time
 import unittest
 
-from tests.walnutpoint_platform import site
+from walnutpoint_standins import site
 
 
 class ProcessesTest(unittest.TestCase):
--- /dev/null
+++ b/tests/walnutpoint_platform/test_store.py
@@ -0,0 +1,143 @@
+"""The client of the platform's store against a scripted server."""
+
+from __future__ import annotations
+
+import asyncio
+import collections.abc
+import typing
+import unittest
+
+from walnutpoint_core import errors
+from walnutpoint_core import ports
+from walnutpoint_core import web
+from walnutpoint_model import store as model_store
+from walnutpoint_platform import _store
+from walnutpoint_standins import _store as standin
+from walnutpoint_standins import site
+
+BATCH = ports.Batch((ports.Guard('a', 0),), (ports.Put('a', b'1'),))
+
+
+def play(
+    handler: web.Handler,
+    scene: collections.abc.Callable[
+        [_store.KeyValueStore], collections.abc.Awaitable[None]
+    ],
+) -> None:
+    """Run a scene against a server."""
+
+    async def run() -> None:
+        address = f'127.0.0.1:{site.free_ports(1)}'
+        server = web.Server(address, handler, 1 << 20)
+        await server.start()
+        client = web.Client()
+        await scene(_store.KeyValueStore(address, client))
+        client.close()
+        server.stop_listening()
+
+    asyncio.run(run())
+
+
+def answering(status: int, body: bytes = b'') -> web.Handler:
+    """Return a server that gives one answer to everything."""
+
+    async def answer(_request: web.Request) -> web.Response:
+        return web.Response(status, body)
+
+    return answer
+
+
+class CommitTest(unittest.TestCase):
+    """What an answer to a commit says, and what it does not."""
+
+    def _kind(self, status: int, body: bytes = b'') -> errors.ErrorKind:
+        kinds: list[errors.ErrorKind] = []
+
+        async def scene(store: _store.KeyValueStore) -> None:
+            reply = await store.commit(BATCH)
+            kinds.append(reply.error.kind)
+
+        play(answering(status, body), scene)
+        return kinds[0]
+
+    def test_documented_refusals_say_that_nothing_was_done(self) -> None:
+        for status in (429, 503):
+            self.assertIs(
+                errors.ErrorKind.STORE_UNAVAILABLE, self._kind(status)
+            )
+
+    def test_any_other_answer_leaves_the_commit_in_doubt(self) -> None:
+        """A caller is not told that its job was refused.
+
+        The store answers with a server error, or with something unreadable,
+        after it may have applied the commit.
+        """
+        for status, body in ((500, b''), (200, b'{'), (502, b''), (412, b'x')):
+            self.assertIs(
+                errors.ErrorKind.STORE_ANSWER_LOST, self._kind(status, body)
+            )
+
+    def test_unanswered_commit_is_in_doubt(self) -> None:
+        async def silent(_request: web.Request) -> web.Response:
+            await asyncio.sleep(3)
+            return web.Response(200)
+
+        async def scene(store: _store.KeyValueStore) -> None:
+            reply = await store.commit(BATCH)
+            self.assertIs(errors.ErrorKind.STORE_ANSWER_LOST, reply.error.kind)
+
+        play(silent, scene)
+
+    def test_refused_connection_is_no_doubt(self) -> None:
+        async def run() -> None:
+            address = f'127.0.0.1:{site.free_ports(1)}'
+            store = _store.KeyValueStore(address, web.Client())
+            reply = await store.commit(BATCH)
+            self.assertIs(errors.ErrorKind.STORE_UNAVAILABLE, reply.error.kind)
+
+        asyncio.run(run())
+
+
+class RoundTripTest(unittest.TestCase):
+    """Every operation against the stand-in."""
+
+    def test_values_come_back_as_written(self) -> None:
+        async def scene(store: _store.KeyValueStore) -> None:
+            first = await store.commit(BATCH)
+            self.assertTrue(first.ok.applied)
+            again = await store.commit(BATCH)
+            self.assertFalse(again.ok.applied)
+            self.assertEqual(b'1', again.ok.conflicts[0].value)
+            item = await store.get('a')
+            self.assertEqual(b'1', item.ok.value)
+            self.assertIsNone((await store.get('b')).ok)
+            changes = await store.watch('a', 1, 0.2)
+            self.assertEqual(1, len(changes.ok.values))
+            await store.commit(ports.Batch((), (), ('a',)))
+            self.assertEqual((), (await store.read('a')).ok.values)
+
+        play(_served(), scene)
+
+    def test_pages_are_read_to_the_end(self) -> None:
+        async def scene(store: _store.KeyValueStore) -> None:
+            for start in range(0, 620, 31):
+                puts = tuple(
+                    ports.Put(f'k{n:04}', b'x')
+                    for n in range(start, start + 31)
+                )
+                await store.commit(ports.Batch((), puts))
+            snapshot = await store.read('k')
+            self.assertEqual(620, len(snapshot.ok.values))
+
+        play(_served(), scene)
+
+
+def _served() -> web.Handler:
+    held: dict[str, typing.Any] = {}
+
+    async def answer(request: web.Request) -> web.Response:
+        if not held:
+            held['server'] = standin.StoreServer(model_store.MemoryStore())
+        return await held['server'].answer(request)
+
+    return answer
