Let no single order, message or record end a term

Ruled out: the reading of the store (17 ms). Change: a stop waits until the worker is listed or its lease has lapsed; orders, messages and records that fail unforeseen are logged and passed over. Advice that is given up on counts as work ahead of the next question. Log lines leave in writes that a pipe does not tear.

--- a/packages/walnutpoint-core/src/walnutpoint_core/_line_writer.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/_line_writer.py
@@ -13,7 +13,9 @@
 _LINES_MAX: typing.Final = 4000
 # Lines are joined for this long, which saves a system call a line.
 _JOIN_S: typing.Final = 0.05
-_JOINED_BYTES: typing.Final = 32 * 1024
+# A pipe takes this much whole or not at all (POSIX, PIPE_BUF): lines of
+# several processes that share one are not torn apart.
+_JOINED_BYTES: typing.Final = 4096
 
 
 class LineWriter:
@@ -97,8 +99,9 @@
             parts.append(f'level=warning event=log.lost lines={self._lost}')
             self._lost = 0
         size = 0
-        while self._lines and size < _JOINED_BYTES:
-            line = self._lines.popleft()
-            parts.append(line)
-            size += len(line)
+        while self._lines:
+            size += len(self._lines[0]) + 1
+            if parts and size > _JOINED_BYTES:
+                break
+            parts.append(self._lines.popleft())
         return ('\n'.join(parts) + '\n').encode(errors='replace')
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -333,6 +333,7 @@
     ) -> ports.Report | ports.OrderReply:
         """Renew a lease and return the report."""
         self.calls += 1
+        _check_address(worker)
         await anyio.sleep(_TRANSIT_S)
         if self._other_life_answers(worker):
             return ports.OrderReply(ports.OrderOutcome.OTHER_LIFE)
@@ -375,6 +376,7 @@
         is_stop: bool = False,
     ) -> ports.OrderReply:
         self.calls += 1
+        _check_address(worker)
         await anyio.sleep(_TRANSIT_S)
         if self._other_life_answers(worker):
             return ports.OrderReply(ports.OrderOutcome.OTHER_LIFE)
@@ -397,6 +399,11 @@
         return reply
 
 
+def _check_address(worker: cell.ListedWorker) -> None:
+    """Refuse to call nowhere, as a real client does."""
+    int(worker.address.rpartition(':')[2])
+
+
 def listed_worker(
     number: int,
     pool: str = 'pool',
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
@@ -24,9 +24,9 @@
 # The share of hosts that only short calls are put through.
 _SHORT_HOSTS_SHARE: typing.Final = 0.4
 # How much later than expected an answer through another host may come
-# before the question is put through a third: transit, and one short call
-# that was ahead of it.
-_SLACK_S: typing.Final = 0.4
+# before the question is put through a third. One that is given up on costs
+# the service its time all the same, so that haste lengthens the queue.
+_SLACK_S: typing.Final = 0.8
 # A host whose call failed is not used for this long.
 _FAILED_S: typing.Final = 2.0
 
@@ -78,6 +78,7 @@
             if not advisor.waiting:
                 advisor.free_s = self._timer.now_s()
         if answer.is_error():
+            advisor.free_s = self._timer.now_s() + expected_s + _SLACK_S
             # Cut off, paused or gone: the question goes elsewhere next.
             advisor.failed_until_s = self._timer.now_s() + _FAILED_S
         return answer
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -7,6 +7,7 @@
 
 import anyio.abc
 
+from walnutpoint_core import logs
 from walnutpoint_core import timer
 from walnutpoint_scheduler import _advice
 from walnutpoint_scheduler import _journal
@@ -19,6 +20,8 @@
 
 __all__ = ('Context',)
 
+_LOG: typing.Final = logs.get_logger('term')
+
 
 class Context:
     """One term's memory and ways out; all of it ends with the term.
@@ -78,6 +81,33 @@
         self.lost: collections.abc.Callable[[str], None] = _ignore
         self.wake: collections.abc.Callable[[], None] = lambda: None
 
+    def spawn(
+        self,
+        work: collections.abc.Callable[..., collections.abc.Awaitable[object]],
+        *arguments: object,
+    ) -> None:
+        """Do something beside, for as long as the term lasts."""
+        self.tasks.start_soon(self._guard, work, arguments)
+
+    async def _guard(
+        self,
+        work: collections.abc.Callable[..., collections.abc.Awaitable[object]],
+        arguments: tuple[object, ...],
+    ) -> None:
+        """Let no unforeseen fault of one order end the term.
+
+        The next term would read the same jobs and meet the same fault: one
+        order that can't be sent would stop the whole cell for good.
+        """
+        try:
+            await work(*arguments)
+        except Exception as error:
+            _LOG.exception(
+                'task.failed',
+                work=getattr(work, '__qualname__', repr(work)),
+                error=repr(error),
+            )
+
     def queue_of(self, job: _state.JobProgress) -> cell.Queue:
         """Return a job's queue as configured now, or as it was last."""
         queue = self.cell.queue(job.document.queue)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -95,7 +95,7 @@
                 continue
             job = self._decode(item)
             if job is not None:
-                self._restore_job(job, record)
+                self._restore_soundly(job, record)
         for item in stored.cancels:
             self.cancel(_keys.job_id(item.key))
 
@@ -177,6 +177,20 @@
             )
         return _state.JobProgress(job, queue, context.timer.now_s())
 
+    def _restore_soundly(
+        self, job: document.Job, record: core_ports.StoredValue | None
+    ) -> None:
+        """Restore a job, unless its record can't be read.
+
+        One damaged record would otherwise end every term at its beginning.
+        The job is left as it is, for an operator.
+        """
+        try:
+            self._restore_job(job, record)
+        except (msgspec.DecodeError, IndexError, ValueError) as error:
+            self._context.open_jobs.pop(job.job_id, None)
+            _LOG.error('record.unreadable', job=job.job_id, error=repr(error))
+
     def _restore_job(
         self, job: document.Job, item: core_ports.StoredValue | None
     ) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -43,7 +43,7 @@
 
     def open(self, worker: _roster.WorkerState) -> None:
         """Follow one life of a worker until it is over."""
-        self._context.tasks.start_soon(self._follow, worker)
+        self._context.spawn(self._follow, worker)
 
     async def look(self, worker: _roster.WorkerState) -> None:
         """Ask for one report at once, beside the one that is waited for."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -65,7 +65,7 @@
         if job.state is _state.JobState.QUEUED:
             job.state = _state.JobState.RUNNING
         self._context.journal.note(job)
-        self._context.tasks.start_soon(self._launch, job, runs)
+        self._context.spawn(self._launch, job, runs)
 
     def stop(self, run: _state.Run, reason: str) -> None:
         """Stop a run; its room is free once its end is listed."""
@@ -81,14 +81,14 @@
             reason=reason,
         )
         if not planned:
-            self._context.tasks.start_soon(self._stop, run)
+            self._context.spawn(self._stop, run)
 
     async def _launch(
         self, job: _state.JobProgress, runs: list[_state.Run]
     ) -> None:
         await self._context.journal.saved(job)
         for run in runs:
-            self._context.tasks.start_soon(self._start, job, run)
+            self._context.spawn(self._start, job, run)
 
     async def _start(self, job: _state.JobProgress, run: _state.Run) -> None:
         context = self._context
@@ -159,7 +159,7 @@
         context.health.fail_start(run.worker_id, now_s)
         if run.phase is _state.RunPhase.ORDERED:
             run.phase = _state.RunPhase.IN_DOUBT
-            context.tasks.start_soon(self._resolve, run)
+            context.spawn(self._resolve, run)
 
     def _withdraw_refused(
         self,
@@ -195,6 +195,11 @@
             worker = context.roster.get(run.worker_id)
             if worker is None or run.name not in worker.runs:
                 return
+            if not worker.listed.address:
+                # Known by the journal alone: it has to be listed again, or
+                # its lease lapses and the run is over.
+                await context.timer.sleep(_STOP_RETRY_S)
+                continue
             reply = await context.orders.stop(
                 worker.listed, run.name, context.token
             )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
@@ -77,7 +77,7 @@
         )
         run.pace_percent = percent
         run.percent_changed_s = self._context.timer.now_s()
-        self._context.tasks.start_soon(self._send, worker, run, percent)
+        self._context.spawn(self._send, worker, run, percent)
 
     async def _send(
         self, worker: _roster.WorkerState, run: _state.Run, percent: int
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -287,7 +287,16 @@
 
     def _spawn(self, work: typing.Any, *arguments: object) -> None:
         if self._tasks is not None:
-            self._tasks.start_soon(work, *arguments)
+            self._tasks.start_soon(self._guard, work, arguments)
+
+    async def _guard(
+        self, work: typing.Any, arguments: tuple[object, ...]
+    ) -> None:
+        """Let no fault of one message end the process."""
+        try:
+            await work(*arguments)
+        except Exception as error:
+            _LOG.exception('task.failed', error=repr(error))
 
     async def _serve_terms(self) -> None:
         while True:
--- a/tests/walnutpoint_scheduler/test_term_faults.py
+++ b/tests/walnutpoint_scheduler/test_term_faults.py
@@ -65,6 +65,37 @@
 
         harness.play(scene)
 
+    def test_cancel_of_a_run_on_an_unlisted_worker_ends_no_term(
+        self,
+    ) -> None:
+        """Everyone is served though one job can't be stopped.
+
+        A job runs on a worker whose entry is gone when the scheduler dies.
+        The next one knows the worker only by the journal and has no
+        address of it. The job is cancelled: its stop can't be sent, and is
+        waited for until the lease has lapsed.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(3)
+            bed.length_s = lambda task: 30.0
+            handed = harness.job(1, harness.step(6))
+            async with bed.scheduling():
+                bed.hand_in(handed)
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 6)
+            bed.fleet.remove('worker-0')
+            async with bed.scheduling() as term:
+                await anyio.sleep(0.2)
+                bed.cancel(handed.job_id)
+                await anyio.sleep(5)
+                self.assertEqual('', term.reason)
+                bed.length_s = lambda task: 0.5
+                other = harness.job(2, harness.step(2))
+                bed.hand_in(other)
+                await harness.until(lambda: bed.state(other.job_id) == 'done')
+
+        harness.play(scene)
+
     def test_silent_worker_keeps_its_task_until_its_lease_lapsed(
         self,
     ) -> None:
@@ -408,3 +439,28 @@
         harness.document.encode_job(handed),
         bed.store.revision,
     )
+
+
+class DamageTest(unittest.TestCase):
+    """Values in the store that nobody can read."""
+
+    def test_damaged_record_harms_no_other_job(self) -> None:
+        """All but the one job are done.
+
+        A record and a document in the store are damaged. A term passes them
+        over with a log line; ended by them, every next term would be too.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed()
+            damaged = harness.job(1)
+            bed.hand_in(damaged)
+            bed.store.put(_keys.record_key(damaged.job_id), b'\x91\x01')
+            bed.store.put(_keys.job_key('f' * 16), b'\xc1')
+            other = harness.job(2)
+            bed.hand_in(other)
+            async with bed.scheduling() as term:
+                await harness.until(lambda: bed.state(other.job_id) == 'done')
+                self.assertEqual('', term.reason)
+
+        harness.play(scene)
