--- a/tests/walnutpoint_scheduler/test_term_faults.py
+++ b/tests/walnutpoint_scheduler/test_term_faults.py
@@ -332,6 +332,38 @@
 
         harness.play(scene)
 
+    def test_tickets_are_renewed_while_a_lease_lapses(self) -> None:
+        """Pattern: a worker is lost under tasks whose advice is slow.
+
+        The tasks wait 2.8 s for the lease. Their tickets have expired by
+        then; asked for only afterwards, they add 0.45 s to each task.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(8)
+            bed.length_s = lambda task: 60.0
+            handed = harness.job(
+                1,
+                harness.step(4, lasting=True),
+                queue=harness.ADVISED,
+            )
+            async with bed.scheduling():
+                bed.hand_in(handed)
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 4)
+                await anyio.sleep(5)
+                name = next(iter(bed.fleet.ledger.running.values()))
+                lost = list(bed.fleet.ledger.running.values()).count(name)
+                bed.fleet.workers[name].cut = True
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 4 - lost
+                )
+                waited_s = await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 4
+                )
+            self.assertLess(waited_s, 0.45)
+
+        harness.play(scene)
+
     def test_crashed_worker_is_known_by_its_new_life(self) -> None:
         """Tasks of a crashed worker come back within a second.
 
