Grant a silent worker nothing, so that its lease is known to lapse

Ruled out: advice (valid), room (free), health. Change: renewals of a silent worker carry no lease, and its runs are given up at the moment the last one has certainly lapsed.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_lease.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_lease.py
@@ -55,12 +55,13 @@
 
     def lapsed(self, now_s: float) -> bool:
         """Return whether nothing that was started there can still run."""
+        return self.left_s(now_s) <= 0.0
+
+    def left_s(self, now_s: float) -> float:
+        """Return how long something that was started there may still run."""
         by_others_s = self.started_s + self._length_s / _SLOWEST_RATE + _KILL_S
-        if now_s < by_others_s:
-            return False
+        left_s = by_others_s - now_s
         if self._clock_ms is None:
-            return True
-        lowest_ms = (
-            self._clock_ms + (now_s - self._read_s) * _MS * _SLOWEST_RATE
-        )
-        return lowest_ms > self._until_ms + _KILL_S * _MS
+            return left_s
+        granted_s = (self._until_ms - self._clock_ms) / _MS / _SLOWEST_RATE
+        return max(left_s, self._read_s + granted_s + _KILL_S - now_s)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -54,7 +54,8 @@
             ports.Renewal(
                 context.token,
                 worker.acknowledged,
-                worker.lease.extend(asked_s),
+                # Asked after an unanswered order: nothing is granted.
+                None,
                 0.0,
             ),
         )
@@ -68,13 +69,14 @@
         failures = 0
         while not worker.gone:
             asked_s = context.timer.now_s()
+            # An unanswered renewal may have arrived. While a worker is
+            # silent nothing more is granted, or its lease would never be
+            # known to have lapsed, and its tasks would wait for its return.
+            until_ms = None if failures else worker.lease.extend(asked_s)
             reply = await context.orders.renew(
                 worker.listed,
                 ports.Renewal(
-                    context.token,
-                    worker.acknowledged,
-                    worker.lease.extend(asked_s),
-                    wait_s,
+                    context.token, worker.acknowledged, until_ms, wait_s
                 ),
             )
             if worker.gone:
@@ -257,7 +259,6 @@
     ) -> bool:
         """Learn from a failed call, and tell whether to go on."""
         context = self._context
-        now_s = context.timer.now_s()
         if reply.outcome is ports.OrderOutcome.FENCED:
             context.lost(f'worker {worker.worker_id} knows a newer token')
             return False
@@ -273,11 +274,21 @@
                 outcome=reply.outcome.value,
                 runs=len(worker.runs),
             )
+            context.spawn(self._expire_later, worker)
         worker.answering = False
-        if worker.runs and worker.lease.lapsed(now_s):
+        return True
+
+    async def _expire_later(self, worker: _roster.WorkerState) -> None:
+        """Give up the runs of a silent worker once its lease has lapsed."""
+        context = self._context
+        while not worker.answering and not worker.gone:
+            left_s = worker.lease.left_s(context.timer.now_s())
+            if left_s > 0.0:
+                await context.timer.sleep(left_s)
+                continue
             self._ends.expire(worker, 'lease lapsed without an answer')
             context.wake()
-        return True
+            return
 
 
 _UNCONFIRMED: typing.Final = frozenset(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -63,6 +63,8 @@
 
     def _check_worker(self, worker: _roster.WorkerState, now_s: float) -> None:
         self._want_copies(worker, now_s)
+        if not worker.answering:
+            self._renew_advice(worker)
         if worker.listed.draining:
             self._empty(worker, now_s)
         if not worker.answering or now_s - worker.answered_s > _FRESH_S:
@@ -74,6 +76,20 @@
                 self._stop_stalled(run, run.task)
         self._pacer.check(worker, now_s)
 
+    def _renew_advice(self, worker: _roster.WorkerState) -> None:
+        """Ask for tickets while the lease of a silent worker runs out.
+
+        Its tasks may start elsewhere the moment it has; an answer that is
+        asked for only then adds up to a second.
+        """
+        context = self._context
+        for step in {r.task.step for r in worker.runs.values() if r.task}:
+            terms = context.queue_of(step.job).advice
+            if terms is None or step.job.state.final:
+                continue
+            if not context.advice.has_valid(step.key):
+                context.advice.ask(step.key, self._able(step.job, step), terms)
+
     def _want_copies(self, worker: _roster.WorkerState, now_s: float) -> None:
         """Ask for second runs of what may be lost or takes too long.
 
