--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
@@ -14,6 +14,7 @@
 from walnutpoint_cli import _command_course
 from walnutpoint_cli import _command_document
 from walnutpoint_cli import _command_jobs
+from walnutpoint_cli import _command_model
 from walnutpoint_cli import _command_request
 from walnutpoint_cli import _command_view
 from walnutpoint_cli import _flags
@@ -33,6 +34,7 @@
 _Words: typing.TypeAlias = tuple[str, ...]
 
 _REQUEST: typing.Final = 'request'
+_MODEL: typing.Final = 'model'
 _EXPLAIN: typing.Final = _command_view.View.EXPLAIN.value
 _VIEWS: typing.Final = tuple(view.value for view in _command_view.View)
 _JOB: typing.Final = re.compile(r'[^/\s]+/[^/\s]+')
@@ -45,6 +47,8 @@
         return functools.partial(
             _command_request.execute, _flags.request_options(), sys.stdout
         )
+    if name == _MODEL:
+        return _model(words)
     if name == _EXPLAIN and len(words) > 1:
         return functools.partial(
             _command_course.execute, words[0], words[1:], sys.stdout
@@ -65,6 +69,23 @@
     )
 
 
+def _model(words: _Words) -> Command:
+    """Return the play of one policy, or of all to compare them."""
+    if len(words) == 3 and words[0] == 'run':
+        wanted: _Words = (words[2],)
+    elif len(words) == 2 and words[0] == 'compare':
+        wanted = ()
+    else:
+        raise flags.Error('model takes run FILE POLICY, or compare FILE')
+    return functools.partial(
+        _command_model.execute,
+        words[1],
+        wanted,
+        _flags.plot_path(),
+        sys.stdout,
+    )
+
+
 def _take(name: str, words: _Words, wanted: int) -> None:
     if len(words) != wanted:
         raise flags.Error(f'{name} takes {wanted} arguments')
@@ -145,4 +166,4 @@
     'config': _config,
     'jobs': _show_jobs,
 }
-NAMES: typing.Final = (_REQUEST, *_VIEWS, *_DOCUMENT_COMMANDS)
+NAMES: typing.Final = (_REQUEST, _MODEL, *_VIEWS, *_DOCUMENT_COMMANDS)
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_flags.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_flags.py
@@ -21,6 +21,7 @@
     'help_text',
     'operator_options',
     'parse',
+    'plot_path',
     'request_options',
 )
 
@@ -104,6 +105,16 @@
 )
 
 
+_PLOT = flags.DEFINE_string(
+    'plot', None, 'model: file for a plot of the times, as PNG.'
+)
+
+
+def plot_path() -> str | None:
+    """Return the file for a plot, if one is wanted."""
+    return _PLOT.value
+
+
 def parse(argv: collections.abc.Sequence[str]) -> list[str]:
     """Set the flags and return the positional arguments."""
     flags.FLAGS.set_gnu_getopt(True)
--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/experiment.py
@@ -0,0 +1,215 @@
+"""One load on one cell, and what the client accounts got."""
+
+from __future__ import annotations
+
+import dataclasses
+import math
+import pathlib
+import typing
+
+import anyio
+from hdrh import histogram
+import msgspec
+import yaml
+
+from walnutpoint_core import logs
+from walnutpoint_model import cell_model
+from walnutpoint_model import load
+from walnutpoint_model import virtual_time
+from walnutpoint_model import workers
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import settings
+
+__all__ = (
+    'Experiment',
+    'Outcome',
+    'play',
+    'read',
+)
+
+_PROCESSES: typing.Final = 4
+_MS: typing.Final = 1000.0
+_LONGEST_MS: typing.Final = 600_000
+# A job that ends within three times its objective still counts for this.
+_LATE_FACTOR: typing.Final = 3.0
+_LATE_WORTH: typing.Final = 0.2
+_POLL_S: typing.Final = 0.02
+
+
+class Experiment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A load, and the settings of the scheduler to compare on it."""
+
+    load: load.LoadSettings
+    policies: dict[str, settings.SchedulerSettings]
+    seeds: tuple[int, ...] = (1, 2, 3)
+
+
+@dataclasses.dataclass(slots=True)
+class Outcome:
+    """What one play gave, by class of jobs."""
+
+    policy: str
+    seed: int
+    worth: float
+    jobs: dict[str, int]
+    in_objective: dict[str, float]
+    # Times from handing in to the end, in ms.
+    times_ms: dict[str, histogram.HdrHistogram]
+    starts: int
+    violations: list[str]
+
+
+def read(path: str) -> Experiment:
+    """Read an experiment; raise msgspec.ValidationError or OSError."""
+    text = pathlib.Path(path).read_text(encoding='utf-8')
+    return msgspec.convert(yaml.safe_load(text), Experiment)
+
+
+def play(experiment: Experiment, policy: str, seed: int) -> Outcome:
+    """Play one policy on one seed, in virtual time."""
+    logs.configure('critical')
+    return virtual_time.run(_play(experiment, policy, seed))
+
+
+async def _play(experiment: Experiment, policy: str, seed: int) -> Outcome:
+    wanted = experiment.load
+    drawn = load.Load(wanted, seed)
+    configured = cell.Cell(
+        1,
+        tuple(kind.queue() for kind in wanted.classes),
+        (cell.Pool('pool'),),
+    )
+    async with cell_model.running(
+        configured,
+        _PROCESSES,
+        config=experiment.policies[policy],
+        seed=seed,
+    ) as model:
+        _add_workers(model, wanted, drawn)
+        while model.scheduler() is None:
+            await anyio.sleep(_POLL_S)
+        ended = await _drive(model, wanted, drawn)
+        return _outcome(policy, seed, model, drawn, ended)
+
+
+def _add_workers(
+    model: cell_model.CellModel,
+    wanted: load.LoadSettings,
+    drawn: load.Load,
+) -> None:
+    slow = math.ceil(wanted.slow_share * wanted.workers)
+    failing = math.ceil(wanted.failing_workers_share * wanted.workers)
+    for number in range(wanted.workers):
+        factor = wanted.slow_factor if number < slow else 1.0
+        worker = model.fleet.add(
+            workers.listed_worker(
+                number,
+                'pool',
+                wanted.worker_millicores,
+                wanted.worker_memory_mb,
+            ),
+            lambda task, factor=factor: drawn.length_s(task) * factor,
+            number,
+        )
+        worker.fails = slow <= number < slow + failing
+
+
+async def _drive(
+    model: cell_model.CellModel,
+    wanted: load.LoadSettings,
+    drawn: load.Load,
+) -> dict[str, tuple[float, str]]:
+    """Hand jobs in, and return when and how each ended."""
+    began_ms = model.now_ms()
+    ended: dict[str, tuple[float, str]] = {}
+    handed: dict[str, int] = {}
+
+    async def arrive(kind: load.JobClass) -> None:
+        while model.now_ms() - began_ms < wanted.duration_s * _MS:
+            await anyio.sleep(drawn.pause_s(kind))
+            job = drawn.draw(kind, model.now_ms())
+            names = sorted(model.processes)
+            entry = model.processes[names[len(handed) % len(names)]]
+            handed[job.job_id] = model.now_ms()
+            taken = await entry.process.submissions.submit(
+                job, model.now_ms() / _MS + 3.0
+            )
+            if taken.is_error():
+                ended[job.job_id] = (math.inf, 'refused')
+
+    async def watch() -> None:
+        while True:
+            await anyio.sleep(_POLL_S)
+            name = model.scheduler()
+            if name is None:
+                continue
+            process = model.processes[name].process
+            for job_id, at_ms in handed.items():
+                if job_id in ended:
+                    continue
+                state = await process.submissions.state(job_id)
+                if state.is_ok() and state.ok in _FINAL:
+                    ended[job_id] = (model.now_ms() - at_ms, state.ok)
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(watch)
+        async with anyio.create_task_group() as arrivals:
+            for kind in wanted.classes:
+                arrivals.start_soon(arrive, kind)
+            if wanted.kill_at_s is not None:
+                arrivals.start_soon(_kill, model, wanted.kill_at_s)
+        with anyio.move_on_after(wanted.settle_s):
+            while len(ended) < len(handed):
+                await anyio.sleep(_POLL_S)
+        tasks.cancel_scope.cancel()
+    return ended
+
+
+_FINAL: typing.Final = frozenset({'done', 'failed', 'cancelled'})
+
+
+async def _kill(model: cell_model.CellModel, at_s: float) -> None:
+    await anyio.sleep(at_s)
+    name = model.scheduler()
+    if name is not None:
+        model.kill(name)
+        await anyio.sleep(1.0)
+        model.start(name)
+
+
+def _outcome(
+    policy: str,
+    seed: int,
+    model: cell_model.CellModel,
+    drawn: load.Load,
+    ended: dict[str, tuple[float, str]],
+) -> Outcome:
+    names = sorted({kind.name for kind in drawn.accepted.values()})
+    times = {name: histogram.HdrHistogram(1, _LONGEST_MS, 3) for name in names}
+    jobs = dict.fromkeys(names, 0)
+    good = dict.fromkeys(names, 0)
+    earned = 0.0
+    for job_id, kind in drawn.accepted.items():
+        jobs[kind.name] += 1
+        took_ms, state = ended.get(job_id, (math.inf, 'open'))
+        if state != 'done':
+            continue
+        times[kind.name].record_value(max(1, round(took_ms)))
+        objective_ms = _MS * (
+            drawn.chains_s[job_id] * kind.stretch + kind.allowance_s
+        )
+        if took_ms <= objective_ms:
+            good[kind.name] += 1
+            earned += 1.0
+        elif took_ms <= _LATE_FACTOR * objective_ms:
+            earned += _LATE_WORTH
+    return Outcome(
+        policy,
+        seed,
+        earned / max(1, len(drawn.accepted)),
+        jobs,
+        {name: good[name] / max(1, jobs[name]) for name in names},
+        times,
+        sum(model.fleet.ledger.starts.values()),
+        list(model.fleet.ledger.violations),
+    )
--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/load.py
@@ -0,0 +1,163 @@
+"""Jobs that arrive, and how long their tasks truly take."""
+
+from __future__ import annotations
+
+import math
+import random
+import typing
+
+import msgspec
+
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import document
+from walnutpoint_scheduler import ports
+
+__all__ = (
+    'JobClass',
+    'Load',
+    'LoadSettings',
+)
+
+_Positive = typing.Annotated[float, msgspec.Meta(gt=0.0)]
+_Share = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
+_MS: typing.Final = 1000.0
+
+
+class JobClass(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Jobs of one kind: how many, how wide, how long, how wrong."""
+
+    name: str
+    priority: int
+    arrivals_per_s: _Positive
+    steps_mean: _Positive = 1.6
+    width_mean: _Positive = 6.0
+    cpu_millicores: int = 1300
+    memory_mb: int = 2600
+    run_s: _Positive = 0.64
+    # The spread of run times between steps, as the sigma of a lognormal.
+    run_spread: float = 0.5
+    # How far the declared time is off, the same way.
+    estimate_spread: float = 0.3
+    # The share of tasks that fail by their own fault.
+    failing_share: _Share = 0.02
+    speculative_share: _Share = 0.0
+    checkpoints: bool = False
+    stretch: float = 1.5
+    allowance_s: float = 0.25
+    attempts_max: int = 4
+    advised: bool = False
+
+    def queue(self) -> cell.Queue:
+        """Return the queue that the class is handed in at."""
+        terms = None
+        if self.advised:
+            terms = cell.AdviceTerms(0.4, 0.006, 2.0)
+        return cell.Queue(
+            self.name,
+            'cell.example',
+            f'/{self.name}/',
+            'pool',
+            self.priority,
+            self.attempts_max,
+            self.stretch,
+            self.allowance_s,
+            3.0,
+            terms,
+        )
+
+
+class LoadSettings(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A whole load, and the cell that it meets."""
+
+    classes: tuple[JobClass, ...]
+    duration_s: _Positive = 30.0
+    settle_s: _Positive = 15.0
+    workers: int = 24
+    worker_millicores: int = 16_000
+    worker_memory_mb: int = 64_000
+    # The share of workers that run everything slow_factor times as long.
+    slow_share: _Share = 0.0
+    slow_factor: _Positive = 6.0
+    # The share of workers that fail whatever they run.
+    failing_workers_share: _Share = 0.0
+    # When the process that schedules is killed, if it is.
+    kill_at_s: float | None = None
+
+
+class Load:
+    """Draws jobs from a seed, and remembers the truth about their tasks."""
+
+    __slots__ = (
+        '_lengths_s',
+        '_number',
+        '_random',
+        '_settings',
+        'accepted',
+        'chains_s',
+    )
+
+    def __init__(self, settings: LoadSettings, seed: int) -> None:
+        self._settings = settings
+        self._random = random.Random(seed)  # noqa: S311
+        self._number = 0
+        self._lengths_s: dict[tuple[str, int], float] = {}
+        # The longest chain of true run times by job, for its objective.
+        self.chains_s: dict[str, float] = {}
+        self.accepted: dict[str, JobClass] = {}
+
+    def pause_s(self, kind: JobClass) -> float:
+        """Return the time until the next job of a class."""
+        return self._random.expovariate(kind.arrivals_per_s)
+
+    def draw(self, kind: JobClass, now_ms: int) -> document.Job:
+        """Return the next job of a class."""
+        self._number += 1
+        job_id = f'{self._number:016x}'
+        count = 1 + self._poisson(kind.steps_mean - 1.0)
+        steps = []
+        chain_s = 0.0
+        for number in range(count):
+            length_s = kind.run_s * self._lognormal(kind.run_spread)
+            chain_s += length_s
+            self._lengths_s[(job_id, number)] = length_s
+            declared_s = length_s * self._lognormal(kind.estimate_spread)
+            steps.append(
+                document.Step(
+                    1 + self._poisson(kind.width_mean - 1.0),
+                    kind.cpu_millicores,
+                    kind.memory_mb,
+                    0,
+                    int(declared_s * _MS),
+                    (number - 1,) if number else (),
+                    kind.checkpoints,
+                    speculative=(
+                        self._random.random() < kind.speculative_share
+                    ),
+                )
+            )
+        self.chains_s[job_id] = chain_s
+        self.accepted[job_id] = kind
+        return document.Job(
+            job_id,
+            kind.name,
+            'payload',
+            tuple(steps),
+            now_ms,
+            accepted_by=kind.queue(),
+        )
+
+    def length_s(self, task: ports.TaskName) -> float:
+        """Return how long a task runs on a sound worker."""
+        return self._lengths_s.get((task.job_id, task.step), 0.1)
+
+    def _poisson(self, mean: float) -> int:
+        if mean <= 0.0:
+            return 0
+        limit, product, count = math.exp(-mean), self._random.random(), 0
+        while product > limit:
+            product *= self._random.random()
+            count += 1
+        return count
+
+    def _lognormal(self, sigma: float) -> float:
+        return self._random.lognormvariate(-sigma * sigma / 2, sigma)
--- /dev/null
+++ b/tests/walnutpoint_model/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the model of a cell."""
--- /dev/null
+++ b/tests/walnutpoint_model/test_experiment.py
@@ -0,0 +1,128 @@
+"""Experiments in virtual time."""
+
+from __future__ import annotations
+
+import io
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+
+from walnutpoint_cli import _command_model
+from walnutpoint_model import experiment
+from walnutpoint_model import load
+from walnutpoint_model import report
+from walnutpoint_scheduler import settings
+
+URGENT = load.JobClass('urgent', 0, 6.0)
+
+
+def small(**fields: object) -> experiment.Experiment:
+    """Return an experiment of a few seconds."""
+    values = {'duration_s': 4.0, 'workers': 8}
+    return experiment.Experiment(
+        load.LoadSettings((URGENT,), **(values | fields)),
+        {'present': settings.SchedulerSettings()},
+        (1,),
+    )
+
+
+class ExperimentTest(unittest.TestCase):
+    """A seed gives one outcome, and troubles cost what they should."""
+
+    def test_same_seed_gives_the_same_outcome(self) -> None:
+        first = experiment.play(small(), 'present', 3)
+        again = experiment.play(small(), 'present', 3)
+        self.assertEqual(
+            (first.worth, first.jobs, first.starts),
+            (again.worth, again.jobs, again.starts),
+        )
+        other = experiment.play(small(), 'present', 4)
+        self.assertNotEqual(first.starts, other.starts)
+
+    def test_calm_cell_serves_everyone(self) -> None:
+        outcome = experiment.play(small(), 'present', 1)
+        self.assertGreater(outcome.worth, 0.97)
+        self.assertEqual([], outcome.violations)
+
+    def test_killed_scheduler_breaks_no_promise(self) -> None:
+        """Jobs are done once though the scheduler is killed under load."""
+        outcome = experiment.play(small(kill_at_s=2.0), 'present', 1)
+        self.assertEqual([], outcome.violations)
+        self.assertGreater(outcome.worth, 0.8)
+
+    def test_failing_worker_costs_few_jobs(self) -> None:
+        """Pattern: one worker in eight fails all that it starts."""
+        outcome = experiment.play(
+            small(failing_workers_share=0.1), 'present', 1
+        )
+        self.assertGreater(outcome.worth, 0.85)
+
+    def test_stalls_show_in_the_order_of_policies(self) -> None:
+        """Pattern: one worker in eight runs six times slower.
+
+        A scheduler that waits long for unanswered orders and stalls is not
+        better than the present one.
+        """
+        policies = {
+            'present': settings.SchedulerSettings(),
+            'patient': settings.SchedulerSettings(
+                stall_s=30.0, probe_period_s=1.0, probe_timeout_s=2.0
+            ),
+        }
+        wanted = experiment.Experiment(
+            load.LoadSettings(
+                (URGENT,),
+                duration_s=6.0,
+                workers=8,
+                slow_share=0.1,
+                kill_at_s=2.0,
+            ),
+            policies,
+            (1, 2),
+        )
+        worth = {
+            name: sum(
+                experiment.play(wanted, name, seed).worth
+                for seed in wanted.seeds
+            )
+            for name in policies
+        }
+        self.assertGreaterEqual(worth['present'], worth['patient'])
+
+
+class ReportTest(unittest.TestCase):
+    """Tables, plots and the command."""
+
+    def test_command_compares_policies_of_a_file(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, 'x.yaml')
+            path.write_text(
+                'load:\n  duration_s: 2\n  workers: 4\n  classes:\n'
+                '    - {name: urgent, priority: 0, arrivals_per_s: 4}\n'
+                'policies: {a: {}, b: {lease_s: 3}}\nseeds: [1]\n'
+            )
+            plot = pathlib.Path(folder, 'x.png')
+            output = io.StringIO()
+            code = anyio.run(
+                _command_model.execute, str(path), (), str(plot), output
+            )
+            self.assertEqual(0, code)
+            self.assertEqual(2, len(output.getvalue().splitlines()))
+            self.assertGreater(plot.stat().st_size, 1000)
+
+    def test_faulty_file_is_a_usage_error(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, 'x.yaml')
+            path.write_text('load: 3\n')
+            code = anyio.run(
+                _command_model.execute, str(path), (), None, io.StringIO()
+            )
+            self.assertEqual(2, code)
+
+    def test_table_puts_the_best_first(self) -> None:
+        good = experiment.play(small(), 'present', 1)
+        bad = experiment.play(small(), 'present', 1)
+        bad.policy, bad.worth = 'worse', 0.1
+        self.assertTrue(report.table([bad, good])[0].startswith('present'))
