Hand the claim over while the old scheduler works on

Ruled out: the reading (0.3 s). Change: the stopping scheduler asks another to claim the key and works until it has; a process no longer takes its own claim, seen before its answer, for one of an earlier life.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -45,6 +45,10 @@
 # Others probe a scheduler several times in this time, and the store answers
 # it more often. Shorter than what a successor adds to the longest lease.
 _ISOLATED_S: typing.Final = 0.7
+# Candidates that a stopping scheduler asks, and the wait for each: two calls
+# to a slow store.
+_SUCCESSORS: typing.Final = 2
+_SUCCESSION_S: typing.Final = 1.0
 _WITNESSES: typing.Final = 3
 
 
@@ -58,6 +62,7 @@
 
     __slots__ = (
         '_claim',
+        '_claiming',
         '_members',
         '_peers',
         '_pulse',
@@ -89,6 +94,8 @@
         self._timer = clock
         self._settings = config
         self._claim: _messages.Claim | None = None
+        # Whether a try to win the key is on its way.
+        self._claiming = False
         self._revision = 0
         self._suspicion = _suspicion.Suspicion(clock)
         self._pulse = _pulse.Pulse(store, clock)
@@ -184,7 +191,45 @@
                 continue
             await self._run_for_it(reason)
 
-    async def release(self, successor_known: bool = True) -> None:
+    async def hand_over(self) -> bool:
+        """Let another process claim the key while this one works on.
+
+        It loses only the time of its own reading. With a release first the
+        cell would also wait for that commit, the watches and the claim:
+        1.3 s while a store call takes 280 ms, against 0.3 s.
+        """
+        self.leaving = True
+        others = sorted(
+            self._members.others(self._timer.now_s()),
+            key=lambda m: (
+                self._members.is_shunned(m, self._timer.now_s()),
+                -m.strength,
+            ),
+        )
+        for member in others[:_SUCCESSORS]:
+            answer = await self._peers.ask(
+                member.address,
+                _peers.SUCCESSION_PATH,
+                _messages.Succession(self.token),
+                _messages.SuccessionAnswer,
+                _SUCCESSION_S,
+            )
+            if isinstance(answer, _messages.SuccessionAnswer) and answer.won:
+                _LOG.info(
+                    'scheduler.handed_over',
+                    token=self.token,
+                    successor=member.name,
+                )
+                return True
+        return False
+
+    async def succeed(self, token: int) -> bool:
+        """Claim the key from the scheduler that asks for it."""
+        if not self.leaving and not self.token and token >= self._revision:
+            await self._claim_key(token)
+        return bool(self.token)
+
+    async def release(self) -> None:
         """Let anyone take over at once."""
         token, claim = self.token, self._claim
         self.leaving = True
@@ -213,6 +258,8 @@
     async def _check(self) -> _suspicion.Reason:
         """Return why the scheduler should be replaced, if it should."""
         claim = self._claim
+        if self._claiming:
+            return _suspicion.Reason.NONE
         if claim is None:
             return _suspicion.Reason.ABSENT
         if claim.released:
@@ -304,6 +351,21 @@
         return answer.scheduler_age_s < self._suspicion.silence_s
 
     async def _claim_key(self, seen: int) -> None:
+        """Try once to win the key.
+
+        The watch may show the claim before its own answer comes. Taken for
+        a claim of an earlier life it would be replaced by another one, and
+        the term that it begins ended at once.
+        """
+        if self._claiming:
+            return
+        self._claiming = True
+        try:
+            await self._try_claim(seen)
+        finally:
+            self._claiming = False
+
+    async def _try_claim(self, seen: int) -> None:
         nonce = secrets.token_hex(8)
         claim = _messages.Claim(self._members.me, nonce)
         reply = await self._store.commit(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
@@ -21,6 +21,8 @@
     'StateQuestion',
     'StoreAnswer',
     'StoreQuestion',
+    'Succession',
+    'SuccessionAnswer',
 )
 
 
@@ -53,6 +55,18 @@
     token: int
 
 
+class Succession(msgspec.Struct, frozen=True):
+    """Ask a process to take over from one that stops as planned."""
+
+    token: int
+
+
+class SuccessionAnswer(msgspec.Struct, frozen=True):
+    """Whether the asked process now holds the claim."""
+
+    won: bool
+
+
 class ProbeAnswer(msgspec.Struct, frozen=True):
     """Whether the asked process schedules, and how well it could."""
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
@@ -80,6 +80,7 @@
             _peers.STATE_PATH: self._state,
             _peers.ADVICE_PATH: self._advise,
             _peers.STORE_PATH: self._store_operation,
+            _peers.SUCCESSION_PATH: self._succeed,
         }
 
     async def answer(self, request: web.Request) -> web.Response:
@@ -117,6 +118,12 @@
             self._members.all(),
         )
 
+    async def _succeed(self, body: bytes) -> object:
+        question = _decode(body, _messages.Succession)
+        return _messages.SuccessionAnswer(
+            await self._leadership.succeed(question.token)
+        )
+
     async def _job(self, body: bytes) -> object:
         term = self._term()
         if term is not None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peers.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peers.py
@@ -24,6 +24,7 @@
     'Peers',
     'STATE_PATH',
     'STORE_PATH',
+    'SUCCESSION_PATH',
 )
 
 PROBE_PATH: typing.Final = '/walnutpoint/probe'
@@ -32,6 +33,7 @@
 PENDING_PATH: typing.Final = '/walnutpoint/pending'
 STATE_PATH: typing.Final = '/walnutpoint/state'
 ADVICE_PATH: typing.Final = '/walnutpoint/advice'
+SUCCESSION_PATH: typing.Final = '/walnutpoint/succession'
 STORE_PATH: typing.Final = '/walnutpoint/store'
 
 _HEADERS: typing.Final = {'Content-Type': 'application/msgpack'}
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -265,8 +265,11 @@
             # What is noted and not stored yet is dropped: no order for it
             # was sent, and no end in it was acknowledged. Waiting for the
             # store would only lengthen the gap.
-            self._term.end('planned stop')
-            await self._leadership.release()
+            handed_over = await self._leadership.hand_over()
+            if self._term is not None:
+                self._term.end('planned stop')
+            if not handed_over:
+                await self._leadership.release()
         await self._control.leave()
 
     async def _keep(
--- a/tests/walnutpoint_scheduler/test_takeover.py
+++ b/tests/walnutpoint_scheduler/test_takeover.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import itertools
 import unittest
 
 import anyio
@@ -99,6 +100,33 @@
 
         harness.play(scene)
 
+    def test_planned_stop_with_a_slow_store_costs_one_reading(self) -> None:
+        """Pattern: all processes are restarted in turn, the store is slow.
+
+        A store call takes 280 ms. The stopping scheduler works on until its
+        successor has claimed the key, so that only the successor's reading
+        and the journal of the first start are waited for.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                await anyio.sleep(2)
+                model.store.latency_s = 0.28
+                starts = [model.now_ms()]
+                model.fleet.ledger.on_start = lambda _task, _worker: (
+                    starts.append(model.now_ms())
+                )
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(model.stop, model.scheduler())
+                    for number in range(60):
+                        hand_in(model, number, harness.step(1))
+                        await anyio.sleep(0.05)
+                gaps = [b - a for a, b in itertools.pairwise(starts)]
+                self.assertLess(max(gaps), 750)
+                self.assertEqual([], model.fleet.ledger.violations)
+
+        harness.play(scene)
+
     def test_partial_cut_does_not_move_the_scheduler(self) -> None:
         """Nobody notices that two processes can't reach each other.
 
