--- a/packages/walnutpoint-core/src/walnutpoint_core/errors.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/errors.py
@@ -59,6 +59,7 @@
     STOPPING = 'stopping'
     STORE_ANSWER_LOST = 'store_answer_lost'
     STORE_UNAVAILABLE = 'store_unavailable'
+    TOO_LARGE = 'too_large'
     UNAUTHENTICATED = 'unauthenticated'
 
 
@@ -169,6 +170,7 @@
         ErrorKind.STORE_UNAVAILABLE: _rule(
             _STATUS.SERVICE_UNAVAILABLE, _NOT_RUN, 2.0
         ),
+        ErrorKind.TOO_LARGE: _rule(_STATUS.BAD_REQUEST, _NOT_RUN),
         ErrorKind.UNAUTHENTICATED: _rule(_STATUS.UNAUTHORIZED, _NOT_RUN),
     }
 )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import collections.abc
 import secrets
 import typing
 
@@ -77,6 +78,7 @@
         '_won',
         'changes',
         'heard_s',
+        'learn_rooms',
         'leaving',
         'probed_s',
         'token',
@@ -111,6 +113,10 @@
         self.changes = 0
         # Whether this process stops, and claims nothing more.
         self.leaving = False
+        # Takes what the scheduler tells of the workers' capacities.
+        self.learn_rooms: collections.abc.Callable[
+            [collections.abc.Iterable[_messages.PoolRoom]], None
+        ] = _ignore_rooms
         # When another process last asked this one how it stands.
         self.probed_s = 0.0
 
@@ -283,6 +289,7 @@
         self.heard_s = self._timer.now_s()
         for member in answer.members:
             self._members.add(member)
+        self.learn_rooms(answer.rooms)
         if answer.incarnation != claim.member.incarnation:
             return _suspicion.Reason.RESTARTED
         if not answer.schedules or answer.token != self._revision:
@@ -404,3 +411,9 @@
         )
         _LOG.warning('scheduler.won', token=token, before=before)
         self._won.set()
+
+
+def _ignore_rooms(
+    _rooms: collections.abc.Iterable[_messages.PoolRoom],
+) -> None:
+    """Stand in until somebody wants to know."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from walnutpoint_core import amount
 from walnutpoint_core import ports as core_ports
 
 __all__ = (
@@ -15,6 +16,7 @@
     'Member',
     'PendingAnswer',
     'PendingQuestion',
+    'PoolRoom',
     'Probe',
     'ProbeAnswer',
     'StateAnswer',
@@ -55,6 +57,13 @@
     token: int
 
 
+class PoolRoom(msgspec.Struct, frozen=True):
+    """The capacities of a pool's workers, each once."""
+
+    pool: str
+    capacities: tuple[amount.Amount, ...]
+
+
 class Succession(msgspec.Struct, frozen=True):
     """Ask a process to take over from one that stops as planned."""
 
@@ -79,6 +88,8 @@
     scheduler_age_s: float
     cell_version: int
     members: tuple[Member, ...] = ()
+    # From the scheduler only.
+    rooms: tuple[PoolRoom, ...] = ()
 
 
 class PendingQuestion(msgspec.Struct, frozen=True):
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
@@ -116,6 +116,7 @@
             now_s - heard_s,
             newest.version if newest else 0,
             self._members.all(),
+            term.rooms() if term else (),
         )
 
     async def _succeed(self, body: bytes) -> object:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -20,6 +20,7 @@
 from walnutpoint_scheduler import _journal
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _links
+from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _placer
 from walnutpoint_scheduler import _retention
@@ -164,6 +165,15 @@
         job = self._context.jobs.get(job_id)
         return None if job is None else job.saved_state
 
+    def rooms(self) -> tuple[_messages.PoolRoom, ...]:
+        """Return the capacities that were seen of each pool."""
+        if self._context is None:
+            return ()
+        return tuple(
+            _messages.PoolRoom(pool, tuple(capacities))
+            for pool, capacities in self._context.roster.largest().items()
+        )
+
     def figures(self) -> dict[str, float]:
         """Return gauges and counters of the term."""
         context, desk, placer = self._context, self._desk, self._placer
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -8,6 +8,7 @@
 
 import expression
 
+from walnutpoint_core import amount
 from walnutpoint_core import errors
 from walnutpoint_core import logs
 from walnutpoint_core import metrics
@@ -38,6 +39,7 @@
 _DOUBT_MAX_S: typing.Final = 2.5
 # Left of the caller's time for the answer to arrive.
 _ANSWER_S: typing.Final = 0.1
+_TOO_LARGE: typing.Final = errors.ErrorKind.TOO_LARGE
 _RETRY_S: typing.Final = 0.05
 # When to come back in an outage, which lasts some 2 to 5 s and is over within
 # a second where it has lasted long. Callers come back after about half of
@@ -65,6 +67,7 @@
         '_counts',
         '_leadership',
         '_peers',
+        '_rooms',
         '_spawn',
         '_store',
         '_term',
@@ -89,6 +92,32 @@
         # Telling the scheduler must not hold up the answer: it may be paused.
         self._spawn = spawn
         self._counts: dict[str, tuple[float, int]] = {}
+        # Every capacity that was ever seen, by pool: a worker that is away
+        # for a while makes no job hopeless.
+        self._rooms: dict[str, set[amount.Amount]] = {}
+        leadership.learn_rooms = self.learn_rooms
+
+    def learn_rooms(
+        self, rooms: collections.abc.Iterable[_messages.PoolRoom]
+    ) -> None:
+        """Remember the capacities of workers."""
+        for room in rooms:
+            known = self._rooms.setdefault(room.pool, set())
+            known.update(room.capacities)
+
+    def _is_hopeless(self, job: document.Job) -> bool:
+        """Return whether a task needs more than any worker seen has."""
+        term = self._term()
+        if term is not None:
+            self.learn_rooms(term.rooms())
+        pool = job.accepted_by.pool if job.accepted_by else ''
+        known = self._rooms.get(pool)
+        if not known:
+            return False
+        return any(
+            not any(capacity.covers(step.need) for capacity in known)
+            for step in job.steps
+        )
 
     async def submit(
         self, job: document.Job, deadline_s: float
@@ -100,6 +129,8 @@
         once. If that does not come in time the answer is unknown, never a
         refusal.
         """
+        if self._is_hopeless(job):
+            return self._refuse(job, errors.Failure(_TOO_LARGE))
         key = _keys.job_key(job.job_id)
         batch = ports.Batch(
             (ports.Guard(key, 0),),
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -9,6 +9,7 @@
 import anyio
 
 from tests.walnutpoint_scheduler import harness
+from walnutpoint_core import amount
 from walnutpoint_core import errors
 from walnutpoint_core import web
 from walnutpoint_model import store
@@ -232,6 +233,55 @@
         harness.play(scene)
 
 
+class HopelessTest(unittest.TestCase):
+    """A job that no worker could ever run is refused at once."""
+
+    def test_task_larger_than_any_worker_is_refused_unstored(self) -> None:
+        """The caller hears it at once, in place of waiting for ever."""
+
+        async def scene() -> None:
+            desk = Desk()
+            desk.submissions.learn_rooms(
+                [_messages.PoolRoom('pool', (amount.Amount(8000, 1000, 0),))]
+            )
+            large = harness.job(1, harness.step(1, cpu_millicores=9000))
+            answer = await desk.submissions.submit(large, 2000.0)
+            self.assertIs(errors.ErrorKind.TOO_LARGE, answer.error.kind)
+            self.assertFalse(desk.store.items)
+            fitting = harness.job(2, harness.step(1, cpu_millicores=8000))
+            answer = await desk.submissions.submit(fitting, 2000.0)
+            self.assertTrue(answer.is_ok())
+
+        harness.play(scene)
+
+    def test_what_was_seen_once_stays_possible(self) -> None:
+        """A large worker that is away for a while makes no job hopeless."""
+
+        async def scene() -> None:
+            desk = Desk()
+            for millicores in (16000, 8000):
+                desk.submissions.learn_rooms(
+                    [
+                        _messages.PoolRoom(
+                            'pool', (amount.Amount(millicores, 1000, 0),)
+                        )
+                    ]
+                )
+            large = harness.job(1, harness.step(1, cpu_millicores=16000))
+            answer = await desk.submissions.submit(large, 2000.0)
+            self.assertTrue(answer.is_ok())
+
+        harness.play(scene)
+
+    def test_nothing_is_refused_while_no_worker_is_known(self) -> None:
+        async def scene() -> None:
+            desk = Desk()
+            answer = await desk.submit(1)
+            self.assertTrue(answer.is_ok())
+
+        harness.play(scene)
+
+
 class StateTest(unittest.TestCase):
     """States and cancels."""
 
