--- a/tests/walnutpoint_platform/test_processes.py
+++ b/tests/walnutpoint_platform/test_processes.py
@@ -2,7 +2,12 @@
 
 from __future__ import annotations
 
+import os
+import pathlib
 import signal
+import subprocess
+import sys
+import tempfile
 import time
 import unittest
 
@@ -116,6 +121,32 @@
         self._wait_done(ids)
         self.assertIn('event=settings.reloaded', self.site.log(0))
 
+    def test_signals_during_the_start_are_no_crash(self) -> None:
+        """A process that was just started is told to stop, and ends with 0.
+
+        Its imports take a tenth of a second. A signal in that time found no
+        handler, and ended it as a crash does; a hangup ended it too.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            # Stands in for a library, and tells what holds when it is
+            # imported.
+            pathlib.Path(folder, 'uvloop.py').write_text(
+                'import signal\n'
+                'print(signal.getsignal(signal.SIGHUP).name)\n'
+                'signal.raise_signal(signal.SIGHUP)\n'
+                'signal.raise_signal(signal.SIGTERM)\n'
+            )
+            ended = subprocess.run(
+                [sys.executable, '-m', 'walnutpoint_platform'],
+                env=os.environ | {'PYTHONPATH': folder},
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+        self.assertEqual(
+            (0, 'SIG_IGN'), (ended.returncode, ended.stdout.strip())
+        )
+
     def test_bad_jobs_are_refused_at_once(self) -> None:
         """A caller hears what is wrong, and nothing is stored."""
         front = self.site.front(0)
