--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -18,9 +18,10 @@
 
 from tests.standins import endpoint as endpoint_standin
 from tests.standins import hosts as hosts_standin
-from tests.standins import relay as relay_standin
+from walnutpoint_standins import relay as relay_standin
 from tests.standins import serving
 from tests.standins import store as store_standin
+from walnutpoint_standins import relay
 
 __all__ = (
     'Cluster',
