--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/ledger.py
@@ -0,0 +1,46 @@
+"""What workers ran, counted apart from what the scheduler believes."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+
+from walnutpoint_scheduler import ports
+
+__all__ = ('Ledger',)
+
+
+class Ledger:
+    """What all workers ran, and what they should not have run."""
+
+    __slots__ = ('done', 'on_start', 'running', 'starts', 'violations')
+
+    def __init__(self) -> None:
+        self.starts: collections.Counter[ports.TaskName] = (
+            collections.Counter()
+        )
+        self.done: set[ports.TaskName] = set()
+        self.running: dict[ports.TaskName, str] = {}
+        self.violations: list[str] = []
+        self.on_start: collections.abc.Callable[
+            [ports.TaskName, str], None
+        ] = lambda _task, _worker: None
+
+    def start(self, task: ports.TaskName, worker: str) -> None:
+        """Count a start; a second run at a time is a violation."""
+        self.on_start(task, worker)
+        self.starts[task] += 1
+        if task in self.running:
+            self.violations.append(
+                f'{task} runs on {self.running[task]} and {worker}'
+            )
+        if task in self.done:
+            self.violations.append(f'{task} starts again after its end')
+        self.running[task] = worker
+
+    def end(self, task: ports.TaskName, worker: str, done: bool) -> None:
+        """Count an end."""
+        if self.running.get(task) == worker:
+            del self.running[task]
+        if done:
+            self.done.add(task)
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections
 import collections.abc
 import random
 import typing
@@ -13,13 +12,13 @@
 
 from walnutpoint_core import amount
 from walnutpoint_core import errors
+from walnutpoint_model import ledger as ledgers
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
 
 __all__ = (
     'Fleet',
-    'Ledger',
     'Worker',
     'listed_worker',
 )
@@ -34,42 +33,6 @@
 _TICK_S: typing.Final = 0.02
 
 
-class Ledger:
-    """What all workers ran, and what they should not have run."""
-
-    __slots__ = ('done', 'on_start', 'running', 'starts', 'violations')
-
-    def __init__(self) -> None:
-        self.starts: collections.Counter[ports.TaskName] = (
-            collections.Counter()
-        )
-        self.done: set[ports.TaskName] = set()
-        self.running: dict[ports.TaskName, str] = {}
-        self.violations: list[str] = []
-        self.on_start: collections.abc.Callable[
-            [ports.TaskName, str], None
-        ] = lambda _task, _worker: None
-
-    def start(self, task: ports.TaskName, worker: str) -> None:
-        """Count a start; a second run at a time is a violation."""
-        self.on_start(task, worker)
-        self.starts[task] += 1
-        if task in self.running:
-            self.violations.append(
-                f'{task} runs on {self.running[task]} and {worker}'
-            )
-        if task in self.done:
-            self.violations.append(f'{task} starts again after its end')
-        self.running[task] = worker
-
-    def end(self, task: ports.TaskName, worker: str, done: bool) -> None:
-        """Count an end."""
-        if self.running.get(task) == worker:
-            del self.running[task]
-        if done:
-            self.done.add(task)
-
-
 class _Run:
     __slots__ = (
         'checkpoint',
@@ -122,7 +85,7 @@
         self,
         listed: cell.ListedWorker,
         length: Length,
-        ledger: Ledger,
+        ledger: ledgers.Ledger,
         seed: int,
     ) -> None:
         self.listed = listed
@@ -263,6 +226,7 @@
     """Carries orders to the workers, over a network with faults."""
 
     __slots__ = (
+        '_hidden',
         '_lingering',
         '_revision',
         'calls',
@@ -273,11 +237,12 @@
 
     def __init__(self) -> None:
         self.workers: dict[str, Worker] = {}
-        self.ledger = Ledger()
+        self.ledger = ledgers.Ledger()
         self.calls = 0
         self.order_timeout_s = settings.SchedulerSettings().order_timeout_s
         self._revision = 1
         self._lingering: list[cell.ListedWorker] = []
+        self._hidden = False
 
     def add(
         self, listed: cell.ListedWorker, length: Length, seed: int = 1
@@ -298,6 +263,11 @@
         self._lingering.append(listed)
         self._revision += 1
 
+    def hide_list(self, hidden: bool) -> None:
+        """Let every entry lapse, or come back."""
+        self._hidden = hidden
+        self._revision += 1
+
     def _other_life_answers(self, worker: cell.ListedWorker) -> bool:
         return worker.worker_id not in self.workers and any(
             live.listed.address == worker.address
@@ -332,15 +302,9 @@
         self, worker: cell.ListedWorker, order: ports.Renewal
     ) -> ports.Report | ports.OrderReply:
         """Renew a lease and return the report."""
-        self.calls += 1
-        _check_address(worker)
-        await anyio.sleep(_TRANSIT_S)
-        if self._other_life_answers(worker):
-            return ports.OrderReply(ports.OrderOutcome.OTHER_LIFE)
-        live = self.workers.get(worker.worker_id)
-        if live is None or live.cut:
-            await anyio.sleep(_UNANSWERED_S)
-            return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
+        live = await self._reach(worker)
+        if isinstance(live, ports.OrderReply):
+            return live
         return await live.renew(order)
 
     def forget(self, worker: cell.ListedWorker) -> None:
@@ -353,14 +317,17 @@
         await anyio.sleep(_TRANSIT_S)
         return expression.Ok(
             ports.WorkerListing(
-                (
-                    *(w.listed for w in self.workers.values()),
-                    *self._lingering,
-                ),
+                self._listed(),
                 self._revision,
             )
         )
 
+    def _listed(self) -> tuple[cell.ListedWorker, ...]:
+        if self._hidden:
+            return ()
+        listed = [worker.listed for worker in self.workers.values()]
+        return (*listed, *self._lingering)
+
     async def wait(self, revision: int, wait_s: float) -> bool:
         """Return early where the list has changed since a revision."""
         end_s = _now_s() + wait_s
@@ -368,13 +335,10 @@
             await anyio.sleep(_TICK_S)
         return True
 
-    async def _deliver(
-        self,
-        worker: cell.ListedWorker,
-        act: collections.abc.Callable[[Worker], ports.OrderReply],
-        *,
-        is_stop: bool = False,
-    ) -> ports.OrderReply:
+    async def _reach(
+        self, worker: cell.ListedWorker
+    ) -> Worker | ports.OrderReply:
+        """Return the worker that a call arrives at, or what becomes of it."""
         self.calls += 1
         _check_address(worker)
         await anyio.sleep(_TRANSIT_S)
@@ -384,6 +348,18 @@
         if live is None or live.cut:
             await anyio.sleep(_UNANSWERED_S)
             return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
+        return live
+
+    async def _deliver(
+        self,
+        worker: cell.ListedWorker,
+        act: collections.abc.Callable[[Worker], ports.OrderReply],
+        *,
+        is_stop: bool = False,
+    ) -> ports.OrderReply:
+        live = await self._reach(worker)
+        if isinstance(live, ports.OrderReply):
+            return live
         may_be_late = live.stops_are_late or not is_stop
         if may_be_late and live.random.random() < live.late_share:
             asyncio.get_running_loop().call_later(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -96,6 +96,7 @@
             worker.relist(listed)
             if worker.unlisted_s is not None:
                 worker.unlisted_s = None
+                worker.expelled = False
                 roster.add(worker)
         now_s = context.timer.now_s()
         for worker in roster.workers.values():
@@ -129,16 +130,25 @@
         )
 
     def _check_unlisted(self) -> None:
-        """Give up on lives that are not listed and do not answer."""
+        """Give up on lives that are not listed.
+
+        Entries lapse while the store is away and are back soon after it: a
+        worker that answers is given work until that time is over.
+        """
         context = self._context
         now_s = context.timer.now_s()
         for worker in list(context.roster.workers.values()):
-            if worker.unlisted_s is None or worker.answering:
+            if worker.unlisted_s is None:
+                continue
+            absent_s = now_s - worker.unlisted_s
+            if absent_s > context.settings.unlisted_s:
+                worker.expelled = True
+            if worker.answering:
                 continue
             if not worker.listed.address and worker.lease.lapsed(now_s):
                 self._ends.bury(worker, 'not listed, and its lease lapsed')
             idle = not worker.runs and worker.lease.lapsed(now_s)
-            if idle and now_s - worker.unlisted_s > _FORGET_S:
+            if idle and absent_s > _FORGET_S:
                 worker.gone = True
             if worker.gone and not worker.runs:
                 context.roster.remove(worker.worker_id)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -46,10 +46,6 @@
 # Others probe a scheduler several times in this time, and the store answers
 # it more often. Shorter than what a successor adds to the longest lease.
 _ISOLATED_S: typing.Final = 0.7
-# Candidates that a stopping scheduler asks, and the wait for each: two calls
-# to a slow store.
-_SUCCESSORS: typing.Final = 2
-_SUCCESSION_S: typing.Final = 1.0
 # Before the probe that follows one without an answer.
 _AGAIN_S: typing.Final = 0.01
 _WITNESSES: typing.Final = 3
@@ -138,6 +134,11 @@
         heard_s = max(self.probed_s, self._store.answered_s)
         return self._timer.now_s() - heard_s > _ISOLATED_S
 
+    @property
+    def claim(self) -> _messages.Claim | None:
+        """Return the claim as it was seen last."""
+        return self._claim
+
     @property
     def scheduler(self) -> _messages.Member | None:
         """Return who schedules as far as is known."""
@@ -201,63 +202,6 @@
                 continue
             await self._run_for_it(reason)
 
-    async def hand_over(self) -> bool:
-        """Let another process claim the key while this one works on.
-
-        It loses only the time of its own reading. With a release first the
-        cell would also wait for that commit, the watches and the claim:
-        1.3 s while a store call takes 280 ms, against 0.3 s.
-        """
-        self.leaving = True
-        others = sorted(
-            self._members.others(self._timer.now_s()),
-            key=lambda m: (
-                self._members.is_shunned(m, self._timer.now_s()),
-                -m.strength,
-            ),
-        )
-        for member in others[:_SUCCESSORS]:
-            answer = await self._peers.ask(
-                member.address,
-                _peers.SUCCESSION_PATH,
-                _messages.Succession(self.token),
-                _messages.SuccessionAnswer,
-                _SUCCESSION_S,
-            )
-            if isinstance(answer, _messages.SuccessionAnswer) and answer.won:
-                _LOG.info(
-                    'scheduler.handed_over',
-                    token=self.token,
-                    successor=member.name,
-                )
-                return True
-        return False
-
-    async def succeed(self, token: int) -> bool:
-        """Claim the key from the scheduler that asks for it."""
-        if not self.leaving and not self.token and token >= self._revision:
-            await self._claim_key(token)
-        return bool(self.token)
-
-    async def release(self) -> None:
-        """Let anyone take over at once."""
-        token, claim = self.token, self._claim
-        self.leaving = True
-        if not token or claim is None:
-            return
-        released = msgspec.structs.replace(claim, released=True)
-        reply = await self._store.commit(
-            ports.Batch(
-                (ports.Guard(_keys.SCHEDULER, token),),
-                (
-                    ports.Put(
-                        _keys.SCHEDULER, msgspec.msgpack.encode(released)
-                    ),
-                ),
-            )
-        )
-        _LOG.info('scheduler.released', token=token, stored=reply.is_ok())
-
     def _probe_period_s(self) -> float:
         # A scheduler of many processes is not to spend its core on probes:
         # at most some hundred a second.
@@ -327,7 +271,7 @@
             token=seen,
             rank=rank,
         )
-        await self._claim_key(seen)
+        await self.claim_key(seen)
 
     async def _is_heard(self) -> bool:
         """Return whether another process hears the silent scheduler.
@@ -361,7 +305,7 @@
             return True
         return answer.scheduler_age_s < self._suspicion.silence_s
 
-    async def _claim_key(self, seen: int) -> None:
+    async def claim_key(self, seen: int) -> None:
         """Try once to win the key.
 
         The watch may show the claim before its own answer comes. Taken for
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
@@ -12,6 +12,7 @@
 from walnutpoint_core import ports as core_ports
 from walnutpoint_core import timer
 from walnutpoint_core import web
+from walnutpoint_scheduler import _handover
 from walnutpoint_scheduler import _leadership
 from walnutpoint_scheduler import _membership
 from walnutpoint_scheduler import _messages
@@ -35,6 +36,7 @@
         '_advice',
         '_cell',
         '_handlers',
+        '_handover',
         '_leadership',
         '_me',
         '_members',
@@ -50,6 +52,7 @@
         store: core_ports.WatchedStore,
         members: _membership.Membership,
         leadership: _leadership.Leadership,
+        handover: _handover.Handover,
         advice: ports.AdviceSource,
         clock: timer.Timer,
         term: collections.abc.Callable[[], _term.Term | None],
@@ -62,6 +65,7 @@
         self._store = store
         self._members = members
         self._leadership = leadership
+        self._handover = handover
         self._advice = advice
         self._timer = clock
         self._term = term
@@ -122,7 +126,7 @@
     async def _succeed(self, body: bytes) -> object:
         question = _decode(body, _messages.Succession)
         return _messages.SuccessionAnswer(
-            await self._leadership.succeed(question.token)
+            await self._handover.succeed(question.token)
         )
 
     async def _job(self, body: bytes) -> object:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -30,6 +30,7 @@
         'answering',
         'answered_s',
         'ended',
+        'expelled',
         'free',
         'gone',
         'lease',
@@ -66,6 +67,8 @@
             maxlen=_ENDED_MAX
         )
         self.unlisted_s: float | None = None
+        # Whether it has been unlisted for too long to be given work.
+        self.expelled = False
 
     @property
     def worker_id(self) -> str:
@@ -79,7 +82,7 @@
             self.answering
             and not self.gone
             and not self.listed.draining
-            and self.unlisted_s is None
+            and not self.expelled
         )
 
     def book(self, run: _state.Run) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -15,6 +15,7 @@
 from walnutpoint_core import web
 from walnutpoint_scheduler import _advisors
 from walnutpoint_scheduler import _control
+from walnutpoint_scheduler import _handover
 from walnutpoint_scheduler import _leadership
 from walnutpoint_scheduler import _membership
 from walnutpoint_scheduler import _messages
@@ -114,6 +115,7 @@
         '_cells',
         '_control',
         '_directory',
+        '_handover',
         '_leadership',
         '_members',
         '_now_ms',
@@ -169,6 +171,9 @@
         self._leadership = _leadership.Leadership(
             self._store, self._members, self._peers, clock, config
         )
+        self._handover = _handover.Handover(
+            self._leadership, self._store, self._members, self._peers, clock
+        )
         self._control = _control.Control(
             self._store,
             self._members,
@@ -199,6 +204,7 @@
                 store,
                 self._members,
                 self._leadership,
+                self._handover,
                 advice,
                 clock,
                 lambda: self._term,
@@ -265,11 +271,11 @@
             # What is noted and not stored yet is dropped: no order for it
             # was sent, and no end in it was acknowledged. Waiting for the
             # store would only lengthen the gap.
-            handed_over = await self._leadership.hand_over()
+            handed_over = await self._handover.hand_over()
             if self._term is not None:
                 self._term.end('planned stop')
             if not handed_over:
-                await self._leadership.release()
+                await self._handover.release()
         await self._control.leave()
 
     async def _keep(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
@@ -9,7 +9,6 @@
 __all__ = ('SchedulerSettings',)
 
 _Time = typing.Annotated[float, msgspec.Meta(gt=0.0, le=600.0)]
-_Share = typing.Annotated[float, msgspec.Meta(ge=0.0, le=1.0)]
 
 
 class SchedulerSettings(
@@ -40,10 +39,6 @@
     stall_s: _Time = 1.3
     # The longest that an entry which lapsed in an outage may stay away.
     unlisted_s: _Time = 2.5
-    # The share of a worker's processors that batch work leaves to urgent.
-    urgent_reserve: _Share = 0.0
-    # The longest harm to response times before filling tasks are slowed.
-    harm_s: _Time = 4.0
     # Between two probes of the scheduler by another process, and the wait for
     # each answer, a hundred round trips: with two missed in a row a frozen
     # scheduler is noticed within half a second.
@@ -51,5 +46,3 @@
     probe_timeout_s: _Time = 0.2
     # Between two readings of the operators' configuration.
     cell_period_s: _Time = 0.8
-    # Between two full readings of what is also watched.
-    resync_period_s: _Time = 2.0
--- a/tests/walnutpoint_scheduler/test_term_faults.py
+++ b/tests/walnutpoint_scheduler/test_term_faults.py
@@ -444,6 +444,34 @@
 
         harness.play(scene)
 
+    def test_entries_that_lapsed_in_an_outage_close_no_worker(self) -> None:
+        """Pattern: every worker's entry lapses while the store is away.
+
+        They are back within two seconds of its return. Workers that answer
+        are given work meanwhile; one that stays unlisted is not.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(3)
+            async with bed.scheduling():
+                await anyio.sleep(1)
+                bed.fleet.hide_list(True)
+                await anyio.sleep(1)
+                soon = harness.job(1)
+                bed.hand_in(soon)
+                await harness.until(
+                    lambda: bed.state(soon.job_id) == 'done', limit_s=1.5
+                )
+                await anyio.sleep(5)
+                late = harness.job(2)
+                bed.hand_in(late)
+                await anyio.sleep(3)
+                self.assertEqual('queued', bed.state(late.job_id))
+                bed.fleet.hide_list(False)
+                await harness.until(lambda: bed.state(late.job_id) == 'done')
+
+        harness.play(scene)
+
     def test_stalled_task_is_run_elsewhere(self) -> None:
         """A job ends though one worker holds its task without working.
 
