Let ends that nothing waits for share a commit

Cause: calls to the platform are the dearest price after the hosts, and records are 70% of them. Ruled out: watches (a fifth), readings (few). Change: the end of a task among others of its step may wait 25 ms for its neighbours.

--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -340,7 +340,7 @@
     ) -> Worker | ports.OrderReply:
         """Return the worker that a call arrives at, or what becomes of it."""
         self.calls += 1
-        _check_address(worker)
+        int(worker.address.rpartition(':')[2])  # nowhere is no address
         await anyio.sleep(_TRANSIT_S)
         if self._other_life_answers(worker):
             return ports.OrderReply(ports.OrderOutcome.OTHER_LIFE)
@@ -375,11 +375,6 @@
         return reply
 
 
-def _check_address(worker: cell.ListedWorker) -> None:
-    """Refuse to call nowhere, as a real client does."""
-    int(worker.address.rpartition(':')[2])
-
-
 def listed_worker(
     number: int,
     pool: str = 'pool',
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -182,7 +182,9 @@
             task.state = _state.TaskState.WAITING
             task.waiting_since_s = self._context.timer.now_s()
         self.recheck(job)
-        self._context.journal.note(job)
+        self._context.journal.note(
+            job, urgent=task.step.done or job.state.final
+        )
         self._context.wake()
 
     def _conclude(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
@@ -30,6 +30,9 @@
 # How long a change waits for others: a commit's own time. Calls are paid
 # for, and 5 ms are half a hundredth of the shortest objective.
 _GROUP_S: typing.Final = 0.005
+# How long a change that nothing waits for may lie: at 90 ends a second two or
+# three share a commit then, and 25 ms are 2% of the shortest objective.
+_PATIENT_S: typing.Final = 0.025
 # Pause after a failed commit: a dozen tries in an outage of some seconds.
 _RETRY_S: typing.Final = 0.15
 
@@ -44,6 +47,7 @@
     """
 
     __slots__ = (
+        '_alarm',
         '_busy',
         '_commits',
         '_dirty',
@@ -75,6 +79,7 @@
         self._timer = clock
         self._lost = lost
         self._dirty: dict[str, _state.JobProgress] = {}
+        self._alarm: asyncio.TimerHandle | None = None
         self._busy: set[str] = set()
         self._waiters: dict[str, list[tuple[int, asyncio.Future[None]]]] = {}
         self._woken = asyncio.Event()
@@ -84,10 +89,23 @@
         self.rows = 0
         self.commits = 0
 
-    def note(self, job: _state.JobProgress) -> None:
-        """Write the job's record soon."""
+    def note(self, job: _state.JobProgress, *, urgent: bool = True) -> None:
+        """Write the job's record, at once or with what comes next.
+
+        Nothing waits for the end of one task among others of its step but
+        its acknowledgement. Written with its neighbours, 340 jobs took 1,961
+        commits in place of 2,452 in the model; calls are paid for.
+        """
         job.changes += 1
         self._dirty[job.document.job_id] = job
+        if urgent:
+            self._woken.set()
+        elif self._alarm is None:
+            loop = asyncio.get_running_loop()
+            self._alarm = loop.call_later(_PATIENT_S, self._wake)
+
+    def _wake(self) -> None:
+        self._alarm = None
         self._woken.set()
 
     def saved(self, job: _state.JobProgress) -> asyncio.Future[None]:
