--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,7 @@
 
 demo: venv
 	BIN=$(BIN) scripts/demo.sh
+	$(BIN)/python -m walnutpoint_standins.demo
 
 lint: venv
 	$(BIN)/flake8
