--- a/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
@@ -113,7 +113,6 @@
 
     __slots__ = (
         '_config',
-        '_lives',
         '_tasks',
         'advice',
         'configured',
@@ -142,7 +141,6 @@
         self.processes: dict[str, ModelProcess] = {}
         self._tasks = tasks
         self._config = config or settings.SchedulerSettings()
-        self._lives = 0
 
     def now_ms(self) -> int:
         """Return the time of day."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_control.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_control.py
@@ -23,8 +23,6 @@
 _WATCH_S: typing.Final = 5.0
 _RETRY_S: typing.Final = 0.3
 _PROBE_S: typing.Final = 0.3
-# The entry is written again when it was removed by mistake; rarely.
-_LEAVE_S: typing.Final = 0.5
 
 
 class Control:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -19,10 +19,8 @@
 # Pause before a worker that did not answer is asked again: some ten tries
 # within a lease, and a bounded load where many are unreachable.
 _RETRY_S: typing.Final = 0.25
-# How long a worker may be without answer before nothing is placed there.
+# The first report, and one after silence, is not to wait for an end.
 _FIRST_WAIT_S: typing.Final = 0.0
-# The most ends in one report; more may wait behind a full one.
-_REPORT_ENDS_MAX: typing.Final = 500
 
 
 class WorkerLinks:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -78,11 +78,6 @@
         self.answered_s = 0.0
         self.relayed = 0
 
-    @property
-    def direct(self) -> ports.WatchedStore:
-        """Return the own way to the store."""
-        return self._direct
-
     @property
     def is_down(self) -> bool:
         """Return whether no way to the store has answered for a while."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -228,12 +228,6 @@
             and age_s < _READY_STORE_AGE_S
         )
 
-    @property
-    def store_answers(self) -> bool:
-        """Return whether the store has answered lately."""
-        age_s = self._timer.now_s() - self._store.answered_s
-        return age_s < _READY_STORE_AGE_S
-
     def figures(self) -> dict[str, float]:
         """Return gauges and counters of the process."""
         figures = {
