--- a/packages/walnutpoint-model/src/walnutpoint_model/experiment.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/experiment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import functools
 import math
 import pathlib
 import typing
@@ -18,6 +19,7 @@
 from walnutpoint_model import virtual_time
 from walnutpoint_model import workers
 from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
 
 __all__ = (
@@ -108,12 +110,16 @@
                 wanted.worker_millicores,
                 wanted.worker_memory_mb,
             ),
-            lambda task, factor=factor: drawn.length_s(task) * factor,
+            functools.partial(_length_s, drawn, factor),
             number,
         )
         worker.fails = slow <= number < slow + failing
 
 
+def _length_s(drawn: load.Load, factor: float, task: ports.TaskName) -> float:
+    return drawn.length_s(task) * factor
+
+
 async def _drive(
     model: cell_model.CellModel,
     wanted: load.LoadSettings,
