Leave a done task done when its copy was still being stopped

A task had two runs, one was done and stored so, the other was being stopped when the scheduler died. The next term restored the task as active, and started it again after that run's end. Ruled out: the acknowledgement, which came 34 ms after the end and after its commit; beside it a race was found in which it could come before, with a look at the same worker, and is mended. Change: a done task stays done, and its other run is stopped.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -201,7 +201,9 @@
             record = _record.decode_record(item.value)
             runs = _record.apply_record(progress, record, item.revision)
             for task, worker_id, attempt in runs:
-                self._restore_run(task, worker_id, attempt)
+                run = self._restore_run(task, worker_id, attempt)
+                if task.state is _state.TaskState.DONE:
+                    self._ends.stop(run, 'another copy is done')
         if not progress.state.final:
             context.open_jobs[job.job_id] = progress
             self._ends.recheck(progress)
@@ -225,7 +227,7 @@
 
     def _restore_run(
         self, task: _state.TaskProgress, worker_id: str, attempt: int
-    ) -> None:
+    ) -> _state.Run:
         """Book a run that an earlier term may have started.
 
         Until its worker has answered under this term's token, or has
@@ -251,12 +253,16 @@
         )
         run.phase = _state.RunPhase.ORDERED
         run.decisive_from_s = context.started_s
-        task.state = _state.TaskState.ACTIVE
+        # A done task may have a copy that was still being stopped. Taken for
+        # active it would wait again after that run's end, and start anew.
+        if task.state is not _state.TaskState.DONE:
+            task.state = _state.TaskState.ACTIVE
         if task.run is None:
             task.run = run
         else:
             task.copy = run
         worker.book(run)
+        return run
 
 
 def _unlisted(worker_id: str) -> cell.ListedWorker:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -84,7 +84,8 @@
                 saving = self._take(worker, reply, asked_s)
                 wait_s = context.settings.report_wait_s
                 if saving is not None:
-                    wait_s = await self._acknowledge(worker, saving)
+                    upto = max(end.number for end in reply.ends)
+                    wait_s = await self._acknowledge(worker, saving, upto)
                 continue
             failures += 1
             wait_s = _FIRST_WAIT_S
@@ -236,14 +237,16 @@
         self,
         worker: _roster.WorkerState,
         saving: asyncio.Future[typing.Any],
+        upto: int,
     ) -> float:
         """Return how long the next report may wait for another end.
 
         An end is stored before it is acknowledged: the worker forgets it
         then, and a later scheduler could learn of it nowhere. While the
-        store does not answer, the lease is renewed all the same.
+        store does not answer, the lease is renewed all the same. Only the
+        ends of this report are acknowledged: a look beside it may have
+        taken in newer ones, which are not stored yet.
         """
-        upto = worker.processed
         done, _ = await asyncio.wait(
             [saving], timeout=self._context.settings.report_wait_s
         )
--- a/tests/walnutpoint_scheduler/test_term_faults.py
+++ b/tests/walnutpoint_scheduler/test_term_faults.py
@@ -5,15 +5,48 @@
 import unittest
 
 import anyio
+import msgspec
 
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_model import store
 from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import _record
+from walnutpoint_scheduler import ports
 
 
 class TakeoverTest(unittest.TestCase):
     """Another term goes on where one was lost."""
 
+    def test_done_task_whose_copy_is_still_stopping_stays_done(self) -> None:
+        """A task that has ended is not started again after a takeover.
+
+        One of two runs of a task is done and stored so, while the other is
+        still being stopped. The scheduler dies. The next one finds the task
+        done with a run beside it, and only waits for that run's end.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(4)
+            bed.length_s = lambda task: 2.0
+            handed = harness.job(
+                1, harness.step(2, speculative=True), harness.step(9)
+            )
+            async with bed.scheduling():
+                bed.hand_in(handed)
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 11
+                )
+            key = _keys.record_key(handed.job_id)
+            record = _record.decode_record(bed.store.items[key].value)
+            record.steps[0].tasks[0].done = True
+            bed.store.put(key, msgspec.msgpack.encode(record))
+            async with bed.scheduling():
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
+            task = ports.TaskName(handed.job_id, 0, 0, 0)
+            self.assertEqual(1, bed.fleet.ledger.starts[task])
+
+        harness.play(scene)
+
     def test_running_tasks_are_adopted(self) -> None:
         """The caller sees its job end as if nothing had happened.
 
