Follow a worker again after an unforeseen fault

Cause: the task that follows a worker ended with the first exception in it, and nothing began it again before the next term: its lease lapsed, its ends were not seen, its jobs hung. Ruled out: ending the term instead, which would meet the same report again. Change: the link logs link.failed and goes on after 0.25 s, one call each try. Before: the test's job was not done within 60 s; after: within 2 s, nothing run twice.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -41,7 +41,7 @@
 
     def open(self, worker: _roster.WorkerState) -> None:
         """Follow one life of a worker until it is over."""
-        self._context.spawn(self._follow, worker)
+        self._context.spawn(self._keep_following, worker)
 
     async def look(self, worker: _roster.WorkerState) -> None:
         """Ask for one report at once, beside the one that is waited for."""
@@ -61,6 +61,24 @@
             # What ended is acknowledged with the report that is waited for.
             self._take(worker, reply, asked_s)
 
+    async def _keep_following(self, worker: _roster.WorkerState) -> None:
+        """Begin again where following a worker fails unforeseen.
+
+        A worker that nobody follows loses its lease with all that runs
+        there, its ends are not seen, and its runs hold their jobs until the
+        next term. Its next report may be sound, or fail again at the cost of
+        one call each _RETRY_S.
+        """
+        while not worker.gone:
+            try:
+                await self._follow(worker)
+                return
+            except Exception as error:
+                _LOG.exception(
+                    'link.failed', worker=worker.worker_id, error=repr(error)
+                )
+            await self._context.timer.sleep(_RETRY_S)
+
     async def _follow(self, worker: _roster.WorkerState) -> None:
         context = self._context
         wait_s = _FIRST_WAIT_S
