--- a/packages/walnutpoint-core/src/walnutpoint_core/web/__init__.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/__init__.py
@@ -2,6 +2,7 @@
 
 from walnutpoint_core.web._client import Client
 from walnutpoint_core.web._connection import ClientConnection
+from walnutpoint_core.web._hedge import Hedge
 from walnutpoint_core.web._message import json_response
 from walnutpoint_core.web._message import Loss
 from walnutpoint_core.web._message import Request
@@ -13,6 +14,7 @@
     'Client',
     'ClientConnection',
     'Handler',
+    'Hedge',
     'Loss',
     'Request',
     'Response',
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
@@ -151,11 +151,13 @@
 
     async def _write(self, jobs: list[_state.JobProgress]) -> None:
         changes = [(job.changes, job.state.value) for job in jobs]
-        reply = await self._store.commit(self._batch(jobs))
+        batch = self._batch(jobs)
+        reply = await self._store.commit(batch)
         self._commits -= 1
         for job in jobs:
             self._busy.discard(job.document.job_id)
-        if reply.is_ok() and reply.ok.applied:
+        revision = self._stored_at(batch, reply.ok) if reply.is_ok() else 0
+        if revision:
             self.commits += 1
             self.rows += len(jobs)
             if self.failing_since_s is not None:
@@ -165,7 +167,7 @@
             for job, (count, state) in zip(jobs, changes, strict=True):
                 job.saved_state = state
                 job.buried = job.buried or _state.JobState(state).final
-                self._settle(job, count, reply.ok.revision)
+                self._settle(job, count, revision)
             self._woken.set()
             return
         for job in jobs:
@@ -214,6 +216,32 @@
         else:
             del self._waiters[job.document.job_id]
 
+    def _stored_at(self, batch: ports.Batch, reply: ports.CommitReply) -> int:
+        """Return the revision at which a batch is stored, or zero.
+
+        A commit whose answer was lost and that is repeated conflicts with
+        itself. Written once more it would cost another call, whose answer
+        may be lost in turn; the stored records tell that they are its own.
+        """
+        if reply.applied:
+            return reply.revision
+        current = {item.key: item for item in reply.conflicts}
+        claim = current.get(_keys.SCHEDULER)
+        if claim is None or claim.revision != self._token:
+            return 0
+        written = {put.key: put.value for put in batch.puts}
+        revisions = set()
+        for guard in batch.guards:
+            if guard.key == _keys.SCHEDULER:
+                continue
+            item = current.get(guard.key)
+            if item is None:
+                return 0
+            if not _record.say_the_same(item.value, written[guard.key]):
+                return 0
+            revisions.add(item.revision)
+        return revisions.pop() if len(revisions) == 1 else 0
+
     def _adopt(
         self, jobs: list[_state.JobProgress], reply: ports.CommitReply
     ) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -13,6 +13,7 @@
     'apply_record',
     'decode_record',
     'encode_record',
+    'say_the_same',
 )
 
 
@@ -56,6 +57,15 @@
     return _DECODER.decode(value)
 
 
+def say_the_same(one: bytes, other: bytes) -> bool:
+    """Return whether two records differ at most in when they were written."""
+    if one == other:
+        return True
+    first, second = decode_record(one), decode_record(other)
+    second.written_ms = first.written_ms
+    return first == second
+
+
 def encode_record(job: _state.JobProgress, now_ms: int) -> bytes:
     """Serialize what a job's record has to say."""
     steps = [] if job.state.final else [_step_record(s) for s in job.steps()]
--- /dev/null
+++ b/tests/walnutpoint_scheduler/test_journal.py
@@ -0,0 +1,102 @@
+"""The journal over a store that loses answers."""
+
+from __future__ import annotations
+
+import itertools
+import typing
+import unittest
+
+import anyio
+import expression
+
+from tests.walnutpoint_scheduler import harness
+from walnutpoint_core import errors
+from walnutpoint_core import ports
+from walnutpoint_model import store
+from walnutpoint_model import virtual_time
+from walnutpoint_scheduler import _journal
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import _state
+
+LOST = expression.Error(errors.Failure(errors.ErrorKind.STORE_ANSWER_LOST))
+
+
+class _ForgetfulStore(store.MemoryStore):
+    """Applies commits, and loses the first answers."""
+
+    def __init__(self, lost: int) -> None:
+        super().__init__()
+        self.lost = lost
+        self.tries = 0
+
+    async def commit(self, batch: ports.Batch) -> typing.Any:
+        """Apply a batch."""
+        self.tries += 1
+        reply = await super().commit(batch)
+        if self.tries <= self.lost:
+            return LOST
+        return reply
+
+
+def played(shared: store.MemoryStore, token: int) -> tuple[bool, list[str]]:
+    """Note one job, and return whether it was saved, and what was lost."""
+    reasons: list[str] = []
+    # The time of day goes on between two tries.
+    now_ms = itertools.count()
+    outcome: list[bool] = []
+
+    async def scene() -> None:
+        journal = _journal.Journal(
+            shared,
+            token,
+            lambda: next(now_ms),
+            virtual_time.LoopTimer(),
+            reasons.append,
+        )
+        job = _state.JobProgress(harness.job(1), harness.QUEUE, 0.0)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(journal.run)
+            journal.note(job)
+            with anyio.move_on_after(5.0):
+                await journal.saved(job)
+            outcome.append(job.saved_changes == job.changes)
+            tasks.cancel_scope.cancel()
+
+    virtual_time.run(scene())
+    return outcome[0], reasons
+
+
+class LostAnswerTest(unittest.TestCase):
+    """A record that is stored is not written again to learn so."""
+
+    def test_own_record_is_recognized(self) -> None:
+        """A start waits for one repeat, not for two.
+
+        The store applies the commit of a planned start and loses its
+        answer. The repeat conflicts with the record that it finds, which is
+        the very one that was to be written.
+        """
+        shared = _ForgetfulStore(1)
+        token = shared.put(_keys.SCHEDULER, b'claim')
+        saved, reasons = played(shared, token)
+        self.assertTrue(saved)
+        self.assertEqual([], reasons)
+        self.assertEqual(2, shared.tries)
+
+    def test_another_claim_ends_the_term_all_the_same(self) -> None:
+        """A deposed scheduler learns so from the conflict.
+
+        Its record is stored, the answer was lost, and another scheduler has
+        claimed the key before the repeat.
+        """
+
+        class _Deposing(_ForgetfulStore):
+            async def commit(self, batch: ports.Batch) -> typing.Any:
+                reply = await super().commit(batch)
+                self.put(_keys.SCHEDULER, b'other')
+                return reply
+
+        shared = _Deposing(1)
+        token = shared.put(_keys.SCHEDULER, b'claim')
+        _, reasons = played(shared, token)
+        self.assertTrue(reasons)
