--- a/bench/scheduler_cost.py
+++ b/bench/scheduler_cost.py
@@ -23,6 +23,7 @@
 from absl import flags
 import anyio
 import numpy
+import uvloop
 
 from walnutpoint_core import logs
 from walnutpoint_core import timer
@@ -147,7 +148,7 @@
     try:
         assert platform.stdout is not None
         platform.stdout.readline()
-        return anyio.run(_measure, first_port, workers, rate_per_s, profile)
+        return uvloop.run(_measure(first_port, workers, rate_per_s, profile))
     finally:
         platform.kill()
         platform.wait()
@@ -161,7 +162,7 @@
     del arguments
     if _SERVE.value:
         logs.configure('error')
-        anyio.run(_serve, _SERVE.value, int(_SIZES.value[0]))
+        uvloop.run(_serve(_SERVE.value, int(_SIZES.value[0])))
         return
     report = os.fdopen(os.dup(1), 'w')
     # The scheduler writes its own lines as it does in service.
