Ask advice about the workers that a step is likely to need

Cause: a question named every worker, a hundred at most. On 176 workers that takes 1.2 s for a batch step (0.5 s and 7 ms a name), where the objective counts 30 names; a refresh of tickets named unknown workers as well. Ruled out: a fixed number, too few for 20 tasks on a worker each of which a third is granted. Change: the freest workers until one and a half times the room that is missing is expected from the share granted so far, 24 at least; more only where the granted ones are full and others have room. Small cells ask as before.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
@@ -9,6 +9,7 @@
 
 from walnutpoint_core import logs
 from walnutpoint_core import metrics
+from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 
@@ -18,8 +19,10 @@
 _ADVICE: typing.Final = metrics.Latency(
     'advice', 'Questions for advice by outcome, waiting included.'
 )
-# The most workers that one question may name (the service's limit).
-_NAMED_MAX: typing.Final = 100
+# The share of the workers that is taken to be granted before any answer, and
+# how many named workers that guess counts for.
+_SHARE_GUESS: typing.Final = 0.5
+_GUESS_WEIGHT: typing.Final = 20
 # A ticket this close to its end may be refused on arrival.
 _TICKET_MARGIN_S: typing.Final = 0.15
 _RETRY_S: typing.Final = 0.1
@@ -52,7 +55,15 @@
     costs the service time.
     """
 
-    __slots__ = ('_changed', '_now_s', '_source', '_steps', '_tasks', 'calls')
+    __slots__ = (
+        '_changed',
+        '_granted',
+        '_now_s',
+        '_source',
+        '_steps',
+        '_tasks',
+        'calls',
+    )
 
     def __init__(
         self,
@@ -66,6 +77,8 @@
         self._tasks = tasks
         self._changed = changed
         self._steps: dict[str, _StepAdvice] = {}
+        # How many workers were granted of how many named, by the terms.
+        self._granted: dict[cell.AdviceTerms, tuple[int, int]] = {}
         self.calls = 0
 
     def ticket(self, step: str, worker_id: str) -> str | None:
@@ -95,6 +108,12 @@
         limit_s = self._now_s() + _TICKET_MARGIN_S
         return any(end_s > limit_s for end_s in known.expires_s.values())
 
+    def granted_share(self, terms: cell.AdviceTerms) -> float:
+        """Return the share of newly named workers that was granted."""
+        granted, named = self._granted.get(terms, (0, 0))
+        guessed = _SHARE_GUESS * _GUESS_WEIGHT
+        return (granted + guessed) / (named + _GUESS_WEIGHT)
+
     def asking(self, step: str) -> bool:
         """Return whether a question about a step is on its way."""
         known = self._steps.get(step)
@@ -120,7 +139,9 @@
         known = self._steps.setdefault(step, _StepAdvice())
         if known.asking or self._now_s() < known.retry_s:
             return
-        named = [w for w in worker_ids if w not in known.denied][:_NAMED_MAX]
+        named = [w for w in worker_ids if w not in known.denied][
+            : _inquiry.NAMED_MAX
+        ]
         if named:
             known.asking = True
             self._tasks.start_soon(self._ask, step, known, named, terms)
@@ -157,6 +178,10 @@
         # Valid from the moment of granting, which is not before half of
         # the way back: counted from now, less a margin when used.
         expires_s = self._now_s() + advice.valid_s
+        fresh = [w for w in named if w not in known.tickets]
+        granted, before = self._granted.get(terms, (0, 0))
+        granted += sum(w in advice.tickets for w in fresh)
+        self._granted[terms] = granted, before + len(fresh)
         for worker_id in named:
             ticket = advice.tickets.get(worker_id)
             if ticket is None:
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
@@ -0,0 +1,62 @@
+"""Which workers to ask advice about."""
+
+from __future__ import annotations
+
+import collections.abc
+import typing
+
+from walnutpoint_core import amount
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import document
+
+__all__ = (
+    'choose',
+    'fit',
+)
+
+# The most workers that one question may name (the service's limit).
+NAMED_MAX: typing.Final = 100
+# Named even where fewer would do, as some fail or fill up meanwhile: within
+# the 30 that the objective of a job allows for each step.
+_NAMED_MIN: typing.Final = 24
+# The room that is asked for against the room that is needed: shares are
+# learnt from few answers, and others take room while the answer is awaited.
+_MARGIN: typing.Final = 1.5
+
+Free = collections.abc.Callable[[_roster.WorkerState], amount.Amount]
+
+
+def choose(
+    candidates: collections.abc.Iterable[_roster.WorkerState],
+    free: Free,
+    step: document.Step,
+    task_count: int,
+    granted_share: float,
+) -> list[str]:
+    """Return the likely workers for some tasks, those with most room first.
+
+    Each name costs the service time, which the step waits for, and its
+    queue is shared by all steps. On 176 workers a question about a hundred
+    of them takes 1.2 s in place of 0.7 s.
+    """
+    names: list[str] = []
+    expected = 0.0
+    ordered = sorted(
+        candidates, key=lambda w: free(w).cpu_millicores, reverse=True
+    )
+    for worker in ordered[:NAMED_MAX]:
+        count = fit(free(worker), step)
+        enough = expected >= task_count * _MARGIN or not count
+        if len(names) >= _NAMED_MIN and enough:
+            break
+        names.append(worker.worker_id)
+        expected += count * granted_share
+    return names
+
+
+def fit(free: amount.Amount, step: document.Step) -> int:
+    """Return how many tasks of a step a room is enough for."""
+    if not free.covers(step.need):
+        return 0
+    count = max(1, free.times(step.need))
+    return min(count, step.per_worker_max or count)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -10,6 +10,7 @@
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
@@ -107,7 +108,7 @@
         if chooser.blocked >= _BLOCKED_MAX:
             # What room there is, earlier steps wait for. Advice is asked
             # for all the same: it takes longer than the wait.
-            self._ask(chooser, queue, step)
+            self._ask(chooser, queue, step, len(step.waiting()))
             return
         waiting = step.waiting()
         runs: list[_state.Run] = []
@@ -121,7 +122,7 @@
             self._desk.launch(step.job, runs)
         missing = len(waiting) - len(runs)
         if missing:
-            self._ask(chooser, queue, step)
+            self._ask(chooser, queue, step, missing)
             self._hold(chooser, queue, step, missing)
 
     def _shortlist(
@@ -163,7 +164,7 @@
                 chooser, queue, task.step, run.worker_id
             ).take()
             if worker is None:
-                self._ask(chooser, queue, task.step)
+                self._ask(chooser, queue, task.step, 1)
                 continue
             copy = self._plan(task, worker, queue, task.attempt + 1)
             task.run, task.copy = run, copy
@@ -196,7 +197,7 @@
                 runs.append(self._plan(task, worker, queue, attempt))
             self._desk.launch(step.job, runs)
             return
-        self._ask(chooser, queue, step)
+        self._ask(chooser, queue, step, len(step.tasks))
         self._hold(chooser, queue, step, len(step.tasks))
 
     def _gang_groups(
@@ -297,20 +298,51 @@
         chooser: _choice.Chooser,
         queue: cell.Queue,
         step: _state.StepProgress,
+        missing: int,
     ) -> None:
         """Ask for advice where a ticket is what a step waits for."""
         if queue.advice is None:
             return
         advice = self._context.advice
-        able = [w.worker_id for w in chooser.able(step.step)]
-        unknown = [w for w in able if advice.permits(step.key, w) is None]
-        granted = [w for w in able if advice.permits(step.key, w)]
-        if unknown and not granted:
-            advice.ask(step.key, unknown, queue.advice)
-        elif not advice.has_valid(step.key):
-            if self._refreshed < _REFRESH_STEPS_MAX:
-                self._refreshed += 1
-                advice.ask(step.key, granted + unknown, queue.advice)
+        able = chooser.able(step.step)
+        granted = [w for w in able if advice.permits(step.key, w.worker_id)]
+        room = sum(_inquiry.fit(chooser.free(w), step.step) for w in granted)
+        names: list[str] = []
+        if room < missing:
+            names = _inquiry.choose(
+                self._unknown(chooser, step, able, bool(granted)),
+                chooser.free,
+                step.step,
+                missing - room,
+                advice.granted_share(queue.advice),
+            )
+        refresh = not advice.has_valid(step.key)
+        if refresh and not names and self._refreshed >= _REFRESH_STEPS_MAX:
+            return
+        if refresh:
+            self._refreshed += not names
+            names = names + _inquiry.choose(
+                granted, chooser.free, step.step, missing, 1.0
+            )
+        if names:
+            advice.ask(step.key, names, queue.advice)
+
+    def _unknown(
+        self,
+        chooser: _choice.Chooser,
+        step: _state.StepProgress,
+        able: list[_roster.WorkerState],
+        some_granted: bool,
+    ) -> list[_roster.WorkerState]:
+        """Return the workers to be named for the first time."""
+        advice = self._context.advice
+        unknown = [
+            w for w in able if advice.permits(step.key, w.worker_id) is None
+        ]
+        if not some_granted:
+            return unknown
+        # The granted ones are full: others help if they have room now.
+        return [w for w in unknown if _inquiry.fit(chooser.free(w), step.step)]
 
     def _hold(
         self,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -7,11 +7,13 @@
 from walnutpoint_core import logs
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _pacing
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _stall
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import cell
 
 __all__ = ('Watch',)
 
@@ -87,7 +89,7 @@
             if terms is None or step.job.state.final:
                 continue
             if not context.advice.has_valid(step.key):
-                context.advice.ask(step.key, self._able(step.job, step), terms)
+                self._ask(step, terms)
 
     def _want_copies(self, worker: _roster.WorkerState, now_s: float) -> None:
         """Ask for second runs of what may be lost or takes too long.
@@ -175,22 +177,30 @@
                     continue
                 if context.advice.has_valid(step.key):
                     continue
-                context.advice.ask(step.key, self._able(job, step), terms)
-
-    def _able(
-        self, job: _state.JobProgress, step: _state.StepProgress
-    ) -> list[str]:
-        pool = self._context.queue_of(job).pool
-        return [
-            worker.worker_id
+                self._ask(step, terms)
+
+    def _ask(self, step: _state.StepProgress, terms: cell.AdviceTerms) -> None:
+        advice = self._context.advice
+        pool = self._context.queue_of(step.job).pool
+        able = [
+            worker
             for worker in self._context.roster.in_pool(pool)
             if worker.open_for_starts
+            and advice.permits(step.key, worker.worker_id) is not False
             and worker.listed.capacity.covers(step.step.need)
             and (
                 not step.step.required_label
                 or step.step.required_label in worker.listed.labels
             )
         ]
+        names = _inquiry.choose(
+            able,
+            lambda worker: worker.free,
+            step.step,
+            step.step.task_count,
+            advice.granted_share(terms),
+        )
+        advice.ask(step.key, names, terms)
 
 
 def _straggles(
