Rule out full workers early, and work out a step's need once

In a burst passes take turns with orders and reports on one core. Ruled out: preemption's own search, 3 ms a pass once it is made once a pass. Change: the processor time is compared first; need is worked out once a step.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -43,6 +43,7 @@
     __slots__ = (
         '_chooser',
         '_is_spread',
+        '_need',
         '_next',
         '_permitted',
         '_step',
@@ -61,6 +62,7 @@
     ) -> None:
         self._chooser = chooser
         self._step = step
+        self._need = step.need
         self._step_key = step_key
         self._permitted = permitted
         order = _order_of(step, priority)
@@ -88,7 +90,11 @@
 
     def _suits(self, worker: _roster.WorkerState) -> bool:
         chooser, step = self._chooser, self._step
-        if not chooser.fits(worker, step, self._step_key):
+        # Most workers of a full cell are ruled out here, at a tenth of the
+        # cost of the whole check.
+        if worker.free.cpu_millicores < self._need.cpu_millicores:
+            return False
+        if not chooser.fits(worker, step, self._step_key, self._need):
             return False
         if not self._permitted(worker.worker_id):
             return False
@@ -126,25 +132,26 @@
         for worker in self.ordered(_Order.FREEST):
             if not left:
                 break
-            if self._is_able(worker, step) and permitted(worker.worker_id):
+            if self.is_able(worker, step) and permitted(worker.worker_id):
                 held = self._held.get(worker.worker_id, _NOTHING)
                 self._held[worker.worker_id] = held + step.need
                 left -= 1
 
     def able(self, step: document.Step) -> list[_roster.WorkerState]:
         """Return the open workers that could ever run a task of a step."""
-        return [w for w in self._open if self._is_able(w, step)]
+        return [w for w in self._open if self.is_able(w, step)]
 
     def fits(
         self,
         worker: _roster.WorkerState,
         step: document.Step,
         step_key: str,
+        need: amount.Amount,
     ) -> bool:
         """Return whether a worker has room for one task of a step now."""
-        if not self.free(worker).covers(step.need):
+        if not self.free(worker).covers(need):
             return False
-        if not self._is_able(worker, step):
+        if not self.is_able(worker, step):
             return False
         limit = step.per_worker_max
         if limit and worker.step_counts[step_key] >= limit:
@@ -168,9 +175,10 @@
             self._ordered[order] = workers
         return workers
 
-    def _is_able(
+    def is_able(
         self, worker: _roster.WorkerState, step: document.Step
     ) -> bool:
+        """Return whether a worker could ever run a task of a step."""
         if not worker.listed.capacity.covers(step.need):
             return False
         label = step.required_label
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -16,6 +16,7 @@
 
 __all__ = ('Preemption',)
 
+_NOTHING: typing.Final = amount.Amount()
 # Room that runs give back by themselves within this time is waited for: a
 # stop takes up to 0.4 s, and its end 0.1 s to be seen.
 _SOON_S: typing.Final = 0.6
@@ -29,6 +30,18 @@
 _VICTIMS_MAX: typing.Final = 24
 
 
+class _Site:
+    """A worker where room comes, or may be made."""
+
+    __slots__ = ('leaving', 'victims', 'worker')
+
+    def __init__(self, worker: _roster.WorkerState) -> None:
+        self.worker = worker
+        # The room of what is being stopped there.
+        self.leaving = _NOTHING
+        self.victims: list[_state.Run] = []
+
+
 class Preemption:
     """Stops batch runs that save their state where urgent tasks wait.
 
@@ -44,6 +57,7 @@
         '_left',
         '_lowest',
         '_round_s',
+        '_sites',
         'stopped',
     )
 
@@ -55,6 +69,8 @@
         self._round_s = 0.0
         # How many more runs this round may stop.
         self._left = 0
+        # By pool and by the priority that they make room for.
+        self._sites: dict[tuple[str, int], list[_Site]] = {}
         # The number of the least urgent priority that any queue has.
         self._lowest = 0
         self.stopped = 0
@@ -63,6 +79,7 @@
         """Begin a pass, and a round where one is due."""
         now_s = self._context.timer.now_s()
         self._left = 0
+        self._sites.clear()
         if now_s - self._round_s >= _ROUND_S:
             self._left = _VICTIMS_MAX
             queues = self._context.cell.queues
@@ -80,22 +97,47 @@
             return
         if queue.priority >= self._lowest:
             return
-        permitted = [
-            worker
-            for worker in chooser.able(step.step)
-            if self._permits(queue, step, worker)
+        # Looked up once a pass: with 176 workers the runs of all of them
+        # take 3 ms to go through, and 16 steps may ask.
+        key = queue.pool, queue.priority
+        if key not in self._sites:
+            self._sites[key] = self._find_sites(queue)
+        sites = [
+            site
+            for site in self._sites[key]
+            if chooser.is_able(site.worker, step.step)
+            and self._permits(queue, step, site.worker)
         ]
-        for worker in permitted:
+        for site in sites:
+            coming = chooser.free(site.worker) + site.leaving
+            missing -= _inquiry.fit(coming, step.step)
             if missing <= 0:
                 return
-            coming = chooser.free(worker) + _leaving(worker)
-            missing -= _inquiry.fit(coming, step.step)
-        for worker in permitted:
+        for site in sites:
             if missing <= 0 or not self._left:
                 return
-            if self._clear(chooser, queue, step, worker):
+            if self._clear(chooser, step, site):
                 missing -= 1
 
+    def _find_sites(self, queue: cell.Queue) -> list[_Site]:
+        """Return the workers of a pool where room comes, or may be made."""
+        now_s = self._context.timer.now_s()
+        sites = []
+        for worker in self._context.roster.in_pool(queue.pool):
+            if not worker.open_for_starts:
+                continue
+            site = _Site(worker)
+            for run in worker.runs.values():
+                if run.phase is _state.RunPhase.STOPPING:
+                    site.leaving += run.need
+                elif self._may_stop(run, queue.priority, now_s):
+                    site.victims.append(run)
+            if site.victims or site.leaving != _NOTHING:
+                # The largest first, so that few are stopped.
+                site.victims.sort(key=lambda run: -run.need.cpu_millicores)
+                sites.append(site)
+        return sites
+
     def _permits(
         self,
         queue: cell.Queue,
@@ -112,53 +154,40 @@
     def _clear(
         self,
         chooser: _choice.Chooser,
-        queue: cell.Queue,
         step: _state.StepProgress,
-        worker: _roster.WorkerState,
+        site: _Site,
     ) -> bool:
         """Make room for one task on a worker, or leave it alone."""
         limit = step.step.per_worker_max
-        if limit and worker.step_counts[step.key] >= limit:
+        if limit and site.worker.step_counts[step.key] >= limit:
             return False
-        room = chooser.free(worker) + _leaving(worker)
-        victims: list[_state.Run] = []
-        for run in self._victims(worker, queue.priority):
-            if room.covers(step.step.need):
-                break
-            victims.append(run)
-            room += run.need
-        if not victims or not room.covers(step.step.need):
+        room = chooser.free(site.worker) + site.leaving
+        count = 0
+        while count < len(site.victims) and not room.covers(step.step.need):
+            room += site.victims[count].need
+            count += 1
+        if not count or count > self._left:
             return False
-        if len(victims) > self._left:
+        if not room.covers(step.step.need):
             return False
-        for run in victims:
+        for run in site.victims[:count]:
             self._desk.stop(run, 'makes room for urgent work')
-        self._left -= len(victims)
-        self.stopped += len(victims)
+            site.leaving += run.need
+        del site.victims[:count]
+        self._left -= count
+        self.stopped += count
         self._round_s = self._context.timer.now_s()
         return True
 
-    def _victims(
-        self, worker: _roster.WorkerState, priority: int
-    ) -> list[_state.Run]:
-        """Return the runs that may be stopped, largest first."""
-        now_s = self._context.timer.now_s()
-        runs = [
-            run
-            for run in worker.runs.values()
-            if run.task is not None
-            and self._may_stop(run, run.task, priority, now_s)
-        ]
-        runs.sort(key=lambda run: run.need.cpu_millicores, reverse=True)
-        return runs
-
     def _may_stop(
         self,
         run: _state.Run,
-        task: _state.TaskProgress,
         priority: int,
         now_s: float,
     ) -> bool:
+        task = run.task
+        if task is None:
+            return False
         step = task.step.step
         if not step.checkpoints or step.gang or step.lasting or step.fills:
             return False
@@ -169,15 +198,3 @@
         if run.started_s is None or now_s - run.started_s < _SETTLED_S:
             return False
         return _remaining.run_s(run, task, now_s) > _SOON_S
-
-
-def _leaving(worker: _roster.WorkerState) -> amount.Amount:
-    """Return the room of what is being stopped on a worker."""
-    return sum(
-        (
-            run.need
-            for run in worker.runs.values()
-            if run.phase is _state.RunPhase.STOPPING
-        ),
-        amount.Amount(),
-    )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import functools
 import typing
 
 import msgspec
@@ -21,7 +22,7 @@
 _TASKS_MAX: typing.Final = 10_000
 
 
-class Step(msgspec.Struct, frozen=True, omit_defaults=True):
+class Step(msgspec.Struct, frozen=True, omit_defaults=True, dict=True):
     """Equal tasks that may start once all earlier steps they need end."""
 
     task_count: int
@@ -45,7 +46,7 @@
     # How many tasks of a lasting step the scheduler may take away at once.
     away_max: int = 0
 
-    @property
+    @functools.cached_property
     def need(self) -> amount.Amount:
         """Return what one task takes of a worker."""
         millicores = 0 if self.fills else self.cpu_millicores
