Check the acceptance of a job over a store that answers late, loses or refuses

Repeating a commit beside the first is new: a repeat that is refused must not speak for the first, and a try without an answer may yet be carried out.

--- a/specs/_cases.py
+++ b/specs/_cases.py
@@ -12,6 +12,7 @@
 from minicheck import verdict
 
 from specs import _check
+from specs import acceptance
 from specs import confirmation
 from specs import doubt
 from specs import gang
@@ -55,6 +56,7 @@
     Model('lease', lease.build, lease.Guard, lease.GOALS),
     Model('gang', gang.build, gang.Guard, gang.GOALS),
     Model('term', term.build, term.Guard, term.GOALS),
+    Model('acceptance', acceptance.build, acceptance.Guard, acceptance.GOALS),
 )
 
 
