--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -10,9 +10,9 @@
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
-from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _preemption
+from walnutpoint_scheduler import _questions
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import cell
@@ -31,8 +31,6 @@
 # A job that ends within this many times its objective still counts for
 # something; beyond, it comes after all others of its priority.
 _LATE_FACTOR: typing.Final = 3.0
-# Waiting steps that renew their tickets before there is room for them.
-_REFRESH_STEPS_MAX: typing.Final = 10
 
 
 class Placer:
@@ -42,7 +40,7 @@
         '_context',
         '_desk',
         '_preemption',
-        '_refreshed',
+        '_questions',
         'passes',
         'placed',
     )
@@ -53,14 +51,19 @@
         self._context = context
         self._desk = desk
         self._preemption = _preemption.Preemption(context, desk)
-        self._refreshed = 0
+        self._questions = _questions.Questions(context)
         self.passes = 0
         self.placed = 0
 
+    @property
+    def displaced(self) -> int:
+        """Return how many runs were stopped to make room."""
+        return self._preemption.stopped
+
     def run(self) -> None:
         """Place every waiting task that has a place."""
         self.passes += 1
-        self._refreshed = 0
+        self._questions.begin()
         self._preemption.begin()
         choosers: dict[str, _choice.Chooser] = {}
         for _, queue, step in self._ordered():
@@ -118,7 +121,7 @@
         if chooser.blocked >= _BLOCKED_MAX:
             # What room there is, earlier steps wait for. Advice is asked
             # for all the same: it takes longer than the wait.
-            self._ask(chooser, queue, step, len(step.waiting()))
+            self._questions.ask(chooser, queue, step, len(step.waiting()))
             return
         waiting = step.waiting()
         runs: list[_state.Run] = []
@@ -132,7 +135,7 @@
             self._desk.launch(step.job, runs)
         missing = len(waiting) - len(runs)
         if missing:
-            self._ask(chooser, queue, step, missing)
+            self._questions.ask(chooser, queue, step, missing)
             self._preemption.make_room(chooser, queue, step, missing)
             self._hold(chooser, queue, step, missing)
 
@@ -175,7 +178,7 @@
                 chooser, queue, task.step, run.worker_id
             ).take()
             if worker is None:
-                self._ask(chooser, queue, task.step, 1)
+                self._questions.ask(chooser, queue, task.step, 1)
                 continue
             copy = self._plan(task, worker, queue, task.attempt + 1)
             task.run, task.copy = run, copy
@@ -208,7 +211,7 @@
                 runs.append(self._plan(task, worker, queue, attempt))
             self._desk.launch(step.job, runs)
             return
-        self._ask(chooser, queue, step, len(step.tasks))
+        self._questions.ask(chooser, queue, step, len(step.tasks))
         self._hold(chooser, queue, step, len(step.tasks))
 
     def _gang_groups(
@@ -304,57 +307,6 @@
         )
         return run
 
-    def _ask(
-        self,
-        chooser: _choice.Chooser,
-        queue: cell.Queue,
-        step: _state.StepProgress,
-        missing: int,
-    ) -> None:
-        """Ask for advice where a ticket is what a step waits for."""
-        if queue.advice is None:
-            return
-        advice = self._context.advice
-        able = chooser.able(step.step)
-        granted = [w for w in able if advice.permits(step.key, w.worker_id)]
-        room = sum(_inquiry.fit(chooser.free(w), step.step) for w in granted)
-        names: list[str] = []
-        if room < missing:
-            names = _inquiry.choose(
-                self._unknown(chooser, step, able, bool(granted)),
-                chooser.free,
-                step.step,
-                missing - room,
-                advice.granted_share(queue.advice),
-            )
-        refresh = not advice.has_valid(step.key)
-        if refresh and not names and self._refreshed >= _REFRESH_STEPS_MAX:
-            return
-        if refresh:
-            self._refreshed += not names
-            names = names + _inquiry.choose(
-                granted, chooser.free, step.step, missing, 1.0
-            )
-        if names:
-            advice.ask(step.key, names, queue.advice)
-
-    def _unknown(
-        self,
-        chooser: _choice.Chooser,
-        step: _state.StepProgress,
-        able: list[_roster.WorkerState],
-        some_granted: bool,
-    ) -> list[_roster.WorkerState]:
-        """Return the workers to be named for the first time."""
-        advice = self._context.advice
-        unknown = [
-            w for w in able if advice.permits(step.key, w.worker_id) is None
-        ]
-        if not some_granted:
-            return unknown
-        # The granted ones are full: others help if they have room now.
-        return [w for w in unknown if _inquiry.fit(chooser.free(w), step.step)]
-
     def _hold(
         self,
         chooser: _choice.Chooser,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -188,6 +188,7 @@
             'journal_pending': context.journal.pending,
             'journal_commits': context.journal.commits,
             'journal_rows': context.journal.rows,
+            'runs_displaced': placer.displaced,
             'runs_started': desk.started,
             'starts_refused': desk.refused,
             'starts_unanswered': desk.unanswered,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -7,14 +7,13 @@
 from walnutpoint_core import logs
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
-from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _pacing
+from walnutpoint_scheduler import _questions
 from walnutpoint_scheduler import _remaining
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _stall
 from walnutpoint_scheduler import _state
-from walnutpoint_scheduler import cell
 
 __all__ = ('Watch',)
 
@@ -44,7 +43,14 @@
 class Watch:
     """Checks all runs and workers once per period."""
 
-    __slots__ = ('_context', '_desk', '_pacer', '_leaving_s', 'stalled')
+    __slots__ = (
+        '_context',
+        '_desk',
+        '_leaving_s',
+        '_pacer',
+        '_questions',
+        'stalled',
+    )
 
     def __init__(
         self, context: _context.Context, desk: _orders.OrderDesk
@@ -52,6 +58,7 @@
         self._context = context
         self._desk = desk
         self._pacer = _pacing.Pacer(context)
+        self._questions = _questions.Questions(context)
         self._leaving_s: dict[str, float] = {}
         self.stalled = 0
 
@@ -90,7 +97,7 @@
             if terms is None or step.job.state.final:
                 continue
             if not context.advice.has_valid(step.key):
-                self._ask(step, terms)
+                self._questions.ask_ahead(step, terms)
 
     def _want_copies(self, worker: _roster.WorkerState, now_s: float) -> None:
         """Ask for second runs of what may be lost or takes too long.
@@ -178,30 +185,7 @@
                     continue
                 if context.advice.has_valid(step.key):
                     continue
-                self._ask(step, terms)
-
-    def _ask(self, step: _state.StepProgress, terms: cell.AdviceTerms) -> None:
-        advice = self._context.advice
-        pool = self._context.queue_of(step.job).pool
-        able = [
-            worker
-            for worker in self._context.roster.in_pool(pool)
-            if worker.open_for_starts
-            and advice.permits(step.key, worker.worker_id) is not False
-            and worker.listed.capacity.covers(step.step.need)
-            and (
-                not step.step.required_label
-                or step.step.required_label in worker.listed.labels
-            )
-        ]
-        names = _inquiry.choose(
-            able,
-            lambda worker: worker.free,
-            step.step,
-            step.step.task_count,
-            advice.granted_share(terms),
-        )
-        advice.ask(step.key, names, terms)
+                self._questions.ask_ahead(step, terms)
 
 
 def _straggles(
