--- a/tests/docs/test_operators.py
+++ b/tests/docs/test_operators.py
@@ -19,7 +19,8 @@
 _ROOT = pathlib.Path(__file__).parents[2]
 _PAGE = (_ROOT / 'docs' / 'OPERATIONS.md').read_text()
 _EVENT = re.compile(
-    r'_(?:LOG|log)\.(debug|info|warning|error)\(\s*\'([\w.]+)\'', re.MULTILINE
+    r'_(?:LOG|log)\.(debug|info|warning|error|exception)\(\s*\'([\w.]+)\'',
+    re.MULTILINE,
 )
 _SETTING_ROW = re.compile(
     r'^\| `(\w+\.\w+)` \| ([^|]*) \| ([^|]*) \| ([^|]*) \|$', re.MULTILINE
@@ -108,7 +109,8 @@
 
 def _events() -> set[tuple[str, str]]:
     return {
-        (event, level)
+        # What is logged with a traceback is an error.
+        (event, 'error' if level == 'exception' else level)
         for path in _sources()
         for level, event in _EVENT.findall(path.read_text())
     }
@@ -132,7 +134,9 @@
 
     def test_every_log_call_names_its_event(self) -> None:
         """An event that is not written out would be missed above."""
-        calls = re.compile(r'_(?:LOG|log)\.(?:debug|info|warning|error)\(')
+        calls = re.compile(
+            r'_(?:LOG|log)\.(?:debug|info|warning|error|exception)\('
+        )
         for path in _sources():
             text = path.read_text()
             self.assertEqual(
