--- a/packages/walnutpoint-model/src/walnutpoint_model/ledger.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/ledger.py
@@ -38,6 +38,14 @@
             self.violations.append(f'{task} starts again after its end')
         self.running[task] = worker
 
+    def void(self, task: ports.TaskName) -> None:
+        """Take back an end that nobody took note of before its lease lapsed.
+
+        The platform counts such an end as none for good: a task of a worker
+        that is cut off has to run elsewhere, whether it has ended or not.
+        """
+        self.done.discard(task)
+
     def end(self, task: ports.TaskName, worker: str, done: bool) -> None:
         """Count an end."""
         if self.running.get(task) == worker:
--- /dev/null
+++ b/tests/walnutpoint_model/test_ledger.py
@@ -0,0 +1,60 @@
+"""What counts as a second run of a task."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import anyio
+
+from walnutpoint_model import ledger
+from walnutpoint_model import virtual_time
+from walnutpoint_model import workers
+from walnutpoint_scheduler import ports
+
+TASK = ports.TaskName('1', 0, 0, 0)
+LENGTH_S = 0.5
+LEASE_S = 2.5
+
+
+def order(attempt: int, until_ms: int) -> ports.Start:
+    """Return the order for a run."""
+    return ports.Start(ports.RunName(TASK, attempt), 'x', until_ms, 1)
+
+
+def violations_after(wait_s: float, acknowledged: bool) -> list[str]:
+    """Run a task, wait, and start it on another worker."""
+    shared = ledger.Ledger()
+
+    async def scene() -> None:
+        now_s = asyncio.get_running_loop().time
+        first, second = (
+            workers.Worker(
+                workers.listed_worker(n), lambda _: LENGTH_S, shared, n
+            )
+            for n in range(2)
+        )
+        until_ms = int((now_s() + LEASE_S) * 1000)
+        first.start(order(1, until_ms))
+        await anyio.sleep(LENGTH_S + 0.1)
+        if acknowledged:
+            await first.renew(ports.Renewal(1, 1, None, 0.0))
+        await anyio.sleep(wait_s)
+        second.start(order(2, int((now_s() + LEASE_S) * 1000)))
+
+    virtual_time.run(scene())
+    return shared.violations
+
+
+class SecondRunTest(unittest.TestCase):
+    """An end that was not acknowledged counts until its lease lapses."""
+
+    def test_start_within_the_lease_is_a_violation(self) -> None:
+        self.assertEqual(1, len(violations_after(0.5, acknowledged=False)))
+
+    def test_start_after_the_lease_is_none(self) -> None:
+        """A worker that is cut off after its task has ended is given up on."""
+        self.assertEqual([], violations_after(LEASE_S, acknowledged=False))
+
+    def test_acknowledged_end_counts_for_good(self) -> None:
+        self.assertEqual(1, len(violations_after(LEASE_S, acknowledged=True)))
