Bound the lines that a process writes a second

Ruled out: sampling by event, which tears a request's course apart at any load. Change: informational lines beyond 3,000 a second, 6,000 at once, are left out before they are rendered, counted, and said on the next line; warnings and errors never.

--- a/packages/walnutpoint-core/src/walnutpoint_core/logs.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/logs.py
@@ -9,18 +9,21 @@
 import structlog
 
 from walnutpoint_core import _line_writer
+from walnutpoint_core import _rate
 
 __all__ = (
     'configure',
     'configure_stdout',
     'flush',
     'get_logger',
+    'left_out',
     'lost',
 )
 
 _QUIET_LIBRARIES: typing.Final = ('httpcore', 'httpx', 'hypercorn')
 _STDOUT_FD: typing.Final = 1
 _writers: list[_line_writer.LineWriter] = []
+_limit: typing.Final = _rate.RateLimit()
 
 
 class _LineLogger:
@@ -51,10 +54,15 @@
 
 
 def lost() -> int:
-    """Return how many lines were dropped since the process began."""
+    """Return how many lines nobody read in time since the process began."""
     return sum(writer.lost for writer in _writers)
 
 
+def left_out() -> int:
+    """Return how many lines were beyond the rate since the process began."""
+    return _limit.left_out
+
+
 def flush() -> None:
     """Write what is queued, as far as somebody reads."""
     for writer in _writers:
@@ -72,6 +80,7 @@
     minimum = logging.getLevelNamesMapping()[level.upper()]
     structlog.configure(
         processors=[
+            _limit,
             structlog.processors.add_log_level,
             structlog.processors.TimeStamper(fmt='iso', utc=True),
             structlog.processors.format_exc_info,
