Pass over peers that the store turns away as well

Cause: an operation of a host that the store turns away was given up on after two peers, also where both said within some ms that they are turned away too. Ruled out: an outage (four hosts' calls were answered all the while). Change: only peers without a certain answer count against the two; up to six that are turned away are passed over.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -30,7 +30,12 @@
 # Between two questions in an outage, besides their timeouts: its end is
 # noticed within some 0.1 s where it refuses, and 0.6 s where it is silent.
 _OUTAGE_PROBE_S: typing.Final = 0.1
+# Peers without a certain answer before an operation is given up on: each may
+# take the whole timeout.
 _RELAYS_MAX: typing.Final = 2
+# Peers that are turned away as well: with half of the hosts turned away, one
+# operation in 64 meets six of them first. In an outage each costs a call.
+_REFUSALS_MAX: typing.Final = 6
 _TIMEOUT_S: typing.Final = 0.7
 # A process that has no way either is not asked again for this long.
 _BLIND_S: typing.Final = 1.0
@@ -214,16 +219,17 @@
     ) -> _messages.StoreAnswer | bool:
         """Return a peer's answer, or whether a commit may have applied."""
         maybe_applied = False
-        asked = 0
+        # How many peers gave no answer, or none that is certain, and how many
+        # have no way either.
+        silent = refused = 0
         for member in self._members.others(self._timer.now_s()):
             now_s = self._timer.now_s()
             if self._blind_until_s.get(member.address, 0.0) > now_s:
                 continue
             if self._members.is_shunned(member, now_s):
                 continue
-            if asked >= _RELAYS_MAX:
+            if silent >= _RELAYS_MAX or refused >= _REFUSALS_MAX:
                 break
-            asked += 1
             answer = await self._peers.ask(
                 member.address,
                 _peers.STORE_PATH,
@@ -234,12 +240,19 @@
             if isinstance(answer, web.Loss):
                 self._members.shun(member.address, self._timer.now_s())
                 maybe_applied = maybe_applied or answer.maybe_sent
+                silent += 1
             elif answer.failure_kind:
+                # The store turns that host away as well, which it says
+                # within some ms. With half of the hosts turned away, two
+                # such answers in a row are no reason to refuse a caller.
                 self._blind_until_s[member.address] = (
                     self._timer.now_s() + _BLIND_S
                 )
                 lost = errors.ErrorKind.STORE_ANSWER_LOST.value
-                maybe_applied = maybe_applied or answer.failure_kind == lost
+                is_lost = answer.failure_kind == lost
+                maybe_applied = maybe_applied or is_lost
+                silent += is_lost
+                refused += not is_lost
             else:
                 self.relayed += 1
                 self.answered_s = self._timer.now_s()
