Count as room only what a worker could take of a step

Cause: since questions for advice name few workers, more are asked about only where the granted ones have too little room. A worker that had its share of a spread step, or was set aside for failures, counted as room however: nobody else was asked about, and the step's last tasks waited for ever. Ruled out: a full cell (most room was free); lost answers of the service. Change: room counts health and the limit per worker, for the choice as well; a step that has waited for 1.5 s asks about every worker with room in turn.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -7,6 +7,7 @@
 import typing
 
 from walnutpoint_core import amount
+from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import worker_health
@@ -158,6 +159,27 @@
             return False
         return self._health.may_start(worker.worker_id)
 
+    def room_for(
+        self,
+        worker: _roster.WorkerState,
+        step: document.Step,
+        step_key: str,
+    ) -> int:
+        """Return how many more tasks of a step a worker could take now.
+
+        A worker that has its share of the step, or is set aside for its
+        failures, has none however free it is: counted as room, it would keep
+        the step from asking about others, and its last tasks would wait for
+        ever.
+        """
+        if not self._health.may_start(worker.worker_id):
+            return 0
+        count = _inquiry.fit(self.free(worker), step)
+        if step.per_worker_max:
+            left = step.per_worker_max - worker.step_counts[step_key]
+            count = min(count, max(0, left))
+        return count
+
     def is_preferred(
         self, worker: _roster.WorkerState, step: document.Step
     ) -> bool:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
@@ -23,17 +23,17 @@
 # learnt from few answers, and others take room while the answer is awaited.
 _MARGIN: typing.Final = 1.5
 
-Free = collections.abc.Callable[[_roster.WorkerState], amount.Amount]
+# How many more tasks of a step a worker could take now.
+Room = collections.abc.Callable[[_roster.WorkerState], int]
 
 
 def choose(
     candidates: collections.abc.Iterable[_roster.WorkerState],
-    free: Free,
-    step: document.Step,
+    room: Room,
     task_count: int,
     granted_share: float,
 ) -> list[str]:
-    """Return the likely workers for some tasks, those with most room first.
+    """Return the likely workers for some tasks, those with room first.
 
     Each name costs the service time, which the step waits for, and its
     queue is shared by all steps. On 176 workers a question about a hundred
@@ -41,11 +41,11 @@
     """
     names: list[str] = []
     expected = 0.0
-    ordered = sorted(
-        candidates, key=lambda w: free(w).cpu_millicores, reverse=True
+    rows = [(room(worker), worker) for worker in candidates]
+    rows.sort(
+        key=lambda row: (row[0] > 0, row[1].free.cpu_millicores), reverse=True
     )
-    for worker in ordered[:NAMED_MAX]:
-        count = fit(free(worker), step)
+    for count, worker in rows[:NAMED_MAX]:
         enough = expected >= task_count * _MARGIN or not count
         if len(names) >= _NAMED_MIN and enough:
             break
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -16,6 +16,10 @@
 # Waiting steps that renew their tickets before there is room for them.
 _REFRESH_STEPS_MAX: typing.Final = 10
 
+# Two questions about the least number of workers, some 0.7 s each in the
+# slowest queue: a step that still waits then has too few granted workers.
+_STARVED_S: typing.Final = 1.5
+
 
 class Questions:
     """Asks for the tickets that steps wait for, or will wait for."""
@@ -44,14 +48,26 @@
         advice = self._context.advice
         able = chooser.able(step.step)
         granted = [w for w in able if advice.permits(step.key, w.worker_id)]
-        room = sum(_inquiry.fit(chooser.free(w), step.step) for w in granted)
+
+        def room(worker: _roster.WorkerState) -> int:
+            return chooser.room_for(worker, step.step, step.key)
+
+        granted_room = sum(room(worker) for worker in granted)
+        if self._is_starved(step):
+            granted_room = 0
         names: list[str] = []
-        if room < missing:
+        if granted_room < missing:
+            unknown = [
+                w
+                for w in able
+                if advice.permits(step.key, w.worker_id) is None
+                # Where granted ones are full, others help with room only.
+                and (not granted or room(w))
+            ]
             names = _inquiry.choose(
-                self._unknown(chooser, step, able, bool(granted)),
-                chooser.free,
-                step.step,
-                missing - room,
+                unknown,
+                room,
+                missing - granted_room,
                 advice.granted_share(queue.advice),
             )
         if not advice.has_valid(step.key):
@@ -59,12 +75,20 @@
                 if self._refreshed >= _REFRESH_STEPS_MAX:
                     return
                 self._refreshed += 1
-            names += _inquiry.choose(
-                granted, chooser.free, step.step, missing, 1.0
-            )
+            names += _inquiry.choose(granted, room, missing, 1.0)
         if names:
             advice.ask(step.key, names, queue.advice)
 
+    def _is_starved(self, step: _state.StepProgress) -> bool:
+        """Return whether a step waits in spite of the room that is counted.
+
+        What counts as room here may be none for it: a gang needs all of its
+        members' at once, and on sound workers. Others are then asked about,
+        until every worker with room is known.
+        """
+        now_s = self._context.timer.now_s()
+        return step.ready_s is not None and now_s - step.ready_s > _STARVED_S
+
     def ask_ahead(
         self, step: _state.StepProgress, terms: cell.AdviceTerms
     ) -> None:
@@ -82,26 +106,8 @@
         ]
         names = _inquiry.choose(
             able,
-            lambda worker: worker.free,
-            step.step,
+            lambda worker: _inquiry.fit(worker.free, step.step),
             step.step.task_count,
             advice.granted_share(terms),
         )
         advice.ask(step.key, names, terms)
-
-    def _unknown(
-        self,
-        chooser: _choice.Chooser,
-        step: _state.StepProgress,
-        able: list[_roster.WorkerState],
-        some_granted: bool,
-    ) -> list[_roster.WorkerState]:
-        """Return the workers to be named for the first time."""
-        advice = self._context.advice
-        unknown = [
-            w for w in able if advice.permits(step.key, w.worker_id) is None
-        ]
-        if not some_granted:
-            return unknown
-        # The granted ones are full: others help if they have room now.
-        return [w for w in unknown if _inquiry.fit(chooser.free(w), step.step)]
--- a/tests/walnutpoint_scheduler/test_inquiry.py
+++ b/tests/walnutpoint_scheduler/test_inquiry.py
@@ -2,13 +2,16 @@
 
 from __future__ import annotations
 
+import typing
 import unittest
 
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_core import amount
+from walnutpoint_model import advice
 from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import cell
 
 SHARE = 0.35
 
@@ -27,8 +30,9 @@
 
 def choose(workers: list, count: int, **fields: object) -> list[str]:
     """Return the workers that are named for some tasks of a step."""
+    step = harness.step(count, **fields)
     return _inquiry.choose(
-        workers, lambda w: w.free, harness.step(count, **fields), count, SHARE
+        workers, lambda w: _inquiry.fit(w.free, step), count, SHARE
     )
 
 
@@ -85,6 +89,39 @@
 
         harness.play(scene)
 
+    def test_last_tasks_of_a_spread_step_find_workers(self) -> None:
+        """A step with one task a worker runs whole, and waits for nothing.
+
+        Twenty lasting tasks go to one worker each. About half of the granted
+        workers have their task and much room left: they are no room for the
+        other tasks, and further workers have to be asked about.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(176)
+            bed.advice = advice.AdviceService(
+                typing.cast(cell.AdviceTerms, harness.ADVISED.advice), 0.3
+            )
+            bed.length_s = lambda task: 300.0
+            steps = [
+                harness.step(count, per_worker_max=1, lasting=True)
+                for count in (14, 16, 18, 20, 24, 28)
+            ]
+            jobs = [
+                harness.job(number, step, queue=harness.ADVISED)
+                for number, step in enumerate(steps)
+            ]
+            wanted = sum(step.task_count for step in steps)
+            async with bed.scheduling():
+                for handed in jobs:
+                    bed.hand_in(handed)
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == wanted,
+                    limit_s=15.0,
+                )
+
+        harness.play(scene)
+
     def test_full_granted_workers_are_complemented(self) -> None:
         """A wide step starts whole, though the first answer was too small.
 
