--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
@@ -37,7 +37,7 @@
 
     Each name costs the service time, which the step waits for, and its
     queue is shared by all steps. On 176 workers a question about a hundred
-    of them takes 1.2 s in place of 0.7 s.
+    of them takes 1.2 s in place of 0.7 s (worked out from its terms).
     """
     names: list[str] = []
     expected = 0.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -48,7 +48,7 @@
     A run that saves its state gives it out at a stop, and goes on from there
     elsewhere: it loses its restart, some 0.25 to 0.6 s of an objective of
     15 s, and an urgent task wins the rest of a batch task's time, some 3 s
-    of an objective of 1.8 s.
+    of an objective of 1.8 s (worked out from the users' sizes).
     """
 
     __slots__ = (
