--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from walnutpoint_core import amount
+from walnutpoint_core import entry_faults
 from walnutpoint_core import logs
 from walnutpoint_core import ports as core_ports
 from walnutpoint_scheduler import _context
@@ -26,11 +27,15 @@
     'StoredJobs',
 )
 
-_LOG: typing.Final = logs.get_logger('intake')
+_LOGGER: typing.Final = 'intake'
+_LOG: typing.Final = logs.get_logger(_LOGGER)
 _WATCH_S: typing.Final = 10.0
 _RETRY_S: typing.Final = 0.3
 # A queue that was removed before its job was first seen here.
 _LOST_QUEUE: typing.Final = ''
+# What a record raises that another writer has damaged: no bytes of ours, a
+# task that the job does not have, or a state that is none.
+_UNREADABLE: typing.Final = (msgspec.DecodeError, IndexError, ValueError)
 
 
 class StoredJobs:
@@ -54,7 +59,7 @@
 class Intake:
     """Follows the stored jobs and cancels, each change applied once."""
 
-    __slots__ = ('_context', '_ends', '_store', 'seen')
+    __slots__ = ('_context', '_ends', '_faults', '_store', 'seen')
 
     def __init__(
         self,
@@ -65,6 +70,7 @@
         self._context = context
         self._store = store
         self._ends = ends
+        self._faults = entry_faults.EntryFaults(_LOGGER, 'entry.unreadable')
         self.seen = 0
 
     async def read(self) -> StoredJobs | None:
@@ -166,10 +172,14 @@
 
     def _decode(self, item: core_ports.StoredValue) -> document.Job | None:
         try:
-            return document.decode_job(item.value)
+            job = document.decode_job(item.value)
         except msgspec.DecodeError as error:
-            _LOG.error('job.unreadable', key=item.key, error=str(error))
+            self._faults.note(item, error)
             return None
+        if job.job_id != _keys.job_id(item.key):
+            self._faults.note(item, f'the document of {job.job_id}')
+            return None
+        return job
 
     def _progress(self, job: document.Job) -> _state.JobProgress:
         context = self._context
@@ -190,9 +200,10 @@
         """
         try:
             self._restore_job(job, record)
-        except (msgspec.DecodeError, IndexError, ValueError) as error:
+        except _UNREADABLE as error:
             self._context.open_jobs.pop(job.job_id, None)
-            _LOG.error('record.unreadable', job=job.job_id, error=repr(error))
+            if record is not None:
+                self._faults.note(record, repr(error))
 
     def _restore_job(
         self, job: document.Job, item: core_ports.StoredValue | None
@@ -218,14 +229,18 @@
         if item is None:
             return
         context = self._context
-        record = _record.decode_record(item.value)
         progress = _state.JobProgress(
             document.Job(job_id, _LOST_QUEUE, '', ()),
             cell.Queue(_LOST_QUEUE, '', '', ''),
             context.started_s,
         )
         progress.buried = True
-        _record.apply_record(progress, record, item.revision)
+        try:
+            record = _record.decode_record(item.value)
+            _record.apply_record(progress, record, item.revision)
+        except _UNREADABLE as error:
+            self._faults.note(item, repr(error))
+            return
         context.jobs[job_id] = progress
 
     def _restore_run(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_membership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_membership.py
@@ -8,14 +8,13 @@
 import msgspec
 import xxhash
 
-from walnutpoint_core import logs
+from walnutpoint_core import entry_faults
 from walnutpoint_core import ports
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _messages
 
 __all__ = ('Membership',)
 
-_LOG: typing.Final = logs.get_logger('membership')
 # A process that could not be reached is tried last for this long.
 _SHUN_S: typing.Final = 3.0
 
@@ -23,12 +22,15 @@
 class Membership:
     """Who the other processes are, and who was reached lately."""
 
-    __slots__ = ('_members', '_shunned_until_s', 'me')
+    __slots__ = ('_faults', '_members', '_shunned_until_s', 'me')
 
     def __init__(self, me: _messages.Member) -> None:
         self.me = me
         self._members: dict[str, _messages.Member] = {me.name: me}
         self._shunned_until_s: dict[str, float] = {}
+        self._faults = entry_faults.EntryFaults(
+            'membership', 'member.unreadable'
+        )
 
     def learn(self, item: ports.StoredValue) -> None:
         """Take a member from its stored entry."""
@@ -37,7 +39,7 @@
         try:
             member = msgspec.msgpack.decode(item.value, type=_messages.Member)
         except msgspec.DecodeError as error:
-            _LOG.error('member.unreadable', key=item.key, error=str(error))
+            self._faults.note(item, error)
             return
         self.add(member)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
@@ -94,7 +94,7 @@
             return web.Response(404)
         try:
             answer = await handler(request.body)
-        except msgspec.DecodeError as error:
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
             _LOG.warning(
                 'peer.unreadable', path=request.path, error=str(error)
             )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -61,7 +61,11 @@
     """Return whether two records differ at most in when they were written."""
     if one == other:
         return True
-    first, second = decode_record(one), decode_record(other)
+    try:
+        first, second = decode_record(one), decode_record(other)
+    except msgspec.DecodeError:
+        # Bytes of another writer say nothing of ours.
+        return False
     second.written_ms = first.written_ms
     return first == second
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -94,7 +94,12 @@
 
 def decode_job(value: bytes) -> Job:
     """Read a stored job; raise msgspec.DecodeError where it is none."""
-    return _DECODER.decode(value)
+    job = _DECODER.decode(value)
+    fault = step_faults(job.steps)
+    if fault is not None:
+        # Written by somebody else: taken in, it would end term after term.
+        raise msgspec.ValidationError(fault)
+    return job
 
 
 def step_faults(steps: tuple[Step, ...]) -> str | None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -7,8 +7,10 @@
 import typing
 
 import expression
+import msgspec
 
 from walnutpoint_core import amount
+from walnutpoint_core import entry_faults
 from walnutpoint_core import errors
 from walnutpoint_core import logs
 from walnutpoint_core import metrics
@@ -65,6 +67,7 @@
 
     __slots__ = (
         '_counts',
+        '_faults',
         '_leadership',
         '_peers',
         '_rooms',
@@ -92,6 +95,9 @@
         # Telling the scheduler must not hold up the answer: it may be paused.
         self._spawn = spawn
         self._counts: dict[str, tuple[float, int]] = {}
+        self._faults = entry_faults.EntryFaults(
+            'submission', 'entry.unreadable'
+        )
         # Every capacity that was ever seen, by pool: a worker that is away
         # for a while makes no job hopeless.
         self._rooms: dict[str, set[amount.Amount]] = {}
@@ -189,7 +195,7 @@
             return expression.Error(self._outage())
         record = await self._store.get(_keys.record_key(job_id))
         if record.is_ok() and record.ok is not None:
-            return expression.Ok(_record.decode_record(record.ok.value).state)
+            return self._recorded_state(record.ok)
         if record.is_ok():
             stored = await self._store.get(_keys.job_key(job_id))
             if stored.is_ok():
@@ -243,6 +249,20 @@
         self._counts[queue] = (now_s, count)
         return expression.Ok(count)
 
+    def _recorded_state(
+        self, item: ports.StoredValue
+    ) -> expression.Result[str | None, errors.Failure]:
+        try:
+            return expression.Ok(_record.decode_record(item.value).state)
+        except msgspec.DecodeError as error:
+            self._faults.note(item, error)
+            return expression.Error(
+                errors.Failure(
+                    errors.ErrorKind.STORE_UNAVAILABLE,
+                    'the record of the job can not be read',
+                )
+            )
+
     async def _conclude(
         self, job: document.Job, reply: ports.CommitReply
     ) -> expression.Result[Taken, errors.Failure]:
@@ -259,8 +279,7 @@
         for item in reply.conflicts:
             if item.value == document.FINAL:
                 continue
-            stored = document.decode_job(item.value)
-            if stored.queue != job.queue or stored.steps != job.steps:
+            if not _is_same(item, job):
                 return expression.Error(
                     errors.Failure(
                         errors.ErrorKind.KEY_MISMATCH,
@@ -332,3 +351,14 @@
             _PEER_TIMEOUT_S,
         )
         return None if isinstance(answer, web.Loss) else answer.count
+
+
+def _is_same(item: ports.StoredValue, job: document.Job) -> bool:
+    """Return whether a stored document is the job that was handed in."""
+    try:
+        stored = document.decode_job(item.value)
+    except msgspec.DecodeError:
+        # The identifier is taken by bytes of another writer, of which the
+        # scheduler's log tells; this job does not run.
+        return False
+    return stored.queue == job.queue and stored.steps == job.steps
