Try workers that were set aside for failures again

Cause: a worker that fails three tasks in a row is set aside, and the scheduler never sent it a probe: it stayed aside until the next term, with all that only it may run. Gangs avoided suspected workers for good. Before: the two tests of test_set_aside that wait for such a worker fail after 10 s; after: both pass.

--- a/packages/walnutpoint-model/src/walnutpoint_model/ledger.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/ledger.py
@@ -13,12 +13,21 @@
 class Ledger:
     """What all workers ran, and what they should not have run."""
 
-    __slots__ = ('done', 'on_start', 'running', 'starts', 'violations')
+    __slots__ = (
+        'done',
+        'on_start',
+        'running',
+        'starts',
+        'starts_on',
+        'violations',
+    )
 
     def __init__(self) -> None:
         self.starts: collections.Counter[ports.TaskName] = (
             collections.Counter()
         )
+        # Starts by worker.
+        self.starts_on: collections.Counter[str] = collections.Counter()
         self.done: set[ports.TaskName] = set()
         self.running: dict[ports.TaskName, str] = {}
         self.violations: list[str] = []
@@ -30,6 +39,7 @@
         """Count a start; a second run at a time is a violation."""
         self.on_start(task, worker)
         self.starts[task] += 1
+        self.starts_on[worker] += 1
         if task in self.running:
             self.violations.append(
                 f'{task} runs on {self.running[task]} and {worker}'
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -105,15 +105,17 @@
 class Chooser:
     """Chooses among the workers of a pool during one pass."""
 
-    __slots__ = ('_health', '_held', '_open', '_ordered', 'blocked')
+    __slots__ = ('_health', '_held', '_now_s', '_open', '_ordered', 'blocked')
 
     def __init__(
         self,
         workers: collections.abc.Iterable[_roster.WorkerState],
         health: worker_health.WorkerHealth,
+        now_s: float,
     ) -> None:
         self._open = [w for w in workers if w.open_for_starts]
         self._health = health
+        self._now_s = now_s
         self._ordered: dict[_Order, list[_roster.WorkerState]] = {}
         # Room that an earlier step waits for: later ones leave it alone.
         self._held: dict[str, amount.Amount] = {}
@@ -157,7 +159,15 @@
         limit = step.per_worker_max
         if limit and worker.step_counts[step_key] >= limit:
             return False
-        return self._health.may_start(worker.worker_id)
+        return self.may_start(worker)
+
+    def may_start(self, worker: _roster.WorkerState) -> bool:
+        """Return whether a worker's health lets it take a task now."""
+        return self._health.may_try(worker.worker_id, self._now_s)
+
+    def is_suspect(self, worker: _roster.WorkerState) -> bool:
+        """Return whether a worker's last tasks have failed."""
+        return self._health.is_suspect(worker.worker_id)
 
     def room_for(
         self,
@@ -172,7 +182,7 @@
         the step from asking about others, and its last tasks would wait for
         ever.
         """
-        if not self._health.may_start(worker.worker_id):
+        if not self.may_start(worker):
             return 0
         count = _inquiry.fit(self.free(worker), step)
         if step.per_worker_max:
@@ -184,7 +194,7 @@
         self, worker: _roster.WorkerState, step: document.Step
     ) -> bool:
         """Return whether a worker is sound, and near a step's data."""
-        if self._health.is_suspect(worker.worker_id):
+        if self.is_suspect(worker):
             return False
         near = step.rack_affinity
         return not near or worker.listed.rack == near
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -69,16 +69,21 @@
         for _, queue, step in self._ordered():
             chooser = choosers.get(queue.pool)
             if chooser is None:
-                chooser = choosers[queue.pool] = _choice.Chooser(
-                    self._context.roster.in_pool(queue.pool),
-                    self._context.health,
-                )
+                chooser = choosers[queue.pool] = self._chooser(queue)
             if step.step.gang:
                 self._place_gang(chooser, queue, step)
             else:
                 self._place_step(chooser, queue, step)
         self._place_copies(choosers)
 
+    def _chooser(self, queue: cell.Queue) -> _choice.Chooser:
+        context = self._context
+        return _choice.Chooser(
+            context.roster.in_pool(queue.pool),
+            context.health,
+            context.timer.now_s(),
+        )
+
     def _ordered(
         self,
     ) -> list[
@@ -171,9 +176,7 @@
             queue = context.queue_of(job)
             chooser = choosers.get(queue.pool)
             if chooser is None:
-                chooser = choosers[queue.pool] = _choice.Chooser(
-                    context.roster.in_pool(queue.pool), context.health
-                )
+                chooser = choosers[queue.pool] = self._chooser(queue)
             worker = self._shortlist(
                 chooser, queue, task.step, run.worker_id
             ).take()
@@ -197,8 +200,8 @@
         """
         if any(task.runs for task in step.tasks):
             return
-        for group in self._gang_groups(chooser, step):
-            picked = self._pick_gang(chooser, queue, step, group)
+        for group, is_sound in self._gang_groups(chooser, step):
+            picked = self._pick_gang(chooser, queue, step, group, is_sound)
             if picked is None:
                 continue
             attempt = max(task.attempt for task in step.tasks) + 1
@@ -216,8 +219,13 @@
 
     def _gang_groups(
         self, chooser: _choice.Chooser, step: _state.StepProgress
-    ) -> list[list[_roster.WorkerState]]:
-        """Return the sets of workers to try, the best first."""
+    ) -> list[tuple[list[_roster.WorkerState], bool]]:
+        """Return the sets of workers to try, the best first.
+
+        Each tells whether it is to be of sound workers only. One failure
+        costs all members; but where no sound worker may run a gang, nothing
+        else may ever prove the others sound, and it would wait for ever.
+        """
         everyone = list(chooser.able(step.step))
         racks: dict[str, list[_roster.WorkerState]] = {}
         for worker in everyone:
@@ -228,7 +236,10 @@
         if step.step.same_rack:
             groups += sorted(racks.values(), key=len, reverse=True)
         groups.append(everyone)
-        return groups
+        tries = [(group, True) for group in groups]
+        if self._questions.is_starved(step):
+            tries.append((everyone, False))
+        return tries
 
     def _pick_gang(
         self,
@@ -236,8 +247,8 @@
         queue: cell.Queue,
         step: _state.StepProgress,
         group: list[_roster.WorkerState],
+        is_sound: bool,
     ) -> list[_roster.WorkerState] | None:
-        context = self._context
         need = step.step.need
         picked: list[_roster.WorkerState] = []
         for worker in sorted(
@@ -245,9 +256,9 @@
             key=lambda w: chooser.free(w).cpu_millicores,
             reverse=True,
         ):
-            if context.health.is_suspect(worker.worker_id):
+            if is_sound and chooser.is_suspect(worker):
                 continue
-            if not context.health.may_start(worker.worker_id):
+            if not chooser.may_start(worker):
                 continue
             if not self._ticketed(queue, step, [worker]):
                 continue
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -106,6 +106,7 @@
             site
             for site in self._sites[key]
             if chooser.is_able(site.worker, step.step)
+            and chooser.may_start(site.worker)
             and self._permits(queue, step, site.worker)
         ]
         for site in sites:
@@ -144,8 +145,6 @@
         step: _state.StepProgress,
         worker: _roster.WorkerState,
     ) -> bool:
-        if not self._context.health.may_start(worker.worker_id):
-            return False
         if queue.advice is None:
             return True
         advice = self._context.advice
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -53,7 +53,7 @@
             return chooser.room_for(worker, step.step, step.key)
 
         granted_room = sum(room(worker) for worker in granted)
-        if self._is_starved(step):
+        if self.is_starved(step):
             granted_room = 0
         names: list[str] = []
         if granted_room < missing:
@@ -79,7 +79,7 @@
         if names:
             advice.ask(step.key, names, queue.advice)
 
-    def _is_starved(self, step: _state.StepProgress) -> bool:
+    def is_starved(self, step: _state.StepProgress) -> bool:
         """Return whether a step waits in spite of the room that is counted.
 
         What counts as room here may be none for it: a gang needs all of its
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/outlier.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/outlier.py
@@ -122,6 +122,11 @@
             if ejection.until_s <= now_s
         )
 
+    def is_due(self, endpoint: str, now_s: float) -> bool:
+        """Return whether an ejected endpoint may get a probe now."""
+        ejection = self._ejections.get(endpoint)
+        return ejection is not None and ejection.until_s <= now_s
+
     def ejected(self) -> frozenset[str]:
         """Return the endpoints that should get no new work."""
         return frozenset(self._ejections)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_health.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_health.py
@@ -54,6 +54,18 @@
             return False
         return worker not in self._suspects or not self._starting[worker]
 
+    def may_try(self, worker: str, now_s: float) -> bool:
+        """Tell whether a worker may get a task, be it as a probe.
+
+        A worker that is set aside gets one task after each time out, which
+        doubles: without it, what only this worker may run waits for ever.
+        """
+        if not self._outliers.is_ejected(worker):
+            return self.may_start(worker)
+        if self._starting[worker]:
+            return False
+        return self._outliers.is_due(worker, now_s)
+
     def is_suspect(self, worker: str) -> bool:
         """Tell whether a worker's last tasks have failed."""
         return worker in self._suspects
