Hold room where it comes first, renew tickets for it, and bound waiting

Cause: a step that few workers may run, or that needs whole workers, waited behind newer ones: room was held on the freest worker by processor, whatever ends there when, and for no length of time; a held worker stood idle for the time of an answer once its tickets had lapsed; and a job that is late beyond use came after every newer one. Ruled out: ordering permitted workers by the demand of all waiting steps (a trial of the users: no difference). Change: how full a worker is goes by the resource that binds; room is held where it comes soonest, and what is over before may use it (backfill); gangs take the fullest workers that suffice; tickets for held room are renewed before it comes; the step of a pool that has waited for 12 s with nothing at work goes first, one task or gang at a time. Before: five patterns of test_waiting fail (waits beyond 16.6 s, and 0.4 s more for the lapsed ticket); after: all pass.

--- a/packages/walnutpoint-core/src/walnutpoint_core/amount.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/amount.py
@@ -43,6 +43,18 @@
             and self.accelerators >= need.accelerators
         )
 
+    def largest_share(self, whole: Amount) -> float:
+        """Return the share of a whole that is the largest of all resources.
+
+        The resource that binds decides how full a worker is: one whose
+        accelerators are taken is full, however many of its cores are idle.
+        """
+        return max(
+            self.cpu_millicores / max(1, whole.cpu_millicores),
+            self.memory_mb / max(1, whole.memory_mb),
+            self.accelerators / max(1, whole.accelerators),
+        )
+
     def times(self, need: Amount) -> int:
         """Return how many times this is enough for a need."""
         counts = [self.slots // need.slots] if need.slots else []
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
@@ -92,6 +92,13 @@
             return None
         return known.tickets[worker_id]
 
+    def is_valid(self, step: str, worker_id: str, at_s: float) -> bool:
+        """Return whether a ticket that is known now holds at a time."""
+        known = self._steps.get(step)
+        if known is None:
+            return False
+        return known.expires_s.get(worker_id, 0.0) > at_s + _TICKET_MARGIN_S
+
     def permits(self, step: str, worker_id: str) -> bool | None:
         """Return whether a worker may run a step; None if not known yet."""
         known = self._steps.get(step)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -4,10 +4,13 @@
 
 import collections.abc
 import enum
+import heapq
+import math
 import typing
 
 from walnutpoint_core import amount
 from walnutpoint_scheduler import _inquiry
+from walnutpoint_scheduler import _release
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import worker_health
@@ -17,7 +20,15 @@
     'Shortlist',
 )
 
-_NOTHING: typing.Final = amount.Amount()
+# Of the permitted workers, how many a waiting step may hold room on: among
+# the 32 freest, room comes soon on some. All of 900 would cost some 60 ms.
+_HOLD_CANDIDATES_MAX: typing.Final = 32
+# What may use held room must be over in this part of the wait for it. Declared
+# times are off by half, and with none to spare the wait would begin anew with
+# each task that slips in.
+_BACKFILL_FACTOR: typing.Final = 1.5
+# Tasks of one step that room is held for; wider steps start in parts.
+_HOLDS_MAX: typing.Final = 32
 Permission = collections.abc.Callable[[str], bool]
 
 
@@ -102,10 +113,25 @@
         return self._tier > 0 or chooser.is_preferred(worker, step)
 
 
+class _Hold(typing.NamedTuple):
+    """Room that a waiting task is to get, and when it is likely to come."""
+
+    wait_s: float
+    need: amount.Amount
+
+
 class Chooser:
     """Chooses among the workers of a pool during one pass."""
 
-    __slots__ = ('_health', '_held', '_now_s', '_open', '_ordered', 'blocked')
+    __slots__ = (
+        '_health',
+        '_held',
+        '_now_s',
+        '_open',
+        '_ordered',
+        '_releases',
+        'blocked',
+    )
 
     def __init__(
         self,
@@ -117,28 +143,61 @@
         self._health = health
         self._now_s = now_s
         self._ordered: dict[_Order, list[_roster.WorkerState]] = {}
-        # Room that an earlier step waits for: later ones leave it alone.
-        self._held: dict[str, amount.Amount] = {}
+        self._releases = _release.Releases(now_s)
+        # Room that earlier steps wait for: later ones leave it alone.
+        self._held: dict[str, list[_Hold]] = {}
         # How many steps found too little room in this pass.
         self.blocked = 0
 
-    def free(self, worker: _roster.WorkerState) -> amount.Amount:
-        """Return the room that nobody with a better place waits for."""
-        held = self._held.get(worker.worker_id)
-        return worker.free if held is None else worker.free - held
+    def free(
+        self, worker: _roster.WorkerState, length_s: float = math.inf
+    ) -> amount.Amount:
+        """Return the room that nobody with a better place waits for.
+
+        What is over before the rest of their room comes may use theirs
+        meanwhile (backfill).
+        """
+        free = worker.free
+        for hold in self._held.get(worker.worker_id, ()):
+            if hold.wait_s < length_s * _BACKFILL_FACTOR:
+                free -= hold.need
+        return free
 
     def hold(
         self, step: document.Step, count: int, permitted: Permission
-    ) -> None:
-        """Keep room for tasks that have to wait, on the freest workers."""
-        left = count
+    ) -> list[tuple[_roster.WorkerState, float]]:
+        """Keep room for tasks that have to wait, where it comes first.
+
+        Return each worker once, with how long its room is likely to take.
+        """
+        queue: list[tuple[float, int, _roster.WorkerState]] = []
         for worker in self.ordered(_Order.FREEST):
-            if not left:
+            if len(queue) >= _HOLD_CANDIDATES_MAX:
                 break
-            if self.is_able(worker, step) and permitted(worker.worker_id):
-                held = self._held.get(worker.worker_id, _NOTHING)
-                self._held[worker.worker_id] = held + step.need
-                left -= 1
+            if not self.is_able(worker, step) or not self.may_start(worker):
+                continue
+            if permitted(worker.worker_id):
+                wait_s = self._wait_s(worker, step)
+                if wait_s < math.inf:
+                    queue.append((wait_s, len(queue), worker))
+        heapq.heapify(queue)
+        places: dict[str, tuple[_roster.WorkerState, float]] = {}
+        for _ in range(min(count, _HOLDS_MAX)):
+            if not queue:
+                break
+            wait_s, number, worker = heapq.heappop(queue)
+            places.setdefault(worker.worker_id, (worker, wait_s))
+            held = self._held.setdefault(worker.worker_id, [])
+            held.append(_Hold(wait_s, step.need))
+            next_s = self._wait_s(worker, step)
+            if next_s < math.inf and step.per_worker_max != 1:
+                heapq.heappush(queue, (next_s, number, worker))
+        return list(places.values())
+
+    def _wait_s(
+        self, worker: _roster.WorkerState, step: document.Step
+    ) -> float:
+        return self._releases.wait_s(worker, self.free(worker), step.need)
 
     def able(self, step: document.Step) -> list[_roster.WorkerState]:
         """Return the open workers that could ever run a task of a step."""
@@ -152,7 +211,7 @@
         need: amount.Amount,
     ) -> bool:
         """Return whether a worker has room for one task of a step now."""
-        if not self.free(worker).covers(need):
+        if not self.free(worker, step.expected_s).covers(need):
             return False
         if not self.is_able(worker, step):
             return False
@@ -184,7 +243,7 @@
         """
         if not self.may_start(worker):
             return 0
-        count = _inquiry.fit(self.free(worker), step)
+        count = _inquiry.fit(self.free(worker, step.expected_s), step)
         if step.per_worker_max:
             left = step.per_worker_max - worker.step_counts[step_key]
             count = min(count, max(0, left))
@@ -199,6 +258,12 @@
         near = step.rack_affinity
         return not near or worker.listed.rack == near
 
+    def fullest(
+        self, workers: collections.abc.Iterable[_roster.WorkerState]
+    ) -> list[_roster.WorkerState]:
+        """Return workers in the order that leaves whole ones open."""
+        return sorted(workers, key=_share)
+
     def ordered(self, order: _Order) -> list[_roster.WorkerState]:
         """Return the open workers in an order, sorted once a pass."""
         workers = self._ordered.get(order)
@@ -226,8 +291,8 @@
 
 
 def _share(worker: _roster.WorkerState) -> float:
-    capacity = max(1, worker.listed.capacity.cpu_millicores)
-    return worker.free.cpu_millicores / capacity
+    """Return the free share of the resource that binds on a worker."""
+    return 1.0 - worker.taken.largest_share(worker.listed.capacity)
 
 
 def _fewest_serving(worker: _roster.WorkerState) -> tuple[int, float]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -10,6 +10,7 @@
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _order
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _preemption
 from walnutpoint_scheduler import _questions
@@ -28,15 +29,13 @@
     'start_wait', 'Time from ready to placed, by priority of the queue.'
 )
 _MS: typing.Final = 1000.0
-# A job that ends within this many times its objective still counts for
-# something; beyond, it comes after all others of its priority.
-_LATE_FACTOR: typing.Final = 3.0
 
 
 class Placer:
     """Plans runs in the order of what their callers lose by waiting."""
 
     __slots__ = (
+        '_choosers',
         '_context',
         '_desk',
         '_preemption',
@@ -50,6 +49,8 @@
     ) -> None:
         self._context = context
         self._desk = desk
+        # By pool, for one pass.
+        self._choosers: dict[str, _choice.Chooser] = {}
         self._preemption = _preemption.Preemption(context, desk)
         self._questions = _questions.Questions(context)
         self.passes = 0
@@ -65,30 +66,38 @@
         self.passes += 1
         self._questions.begin()
         self._preemption.begin()
-        choosers: dict[str, _choice.Chooser] = {}
-        for _, queue, step in self._ordered():
-            chooser = choosers.get(queue.pool)
-            if chooser is None:
-                chooser = choosers[queue.pool] = self._chooser(queue)
-            if step.step.gang:
-                self._place_gang(chooser, queue, step)
-            else:
-                self._place_step(chooser, queue, step)
-        self._place_copies(choosers)
+        self._choosers.clear()
+        rows = self._ordered()
+        promoted = self._promoted(rows)
+        for row in promoted:
+            self._place(row, 1)
+        for row in rows:
+            if row not in promoted:
+                self._place(row)
+        self._place_copies()
+
+    def _place(
+        self, row: _order.Waiting, tasks_max: int | None = None
+    ) -> None:
+        chooser = self._chooser(row.queue)
+        if row.step.step.gang:
+            self._place_gang(chooser, row.queue, row.step)
+        else:
+            self._place_step(chooser, row.queue, row.step, tasks_max)
 
     def _chooser(self, queue: cell.Queue) -> _choice.Chooser:
-        context = self._context
-        return _choice.Chooser(
-            context.roster.in_pool(queue.pool),
-            context.health,
-            context.timer.now_s(),
-        )
+        """Return the pass's chooser of a queue's pool."""
+        chooser = self._choosers.get(queue.pool)
+        if chooser is None:
+            context = self._context
+            chooser = self._choosers[queue.pool] = _choice.Chooser(
+                context.roster.in_pool(queue.pool),
+                context.health,
+                context.timer.now_s(),
+            )
+        return chooser
 
-    def _ordered(
-        self,
-    ) -> list[
-        tuple[tuple[int, int, float, str], cell.Queue, _state.StepProgress]
-    ]:
+    def _ordered(self) -> list[_order.Waiting]:
         context = self._context
         now_ms = context.now_ms()
         rows = []
@@ -99,10 +108,30 @@
             job.unsettled = False
             for step in self._ready(job, now_ms):
                 job.unsettled = True
-                rows.append((_order_key(queue, step, now_ms), queue, step))
-        rows.sort(key=lambda row: row[0])
+                place = _order.rank(queue, step, now_ms)
+                rows.append(_order.Waiting(place, queue, step))
+        rows.sort(key=lambda row: row.rank)
         return rows
 
+    def _promoted(
+        self, rows: collections.abc.Sequence[_order.Waiting]
+    ) -> list[_order.Waiting]:
+        context = self._context
+        now_s = context.timer.now_s()
+        return _order.promote(
+            rows, now_s - context.settings.patience_s, self._may_start
+        )
+
+    def _may_start(self, row: _order.Waiting) -> bool:
+        """Return whether some worker that is up may run a step."""
+        advice = self._context.advice
+        chooser = self._chooser(row.queue)
+        return any(
+            row.queue.advice is None
+            or advice.permits(row.step.key, worker.worker_id)
+            for worker in chooser.able(row.step.step)
+        )
+
     def _ready(
         self, job: _state.JobProgress, now_ms: float
     ) -> collections.abc.Iterator[_state.StepProgress]:
@@ -122,13 +151,14 @@
         chooser: _choice.Chooser,
         queue: cell.Queue,
         step: _state.StepProgress,
+        tasks_max: int | None,
     ) -> None:
         if chooser.blocked >= _BLOCKED_MAX:
             # What room there is, earlier steps wait for. Advice is asked
             # for all the same: it takes longer than the wait.
             self._questions.ask(chooser, queue, step, len(step.waiting()))
             return
-        waiting = step.waiting()
+        waiting = step.waiting()[:tasks_max]
         runs: list[_state.Run] = []
         shortlist = self._shortlist(chooser, queue, step)
         for task in waiting:
@@ -140,9 +170,8 @@
             self._desk.launch(step.job, runs)
         missing = len(waiting) - len(runs)
         if missing:
-            self._questions.ask(chooser, queue, step, missing)
             self._preemption.make_room(chooser, queue, step, missing)
-            self._hold(chooser, queue, step, missing)
+            self._wait(chooser, queue, step, missing)
 
     def _shortlist(
         self,
@@ -164,7 +193,7 @@
             chooser, step.step, step.key, queue.priority, permitted
         )
 
-    def _place_copies(self, choosers: dict[str, _choice.Chooser]) -> None:
+    def _place_copies(self) -> None:
         """Start second runs with what room is left."""
         context = self._context
         wanted = list(context.copies_wanted.values())
@@ -174,9 +203,7 @@
             if job.state.final or run is None or task.copy is not None:
                 continue
             queue = context.queue_of(job)
-            chooser = choosers.get(queue.pool)
-            if chooser is None:
-                chooser = choosers[queue.pool] = self._chooser(queue)
+            chooser = self._chooser(queue)
             worker = self._shortlist(
                 chooser, queue, task.step, run.worker_id
             ).take()
@@ -214,8 +241,7 @@
                 runs.append(self._plan(task, worker, queue, attempt))
             self._desk.launch(step.job, runs)
             return
-        self._questions.ask(chooser, queue, step, len(step.tasks))
-        self._hold(chooser, queue, step, len(step.tasks))
+        self._wait(chooser, queue, step, len(step.tasks))
 
     def _gang_groups(
         self, chooser: _choice.Chooser, step: _state.StepProgress
@@ -251,18 +277,16 @@
     ) -> list[_roster.WorkerState] | None:
         need = step.step.need
         picked: list[_roster.WorkerState] = []
-        for worker in sorted(
-            group,
-            key=lambda w: chooser.free(w).cpu_millicores,
-            reverse=True,
-        ):
+        # The fullest first: whole workers stay open for those who need them.
+        for worker in chooser.fullest(group):
             if is_sound and chooser.is_suspect(worker):
                 continue
             if not chooser.may_start(worker):
                 continue
             if not self._ticketed(queue, step, [worker]):
                 continue
-            count = chooser.free(worker).times(need)
+            free = chooser.free(worker, step.step.expected_s)
+            count = free.times(need)
             if step.step.per_worker_max:
                 count = min(count, step.step.per_worker_max)
             picked += [worker] * count
@@ -305,7 +329,11 @@
         worker.book(run)
         context.health.begin(worker.worker_id, context.timer.now_s())
         self.placed += 1
-        waited_s = context.timer.now_s() - (task.step.ready_s or 0.0)
+        now_s = context.timer.now_s()
+        task.step.placed_s = now_s
+        # A copy of a run that an earlier term started was never seen ready.
+        ready_s = task.step.ready_s
+        waited_s = 0.0 if ready_s is None else now_s - ready_s
         _WAITED.observe(str(queue.priority), waited_s)
         _LOG.info(
             'run.placed',
@@ -318,17 +346,17 @@
         )
         return run
 
-    def _hold(
+    def _wait(
         self,
         chooser: _choice.Chooser,
         queue: cell.Queue,
         step: _state.StepProgress,
         missing: int,
     ) -> None:
-        """Keep room free for tasks that wait, against those behind them."""
+        """Hold room for tasks that wait, and have tickets when it comes."""
         advice = self._context.advice
         chooser.blocked += 1
-        chooser.hold(
+        places = chooser.hold(
             step.step,
             missing,
             lambda worker_id: (
@@ -336,26 +364,7 @@
                 or bool(advice.permits(step.key, worker_id))
             ),
         )
-
-
-def _order_key(
-    queue: cell.Queue, step: _state.StepProgress, now_ms: float
-) -> tuple[int, int, float, str]:
-    job = step.job
-    document = job.document
-    begin_ms = float(document.accepted_ms)
-    if document.occurrence_count:
-        begin_ms = float(document.due_ms(step.occurrence))
-    objective_ms = job.chain_ms * queue.stretch + queue.allowance_s * _MS
-    left_ms = step.step.estimate_ms
-    deadline_ms = begin_ms + objective_ms
-    if document.lasting or now_ms + left_ms <= deadline_ms:
-        tier = 0
-    elif now_ms + left_ms <= begin_ms + _LATE_FACTOR * objective_ms:
-        tier = 1
-    else:
-        tier = 2
-    return queue.priority, tier, deadline_ms, step.key
+        self._questions.ask(chooser, queue, step, missing, places)
 
 
 def _run_name(task: _state.TaskProgress, attempt: int) -> ports.RunName:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import typing
 
 from walnutpoint_scheduler import _choice
@@ -13,6 +14,9 @@
 
 __all__ = ('Questions',)
 
+# How much earlier than an answer takes a ticket is asked for: estimates of
+# when a run ends are off by some tenths of a second at that distance.
+_EARLY_S: typing.Final = 0.4
 # Waiting steps that renew their tickets before there is room for them.
 _REFRESH_STEPS_MAX: typing.Final = 10
 
@@ -41,8 +45,14 @@
         queue: cell.Queue,
         step: _state.StepProgress,
         missing: int,
+        places: collections.abc.Iterable[
+            tuple[_roster.WorkerState, float]
+        ] = (),
     ) -> None:
-        """Ask where a ticket is what some tasks of a step wait for."""
+        """Ask where a ticket is what some tasks of a step wait for.
+
+        places are where room is held, each with the time until it comes.
+        """
         if queue.advice is None:
             return
         advice = self._context.advice
@@ -70,15 +80,39 @@
                 missing - granted_room,
                 advice.granted_share(queue.advice),
             )
-        if not advice.has_valid(step.key):
-            if not names:
-                if self._refreshed >= _REFRESH_STEPS_MAX:
-                    return
-                self._refreshed += 1
-            names += _inquiry.choose(granted, room, missing, 1.0)
+        if names or self._refreshed < _REFRESH_STEPS_MAX:
+            renewed = self._lapsing(step, queue.advice, places)
+            if not renewed and not advice.has_valid(step.key):
+                renewed = _inquiry.choose(granted, room, missing, 1.0)
+            self._refreshed += bool(renewed and not names)
+            names += renewed
         if names:
             advice.ask(step.key, names, queue.advice)
 
+    def _lapsing(
+        self,
+        step: _state.StepProgress,
+        terms: cell.AdviceTerms,
+        places: collections.abc.Iterable[tuple[_roster.WorkerState, float]],
+    ) -> list[str]:
+        """Return the workers whose room comes soon, and the ticket is over.
+
+        Asked for only once the room is there, a ticket leaves a whole worker
+        idle for the time of an answer, some 0.5 s in the slowest queues.
+        """
+        now_s = self._context.timer.now_s()
+        answer_s = terms.decide_s + terms.per_worker_s
+        names = []
+        for worker, wait_s in places:
+            needed_s = now_s + max(wait_s, answer_s)
+            if wait_s > answer_s + _EARLY_S:
+                continue
+            if not self._context.advice.is_valid(
+                step.key, worker.worker_id, needed_s
+            ):
+                names.append(worker.worker_id)
+        return names
+
     def is_starved(self, step: _state.StepProgress) -> bool:
         """Return whether a step waits in spite of the room that is counted.
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -164,6 +164,7 @@
         'job',
         'number',
         'occurrence',
+        'placed_s',
         'ready_s',
         'step',
         'tasks',
@@ -186,6 +187,18 @@
         self.failed_attempt = 0
         # When the scheduler first saw that the step may start.
         self.ready_s: float | None = None
+        # When a task of it was placed last.
+        self.placed_s: float | None = None
+
+    @property
+    def idle_since_s(self) -> float | None:
+        """Return since when nothing of the step runs, or None if some does.
+
+        The time of the last placement stands for that of the last end.
+        """
+        if any(task.run is not None for task in self.tasks):
+            return None
+        return self.ready_s if self.placed_s is None else self.placed_s
 
     @property
     def key(self) -> str:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import functools
+import math
 import typing
 
 import msgspec
@@ -20,6 +21,7 @@
 )
 
 _TASKS_MAX: typing.Final = 10_000
+_MS: typing.Final = 1000.0
 
 
 class Step(msgspec.Struct, frozen=True, omit_defaults=True, dict=True):
@@ -52,6 +54,11 @@
         millicores = 0 if self.fills else self.cpu_millicores
         return amount.Amount(millicores, self.memory_mb, self.accelerators)
 
+    @functools.cached_property
+    def expected_s(self) -> float:
+        """Return how long a task is likely to run; infinite if it lasts."""
+        return math.inf if self.lasting else self.estimate_ms / _MS
+
 
 class Job(msgspec.Struct, frozen=True, omit_defaults=True):
     """One accepted job."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
@@ -37,6 +37,10 @@
     # How long a task may stand still before it is run elsewhere. Progress
     # is reported in hundredths, every report_wait_s at the latest.
     stall_s: _Time = 1.3
+    # A step of which nothing has run for this long goes before all others of
+    # its pool, one at a time. It is some three runs of the longest tasks;
+    # shorter, bursts of batch would come before urgent work too often.
+    patience_s: _Time = 12.0
     # The longest that an entry which lapsed in an outage may stay away.
     unlisted_s: _Time = 2.5
     # Between two probes of the scheduler by another process, and the wait for
