--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -16,6 +16,7 @@
 from walnutpoint_scheduler import _membership
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _peers
+from walnutpoint_scheduler import _store_calls
 
 __all__ = ('RelayedStore',)
 
@@ -60,6 +61,7 @@
         '_timer',
         '_tried_s',
         'answered_s',
+        'calls',
         'relayed',
     )
 
@@ -82,6 +84,7 @@
         # When the store last answered, whichever way.
         self.answered_s = 0.0
         self.relayed = 0
+        self.calls = _store_calls.StoreCalls(clock)
 
     @property
     def is_down(self) -> bool:
@@ -130,6 +133,7 @@
         self, key: str
     ) -> expression.Result[ports.StoredValue | None, errors.Failure]:
         """Read one key."""
+        self.calls.note('get', key)
         answer = await self._carry_out(
             lambda: self._direct.get(key),
             _messages.StoreQuestion('get', key),
@@ -142,6 +146,7 @@
         self, prefix: str
     ) -> expression.Result[ports.Snapshot, errors.Failure]:
         """Read every key below a prefix."""
+        self.calls.note('read', prefix)
         answer = await self._carry_out(
             lambda: self._direct.read(prefix),
             _messages.StoreQuestion('read', prefix),
@@ -154,6 +159,7 @@
         self, prefix: str, after_revision: int, wait_s: float
     ) -> expression.Result[ports.Changes | None, errors.Failure]:
         """Wait for changes; a watch is never relayed."""
+        self.calls.note('watch', prefix)
         answer = await self._direct.watch(prefix, after_revision, wait_s)
         # A watch may be cut, or hear nothing, while the store serves calls:
         # its failure says nothing of the way there.
@@ -165,6 +171,7 @@
         self, batch: ports.Batch
     ) -> expression.Result[ports.CommitReply, errors.Failure]:
         """Apply a batch; STORE_ANSWER_LOST says that it may yet apply."""
+        self.calls.note_commit(batch)
         answer = await self._carry_out(
             lambda: self._direct.commit(batch),
             _messages.StoreQuestion('commit', batch=batch),
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -252,6 +252,7 @@
             tasks.start_soon(self._keep, self._leadership.follow)
             tasks.start_soon(self._keep, self._leadership.beat)
             tasks.start_soon(self._keep, self._store.watch_outages)
+            tasks.start_soon(self._keep, self._store.calls.tell)
             await self._serve_terms()
 
     def use_settings(self, config: settings.SchedulerSettings) -> None:
