Tell why steps wait, and add it up from log files

The log lacked a cause: a step's wait showed only as the time between two of its lines. The scheduler logs the reason at each change (advice, denied, ticket, the resource that is short, held, set aside), and 'walnutpoint waits' adds up seconds by queue and cause, refusals, lost work and store calls. Entries that can't be read are one event, 'entry.unreadable'.

--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_command_course.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_command_course.py
@@ -2,25 +2,23 @@
 
 from __future__ import annotations
 
-import collections.abc
-import pathlib
 import sys
 import typing
 
 from walnutpoint_cli import _course
+from walnutpoint_cli import _log_files
 from walnutpoint_cli import exit_code
 
 __all__ = ('execute',)
 
-_STANDARD_INPUT: typing.Final = '-'
-
 
 async def execute(
     job_id: str, files: tuple[str, ...], output: typing.TextIO
 ) -> exit_code.ExitCode:
     """Print the timeline of a job, and the decision that ended it."""
     try:
-        course = _course.rebuild(_read(files), job_id)
+        lines = _log_files.LogFiles(files).lines()
+        course = _course.rebuild(lines, job_id)
     except OSError as error:
         print(f'walnutpoint: {error}', file=sys.stderr)
         return exit_code.ExitCode.USAGE
@@ -58,24 +56,3 @@
         f'{course.decisive.text()}',
         file=output,
     )
-
-
-def _read(
-    files: tuple[str, ...],
-) -> collections.abc.Iterator[_course.Line]:
-    for name in files:
-        if name == _STANDARD_INPUT:
-            yield from _parse(sys.stdin, 'stdin')
-            continue
-        path = pathlib.Path(name)
-        with path.open(encoding='utf-8', errors='replace') as stream:
-            yield from _parse(stream, path.stem)
-
-
-def _parse(
-    lines: collections.abc.Iterable[str], source: str
-) -> collections.abc.Iterator[_course.Line]:
-    for text in lines:
-        line = _course.parse_line(text, source)
-        if line is not None:
-            yield line
--- /dev/null
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_command_waits.py
@@ -0,0 +1,103 @@
+"""The command that tells from log files why queues waited."""
+
+from __future__ import annotations
+
+import collections
+import json
+import sys
+import typing
+
+from walnutpoint_cli import _log_files
+from walnutpoint_cli import _options
+from walnutpoint_cli import _waits
+from walnutpoint_cli import exit_code
+
+__all__ = ('execute',)
+
+# Of the plot's time axis.
+_BIN_S: typing.Final = 1.0
+
+
+async def execute(
+    files: tuple[str, ...],
+    form: _options.Output,
+    plot: str | None,
+    output: typing.TextIO,
+) -> exit_code.ExitCode:
+    """Print waits, refusals and lost work of each queue, by cause."""
+    logs = _log_files.LogFiles(files)
+    try:
+        found = _waits.add_up(logs.lines())
+    except OSError as error:
+        print(f'walnutpoint: {error}', file=sys.stderr)
+        return exit_code.ExitCode.USAGE
+    if form is _options.Output.JSON:
+        json.dump(_fields(found, logs.passed_over), output, indent=2)
+        output.write('\n')
+    else:
+        _print(found, logs.passed_over, output)
+    if plot is not None:
+        _plot(found, plot)
+    return exit_code.ExitCode.DONE
+
+
+def _fields(found: _waits.Waits, passed_over: int) -> dict[str, object]:
+    return {
+        'queues': {
+            name: {
+                'jobs': queue.jobs,
+                'starts': queue.starts,
+                'waits_s': _rounded(queue.waits_s),
+                'refusals': dict(queue.refusals),
+                'lost_s': _rounded(queue.lost_s),
+            }
+            for name, queue in sorted(found.queues.items())
+        },
+        'store_calls': dict(found.store_calls),
+        'lines_passed_over': passed_over,
+    }
+
+
+def _rounded(counter: collections.Counter[str]) -> dict[str, float]:
+    return {name: round(value, 3) for name, value in counter.most_common()}
+
+
+def _print(
+    found: _waits.Waits, passed_over: int, output: typing.TextIO
+) -> None:
+    for name, queue in sorted(found.queues.items()):
+        print(f'{name}: {queue.jobs} jobs, {queue.starts} starts', file=output)
+        for title, counter, unit in (
+            ('waited for', queue.waits_s, ' s'),
+            ('refused for', queue.refusals, ''),
+            ('work lost to', queue.lost_s, ' s'),
+        ):
+            for cause, value in counter.most_common():
+                text = f'{value:.1f}' if unit else str(value)
+                print(f'  {title} {cause}: {text}{unit}', file=output)
+    jobs = max(1, found.jobs)
+    for purpose, count in found.store_calls.most_common():
+        print(
+            f'store {purpose}: {count}, {count / jobs:.2f} a job', file=output
+        )
+    print(f'{passed_over} lines passed over', file=output)
+
+
+def _plot(found: _waits.Waits, path: str) -> None:
+    """Draw how many waits began in each second, by queue and cause."""
+    from matplotlib import figure  # noqa: PLC0415
+
+    series: dict[str, collections.Counter[float]] = {}
+    for time_s, queue, cause in found.begun:
+        row = series.setdefault(f'{queue}: {cause}', collections.Counter())
+        row[time_s // _BIN_S * _BIN_S] += 1
+    drawing = figure.Figure(figsize=(9.0, 5.0))
+    axes = drawing.add_subplot()
+    for name, row in sorted(series.items()):
+        times_s = sorted(row)
+        axes.plot(times_s, [row[t] for t in times_s], label=name)
+    axes.set_xlabel('time (s)')
+    axes.set_ylabel('waits that began in a second')
+    if series:
+        axes.legend(fontsize='small')
+    drawing.savefig(path)
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
@@ -17,6 +17,7 @@
 from walnutpoint_cli import _command_model
 from walnutpoint_cli import _command_request
 from walnutpoint_cli import _command_view
+from walnutpoint_cli import _command_waits
 from walnutpoint_cli import _flags
 from walnutpoint_cli import _options
 from walnutpoint_cli import _report
@@ -35,6 +36,7 @@
 
 _REQUEST: typing.Final = 'request'
 _MODEL: typing.Final = 'model'
+_WAITS: typing.Final = 'waits'
 _EXPLAIN: typing.Final = _command_view.View.EXPLAIN.value
 _VIEWS: typing.Final = tuple(view.value for view in _command_view.View)
 _JOB: typing.Final = re.compile(r'[^/\s]+/[^/\s]+')
@@ -49,6 +51,8 @@
         )
     if name == _MODEL:
         return _model(words)
+    if name == _WAITS:
+        return _waits(words)
     if name == _EXPLAIN and len(words) > 1:
         return functools.partial(
             _command_course.execute, words[0], words[1:], sys.stdout
@@ -86,6 +90,18 @@
     )
 
 
+def _waits(words: _Words) -> Command:
+    if not words:
+        raise flags.Error('waits takes one log file or more')
+    return functools.partial(
+        _command_waits.execute,
+        words,
+        _flags.output_form(),
+        _flags.plot_path(),
+        sys.stdout,
+    )
+
+
 def _take(name: str, words: _Words, wanted: int) -> None:
     if len(words) != wanted:
         raise flags.Error(f'{name} takes {wanted} arguments')
@@ -166,4 +182,4 @@
     'config': _config,
     'jobs': _show_jobs,
 }
-NAMES: typing.Final = (_REQUEST, _MODEL, *_VIEWS, *_DOCUMENT_COMMANDS)
+NAMES: typing.Final = (_REQUEST, _MODEL, _WAITS, *_VIEWS, *_DOCUMENT_COMMANDS)
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_flags.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_flags.py
@@ -20,6 +20,7 @@
     'document_text',
     'help_text',
     'operator_options',
+    'output_form',
     'parse',
     'plot_path',
     'request_options',
@@ -144,10 +145,15 @@
         mint_key=_MINT_KEY.value,
         count=_COUNT.value,
         concurrency=_CONCURRENCY.value,
-        output=_options.Output(_OUTPUT.value),
+        output=output_form(),
     )
 
 
+def output_form() -> _options.Output:
+    """Return the form of the output that the flags name."""
+    return _options.Output(_OUTPUT.value)
+
+
 def operator_options() -> _options.OperatorOptions:
     """Return which operator address the flags name."""
     if len(_OPERATOR.value) > 1:
@@ -155,7 +161,7 @@
     return _options.OperatorOptions(
         operator=_url(_OPERATOR.value[0]),
         token=_token(),
-        output=_options.Output(_OUTPUT.value),
+        output=output_form(),
     )
 
 
@@ -170,7 +176,7 @@
     return _options.DocumentOptions(
         operators=tuple(dict.fromkeys(map(_url, _OPERATOR.value))),
         token=_token(),
-        output=_options.Output(_OUTPUT.value),
+        output=output_form(),
         submission_id=identity,
         team=_field(_TEAM.value, 'team') or '',
         wait=_WAIT.value,
--- /dev/null
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
@@ -0,0 +1,156 @@
+"""Where the time of queues went, added up from log lines."""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+from walnutpoint_cli import _course
+
+__all__ = (
+    'QueueWaits',
+    'Waits',
+    'add_up',
+)
+
+# A wait that is not told of a reason: being stored, planned and ordered.
+_UNTOLD: typing.Final = 'untold'
+
+
+@dataclasses.dataclass(slots=True)
+class QueueWaits:
+    """One queue's jobs, waits, refusals and lost work."""
+
+    jobs: int = 0
+    starts: int = 0
+    # Seconds that steps waited, by cause.
+    waits_s: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    refusals: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    # Seconds of runs that did not count, by what ended them.
+    lost_s: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+@dataclasses.dataclass(slots=True)
+class Waits:
+    """All queues, and what the store was asked for."""
+
+    queues: dict[str, QueueWaits] = dataclasses.field(default_factory=dict)
+    store_calls: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    # Seconds from the first line, queue and cause of each wait that began.
+    begun: list[tuple[float, str, str]] = dataclasses.field(
+        default_factory=list
+    )
+
+    def queue(self, name: str) -> QueueWaits:
+        """Return a queue's figures, made when first asked for."""
+        return self.queues.setdefault(name, QueueWaits())
+
+    @property
+    def jobs(self) -> int:
+        """Return how many jobs were accepted."""
+        return sum(queue.jobs for queue in self.queues.values())
+
+
+class _Step(typing.NamedTuple):
+    since_s: float
+    cause: str
+    queue: str
+
+
+class _Adder:
+    """Follows steps and runs through lines in the order of their times."""
+
+    def __init__(self, begin_s: float) -> None:
+        self.found = Waits()
+        self._begin_s = begin_s
+        self._steps: dict[str, _Step] = {}
+        self._runs: dict[str, tuple[float, str]] = {}
+        self._handlers: dict[
+            str, collections.abc.Callable[[_course.Line], None]
+        ] = {
+            'job.accepted': self._accepted,
+            'job.refused': self._refused,
+            'step.waits': self._waits,
+            'run.placed': self._placed,
+            'run.ended': self._ended,
+            'store.calls': self._called,
+        }
+
+    def take(self, line: _course.Line) -> None:
+        """Count one line."""
+        handler = self._handlers.get(line.event)
+        if handler is not None:
+            handler(line)
+
+    def _accepted(self, line: _course.Line) -> None:
+        self.found.queue(line.fields.get('queue', '')).jobs += 1
+
+    def _refused(self, line: _course.Line) -> None:
+        queue = self.found.queue(line.fields.get('queue', ''))
+        queue.refusals[line.fields.get('kind', '')] += 1
+
+    def _waits(self, line: _course.Line) -> None:
+        step = line.fields.get('step', '')
+        queue = line.fields.get('queue', '')
+        cause = line.fields.get('cause', _UNTOLD)
+        self._close(step, line.time_s)
+        self._steps[step] = _Step(line.time_s, cause, queue)
+        row = (line.time_s - self._begin_s, queue, cause)
+        self.found.begun.append(row)
+
+    def _placed(self, line: _course.Line) -> None:
+        run = line.fields.get('run', '')
+        queue = line.fields.get('queue', '')
+        self.found.queue(queue).starts += 1
+        self._runs[run] = (line.time_s, queue)
+        # ID.OCCURRENCE.STEP.INDEX#ATTEMPT
+        self._close(run.rpartition('.')[0], line.time_s)
+
+    def _ended(self, line: _course.Line) -> None:
+        began = self._runs.pop(line.fields.get('run', ''), None)
+        if began is None or line.fields.get('how') == 'done':
+            return
+        began_s, queue = began
+        reason = line.fields.get('stopped_for', '-')
+        if reason == '-':
+            reason = line.fields.get('how', '')
+        self.found.queue(queue).lost_s[reason] += line.time_s - began_s
+
+    def _called(self, line: _course.Line) -> None:
+        for part in line.fields.get('counts', '').split(','):
+            purpose, _, count = part.rpartition('=')
+            if purpose and count.isdigit():
+                self.found.store_calls[purpose] += int(count)
+
+    def _close(self, step: str, time_s: float) -> None:
+        waited = self._steps.pop(step, None)
+        if waited is not None:
+            queue = self.found.queue(waited.queue)
+            queue.waits_s[waited.cause] += time_s - waited.since_s
+
+    def close_all(self, time_s: float) -> None:
+        """Count what still waits at the end."""
+        for step in list(self._steps):
+            self._close(step, time_s)
+
+
+def add_up(lines: collections.abc.Iterable[_course.Line]) -> Waits:
+    """Return where the time of each queue went."""
+    ordered = sorted(lines, key=lambda line: line.time_s)
+    if not ordered:
+        return Waits()
+    adder = _Adder(ordered[0].time_s)
+    for line in ordered:
+        adder.take(line)
+    adder.close_all(ordered[-1].time_s)
+    return adder.found
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/main.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/main.py
@@ -10,6 +10,8 @@
   explain ID  show what happened to the request with this id
   explain ID FILE...  rebuild a job's course from log files of several hosts;
               - reads standard input
+  waits FILE...  show from log files why each queue waited, what was refused
+              and what work was lost; --output json, --plot FILE
   model run FILE POLICY    play a policy of an experiment in virtual time
   model compare FILE       play every policy of an experiment
   apply FILE  put a document in force; - reads standard input
--- a/packages/walnutpoint-core/src/walnutpoint_core/entry_faults.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/entry_faults.py
@@ -10,6 +10,7 @@
 
 __all__ = ('EntryFaults',)
 
+_LOG: typing.Final = logs.get_logger('entries')
 # Entries that are remembered: far above what damaged ones a store ever held,
 # and some 100 kB at most.
 _REMEMBERED_MAX: typing.Final = 1000
@@ -22,12 +23,11 @@
     write a line each time, and hide what else the log has to say.
     """
 
-    __slots__ = ('_event', '_log', '_told')
+    __slots__ = ('_reader', '_told')
 
-    def __init__(self, name: str, event: str) -> None:
-        """Tell under the name of a logger, as one kind of event."""
-        self._log = logs.get_logger(name)
-        self._event = event
+    def __init__(self, reader: str) -> None:
+        """Name the part that reads the entries, for the log."""
+        self._reader = reader
         self._told: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -40,8 +40,9 @@
         self._told.move_to_end(item.key)
         if len(self._told) > _REMEMBERED_MAX:
             self._told.popitem(last=False)
-        self._log.error(
-            self._event,
+        _LOG.error(
+            'entry.unreadable',
+            reader=self._reader,
             key=item.key,
             revision=item.revision,
             size_bytes=len(item.value),
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -27,8 +27,7 @@
     'StoredJobs',
 )
 
-_LOGGER: typing.Final = 'intake'
-_LOG: typing.Final = logs.get_logger(_LOGGER)
+_LOG: typing.Final = logs.get_logger('intake')
 _WATCH_S: typing.Final = 10.0
 _RETRY_S: typing.Final = 0.3
 # A queue that was removed before its job was first seen here.
@@ -70,7 +69,7 @@
         self._context = context
         self._store = store
         self._ends = ends
-        self._faults = entry_faults.EntryFaults(_LOGGER, 'entry.unreadable')
+        self._faults = entry_faults.EntryFaults('jobs')
         self.seen = 0
 
     async def read(self) -> StoredJobs | None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_membership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_membership.py
@@ -28,9 +28,7 @@
         self.me = me
         self._members: dict[str, _messages.Member] = {me.name: me}
         self._shunned_until_s: dict[str, float] = {}
-        self._faults = entry_faults.EntryFaults(
-            'membership', 'member.unreadable'
-        )
+        self._faults = entry_faults.EntryFaults('members')
 
     def learn(self, item: ports.StoredValue) -> None:
         """Take a member from its stored entry."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -9,6 +9,7 @@
 from walnutpoint_core import metrics
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _delay
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _order
 from walnutpoint_scheduler import _orders
@@ -40,6 +41,7 @@
         '_desk',
         '_preemption',
         '_questions',
+        'longest_wait_s',
         'passes',
         'placed',
     )
@@ -55,6 +57,8 @@
         self._questions = _questions.Questions(context)
         self.passes = 0
         self.placed = 0
+        # The longest that a step waits now which some worker may run.
+        self.longest_wait_s = 0.0
 
     @property
     def displaced(self) -> int:
@@ -68,6 +72,7 @@
         self._preemption.begin()
         self._choosers.clear()
         rows = self._ordered()
+        self.longest_wait_s = self._longest_wait_s(rows)
         promoted = self._promoted(rows)
         for row in promoted:
             self._place(row, 1)
@@ -122,6 +127,20 @@
             rows, now_s - context.settings.patience_s, self._may_start
         )
 
+    def _longest_wait_s(
+        self, rows: collections.abc.Iterable[_order.Waiting]
+    ) -> float:
+        now_s = self._context.timer.now_s()
+        return max(
+            (
+                now_s - row.step.idle_since_s
+                for row in rows
+                if row.step.idle_since_s is not None
+                and row.step.waits_for != _delay.Cause.DENIED.value
+            ),
+            default=0.0,
+        )
+
     def _may_start(self, row: _order.Waiting) -> bool:
         """Return whether some worker that is up may run a step."""
         advice = self._context.advice
@@ -157,6 +176,7 @@
             # What room there is, earlier steps wait for. Advice is asked
             # for all the same: it takes longer than the wait.
             self._questions.ask(chooser, queue, step, len(step.waiting()))
+            _delay.tell(step, queue, _delay.Cause.BEHIND, len(step.waiting()))
             return
         waiting = step.waiting()[:tasks_max]
         runs: list[_state.Run] = []
@@ -331,6 +351,7 @@
         self.placed += 1
         now_s = context.timer.now_s()
         task.step.placed_s = now_s
+        task.step.waits_for = ''
         # A copy of a run that an earlier term started was never seen ready.
         ready_s = task.step.ready_s
         waited_s = 0.0 if ready_s is None else now_s - ready_s
@@ -365,6 +386,8 @@
             ),
         )
         self._questions.ask(chooser, queue, step, missing, places)
+        cause = _delay.find(chooser, advice, queue, step, places)
+        _delay.tell(step, queue, cause, missing)
 
 
 def _run_name(task: _state.TaskProgress, attempt: int) -> ports.RunName:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -168,6 +168,7 @@
         'ready_s',
         'step',
         'tasks',
+        'waits_for',
     )
 
     def __init__(
@@ -189,6 +190,8 @@
         self.ready_s: float | None = None
         # When a task of it was placed last.
         self.placed_s: float | None = None
+        # The reason of its wait as last logged.
+        self.waits_for = ''
 
     @property
     def idle_since_s(self) -> float | None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -194,6 +194,7 @@
             'starts_unanswered': desk.unanswered,
             'advice_calls': context.advice.calls,
             'passes': placer.passes,
+            'longest_wait_s': placer.longest_wait_s,
         }
 
     def end(self, reason: str) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -95,9 +95,7 @@
         # Telling the scheduler must not hold up the answer: it may be paused.
         self._spawn = spawn
         self._counts: dict[str, tuple[float, int]] = {}
-        self._faults = entry_faults.EntryFaults(
-            'submission', 'entry.unreadable'
-        )
+        self._faults = entry_faults.EntryFaults('submissions')
         # Every capacity that was ever seen, by pool: a worker that is away
         # for a while makes no job hopeless.
         self._rooms: dict[str, set[amount.Amount]] = {}
--- /dev/null
+++ b/tests/walnutpoint_cli/test_waits.py
@@ -0,0 +1,85 @@
+"""Where the time of queues went, added up from log lines."""
+
+from __future__ import annotations
+
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+
+import anyio
+
+from walnutpoint_cli import _command_waits
+from walnutpoint_cli import _options
+
+LINES = """\
+timestamp=2026-01-01T10:00:00.000000Z level=info event=job.accepted \
+part=submission job=aa queue=maps revision=7
+timestamp=2026-01-01T10:00:00.100000Z level=info event=step.waits \
+part=placer step=aa.0.0 queue=maps cause=advice tasks=1
+timestamp=2026-01-01T10:00:00.600000Z level=info event=step.waits \
+part=placer step=aa.0.0 queue=maps cause=accelerators tasks=1
+timestamp=2026-01-01T10:00:02.600000Z level=info event=run.placed \
+part=placer run=aa.0.0.0#1 queue=maps worker=w1 waited_s=2.5 token=3
+timestamp=2026-01-01T10:00:03.600000Z level=info event=run.ended \
+part=ends run=aa.0.0.0#1 worker=w1 how=stopped number=1 \
+stopped_for="makes room for urgent work"
+timestamp=2026-01-01T10:00:03.600000Z level=info event=step.waits \
+part=placer step=aa.0.0 queue=maps cause=denied tasks=1
+timestamp=2026-01-01T10:00:04.000000Z level=warning event=job.refused \
+part=submission job=bb queue=proofs kind=store_unavailable detail=x
+timestamp=2026-01-01T10:00:05.600000Z level=info event=store.calls \
+part=store period_s=10.0 counts=commit:walnutpoint/run=12,get:a=x,watch:b=3
+half a line, timestamp=2026-01-01T10:0
+"""
+
+
+class WaitsTest(unittest.TestCase):
+    """Each second of a wait is told by its cause."""
+
+    def _execute(self, text: str, form: _options.Output) -> str:
+        output = io.StringIO()
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory) / 'host.log'
+            path.write_text(text)
+            plot = pathlib.Path(directory) / 'waits.png'
+            anyio.run(
+                _command_waits.execute, (str(path),), form, str(plot), output
+            )
+            self.assertGreater(plot.stat().st_size, 0)
+        return output.getvalue()
+
+    def test_waits_are_added_up_by_cause(self) -> None:
+        found = json.loads(self._execute(LINES, _options.Output.JSON))
+        maps = found['queues']['maps']
+        self.assertEqual((1, 1), (maps['jobs'], maps['starts']))
+        self.assertEqual(
+            {'accelerators': 2.0, 'denied': 2.0, 'advice': 0.5},
+            maps['waits_s'],
+        )
+        self.assertEqual({'makes room for urgent work': 1.0}, maps['lost_s'])
+        self.assertEqual(
+            {'store_unavailable': 1}, found['queues']['proofs']['refusals']
+        )
+        self.assertEqual(
+            {'commit:walnutpoint/run': 12, 'watch:b': 3}, found['store_calls']
+        )
+
+    def test_lines_that_are_cut_are_counted(self) -> None:
+        text = self._execute(LINES, _options.Output.TEXT)
+        self.assertIn('1 lines passed over', text)
+        self.assertIn('waited for accelerators: 2.0 s', text)
+
+    def test_no_lines_are_no_waits(self) -> None:
+        self.assertIn('0 lines', self._execute('', _options.Output.TEXT))
+
+    def test_missing_file_is_a_usage_error(self) -> None:
+        code = anyio.run(
+            _command_waits.execute,
+            ('/nowhere/host.log',),
+            _options.Output.TEXT,
+            None,
+            io.StringIO(),
+        )
+        self.assertEqual(2, code)
--- a/tests/walnutpoint_platform/test_foreign_entries.py
+++ b/tests/walnutpoint_platform/test_foreign_entries.py
@@ -12,7 +12,7 @@
 from hypothesis import strategies
 import msgspec
 
-from walnutpoint_core import logs
+from walnutpoint_core import entry_faults
 from walnutpoint_core import ports as core_ports
 from walnutpoint_core import web
 from walnutpoint_model import store
@@ -204,11 +204,10 @@
 
     def test_damaged_entry_is_told_once_a_revision(self) -> None:
         shared = store.MemoryStore()
-        with mock.patch.object(
-            logs, 'get_logger', autospec=True
-        ) as get_logger:
-            directory = _listings.StoredWorkers(shared)
-        told = get_logger.return_value.error
+        directory = _listings.StoredWorkers(shared)
+        log = mock.patch.object(entry_faults, '_LOG', spec=['error'])
+        told = log.start().error
+        self.addCleanup(log.stop)
 
         async def scene() -> None:
             for _ in range(3):
