Give every policy mechanism a switch

An ablation is a settings file: policies: with one switch a mechanism, checked by field, all on by default.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import typing
 
 import expression
@@ -44,7 +45,14 @@
 class Advisors:
     """Puts each question through the host that is free first."""
 
-    __slots__ = ('_advisors', '_members', '_own', '_peers', '_timer')
+    __slots__ = (
+        '_advisors',
+        '_is_spread',
+        '_members',
+        '_own',
+        '_peers',
+        '_timer',
+    )
 
     def __init__(
         self,
@@ -52,8 +60,10 @@
         members: _membership.Membership,
         peers: _peers.Peers,
         clock: timer.Timer,
+        is_spread: collections.abc.Callable[[], bool] = lambda: True,
     ) -> None:
         self._own = own
+        self._is_spread = is_spread
         self._members = members
         self._peers = peers
         self._timer = clock
@@ -84,6 +94,8 @@
         return answer
 
     def _choose(self, length_s: float, now_s: float) -> _messages.Member:
+        if not self._is_spread():
+            return self._members.me
         members = sorted(self._members.all(), key=lambda m: m.name)
         if length_s > _SHORT_S:
             kept = int(len(members) * _SHORT_HOSTS_SHARE)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -13,6 +13,7 @@
 from walnutpoint_scheduler import _release
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import document
+from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
 
 __all__ = (
@@ -77,7 +78,7 @@
         self._need = step.need
         self._step_key = step_key
         self._permitted = permitted
-        order = _order_of(step, priority)
+        order = chooser.order_of(step, priority)
         self._is_spread = order is not _Order.FULLEST
         self._workers = chooser.ordered(order)
         self._next = 0
@@ -129,6 +130,7 @@
         '_now_s',
         '_open',
         '_ordered',
+        '_policies',
         '_releases',
         'blocked',
     )
@@ -138,7 +140,9 @@
         workers: collections.abc.Iterable[_roster.WorkerState],
         health: worker_health.WorkerHealth,
         now_s: float,
+        policies: settings.Policies = settings.Policies(),
     ) -> None:
+        self._policies = policies
         self._open = [w for w in workers if w.open_for_starts]
         self._health = health
         self._now_s = now_s
@@ -159,7 +163,8 @@
         """
         free = worker.free
         for hold in self._held.get(worker.worker_id, ()):
-            if hold.wait_s < length_s * _BACKFILL_FACTOR:
+            over_by_then = hold.wait_s >= length_s * _BACKFILL_FACTOR
+            if not (over_by_then and self._policies.backfill):
                 free -= hold.need
         return free
 
@@ -170,6 +175,8 @@
 
         Return each worker once, with how long its room is likely to take.
         """
+        if not self._policies.holding:
+            return []
         queue: list[tuple[float, int, _roster.WorkerState]] = []
         for worker in self.ordered(_Order.FREEST):
             if len(queue) >= _HOLD_CANDIDATES_MAX:
@@ -222,10 +229,14 @@
 
     def may_start(self, worker: _roster.WorkerState) -> bool:
         """Return whether a worker's health lets it take a task now."""
+        if not self._policies.worker_health:
+            return True
         return self._health.may_try(worker.worker_id, self._now_s)
 
     def is_suspect(self, worker: _roster.WorkerState) -> bool:
         """Return whether a worker's last tasks have failed."""
+        if not self._policies.worker_health:
+            return False
         return self._health.is_suspect(worker.worker_id)
 
     def room_for(
@@ -258,11 +269,21 @@
         near = step.rack_affinity
         return not near or worker.listed.rack == near
 
+    def order_of(self, step: document.Step, priority: int) -> _Order:
+        """Return in which order workers are offered to a step."""
+        if step.fills:
+            return _Order.FEWEST_SERVING
+        if step.lasting:
+            return _Order.FEWEST_FILLING
+        if priority == 0 or not self._policies.packing:
+            return _Order.FREEST
+        return _Order.FULLEST
+
     def fullest(
         self, workers: collections.abc.Iterable[_roster.WorkerState]
     ) -> list[_roster.WorkerState]:
         """Return workers in the order that leaves whole ones open."""
-        return sorted(workers, key=_share)
+        return sorted(workers, key=_share, reverse=not self._policies.packing)
 
     def ordered(self, order: _Order) -> list[_roster.WorkerState]:
         """Return the open workers in an order, sorted once a pass."""
@@ -282,14 +303,6 @@
         return not label or label in worker.listed.labels
 
 
-def _order_of(step: document.Step, priority: int) -> _Order:
-    if step.fills:
-        return _Order.FEWEST_SERVING
-    if step.lasting:
-        return _Order.FEWEST_FILLING
-    return _Order.FREEST if priority == 0 else _Order.FULLEST
-
-
 def _share(worker: _roster.WorkerState) -> float:
     """Return the free share of the resource that binds on a worker."""
     return 1.0 - worker.taken.largest_share(worker.listed.capacity)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_order.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_order.py
@@ -29,7 +29,10 @@
 
 
 def rank(
-    queue: cell.Queue, step: _state.StepProgress, now_ms: float
+    queue: cell.Queue,
+    step: _state.StepProgress,
+    now_ms: float,
+    has_tiers: bool = True,
 ) -> tuple[int, int, float, str]:
     """Return a step's place by what its caller loses by waiting."""
     job = step.job
@@ -40,7 +43,8 @@
     objective_ms = job.chain_ms * queue.stretch + queue.allowance_s * _MS
     left_ms = step.step.estimate_ms
     deadline_ms = begin_ms + objective_ms
-    if document.lasting or now_ms + left_ms <= deadline_ms:
+    is_on_time = now_ms + left_ms <= deadline_ms
+    if document.lasting or is_on_time or not has_tiers:
         tier = 0
     elif now_ms + left_ms <= begin_ms + _LATE_FACTOR * objective_ms:
         tier = 1
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -99,12 +99,14 @@
                 context.roster.in_pool(queue.pool),
                 context.health,
                 context.timer.now_s(),
+                context.settings.policies,
             )
         return chooser
 
     def _ordered(self) -> list[_order.Waiting]:
         context = self._context
         now_ms = context.now_ms()
+        has_tiers = context.settings.policies.late_tiers
         rows = []
         for job in context.open_jobs.values():
             queue = context.queue_of(job)
@@ -113,7 +115,7 @@
             job.unsettled = False
             for step in self._ready(job, now_ms):
                 job.unsettled = True
-                place = _order.rank(queue, step, now_ms)
+                place = _order.rank(queue, step, now_ms, has_tiers)
                 rows.append(_order.Waiting(place, queue, step))
         rows.sort(key=lambda row: row.rank)
         return rows
@@ -122,6 +124,8 @@
         self, rows: collections.abc.Sequence[_order.Waiting]
     ) -> list[_order.Waiting]:
         context = self._context
+        if not context.settings.policies.promotion:
+            return []
         now_s = context.timer.now_s()
         return _order.promote(
             rows, now_s - context.settings.patience_s, self._may_start
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -93,6 +93,8 @@
         missing: int,
     ) -> None:
         """Stop what stands in the way of some tasks, if it may."""
+        if not self._context.settings.policies.preemption:
+            return
         if not self._left or step.step.gang or step.step.fills:
             return
         if queue.priority >= self._lowest:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -100,6 +100,8 @@
         Asked for only once the room is there, a ticket leaves a whole worker
         idle for the time of an answer, some 0.5 s in the slowest queues.
         """
+        if not self._context.settings.policies.ticket_renewal:
+            return []
         now_s = self._context.timer.now_s()
         answer_s = terms.decide_s + terms.per_worker_s
         names = []
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -105,6 +105,8 @@
         Only where the client account allows two runs of a task at a time:
         otherwise the lease of a silent worker has to lapse first.
         """
+        if not self._context.settings.policies.copies:
+            return
         silent = not worker.answering
         for run in worker.runs.values():
             task = run.task
@@ -128,6 +130,8 @@
             return run.percent < _WHOLE and still_s > _LASTING_STALL_S
         if run.pace_percent < _WHOLE:
             return False
+        if not self._context.settings.policies.stall_stops:
+            return False
         return still_s > _stall.limit_s(run, self._context.settings.stall_s)
 
     def _stop_stalled(
@@ -173,6 +177,8 @@
         terms = context.queue_of(job).advice
         if terms is None or job.state.final:
             return
+        if not context.settings.policies.asking_ahead:
+            return
         for steps in job.occurrences.values():
             for step in steps:
                 if step.done or step.ready_s is not None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -183,7 +183,11 @@
             identity.seeds,
         )
         self._advice = _advisors.Advisors(
-            advice, self._members, self._peers, clock
+            advice,
+            self._members,
+            self._peers,
+            clock,
+            lambda: self._settings.policies.advice_spreading,
         )
         self._cell: cells.Cell | None = None
         self._term: _term.Term | None = None
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
@@ -6,11 +6,43 @@
 
 import msgspec
 
-__all__ = ('SchedulerSettings',)
+__all__ = (
+    'Policies',
+    'SchedulerSettings',
+)
 
 _Time = typing.Annotated[float, msgspec.Meta(gt=0.0, le=600.0)]
 
 
+class Policies(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Mechanisms that can be switched off, to measure what each is worth."""
+
+    # Second runs of tasks that straggle or whose worker is silent.
+    copies: bool = True
+    # Stops of batch that saves its state, for urgent steps.
+    preemption: bool = True
+    # Room kept for steps that wait.
+    holding: bool = True
+    # Use of held room by what is over before it is needed.
+    backfill: bool = True
+    # Tickets for a next step while the one before runs.
+    asking_ahead: bool = True
+    # Tickets for held room before it comes.
+    ticket_renewal: bool = True
+    # The step that has waited longest goes first.
+    promotion: bool = True
+    # Stops of tasks that make no progress.
+    stall_stops: bool = True
+    # Workers that fail are avoided, set aside and tried again.
+    worker_health: bool = True
+    # Steps that will be late come after those on time.
+    late_tiers: bool = True
+    # Batch goes to the fullest workers, by the resource that binds.
+    packing: bool = True
+    # Questions for advice go through all processes.
+    advice_spreading: bool = True
+
+
 class SchedulerSettings(
     msgspec.Struct, frozen=True, forbid_unknown_fields=True
 ):
@@ -50,5 +82,6 @@
     probe_timeout_s: _Time = 0.2
     # The longest wait for a change of the operators' configuration before it
     # is asked for again. A watch that hears nothing costs this, its timeout
-    # and a reading: 1.5 s, while a change must hold within 2 s.
-    cell_period_s: _Time = 0.6
+    # and a reading: 1.8 s, while a change must hold within 2 s.
+    cell_period_s: _Time = 0.9
+    policies: Policies = Policies()
--- a/tests/walnutpoint_scheduler/test_settings_file.py
+++ b/tests/walnutpoint_scheduler/test_settings_file.py
@@ -25,6 +25,17 @@
         for name in ('lease_s', 'foo', 'stall_s'):
             self.assertIn(name, text)
 
+    def test_policy_can_be_switched_off(self) -> None:
+        loaded = settings_file.parse('policies: {copies: false}\n').ok
+        self.assertFalse(loaded.policies.copies)
+        self.assertTrue(loaded.policies.holding)
+
+    def test_unknown_policy_and_one_that_is_no_switch_are_faults(self) -> None:
+        for text in ('policies: {guessing: true}', 'policies: {copies: 3}'):
+            with self.subTest(text=text):
+                faults = settings_file.parse(text)
+                self.assertIn('policies', faults.error[0])
+
     def test_lease_beyond_what_workers_grant_is_a_fault(self) -> None:
         faults = settings_file.parse('lease_s: 9\nlease_max_s: 6\n')
         self.assertIn('lease_s', faults.error[0])
