--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -19,8 +19,11 @@
 _LOG: typing.Final = logs.get_logger('directory')
 _WATCH_S: typing.Final = 2.0
 _RETRY_S: typing.Final = 0.3
-# Between two readings of the whole list: a watch may hear nothing of a change.
+# Between two readings of the whole list, as a watch may hear nothing of a
+# change: at least, and for each worker. An entry is some 300 bytes, so that a
+# large list takes 15 kB/s of the scheduler's link.
 _READ_S: typing.Final = 2.0
+_READ_EACH_S: typing.Final = 0.02
 # Between an answer without news and the next watch: each worker writes its
 # entry every 1.5 s, 17 answers a second with 25 of them. A worker that drains
 # may be given work for 2 s.
@@ -86,14 +89,19 @@
             has_news = True
             if changes.is_ok() and changes.ok is not None:
                 has_news = self._take(changes.ok)
-            is_due = timer.now_s() - self._read_s >= _READ_S
-            if changes.is_error() or changes.ok is None or is_due:
+            if changes.is_error() or changes.ok is None or self._is_due():
                 await self.read()
             self.open_links()
             self._check_unlisted()
             if not has_news:
                 await timer.sleep(_WATCH_PAUSE_S)
 
+    def _is_due(self) -> bool:
+        """Return whether the whole list is to be read again."""
+        count = len(self._context.roster.workers)
+        age_s = self._context.timer.now_s() - self._read_s
+        return age_s >= max(_READ_S, count * _READ_EACH_S)
+
     def _apply(self, listing: ports.WorkerListing) -> None:
         listed_ids = set()
         for listed in listing.workers:
