Trace the fault matrix's cell without a fault that failed on a busy machine

Cause: every refused request had a key of the caller's own. Beside busy processes (load 11) a shard moves while a process joins late, its memory does not come in time, and the new home refuses keys that it can't know for the time that keys are remembered (12 s in the trial). Minted keys are served. Ruled out: a whole process that forgets.

--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_shards.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_shards.py
@@ -82,6 +82,14 @@
         )
         if opened.is_error():
             _LOG.error('shard_not_opened', detail=opened.error.detail)
+        elif blind_until_s > now_s:
+            _LOG.warning(
+                'shard_blind',
+                shard=shard,
+                epoch=gain.epoch,
+                for_s=round(blind_until_s - now_s, 3),
+                memory_came=received is not None,
+            )
 
     def lose(self, loss: ownership.Loss) -> None:
         """Stop to be home of a shard."""
--- a/tests/faults/cluster.py
+++ b/tests/faults/cluster.py
@@ -377,6 +377,13 @@
         ]
         raise AssertionError(f'not whole in {_READY_S} s: {views} {last}')
 
+    def has_logged(self, event: str) -> bool:
+        """Return whether any process has logged an event."""
+        return any(
+            f'event={event} ' in entry.log_path.read_text()
+            for entry in self.entries
+        )
+
     def tracebacks(self) -> list[str]:
         """Return the unexpected exceptions that the processes logged."""
         return [
