--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_command_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_command_waits.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import json
 import sys
 import typing
@@ -58,8 +59,17 @@
     }
 
 
-def _rounded(counter: collections.Counter[str]) -> dict[str, float]:
-    return {name: round(value, 3) for name, value in counter.most_common()}
+def _rounded(
+    amounts: collections.abc.Mapping[str, float],
+) -> dict[str, float]:
+    return {name: round(value, 3) for name, value in _most(amounts)}
+
+
+def _most(
+    amounts: collections.abc.Mapping[str, float],
+) -> list[tuple[str, float]]:
+    """Return amounts, the largest first."""
+    return sorted(amounts.items(), key=lambda row: -row[1])
 
 
 def _print(
@@ -67,14 +77,12 @@
 ) -> None:
     for name, queue in sorted(found.queues.items()):
         print(f'{name}: {queue.jobs} jobs, {queue.starts} starts', file=output)
-        for title, counter, unit in (
-            ('waited for', queue.waits_s, ' s'),
-            ('refused for', queue.refusals, ''),
-            ('work lost to', queue.lost_s, ' s'),
-        ):
-            for cause, value in counter.most_common():
-                text = f'{value:.1f}' if unit else str(value)
-                print(f'  {title} {cause}: {text}{unit}', file=output)
+        for cause, waited_s in _most(queue.waits_s):
+            print(f'  waited for {cause}: {waited_s:.1f} s', file=output)
+        for cause, count in queue.refusals.most_common():
+            print(f'  refused for {cause}: {count}', file=output)
+        for cause, lost_s in _most(queue.lost_s):
+            print(f'  work lost to {cause}: {lost_s:.1f} s', file=output)
     jobs = max(1, found.jobs)
     for purpose, count in found.store_calls.most_common():
         print(
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
@@ -19,6 +19,10 @@
 _UNTOLD: typing.Final = 'untold'
 
 
+def _no_seconds() -> collections.defaultdict[str, float]:
+    return collections.defaultdict(float)
+
+
 @dataclasses.dataclass(slots=True)
 class QueueWaits:
     """One queue's jobs, waits, refusals and lost work."""
@@ -26,15 +30,15 @@
     jobs: int = 0
     starts: int = 0
     # Seconds that steps waited, by cause.
-    waits_s: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
+    waits_s: collections.defaultdict[str, float] = dataclasses.field(
+        default_factory=_no_seconds
     )
     refusals: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
     # Seconds of runs that did not count, by what ended them.
-    lost_s: collections.Counter[str] = dataclasses.field(
-        default_factory=collections.Counter
+    lost_s: collections.defaultdict[str, float] = dataclasses.field(
+        default_factory=_no_seconds
     )
 
 
