--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import collections.abc
+import dataclasses
 import random
 import typing
 
@@ -33,21 +34,15 @@
 _TICK_S: typing.Final = 0.02
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
 class _Run:
-    __slots__ = (
-        'ends_s',
-        'length_s',
-        'name',
-        'started_s',
-    )
+    name: ports.RunName
+    started_s: float
+    length_s: float
 
-    def __init__(
-        self, name: ports.RunName, started_s: float, length_s: float
-    ) -> None:
-        self.name = name
-        self.started_s = started_s
-        self.length_s = length_s
-        self.ends_s = started_s + length_s
+    @property
+    def ends_s(self) -> float:
+        return self.started_s + self.length_s
 
 
 Length = collections.abc.Callable[[ports.TaskName], float]
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -18,6 +18,7 @@
 
 __all__ = (
     'Chooser',
+    'Permission',
     'Shortlist',
 )
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import collections.abc
 import typing
 
 from walnutpoint_core import logs
@@ -11,10 +10,12 @@
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _delay
 from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _gang
 from walnutpoint_scheduler import _order
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _preemption
 from walnutpoint_scheduler import _questions
+from walnutpoint_scheduler import _ready
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import cell
@@ -29,7 +30,6 @@
 _WAITED: typing.Final = metrics.Latency(
     'start_wait', 'Time from ready to placed, by priority of the queue.'
 )
-_MS: typing.Final = 1000.0
 
 
 class Placer:
@@ -41,6 +41,7 @@
         '_desk',
         '_preemption',
         '_questions',
+        '_ready',
         'longest_wait_s',
         'passes',
         'placed',
@@ -55,6 +56,7 @@
         self._choosers: dict[str, _choice.Chooser] = {}
         self._preemption = _preemption.Preemption(context, desk)
         self._questions = _questions.Questions(context)
+        self._ready = _ready.ReadySteps(context)
         self.passes = 0
         self.placed = 0
         # The longest that a step waits now which some worker may run.
@@ -71,9 +73,9 @@
         self._questions.begin()
         self._preemption.begin()
         self._choosers.clear()
-        rows = self._ordered()
-        self.longest_wait_s = self._longest_wait_s(rows)
-        promoted = self._promoted(rows)
+        rows = self._ready.rows()
+        self.longest_wait_s = self._ready.longest_wait_s(rows)
+        promoted = self._ready.promoted(rows, self._may_start)
         for row in promoted:
             self._place(row, 1)
         for row in rows:
@@ -103,48 +105,6 @@
             )
         return chooser
 
-    def _ordered(self) -> list[_order.Waiting]:
-        context = self._context
-        now_ms = context.now_ms()
-        has_tiers = context.settings.policies.late_tiers
-        rows = []
-        for job in context.open_jobs.values():
-            queue = context.queue_of(job)
-            if not job.unsettled and not job.document.occurrence_count:
-                continue
-            job.unsettled = False
-            for step in self._ready(job, now_ms):
-                job.unsettled = True
-                place = _order.rank(queue, step, now_ms, has_tiers)
-                rows.append(_order.Waiting(place, queue, step))
-        rows.sort(key=lambda row: row.rank)
-        return rows
-
-    def _promoted(
-        self, rows: collections.abc.Sequence[_order.Waiting]
-    ) -> list[_order.Waiting]:
-        context = self._context
-        if not context.settings.policies.promotion:
-            return []
-        now_s = context.timer.now_s()
-        return _order.promote(
-            rows, now_s - context.settings.patience_s, self._may_start
-        )
-
-    def _longest_wait_s(
-        self, rows: collections.abc.Iterable[_order.Waiting]
-    ) -> float:
-        now_s = self._context.timer.now_s()
-        return max(
-            (
-                now_s - row.step.idle_since_s
-                for row in rows
-                if row.step.idle_since_s is not None
-                and row.step.waits_for != _delay.Cause.DENIED.value
-            ),
-            default=0.0,
-        )
-
     def _may_start(self, row: _order.Waiting) -> bool:
         """Return whether some worker that is up may run a step."""
         advice = self._context.advice
@@ -155,20 +115,6 @@
             for worker in chooser.able(row.step.step)
         )
 
-    def _ready(
-        self, job: _state.JobProgress, now_ms: float
-    ) -> collections.abc.Iterator[_state.StepProgress]:
-        early_ms = self._context.settings.early_s * _MS
-        for number in job.due(now_ms, early_ms):
-            steps = job.occurrence(number)
-            for step in steps:
-                if step.done or not step.waiting():
-                    continue
-                if all(steps[earlier].done for earlier in step.step.after):
-                    if step.ready_s is None:
-                        step.ready_s = self._context.timer.now_s()
-                    yield step
-
     def _place_step(
         self,
         chooser: _choice.Chooser,
@@ -206,17 +152,25 @@
     ) -> _choice.Shortlist:
         """Return the workers with room, and a ticket where one is needed."""
 
-        def permitted(worker_id: str) -> bool:
-            if worker_id == avoided:
-                return False
-            if queue.advice is None:
-                return True
-            return self._context.advice.ticket(step.key, worker_id) is not None
-
         return _choice.Shortlist(
-            chooser, step.step, step.key, queue.priority, permitted
+            chooser,
+            step.step,
+            step.key,
+            queue.priority,
+            lambda worker_id: (
+                worker_id != avoided
+                and self._is_permitted(queue, step, worker_id)
+            ),
         )
 
+    def _is_permitted(
+        self, queue: cell.Queue, step: _state.StepProgress, worker_id: str
+    ) -> bool:
+        """Return whether a step may start on a worker now."""
+        if queue.advice is None:
+            return True
+        return self._context.advice.ticket(step.key, worker_id) is not None
+
     def _place_copies(self) -> None:
         """Start second runs with what room is left."""
         context = self._context
@@ -251,83 +205,24 @@
         """
         if any(task.runs for task in step.tasks):
             return
-        for group, is_sound in self._gang_groups(chooser, step):
-            picked = self._pick_gang(chooser, queue, step, group, is_sound)
-            if picked is None:
-                continue
-            attempt = max(task.attempt for task in step.tasks) + 1
-            checkpoint = next(
-                (t.checkpoint for t in step.tasks if t.checkpoint), ''
-            )
-            runs = []
-            for task, worker in zip(step.tasks, picked, strict=True):
-                task.checkpoint = checkpoint
-                runs.append(self._plan(task, worker, queue, attempt))
-            self._desk.launch(step.job, runs)
+        picked = _gang.pick(
+            chooser,
+            step,
+            lambda worker_id: self._is_permitted(queue, step, worker_id),
+            is_urgent=self._questions.is_starved(step),
+        )
+        if picked is None:
+            self._wait(chooser, queue, step, len(step.tasks))
             return
-        self._wait(chooser, queue, step, len(step.tasks))
-
-    def _gang_groups(
-        self, chooser: _choice.Chooser, step: _state.StepProgress
-    ) -> list[tuple[list[_roster.WorkerState], bool]]:
-        """Return the sets of workers to try, the best first.
-
-        Each tells whether it is to be of sound workers only. One failure
-        costs all members; but where no sound worker may run a gang, nothing
-        else may ever prove the others sound, and it would wait for ever.
-        """
-        everyone = list(chooser.able(step.step))
-        racks: dict[str, list[_roster.WorkerState]] = {}
-        for worker in everyone:
-            racks.setdefault(worker.listed.rack, []).append(worker)
-        groups = []
-        if step.step.rack_affinity in racks:
-            groups.append(racks[step.step.rack_affinity])
-        if step.step.same_rack:
-            groups += sorted(racks.values(), key=len, reverse=True)
-        groups.append(everyone)
-        tries = [(group, True) for group in groups]
-        if self._questions.is_starved(step):
-            tries.append((everyone, False))
-        return tries
-
-    def _pick_gang(
-        self,
-        chooser: _choice.Chooser,
-        queue: cell.Queue,
-        step: _state.StepProgress,
-        group: list[_roster.WorkerState],
-        is_sound: bool,
-    ) -> list[_roster.WorkerState] | None:
-        need = step.step.need
-        picked: list[_roster.WorkerState] = []
-        # The fullest first: whole workers stay open for those who need them.
-        for worker in chooser.fullest(group):
-            if is_sound and chooser.is_suspect(worker):
-                continue
-            if not chooser.may_start(worker):
-                continue
-            if not self._ticketed(queue, step, [worker]):
-                continue
-            free = chooser.free(worker, step.step.expected_s)
-            count = free.times(need)
-            if step.step.per_worker_max:
-                count = min(count, step.step.per_worker_max)
-            picked += [worker] * count
-            if len(picked) >= len(step.tasks):
-                return picked[: len(step.tasks)]
-        return None
-
-    def _ticketed(
-        self,
-        queue: cell.Queue,
-        step: _state.StepProgress,
-        workers: list[_roster.WorkerState],
-    ) -> list[_roster.WorkerState]:
-        if queue.advice is None:
-            return workers
-        advice = self._context.advice
-        return [w for w in workers if advice.ticket(step.key, w.worker_id)]
+        attempt = max(task.attempt for task in step.tasks) + 1
+        checkpoint = next(
+            (t.checkpoint for t in step.tasks if t.checkpoint), ''
+        )
+        runs = []
+        for task, worker in zip(step.tasks, picked, strict=True):
+            task.checkpoint = checkpoint
+            runs.append(self._plan(task, worker, queue, attempt))
+        self._desk.launch(step.job, runs)
 
     def _plan(
         self,
