--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -23,7 +23,8 @@
 )
 
 # Of the permitted workers, how many a waiting step may hold room on: among
-# the 32 freest, room comes soon on some. All of 900 would cost some 60 ms.
+# the 32 freest, room comes soon on some. All of 900 would cost some 60 ms a
+# pass (worked out: 16 waiting steps, a third permitted, ten runs each).
 _HOLD_CANDIDATES_MAX: typing.Final = 32
 # What may use held room must be over in this part of the wait for it. Declared
 # times are off by half, and with none to spare the wait would begin anew with
