--- a/specs/_cases.py
+++ b/specs/_cases.py
@@ -13,6 +13,7 @@
 
 from specs import _check
 from specs import acceptance
+from specs import cancel
 from specs import confirmation
 from specs import doubt
 from specs import gang
@@ -57,6 +58,7 @@
     Model('gang', gang.build, gang.Guard, gang.GOALS),
     Model('term', term.build, term.Guard, term.GOALS),
     Model('acceptance', acceptance.build, acceptance.Guard, acceptance.GOALS),
+    Model('cancel', cancel.build, cancel.Guard, cancel.GOALS),
 )
 
 
--- /dev/null
+++ b/specs/cancel.py
@@ -0,0 +1,240 @@
+"""Model a cancel while starts of the task are late.
+
+Scheduler A, under token 1, sends the start of a task's first attempt to a
+worker. The order may arrive at any later time, answered or not. The client
+account cancels the job. A may be removed at any moment; B then schedules under
+token 2. The task is settled once a scheduler takes it to run nowhere for good.
+
+| guard | code module |
+|---|---|
+| DOUBT_STOPPED | walnutpoint_scheduler._orders (_resolve) |
+| STOP_REPEATED | walnutpoint_scheduler._orders (_stop) |
+| STOP_BLOCKS | the workers; walnutpoint_scheduler._orders (_resolve) |
+| TOKEN_RAISED | walnutpoint_scheduler._links (first report) |
+| WORKER_FENCED | the workers |
+| STRAY_STOPPED | walnutpoint_scheduler._links (_book_stray) |
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+import minicheck
+
+from specs import _check
+
+
+class Guard(enum.Enum):
+    """Name each guard that a mutant drops."""
+
+    DOUBT_STOPPED = 'a start without an answer is followed by a stop'
+    STOP_REPEATED = 'a stop is sent until it is answered'
+    STOP_BLOCKS = 'a worker refuses an attempt that was stopped there'
+    TOKEN_RAISED = 'a new scheduler is heard by the worker before it settles'
+    WORKER_FENCED = 'a worker refuses orders below the highest token'
+    STRAY_STOPPED = 'a run that is listed and not asked for is stopped'
+
+
+class Start(enum.IntEnum):
+    """Name how far the start order has come."""
+
+    UNSENT = 0
+    # On its way, awaited by A.
+    AWAITED = 1
+    # On its way, given up on by A.
+    LATE = 2
+    OVER = 3
+
+
+class Belief(enum.IntEnum):
+    """Name what the scheduler knows of the run."""
+
+    NONE = 0
+    DOUBT = 1
+    RUNNING = 2
+    STOPPING = 3
+    SETTLED = 4
+
+
+class World(typing.NamedTuple):
+    """Hold the order, the worker and what the scheduler believes.
+
+    `token` is the scheduler's, `highest` the highest that the worker saw.
+    """
+
+    start: Start = Start.UNSENT
+    runs: bool = False
+    blocked: bool = False
+    highest: int = 0
+    token: int = 1
+    belief: Belief = Belief.NONE
+    stop_under_way: bool = False
+    cancelled: bool = False
+
+
+class Cancel:
+    """Generate the steps of one cancel, without the dropped guard."""
+
+    def __init__(self, dropped: Guard | None) -> None:
+        self._dropped = dropped
+
+    def _drops(self, guard: Guard) -> bool:
+        return self._dropped is guard
+
+    def steps(self, state: _check.State) -> _check.Steps:
+        """Return every step possible in a state."""
+        world = World(*state)
+        found: _check.Steps = []
+        self._start(world, found)
+        self._stop(world, found)
+        if not world.cancelled and world.start is not Start.UNSENT:
+            found.append(('job is cancelled', world._replace(cancelled=True)))
+        if world.token == 1 and world.start is not Start.UNSENT:
+            found.append(('B replaces A', self._replaced(world)))
+        if world.token == 2:
+            self._report(world, found)
+        return found
+
+    def _start(self, world: World, found: _check.Steps) -> None:
+        if world.start is Start.UNSENT and not world.cancelled:
+            found.append(
+                ('A sends the start', world._replace(start=Start.AWAITED))
+            )
+        if world.start in (Start.AWAITED, Start.LATE):
+            found.append(('start arrives', self._arrived(world)))
+        if world.start is Start.AWAITED and world.token == 1:
+            found.append(
+                (
+                    'start is given up on',
+                    world._replace(start=Start.LATE, belief=Belief.DOUBT),
+                )
+            )
+
+    def _arrived(self, world: World) -> World:
+        """Carry the start out, or refuse it."""
+        fenced = world.highest > 1 and not self._drops(Guard.WORKER_FENCED)
+        refused = fenced or world.blocked
+        after = world._replace(
+            start=Start.OVER,
+            runs=world.runs or not refused,
+            highest=max(world.highest, 1),
+        )
+        if world.start is Start.AWAITED and world.token == 1:
+            belief = Belief.SETTLED if refused else Belief.RUNNING
+            after = after._replace(belief=belief)
+        return after
+
+    def _stop(self, world: World, found: _check.Steps) -> None:
+        """Stop what runs or may run of a cancelled job."""
+        wanted = world.belief is Belief.RUNNING and world.cancelled
+        if world.belief is Belief.DOUBT:
+            if self._drops(Guard.DOUBT_STOPPED):
+                found.append(
+                    (
+                        'doubt is dropped',
+                        world._replace(belief=Belief.SETTLED),
+                    )
+                )
+            else:
+                wanted = True
+        if wanted:
+            found.append(
+                (
+                    'stop is sent',
+                    world._replace(
+                        belief=Belief.STOPPING, stop_under_way=True
+                    ),
+                )
+            )
+        if world.belief is not Belief.STOPPING:
+            return
+        if not world.stop_under_way:
+            found.append(
+                ('stop is repeated', world._replace(stop_under_way=True))
+            )
+            return
+        blocked = not self._drops(Guard.STOP_BLOCKS)
+        found.append(
+            (
+                'stop is answered',
+                world._replace(
+                    runs=False,
+                    blocked=blocked,
+                    highest=max(world.highest, world.token),
+                    stop_under_way=False,
+                    belief=Belief.SETTLED,
+                ),
+            )
+        )
+        lost = world._replace(stop_under_way=False)
+        if self._drops(Guard.STOP_REPEATED):
+            lost = lost._replace(belief=Belief.SETTLED)
+        found.append(('stop is lost', lost))
+
+    def _replaced(self, world: World) -> World:
+        """Let B begin, which knows of a cancelled job's runs by reports."""
+        settled = self._drops(Guard.TOKEN_RAISED) and world.cancelled
+        return world._replace(
+            token=2,
+            belief=Belief.SETTLED if settled else Belief.NONE,
+            stop_under_way=False,
+        )
+
+    def _report(self, world: World, found: _check.Steps) -> None:
+        """Compare the worker's report with what is asked for."""
+        if not world.cancelled or world.belief is Belief.STOPPING:
+            return
+        heard = world._replace(highest=2)
+        if not world.runs:
+            found.append(
+                ('report is empty', heard._replace(belief=Belief.SETTLED))
+            )
+        elif self._drops(Guard.STRAY_STOPPED):
+            found.append(
+                ('stray is left', heard._replace(belief=Belief.SETTLED))
+            )
+        else:
+            found.append(
+                ('stray is found', heard._replace(belief=Belief.STOPPING))
+            )
+
+
+def settled_runs_nowhere(fields: dict[str, typing.Any]) -> bool:
+    """Hold while a settled task of a cancelled job does not run."""
+    settled = fields['belief'] is Belief.SETTLED and fields['cancelled']
+    return not (settled and fields['runs'])
+
+
+def late_start_is_refused(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether a start came after all was settled, and did nothing."""
+    return (
+        fields['belief'] is Belief.SETTLED
+        and fields['start'] is Start.OVER
+        and fields['blocked']
+        and not fields['runs']
+    )
+
+
+def settled_by_a_successor(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether B settles what A had left under way."""
+    return (
+        fields['token'] == 2
+        and fields['belief'] is Belief.SETTLED
+        and fields['start'] is Start.LATE
+    )
+
+
+GOALS = (late_start_is_refused, settled_by_a_successor)
+
+
+def build(dropped: Guard | None = None) -> minicheck.Protocol:
+    """Return the model, or the mutant without one guard."""
+    return minicheck.Protocol(
+        name='cancel',
+        candidate=True,
+        fields=World._fields,
+        initial=World(),
+        transitions=Cancel(dropped).steps,
+        invariants={'settled_runs_nowhere': settled_runs_nowhere},
+    )
