--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_command_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_command_waits.py
@@ -48,6 +48,7 @@
             name: {
                 'jobs': queue.jobs,
                 'starts': queue.starts,
+                'longest_wait_s': round(queue.longest_wait_s, 3),
                 'waits_s': _rounded(queue.waits_s),
                 'refusals': dict(queue.refusals),
                 'lost_s': _rounded(queue.lost_s),
@@ -76,7 +77,11 @@
     found: _waits.Waits, passed_over: int, output: typing.TextIO
 ) -> None:
     for name, queue in sorted(found.queues.items()):
-        print(f'{name}: {queue.jobs} jobs, {queue.starts} starts', file=output)
+        print(
+            f'{name}: {queue.jobs} jobs, {queue.starts} starts, '
+            f'longest wait {queue.longest_wait_s:.1f} s',
+            file=output,
+        )
         for cause, waited_s in _most(queue.waits_s):
             print(f'  waited for {cause}: {waited_s:.1f} s', file=output)
         for cause, count in queue.refusals.most_common():
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
@@ -17,6 +17,8 @@
 
 # A wait that is not told of a reason: being stored, planned and ordered.
 _UNTOLD: typing.Final = 'untold'
+# The cause of a step that no worker may run.
+_DENIED: typing.Final = 'denied'
 
 
 def _no_seconds() -> collections.defaultdict[str, float]:
@@ -29,6 +31,9 @@
 
     jobs: int = 0
     starts: int = 0
+    # The longest from ready to placed; of steps that some worker may run,
+    # also of those that were never placed.
+    longest_wait_s: float = 0.0
     # Seconds that steps waited, by cause.
     waits_s: collections.defaultdict[str, float] = dataclasses.field(
         default_factory=_no_seconds
@@ -79,6 +84,8 @@
         self._begin_s = begin_s
         self._steps: dict[str, _Step] = {}
         self._runs: dict[str, tuple[float, str]] = {}
+        # When each step that has no run yet was first said to wait.
+        self._began_s: dict[str, float] = {}
         self._handlers: dict[
             str, collections.abc.Callable[[_course.Line], None]
         ] = {
@@ -108,6 +115,7 @@
         queue = line.fields.get('queue', '')
         cause = line.fields.get('cause', _UNTOLD)
         self._close(step, line.time_s)
+        self._began_s.setdefault(step, line.time_s)
         self._steps[step] = _Step(line.time_s, cause, queue)
         row = (line.time_s - self._begin_s, queue, cause)
         self.found.begun.append(row)
@@ -115,7 +123,11 @@
     def _placed(self, line: _course.Line) -> None:
         run = line.fields.get('run', '')
         queue = line.fields.get('queue', '')
-        self.found.queue(queue).starts += 1
+        figures = self.found.queue(queue)
+        figures.starts += 1
+        waited_s = _seconds(line.fields.get('waited_s', ''))
+        figures.longest_wait_s = max(figures.longest_wait_s, waited_s)
+        self._began_s.pop(run.rpartition('.')[0], None)
         self._runs[run] = (line.time_s, queue)
         # ID.OCCURRENCE.STEP.INDEX#ATTEMPT
         self._close(run.rpartition('.')[0], line.time_s)
@@ -144,7 +156,12 @@
 
     def close_all(self, time_s: float) -> None:
         """Count what still waits at the end."""
-        for step in list(self._steps):
+        for step, waited in list(self._steps.items()):
+            began_s = self._began_s.get(step)
+            if began_s is not None and waited.cause != _DENIED:
+                figures = self.found.queue(waited.queue)
+                longest_s = max(figures.longest_wait_s, time_s - began_s)
+                figures.longest_wait_s = longest_s
             self._close(step, time_s)
 
 
@@ -158,3 +175,10 @@
         adder.take(line)
     adder.close_all(ordered[-1].time_s)
     return adder.found
+
+
+def _seconds(text: str) -> float:
+    try:
+        return float(text)
+    except ValueError:
+        return 0.0
--- a/tests/walnutpoint_cli/test_waits.py
+++ b/tests/walnutpoint_cli/test_waits.py
@@ -54,6 +54,7 @@
         found = json.loads(self._execute(LINES, _options.Output.JSON))
         maps = found['queues']['maps']
         self.assertEqual((1, 1), (maps['jobs'], maps['starts']))
+        self.assertEqual(2.5, maps['longest_wait_s'])
         self.assertEqual(
             {'accelerators': 2.0, 'denied': 2.0, 'advice': 0.5},
             maps['waits_s'],
