Let the model play accelerators, gangs and outages, and bound them

A bound with all knowledge tells whether a round can pay: no job ends sooner than its chain, none is stored or shown while the store is away, no resource gives more than its sum. Callers of the model try again for 2.8 s after a refusal.

--- a/packages/walnutpoint-model/src/walnutpoint_model/experiment.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/experiment.py
@@ -14,11 +14,14 @@
 import yaml
 
 from walnutpoint_core import logs
+from walnutpoint_model import bound
 from walnutpoint_model import cell_model
 from walnutpoint_model import load
+from walnutpoint_model import store
 from walnutpoint_model import virtual_time
 from walnutpoint_model import workers
 from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import document
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
 
@@ -32,9 +35,8 @@
 _PROCESSES: typing.Final = 4
 _MS: typing.Final = 1000.0
 _LONGEST_MS: typing.Final = 600_000
-# A job that ends within three times its objective still counts for this.
-_LATE_FACTOR: typing.Final = 3.0
-_LATE_WORTH: typing.Final = 0.2
+# Between two tries of a caller: some four within its patience.
+_CALLER_PAUSE_S: typing.Final = 0.7
 _POLL_S: typing.Final = 0.02
 
 
@@ -58,6 +60,8 @@
     # Times from handing in to the end, in ms.
     times_ms: dict[str, histogram.HdrHistogram]
     starts: int
+    # The most that any scheduler could have given (bound.upper_bound).
+    bound: float
     violations: list[str]
 
 
@@ -86,12 +90,13 @@
         _PROCESSES,
         config=experiment.policies[policy],
         seed=seed,
+        granted_share=wanted.granted_share,
     ) as model:
         _add_workers(model, wanted, drawn)
         while model.scheduler() is None:
             await anyio.sleep(_POLL_S)
         ended = await _drive(model, wanted, drawn)
-        return _outcome(policy, seed, model, drawn, ended)
+        return _outcome(policy, seed, wanted, model, drawn, ended)
 
 
 def _add_workers(
@@ -109,6 +114,7 @@
                 'pool',
                 wanted.worker_millicores,
                 wanted.worker_memory_mb,
+                accelerators=wanted.worker_accelerators,
             ),
             functools.partial(_length_s, drawn, factor),
             number,
@@ -127,6 +133,7 @@
 ) -> dict[str, tuple[float, str]]:
     """Hand jobs in, and return when and how each ended."""
     began_ms = model.now_ms()
+    drawn.began_ms = began_ms
     ended: dict[str, tuple[float, str]] = {}
     handed: dict[str, int] = {}
 
@@ -134,14 +141,25 @@
         while model.now_ms() - began_ms < wanted.duration_s * _MS:
             await anyio.sleep(drawn.pause_s(kind))
             job = drawn.draw(kind, model.now_ms())
-            names = sorted(model.processes)
-            entry = model.processes[names[len(handed) % len(names)]]
             handed[job.job_id] = model.now_ms()
+            tasks.start_soon(hand_in, job, len(handed))
+
+    async def hand_in(job: document.Job, number: int) -> None:
+        """Try at one process after the other, as long as a caller does."""
+        end_ms = job.accepted_ms + wanted.patience_s * _MS
+        while True:
+            names = sorted(model.processes)
+            entry = model.processes[names[number % len(names)]]
             taken = await entry.process.submissions.submit(
                 job, model.now_ms() / _MS + 3.0
             )
-            if taken.is_error():
+            if taken.is_ok():
+                return
+            number += 1
+            await anyio.sleep(_CALLER_PAUSE_S)
+            if model.now_ms() > end_ms:
                 ended[job.job_id] = (math.inf, 'refused')
+                return
 
     async def watch() -> None:
         while True:
@@ -165,6 +183,13 @@
                 arrivals.start_soon(arrive, kind)
             if wanted.kill_at_s is not None:
                 arrivals.start_soon(_kill, model, wanted.kill_at_s)
+            if wanted.outage_at_s is not None:
+                arrivals.start_soon(
+                    _take_store_away,
+                    model,
+                    wanted.outage_at_s,
+                    wanted.outage_s,
+                )
         with anyio.move_on_after(wanted.settle_s):
             while len(ended) < len(handed):
                 await anyio.sleep(_POLL_S)
@@ -175,6 +200,15 @@
 _FINAL: typing.Final = frozenset({'done', 'failed', 'cancelled'})
 
 
+async def _take_store_away(
+    model: cell_model.CellModel, at_s: float, for_s: float
+) -> None:
+    await anyio.sleep(at_s)
+    model.store.fault = store.StoreFault.SILENT
+    await anyio.sleep(for_s)
+    model.store.fault = store.StoreFault.NONE
+
+
 async def _kill(model: cell_model.CellModel, at_s: float) -> None:
     await anyio.sleep(at_s)
     name = model.scheduler()
@@ -187,6 +221,7 @@
 def _outcome(
     policy: str,
     seed: int,
+    wanted: load.LoadSettings,
     model: cell_model.CellModel,
     drawn: load.Load,
     ended: dict[str, tuple[float, str]],
@@ -205,11 +240,8 @@
         objective_ms = _MS * (
             drawn.chains_s[job_id] * kind.stretch + kind.allowance_s
         )
-        if took_ms <= objective_ms:
-            good[kind.name] += 1
-            earned += 1.0
-        elif took_ms <= _LATE_FACTOR * objective_ms:
-            earned += _LATE_WORTH
+        good[kind.name] += took_ms <= objective_ms
+        earned += bound.credit(took_ms, objective_ms)
     return Outcome(
         policy,
         seed,
@@ -218,5 +250,6 @@
         {name: good[name] / max(1, jobs[name]) for name in names},
         times,
         sum(model.fleet.ledger.starts.values()),
+        bound.upper_bound(wanted, drawn),
         list(model.fleet.ledger.violations),
     )
--- a/packages/walnutpoint-model/src/walnutpoint_model/load.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/load.py
@@ -33,6 +33,9 @@
     width_mean: _Positive = 6.0
     cpu_millicores: int = 1300
     memory_mb: int = 2600
+    accelerators: int = 0
+    # Whether the tasks of a step run only together.
+    gang: bool = False
     run_s: _Positive = 0.64
     # The spread of run times between steps, as the sigma of a lognormal.
     run_spread: float = 0.5
@@ -75,6 +78,14 @@
     workers: int = 24
     worker_millicores: int = 16_000
     worker_memory_mb: int = 64_000
+    worker_accelerators: int = 0
+    # The share of the workers that an advised step may run on.
+    granted_share: _Share = 0.7
+    # How long client accounts try again after a refusal.
+    patience_s: float = 2.8
+    # When the store is away for some time, if it is.
+    outage_at_s: float | None = None
+    outage_s: _Positive = 4.5
     # The share of workers that run everything slow_factor times as long.
     slow_share: _Share = 0.0
     slow_factor: _Positive = 6.0
@@ -93,7 +104,9 @@
         '_random',
         '_settings',
         'accepted',
+        'began_ms',
         'chains_s',
+        'jobs',
     )
 
     def __init__(self, settings: LoadSettings, seed: int) -> None:
@@ -104,6 +117,10 @@
         # The longest chain of true run times by job, for its objective.
         self.chains_s: dict[str, float] = {}
         self.accepted: dict[str, JobClass] = {}
+        # The time of day at which the first job could come.
+        self.began_ms = 0.0
+        # As handed in, with the time of the first try.
+        self.jobs: dict[str, document.Job] = {}
 
     def pause_s(self, kind: JobClass) -> float:
         """Return the time until the next job of a class."""
@@ -126,10 +143,11 @@
                     1 + self._poisson(kind.width_mean - 1.0),
                     kind.cpu_millicores,
                     kind.memory_mb,
-                    0,
+                    kind.accelerators,
                     int(declared_s * _MS),
                     (number - 1,) if number else (),
                     kind.checkpoints,
+                    kind.gang,
                     speculative=(
                         self._random.random() < kind.speculative_share
                     ),
@@ -137,7 +155,7 @@
             )
         self.chains_s[job_id] = chain_s
         self.accepted[job_id] = kind
-        return document.Job(
+        job = document.Job(
             job_id,
             kind.name,
             'payload',
@@ -145,6 +163,8 @@
             now_ms,
             accepted_by=kind.queue(),
         )
+        self.jobs[job_id] = job
+        return job
 
     def length_s(self, task: ports.TaskName) -> float:
         """Return how long a task runs on a sound worker."""
--- a/packages/walnutpoint-model/src/walnutpoint_model/report.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/report.py
@@ -32,7 +32,9 @@
         spread = max(worths) - min(worths)
         parts = [
             f'{policy:<16} worth {statistics.mean(worths):.3f} '
-            f'(spread {spread:.3f} over {len(own)} seeds)'
+            f'(spread {spread:.3f} over {len(own)} seeds), '
+            f'{statistics.mean(o.worth / o.bound for o in own):.1%} of the '
+            'bound'
         ]
         for name in own[0].jobs:
             share = statistics.mean(o.in_objective[name] for o in own)
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -377,6 +377,7 @@
     cpu_millicores: int = 16_000,
     memory_mb: int = 64_000,
     per_rack: int = 8,
+    accelerators: int = 0,
 ) -> cell.ListedWorker:
     """Return the listing of one of many equal workers."""
     rack = f'rack-{number // per_rack}'
@@ -386,7 +387,7 @@
         f'127.0.0.1:{20_000 + number}',
         'domain-0',
         False,
-        amount.Amount(cpu_millicores, memory_mb, 0),
+        amount.Amount(cpu_millicores, memory_mb, accelerators),
         ('kind-a', rack),
         rack,
     )
