Relay at once where the own way to the store fails

Cause: a host that lost its way tried it again after each second, and waited for the timeout (0.45 to 0.9 s) before it asked a peer. A host of hundred takes a job in some two seconds, so that nearly every job there waited, of some 0.9 s that a turning list has to spare. All hosts asked the same first peer, and one peer after the other. A scheduler without a way went on through peers: its watches failed, and it read all jobs and workers each 0.3 s.

Ruled out: a shorter timeout (a slow store takes 0.28 s a call).

The scheduler asks a process that reaches the store to follow it, once its own call failed after a peer's had succeeded.

--- a/packages/walnutpoint-core/src/walnutpoint_core/web/__init__.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/__init__.py
@@ -3,6 +3,7 @@
 from walnutpoint_core.web._client import Client
 from walnutpoint_core.web._connection import ClientConnection
 from walnutpoint_core.web._hedge import Hedge
+from walnutpoint_core.web._hedge import RoundTrips
 from walnutpoint_core.web._message import json_response
 from walnutpoint_core.web._message import Loss
 from walnutpoint_core.web._message import Request
@@ -18,6 +19,7 @@
     'Loss',
     'Request',
     'Response',
+    'RoundTrips',
     'Server',
     'json_response',
 )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_handover.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_handover.py
@@ -14,6 +14,7 @@
 from walnutpoint_scheduler import _membership
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _peers
+from walnutpoint_scheduler import _relay
 
 __all__ = ('Handover',)
 
@@ -32,7 +33,7 @@
     def __init__(
         self,
         leadership: _leadership.Leadership,
-        store: ports.WatchedStore,
+        store: _relay.RelayedStore,
         members: _membership.Membership,
         peers: _peers.Peers,
         clock: timer.Timer,
@@ -50,20 +51,40 @@
         cell would also wait for that commit, the watches and the claim:
         1.3 s while a store call takes 280 ms, against 0.3 s.
         """
-        token = self._leadership.token
         self._leadership.leaving = True
+        return await self._ask(self._strongest(), needs_store=False)
+
+    async def step_aside(self, carrier: str) -> bool:
+        """Let a process that reaches the store follow this one, which stays.
+
+        A scheduler whose host the store turns away would go on through
+        peers: each commit takes a hop more, and as no watch can, all jobs
+        and workers are read again and again. carrier is the address of the
+        peer that was last seen to reach the store.
+        """
+        carriers = [m for m in self._members.all() if m.address == carrier]
+        candidates = self._strongest() + carriers
+        return await self._ask(candidates, needs_store=True)
+
+    def _strongest(self) -> list[_messages.Member]:
+        """Return the successors to ask, strong hosts first."""
+        now_s = self._timer.now_s()
         others = sorted(
-            self._members.others(self._timer.now_s()),
-            key=lambda m: (
-                self._members.is_shunned(m, self._timer.now_s()),
-                -m.strength,
-            ),
+            self._members.others(now_s),
+            key=lambda m: (self._members.is_shunned(m, now_s), -m.strength),
         )
-        for member in others[:_SUCCESSORS]:
+        return others[:_SUCCESSORS]
+
+    async def _ask(
+        self, candidates: list[_messages.Member], *, needs_store: bool
+    ) -> bool:
+        """Return whether one of some processes has taken over."""
+        token = self._leadership.token
+        for member in candidates:
             answer = await self._peers.ask(
                 member.address,
                 _peers.SUCCESSION_PATH,
-                _messages.Succession(token),
+                _messages.Succession(token, needs_store),
                 _messages.SuccessionAnswer,
                 _SUCCESSION_S,
             )
@@ -76,14 +97,16 @@
                 return True
         return False
 
-    async def succeed(self, token: int) -> bool:
+    async def succeed(self, question: _messages.Succession) -> bool:
         """Claim the key from the scheduler that asks for it."""
         if (
             not self._leadership.leaving
             and not self._leadership.token
-            and token >= self._leadership.revision
+            and question.token >= self._leadership.revision
         ):
-            await self._leadership.claim_key(token)
+            if question.needs_store and not await self._store.reaches_now():
+                return False
+            await self._leadership.claim_key(question.token)
         return bool(self._leadership.token)
 
     async def release(self) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
@@ -65,9 +65,11 @@
 
 
 class Succession(msgspec.Struct, frozen=True):
-    """Ask a process to take over from one that stops as planned."""
+    """Ask a process to take over from one that stops, or lost the store."""
 
     token: int
+    # Whether it may do so only if the store answers it.
+    needs_store: bool = False
 
 
 class SuccessionAnswer(msgspec.Struct, frozen=True):
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
@@ -126,7 +126,7 @@
     async def _succeed(self, body: bytes) -> object:
         question = _decode(body, _messages.Succession)
         return _messages.SuccessionAnswer(
-            await self._handover.succeed(question.token)
+            await self._handover.succeed(question)
         )
 
     async def _job(self, body: bytes) -> object:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
 import collections.abc
 import typing
 
+import anyio
 import expression
 
 from walnutpoint_core import errors
@@ -17,29 +19,25 @@
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _store_calls
+from walnutpoint_scheduler import _store_peers
 
 __all__ = ('RelayedStore',)
 
 _LOG: typing.Final = logs.get_logger('store')
 # After this many failures in a row other processes are asked first.
 _FAILURES_MAX: typing.Final = 2
-# How often the own way is tried again meanwhile.
-_RETRY_S: typing.Final = 1.0
 # Without an answer for this long, and with a failure, the store counts as
 # down: longer than a call while it is slow, some 280 ms.
 _DOWN_S: typing.Final = 0.35
 # Between two questions in an outage, besides their timeouts: its end is
 # noticed within some 0.1 s where it refuses, and 0.6 s where it is silent.
 _OUTAGE_PROBE_S: typing.Final = 0.1
-# Peers without a certain answer before an operation is given up on: each may
-# take the whole timeout.
-_RELAYS_MAX: typing.Final = 2
-# Peers that are turned away as well: with half of the hosts turned away, one
-# operation in 64 meets six of them first. In an outage each costs a call.
-_REFUSALS_MAX: typing.Final = 6
-_TIMEOUT_S: typing.Final = 0.7
-# A process that has no way either is not asked again for this long.
-_BLIND_S: typing.Final = 1.0
+# An own call without an answer for this many usual ones is put through a peer
+# as well: its timeout is 0.45 to 0.9 s, of some 0.9 s that a short job has to
+# spare. Calls twice as late as that are rare while the store is well.
+_LATE_FACTOR: typing.Final = 2.0
+# The same before the first answer: longer than a call to a slow store.
+_FIRST_LATE_S: typing.Final = 0.35
 _AnswerT = typing.TypeVar('_AnswerT')
 
 
@@ -47,19 +45,22 @@
     """Carries out each operation directly, or else through a peer.
 
     The platform may turn away single hosts for seconds while it serves the
-    others. Repeating a commit another way is safe: its guards let it take
-    effect once, and who commits compares what it finds.
+    others, or a host may be cut off from it. Repeating a commit another way is
+    safe: its guards let it take effect once, and who commits compares what it
+    finds. While the own way fails, only watch_outages() tries it: a host of
+    hundred takes a job in some two seconds, and each would wait for a timeout.
     """
 
     __slots__ = (
-        '_blind_until_s',
+        '_carried_since_s',
         '_direct',
         '_doubted_s',
+        '_failed_s',
         '_failures',
-        '_members',
-        '_peers',
+        '_round_trips',
+        '_running',
+        '_through',
         '_timer',
-        '_tried_s',
         'answered_s',
         'calls',
         'relayed',
@@ -73,14 +74,18 @@
         clock: timer.Timer,
     ) -> None:
         self._direct = direct
-        self._members = members
-        self._peers = peers
+        self._through = _store_peers.StorePeers(members, peers, clock)
         self._timer = clock
         self._failures = 0
-        self._tried_s = 0.0
+        self._round_trips = web.RoundTrips()
+        # Own calls that a peer was faster than; their outcome still tells.
+        self._running: set[asyncio.Task[typing.Any]] = set()
+        # Since when peers have carried out what this host could not, and when
+        # the newest own call began that failed.
+        self._carried_since_s = 0.0
+        self._failed_s = 0.0
         # When the store was last said not to answer.
         self._doubted_s = 0.0
-        self._blind_until_s: dict[str, float] = {}
         # When the store last answered, whichever way.
         self.answered_s = 0.0
         self.relayed = 0
@@ -119,8 +124,9 @@
         async for _ in self._timer.subscribe(lambda: _OUTAGE_PROBE_S):
             if not self._failures:
                 continue
-            answer = await self._direct.get(_keys.SCHEDULER)
-            self._note(answer)
+            answer = await self._begin(
+                lambda: self._direct.get(_keys.SCHEDULER), question
+            )
             if answer.is_error():
                 await self._relay(question)
 
@@ -129,6 +135,30 @@
         """Return whether the newest direct calls were answered."""
         return self._failures < _FAILURES_MAX
 
+    @property
+    def carrier(self) -> str:
+        """Return the address of a peer that carries out operations here.
+
+        Empty while the own way works, and where it was last tried before
+        a peer's: when an outage of the store ends, some are answered earlier.
+        """
+        is_cut = self._failed_s > self._carried_since_s > 0.0
+        if self.reaches_directly or self.silent_s > _DOWN_S or not is_cut:
+            return ''
+        return self._through.last_address
+
+    async def reaches_now(self) -> bool:
+        """Return whether the own way works, by one call."""
+        if not self.reaches_directly:
+            return False
+        question = _messages.StoreQuestion('get', _keys.SCHEDULER)
+        with anyio.move_on_after(_DOWN_S):
+            answer = await self._begin(
+                lambda: self._direct.get(_keys.SCHEDULER), question
+            )
+            return answer.is_ok()
+        return False
+
     async def get(
         self, key: str
     ) -> expression.Result[ports.StoredValue | None, errors.Failure]:
@@ -184,87 +214,107 @@
         self,
         direct: collections.abc.Callable[
             [],
-            collections.abc.Awaitable[
-                expression.Result[_AnswerT, errors.Failure]
+            collections.abc.Coroutine[
+                typing.Any,
+                typing.Any,
+                expression.Result[_AnswerT, errors.Failure],
             ],
         ],
         question: _messages.StoreQuestion,
     ) -> expression.Result[_AnswerT, errors.Failure] | _messages.StoreAnswer:
-        now_s = self._timer.now_s()
-        maybe_applied = False
-        failure: errors.Failure | None = None
-        tried = self.reaches_directly or now_s - self._tried_s > _RETRY_S
-        if tried:
-            self._tried_s = now_s
-            answer = await direct()
-            self._note(answer)
-            if answer.is_ok():
-                return answer
-            failure = answer.error
-            maybe_applied = _may_apply(failure)
-        relayed = await self._relay(question)
-        if isinstance(relayed, _messages.StoreAnswer):
-            return relayed
-        maybe_applied = maybe_applied or relayed
-        if not tried:
+        own = self._begin(direct, question) if self.reaches_directly else None
+        try:
+            if own is not None:
+                await asyncio.wait({own}, timeout=self._late_s(question))
+                if own.done() and own.result().is_ok():
+                    return own.result()
+            relayed = await self._relay(question, own)
+            if isinstance(relayed, _messages.StoreAnswer):
+                return relayed
             # No other process has a way either: the own one is the last.
-            self._tried_s = self._timer.now_s()
-            answer = await direct()
-            self._note(answer)
-            if answer.is_ok():
-                return answer
-            failure = answer.error
-            maybe_applied = maybe_applied or _may_apply(failure)
+            own = own or self._begin(direct, question)
+            answer = await own
+        except asyncio.CancelledError:
+            if own is not None:
+                own.cancel()
+            raise
+        if answer.is_ok():
+            return answer
+        failure = answer.error
         kind = errors.ErrorKind.STORE_UNAVAILABLE
-        if maybe_applied and question.operation == 'commit':
+        if question.operation == 'commit' and (relayed or _may_apply(failure)):
             kind = errors.ErrorKind.STORE_ANSWER_LOST
-        detail = failure.detail if failure else 'no way to the store'
-        return expression.Error(errors.Failure(kind, detail))
+        return expression.Error(errors.Failure(kind, failure.detail))
+
+    def _late_s(self, question: _messages.StoreQuestion) -> float | None:
+        """Return how long an own call is waited for alone."""
+        if question.operation == 'read':
+            # Pages take long on a weak link, and would on a peer's as well.
+            return None
+        usual_s = self._round_trips.usual_s
+        if usual_s is None:
+            return _FIRST_LATE_S
+        return usual_s * _LATE_FACTOR
+
+    def _begin(
+        self,
+        direct: collections.abc.Callable[
+            [],
+            collections.abc.Coroutine[
+                typing.Any,
+                typing.Any,
+                expression.Result[_AnswerT, errors.Failure],
+            ],
+        ],
+        question: _messages.StoreQuestion,
+    ) -> asyncio.Task[expression.Result[_AnswerT, errors.Failure]]:
+        """Begin an own call, which goes on also where a peer is faster."""
+        began_s = self._timer.now_s()
+
+        async def carry_out() -> expression.Result[_AnswerT, errors.Failure]:
+            answer = await direct()
+            if answer.is_ok() and question.operation != 'read':
+                self._round_trips.observe(self._timer.now_s() - began_s)
+            elif answer.is_error():
+                self._failed_s = began_s
+            self._note(answer)
+            return answer
+
+        task = asyncio.create_task(carry_out())
+        self._running.add(task)
+        task.add_done_callback(self._running.discard)
+        return task
 
     async def _relay(
-        self, question: _messages.StoreQuestion
+        self,
+        question: _messages.StoreQuestion,
+        own: asyncio.Task[typing.Any] | None = None,
     ) -> _messages.StoreAnswer | bool:
-        """Return a peer's answer, or whether a commit may have applied."""
-        maybe_applied = False
-        # How many peers gave no answer, or none that is certain, and how many
-        # have no way either.
-        silent = refused = 0
-        for member in self._members.others(self._timer.now_s()):
-            now_s = self._timer.now_s()
-            if self._blind_until_s.get(member.address, 0.0) > now_s:
-                continue
-            if self._members.is_shunned(member, now_s):
-                continue
-            if silent >= _RELAYS_MAX or refused >= _REFUSALS_MAX:
-                break
-            answer = await self._peers.ask(
-                member.address,
-                _peers.STORE_PATH,
-                question,
-                _messages.StoreAnswer,
-                _TIMEOUT_S,
-            )
-            if isinstance(answer, web.Loss):
-                self._members.shun(member.address, self._timer.now_s())
-                maybe_applied = maybe_applied or answer.maybe_sent
-                silent += 1
-            elif answer.failure_kind:
-                # The store turns that host away as well, which it says
-                # within some ms. With half of the hosts turned away, two
-                # such answers in a row are no reason to refuse a caller.
-                self._blind_until_s[member.address] = (
-                    self._timer.now_s() + _BLIND_S
+        """Return a peer's answer, or whether a commit may have applied.
+
+        An own call on its way that succeeds meanwhile ends the wait.
+        """
+        through = asyncio.create_task(self._through.ask(question))
+        waiting: set[asyncio.Task[typing.Any]] = {through}
+        if own is not None and not own.done():
+            waiting.add(own)
+        try:
+            while through in waiting:
+                done, waiting = await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
                 )
-                lost = errors.ErrorKind.STORE_ANSWER_LOST.value
-                is_lost = answer.failure_kind == lost
-                maybe_applied = maybe_applied or is_lost
-                silent += is_lost
-                refused += not is_lost
-            else:
-                self.relayed += 1
-                self.answered_s = self._timer.now_s()
-                return answer
-        return maybe_applied
+                if own in done and own.result().is_ok():
+                    return True
+        finally:
+            through.cancel()
+        answer = through.result()
+        if isinstance(answer, _messages.StoreAnswer):
+            self.relayed += 1
+            self.answered_s = self._timer.now_s()
+            self._carried_since_s = self._carried_since_s or self.answered_s
+        else:
+            self._carried_since_s = 0.0
+        return answer
 
     def _note(
         self, answer: expression.Result[typing.Any, errors.Failure]
@@ -273,6 +323,7 @@
             if self._failures >= _FAILURES_MAX:
                 _LOG.info('store.regained', failures=self._failures)
             self._failures = 0
+            self._carried_since_s = 0.0
             self.answered_s = self._timer.now_s()
             return
         self._failures += 1
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -42,6 +42,9 @@
 # A process whose configuration and store were not heard of for this long
 # has nothing to serve new connections with.
 _READY_STORE_AGE_S: typing.Final = 2.0
+# How often a scheduler asks itself whether others are better off: within a
+# few of the calls that its own way does not answer.
+_ASIDE_S: typing.Final = 0.1
 # Pause before a part that failed is run again.
 _RESTART_S: typing.Final = 0.2
 _CONNECT_TIMEOUT_S: typing.Final = 0.3
@@ -265,6 +268,7 @@
             tasks.start_soon(self._keep, self._leadership.follow)
             tasks.start_soon(self._keep, self._leadership.beat)
             tasks.start_soon(self._keep, self._store.watch_outages)
+            tasks.start_soon(self._keep, self._step_aside)
             tasks.start_soon(self._keep, self._store.calls.tell)
             await self._serve_terms()
 
@@ -286,6 +290,16 @@
                 await self._handover.release()
         await self._control.leave()
 
+    async def _step_aside(self) -> None:
+        """Hand over where only other processes reach the store."""
+        async for _ in self._timer.subscribe(lambda: _ASIDE_S):
+            carrier = self._store.carrier
+            if self._term is None or not carrier:
+                continue
+            if await self._handover.step_aside(carrier):
+                if self._term is not None:
+                    self._term.end('the store answers only through others')
+
     async def _keep(
         self,
         work: collections.abc.Callable[[], collections.abc.Awaitable[None]],
--- a/tests/walnutpoint_scheduler/test_takeover.py
+++ b/tests/walnutpoint_scheduler/test_takeover.py
@@ -219,6 +219,56 @@
 
         harness.play(scene)
 
+    def test_scheduler_without_the_store_is_followed_by_one_with_it(
+        self,
+    ) -> None:
+        """Callers notice nothing while the store turns the scheduler away.
+
+        Each of its commits takes a hop more, its watches fail, and it reads
+        all jobs and workers again and again through a peer. It asks a process
+        that reaches the store to follow it, and works on until then.
+        """
+
+        async def scene() -> None:
+            async with cell() as model:
+                await anyio.sleep(1.0)
+                before = model.scheduler()
+                changes = model.processes[before].process.figures()
+                model.processes[before].store.refused = True
+                took_s = await harness.until(
+                    lambda: model.scheduler() not in (before, None)
+                )
+                self.assertLess(took_s, 0.6)
+                gap_s = await first_start_s(model, 1)
+                self.assertLess(gap_s, 0.25)
+                await anyio.sleep(5.0)
+                after = model.processes[before].process.figures()
+                self.assertEqual(
+                    changes['scheduler_changes'] + 1,
+                    after['scheduler_changes'],
+                )
+                self.assertEqual([], model.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_scheduler_stays_where_nobody_reaches_the_store(self) -> None:
+        """An outage moves the scheduler nowhere."""
+
+        async def scene() -> None:
+            async with cell() as model:
+                await anyio.sleep(1.0)
+                before = model.store.items[_keys.SCHEDULER].revision
+                for member in model.processes.values():
+                    member.store.refused = True
+                await anyio.sleep(4.0)
+                for member in model.processes.values():
+                    member.store.refused = False
+                await anyio.sleep(1.0)
+                after = model.store.items[_keys.SCHEDULER].revision
+                self.assertEqual(before, after)
+
+        harness.play(scene)
+
     def test_isolated_scheduler_gives_up_by_itself(self) -> None:
         """No task runs twice though the old scheduler reaches a worker.
 
