--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_network.py
@@ -0,0 +1,77 @@
+"""What a process is called, and how it reaches the other processes."""
+
+from __future__ import annotations
+
+import typing
+
+from walnutpoint_core import web
+
+__all__ = (
+    'HttpNetwork',
+    'Identity',
+    'Listener',
+    'Network',
+)
+
+# Bytes of a message between processes: a reading of all jobs fits.
+_PEER_BODY_SIZE_BYTES: typing.Final = 64 * 1024 * 1024
+_CONNECT_TIMEOUT_S: typing.Final = 0.3
+_IDLE_CONNECTIONS: typing.Final = 4
+
+
+class Identity:
+    """The name and addresses of a process."""
+
+    __slots__ = ('domain', 'name', 'peer_address', 'seeds', 'strength')
+
+    def __init__(
+        self,
+        name: str,
+        peer_address: str,
+        domain: str,
+        seeds: tuple[str, ...],
+        strength: float = 1.0,
+    ) -> None:
+        self.strength = strength
+        self.name = name
+        self.peer_address = peer_address
+        self.domain = domain
+        self.seeds = seeds
+
+
+class Listener(typing.Protocol):
+    """An address that answers."""
+
+    async def start(self) -> None:
+        """Begin to answer."""
+
+
+class Network(typing.Protocol):
+    """How processes of the system reach one another."""
+
+    async def exchange(
+        self, address: str, request: web.Request, timeout_s: float
+    ) -> web.Response | web.Loss:
+        """Send a request and read its whole response."""
+
+    def server(self, address: str, handler: web.Handler) -> Listener:
+        """Return a listener that passes requests to a handler."""
+
+
+class HttpNetwork:
+    """Processes on hosts, over TCP."""
+
+    __slots__ = ('_client',)
+
+    def __init__(self) -> None:
+        self._client = web.Client(_CONNECT_TIMEOUT_S, _IDLE_CONNECTIONS)
+
+    async def exchange(
+        self, address: str, request: web.Request, timeout_s: float
+    ) -> web.Response | web.Loss:
+        """Send a request and read its whole response."""
+        return await self._client.exchange(address, request, timeout_s)
+
+    def server(self, address: str, handler: web.Handler) -> Listener:
+        """Return a listener that passes requests to a handler."""
+        return web.Server(address, handler, _PEER_BODY_SIZE_BYTES)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_desk.py
@@ -18,6 +18,7 @@
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _relay
+from walnutpoint_scheduler import _store_service
 from walnutpoint_scheduler import _term
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
@@ -174,7 +175,7 @@
             return _messages.StoreAnswer(
                 errors.ErrorKind.STORE_UNAVAILABLE.value, 'no way either'
             )
-        return await _relay.serve(self._store, question)
+        return await _store_service.serve(self._store, question)
 
 
 def _decode(body: bytes, kind: type[_QuestionT]) -> _QuestionT:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -337,31 +337,3 @@
 
 def _may_apply(failure: errors.Failure) -> bool:
     return failure.kind is errors.ErrorKind.STORE_ANSWER_LOST
-
-
-async def serve(
-    store: ports.WatchedStore, question: _messages.StoreQuestion
-) -> _messages.StoreAnswer:
-    """Carry out an operation for a process without a way of its own."""
-    if question.operation == 'get':
-        got = await store.get(question.key)
-        if got.is_ok():
-            return _messages.StoreAnswer(value=got.ok)
-        return _failed(got.error)
-    if question.operation == 'read':
-        read = await store.read(question.key)
-        if read.is_ok():
-            return _messages.StoreAnswer(snapshot=read.ok)
-        return _failed(read.error)
-    if question.batch is None:
-        return _messages.StoreAnswer(
-            errors.ErrorKind.BAD_REQUEST.value, 'no batch'
-        )
-    reply = await store.commit(question.batch)
-    if reply.is_ok():
-        return _messages.StoreAnswer(reply=reply.ok)
-    return _failed(reply.error)
-
-
-def _failed(failure: errors.Failure) -> _messages.StoreAnswer:
-    return _messages.StoreAnswer(failure.kind.value, failure.detail)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -12,13 +12,13 @@
 from walnutpoint_core import logs
 from walnutpoint_core import ports as core_ports
 from walnutpoint_core import timer
-from walnutpoint_core import web
 from walnutpoint_scheduler import _advisors
 from walnutpoint_scheduler import _control
 from walnutpoint_scheduler import _handover
 from walnutpoint_scheduler import _leadership
 from walnutpoint_scheduler import _membership
 from walnutpoint_scheduler import _messages
+from walnutpoint_scheduler import _network
 from walnutpoint_scheduler import _peer_desk
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _relay
@@ -37,8 +37,6 @@
 )
 
 _LOG: typing.Final = logs.get_logger('process')
-# Bytes of a message between processes: a reading of all jobs fits.
-_PEER_BODY_SIZE_BYTES: typing.Final = 64 * 1024 * 1024
 # A process whose configuration and store were not heard of for this long
 # has nothing to serve new connections with.
 _READY_STORE_AGE_S: typing.Final = 2.0
@@ -47,66 +45,11 @@
 _ASIDE_S: typing.Final = 0.1
 # Pause before a part that failed is run again.
 _RESTART_S: typing.Final = 0.2
-_CONNECT_TIMEOUT_S: typing.Final = 0.3
-_IDLE_CONNECTIONS: typing.Final = 4
 
-
-class Identity:
-    """The name and addresses of a process."""
-
-    __slots__ = ('domain', 'name', 'peer_address', 'seeds', 'strength')
-
-    def __init__(
-        self,
-        name: str,
-        peer_address: str,
-        domain: str,
-        seeds: tuple[str, ...],
-        strength: float = 1.0,
-    ) -> None:
-        self.strength = strength
-        self.name = name
-        self.peer_address = peer_address
-        self.domain = domain
-        self.seeds = seeds
-
-
-class Listener(typing.Protocol):
-    """An address that answers."""
-
-    async def start(self) -> None:
-        """Begin to answer."""
-
-
-class Network(typing.Protocol):
-    """How processes of the system reach one another."""
-
-    async def exchange(
-        self, address: str, request: web.Request, timeout_s: float
-    ) -> web.Response | web.Loss:
-        """Send a request and read its whole response."""
-
-    def server(self, address: str, handler: web.Handler) -> Listener:
-        """Return a listener that passes requests to a handler."""
-
-
-class HttpNetwork:
-    """Processes on hosts, over TCP."""
-
-    __slots__ = ('_client',)
-
-    def __init__(self) -> None:
-        self._client = web.Client(_CONNECT_TIMEOUT_S, _IDLE_CONNECTIONS)
-
-    async def exchange(
-        self, address: str, request: web.Request, timeout_s: float
-    ) -> web.Response | web.Loss:
-        """Send a request and read its whole response."""
-        return await self._client.exchange(address, request, timeout_s)
-
-    def server(self, address: str, handler: web.Handler) -> Listener:
-        """Return a listener that passes requests to a handler."""
-        return web.Server(address, handler, _PEER_BODY_SIZE_BYTES)
+HttpNetwork = _network.HttpNetwork
+Identity = _network.Identity
+Listener = _network.Listener
+Network = _network.Network
 
 
 class Process:
