Start copies of tasks that fall behind their step

Change: where three tasks of a step have shown their pace, that is what a task is compared with; else the declared time, as before.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -126,7 +126,8 @@
         self, run: _state.Run, task: _state.TaskProgress, now_s: float
     ) -> bool:
         """Return whether a run would be over sooner elsewhere."""
-        return _straggles(run, task, now_s) or (
+        usual_pace = self._context.pace.usual(task.step.key)
+        return _straggles(run, task, now_s, usual_pace) or (
             self._is_slow(run.worker_id, now_s)
             and _remaining.run_s(run, task, now_s)
             > task.step.step.expected_s + _MOVE_S
@@ -237,12 +238,20 @@
 
 
 def _straggles(
-    run: _state.Run, task: _state.TaskProgress, now_s: float
+    run: _state.Run,
+    task: _state.TaskProgress,
+    now_s: float,
+    usual_pace: float | None,
 ) -> bool:
-    """Return whether a run takes much longer than it should."""
+    """Return whether a run takes much longer than it should.
+
+    That is what the other tasks of its step take: declared times are off by
+    up to a factor of two, and with them alone nearly every second task of
+    such a step would be run twice.
+    """
     if run.started_s is None:
         return False
-    expected_s = task.step.step.estimate_ms / _MS
+    expected_s = task.step.step.estimate_ms / _MS / (usual_pace or 1.0)
     elapsed_s = now_s - run.started_s
     if elapsed_s < expected_s * _STRAGGLE_FACTOR + _STRAGGLE_S:
         return False
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
@@ -20,6 +20,8 @@
 _SLOW_SHARE: typing.Final = 0.4
 # A step is compared with itself from this many of its tasks on.
 _PEERS_MIN: typing.Final = 3
+# Below it nothing tells a task from one that stands still.
+_LEAST_PACE: typing.Final = 0.01
 # Estimates of so many jobs are not all off in the same way.
 _JOBS_MIN: typing.Final = 2
 # How long a worker counts as slow without a newer sign. The users' workers are
@@ -66,13 +68,21 @@
 
         The pace is 1 for a task that takes as long as it was estimated.
         """
+        usual = self.usual(step_key)
         paces = self._step_paces.pop(step_key, [])
-        has_peers = len(paces) >= _PEERS_MIN
-        usual = statistics.median(paces) if has_peers else 1.0
         self._step_paces[step_key] = [*paces, pace][-_STEP_PACES_MAX:]
         while len(self._step_paces) > _STEPS_MAX:
             del self._step_paces[next(iter(self._step_paces))]
-        return Share(job, pace / max(usual, 0.01), has_peers)
+        if usual is None:
+            return Share(job, pace, False)
+        return Share(job, pace / usual, True)
+
+    def usual(self, step_key: str) -> float | None:
+        """Return the pace of a step's tasks, or None for too few of them."""
+        paces = self._step_paces.get(step_key, ())
+        if len(paces) < _PEERS_MIN:
+            return None
+        return max(statistics.median(paces), _LEAST_PACE)
 
     def judge(
         self, worker: str, shares: typing.Sequence[Share], now_s: float
--- a/tests/walnutpoint_scheduler/test_slow_workers.py
+++ b/tests/walnutpoint_scheduler/test_slow_workers.py
@@ -36,8 +36,15 @@
 class _Scene:
     """A steady stream of lists, and when each was handed in and done."""
 
-    def __init__(self, gap_s: float, estimate_factor: float = 1.0) -> None:
+    def __init__(
+        self,
+        gap_s: float,
+        estimate_factor: float = 1.0,
+        *,
+        speculative: bool = False,
+    ) -> None:
         self._gap_s = gap_s
+        self._speculative = speculative
         self.bed = harness.Bed(WORKERS)
         self.bed.length_s = lambda _task: LENGTH_S
         self._estimate_ms = int(LENGTH_S * 1000 * estimate_factor)
@@ -67,7 +74,10 @@
         names = []
         for number in range(first, first + round(length_s / self._gap_s)):
             step = harness.step(
-                8, cpu_millicores=3600, estimate_ms=self._estimate_ms
+                8,
+                cpu_millicores=3600,
+                estimate_ms=self._estimate_ms,
+                speculative=self._speculative,
             )
             job = harness.job(number, step, accepted_ms=self.bed.now_ms())
             self._handed_in_s[job.job_id] = self.bed.timer.now_s()
@@ -139,6 +149,27 @@
                 harness.play(run)
 
 
+class CopiesTest(unittest.TestCase):
+    """Copies are for tasks that fall behind the others of their step."""
+
+    def test_declared_times_that_are_off_make_no_copies(self) -> None:
+        """Pattern: all tasks take 1.9 or 3 times as long as declared.
+
+        Each second run takes the room of somebody else's first.
+        """
+        for factor in (0.53, 0.33):
+
+            async def run(factor: float = factor) -> None:
+                scene = _Scene(GAPS_S[0], factor, speculative=True)
+                async with scene.bed.scheduling():
+                    names = await scene.stream(0, 3.0)
+                    await anyio.sleep(4.0)
+                    self.assertEqual(len(names) * 8, scene.starts)
+
+            with self.subTest(factor=factor):
+                harness.play(run)
+
+
 class WorkerPaceTest(unittest.TestCase):
     """What is taken for slow, and for how long."""
 
