--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
@@ -55,14 +55,18 @@
     was_slow = context.pace.is_slow(worker.worker_id, now_s)
     context.pace.judge(worker.worker_id, shares, now_s)
     is_slow = context.pace.is_slow(worker.worker_id, now_s)
-    if is_slow != was_slow:
-        _LOG.info(
-            'worker.slow' if is_slow else 'worker.as_usual',
-            worker=worker.worker_id,
-            paces=','.join(f'{share.pace:.2f}' for share in shares),
-            jobs=len({share.job for share in shares}),
-            token=context.token,
-        )
+    if is_slow == was_slow:
+        return
+    fields = {
+        'worker': worker.worker_id,
+        'paces': ','.join(f'{share.pace:.2f}' for share in shares),
+        'jobs': len({share.job for share in shares}),
+        'token': context.token,
+    }
+    if is_slow:
+        _LOG.info('worker.slow', **fields)
+    else:
+        _LOG.info('worker.as_usual', **fields)
 
 
 def _is_telling(run: _state.Run, now_s: float) -> bool:
