Say why a step waits without looking at all workers

Change: the scan ends at the first worker that may run the step, and is left out while an answer of advice is on its way.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -206,6 +206,14 @@
         """Return the open workers that could ever run a task of a step."""
         return [w for w in self._open if self.is_able(w, step)]
 
+    def has_able(self, step: document.Step, permitted: Permitted) -> bool:
+        """Return whether any open worker that is permitted could run it."""
+        return any(
+            (permitted is None or worker.worker_id in permitted)
+            and self.is_able(worker, step)
+            for worker in self._open
+        )
+
     def fits(
         self,
         worker: _roster.WorkerState,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_delay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_delay.py
@@ -76,16 +76,18 @@
     step: _state.StepProgress,
 ) -> Cause:
     """Return why no room could be held for a step."""
+    granted = None if queue.advice is None else advice.granted(step.key)
+    if chooser.has_able(step.step, granted):
+        return Cause.SPREAD if step.step.gang else Cause.SET_ASIDE
+    if granted is not None and not advice.may_ask(step.key):
+        # An answer is on its way, or a question is about to be put again.
+        return Cause.ADVICE
     able = chooser.able(step.step)
     if not able:
         return Cause.NO_WORKER
-    if queue.advice is not None:
-        granted = advice.granted(step.key)
-        if not any(worker.worker_id in granted for worker in able):
-            answers = (advice.permits(step.key, w.worker_id) for w in able)
-            is_open = any(answer is None for answer in answers)
-            return Cause.ADVICE if is_open else Cause.DENIED
-    return Cause.SPREAD if step.step.gang else Cause.SET_ASIDE
+    answers = (advice.permits(step.key, w.worker_id) for w in able)
+    is_open = any(answer is None for answer in answers)
+    return Cause.ADVICE if is_open else Cause.DENIED
 
 
 def tell(
