--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -20,19 +20,16 @@
 _EARLY_S: typing.Final = 0.4
 # Waiting steps that renew their tickets before there is room for them.
 _REFRESH_STEPS_MAX: typing.Final = 10
-
 # Questions about a gang that are put at a time, through as many hosts. All of
 # its tickets must be valid at one moment, and each lives for 2 to 2.5 s: with
 # one question of 1.4 s after the other, two are the most that can be. Four
 # are enough for 128 members with one in three workers granted.
 _GANG_QUESTIONS_MAX: typing.Final = 4
-
-# Between two thoughts about a step that lacks no advice: each is a look at all
-# workers, 0.5 ms with 270 of them, and a hundred steps may wait. Tickets are
-# renewed _EARLY_S before they are needed.
+# How long a step that lacks no advice is left alone: each look at it goes over
+# all workers, 0.5 ms with 270 of them, and a hundred steps may wait. Tickets
+# are renewed _EARLY_S before they are needed, so that none lapses meanwhile.
 _QUIET_S: typing.Final = 0.2
 _URGENT_QUIET_S: typing.Final = 0.05
-
 # Two questions about the least number of workers, some 0.7 s each in the
 # slowest queue: a step that still waits then has too few granted workers.
 _STARVED_S: typing.Final = 1.5
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -39,6 +39,12 @@
 # The same before the first answer: longer than a call to a slow store.
 _FIRST_LATE_S: typing.Final = 0.35
 _AnswerT = typing.TypeVar('_AnswerT')
+_Call = collections.abc.Callable[
+    [],
+    collections.abc.Coroutine[
+        typing.Any, typing.Any, expression.Result[_AnswerT, errors.Failure]
+    ],
+]
 
 
 class RelayedStore:
@@ -47,8 +53,9 @@
     The platform may turn away single hosts for seconds while it serves the
     others, or a host may be cut off from it. Repeating a commit another way is
     safe: its guards let it take effect once, and who commits compares what it
-    finds. While the own way fails, only watch_outages() tries it: a host of
-    hundred takes a job in some two seconds, and each would wait for a timeout.
+    finds. While the own way fails, only watch_outages() tries it: one of a
+    hundred hosts takes a job in some two seconds, and each such job would wait
+    for a timeout.
     """
 
     __slots__ = (
@@ -211,14 +218,7 @@
 
     async def _carry_out(
         self,
-        direct: collections.abc.Callable[
-            [],
-            collections.abc.Coroutine[
-                typing.Any,
-                typing.Any,
-                expression.Result[_AnswerT, errors.Failure],
-            ],
-        ],
+        direct: _Call[_AnswerT],
         question: _messages.StoreQuestion,
     ) -> expression.Result[_AnswerT, errors.Failure] | _messages.StoreAnswer:
         own = self._begin(direct, question) if self.reaches_directly else None
@@ -257,14 +257,7 @@
 
     def _begin(
         self,
-        direct: collections.abc.Callable[
-            [],
-            collections.abc.Coroutine[
-                typing.Any,
-                typing.Any,
-                expression.Result[_AnswerT, errors.Failure],
-            ],
-        ],
+        direct: _Call[_AnswerT],
         question: _messages.StoreQuestion,
     ) -> asyncio.Task[expression.Result[_AnswerT, errors.Failure]]:
         """Begin an own call, which goes on also where a peer is faster."""
