--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
@@ -37,7 +37,7 @@
 # some 0.3 s of each other, and the first of them schedules at once.
 _REFUSED_S: typing.Final = 0.25
 # Hosts that may refuse a question before its step is told: with four in five
-# of them away, one step in twenty finds none.
+# of them away, one step in fifteen finds none (worked out).
 _REFUSALS_MAX: typing.Final = 12
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -89,9 +89,9 @@
         self, row: _order.Waiting, tasks_max: int | None = None
     ) -> None:
         if self._awaits_advice(row):
-            # Nothing is to be placed, held or asked for yet. Half of all
-            # waiting steps are such, and a look at all workers for each took
-            # a quarter of the passes at 460 starts a second.
+            # Nothing is to be placed, held or asked for yet. A look at all
+            # workers for each took a quarter of the profiled time at 460
+            # starts a second.
             waiting = len(row.step.waiting())
             _delay.tell(row.step, row.queue, _delay.Cause.ADVICE, waiting)
             return
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -26,7 +26,7 @@
 # are enough for 128 members with one in three workers granted.
 _GANG_QUESTIONS_MAX: typing.Final = 4
 # How long a step that lacks no advice is left alone: each look at it goes over
-# all workers, 0.5 ms with 270 of them, and a hundred steps may wait. Tickets
+# all workers, and a hundred steps may wait. Tickets
 # are renewed _EARLY_S before they are needed, so that none lapses meanwhile.
 _QUIET_S: typing.Final = 0.2
 _URGENT_QUIET_S: typing.Final = 0.05
