Close a silent peer's channels also when their tasks have not begun

Cause: Link.finish cancelled the tasks that retire old channels. A task that is cancelled before its first step runs none of its code, its finally neither, so the channel of a peer that fell silent in that very step stayed open and its caller waited for the deadline. Ruled out: a slow machine (the call waits for 21 s, not for 2.x s). Test: the heartbeat fails and the link is finished in one step of the loop; TimeoutError before, passes now. Change: finish closes the channels itself.

--- a/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_link.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_link.py
@@ -91,7 +91,7 @@
         self._observer = observer
         self._heard = False
         self._refusals = 0
-        self._retired: set[asyncio.Task[None]] = set()
+        self._retired: dict[asyncio.Task[None], grpc.aio.Channel] = {}
         self._dial()
 
     @property
@@ -118,9 +118,14 @@
                 self._replace()
                 await asyncio.gather(*self._retired)
         finally:
-            for task in self._retired:
+            # A task that is cancelled before its first step runs none of its
+            # code: the channels are closed here, or a caller would wait for
+            # its deadline where the peer fell silent in this very step.
+            retired = dict(self._retired)
+            for task in retired:
                 task.cancel()
-            await self._channel.close()
+            for channel in (self._channel, *retired.values()):
+                await channel.close()
 
     async def place(
         self, request: model.Request
@@ -213,8 +218,11 @@
         channel, calls = self._channel, self._calls
         self._dial()
         task = asyncio.ensure_future(self._retire(channel, calls))
-        self._retired.add(task)
-        task.add_done_callback(self._retired.discard)
+        self._retired[task] = channel
+        task.add_done_callback(self._forget)
+
+    def _forget(self, task: asyncio.Task[None]) -> None:
+        self._retired.pop(task, None)
 
     async def _retire(
         self,
--- a/tests/walnutpoint_entry/peers/test_link.py
+++ b/tests/walnutpoint_entry/peers/test_link.py
@@ -147,3 +147,26 @@
         async with asyncio.timeout(2.0):
             result = await call
         self.assertIs(errors.ErrorKind.PEER_ANSWER_LOST, result.error.kind)
+
+    async def test_call_at_a_peer_that_falls_silent_as_it_leaves(self) -> None:
+        """A caller is told unknown when silence and the new table coincide.
+
+        A heartbeat fails; in the same step of the loop the next table
+        removes the peer. The old channel's closing task hasn't begun by
+        then: cancelled, it would leave the caller waiting for its deadline.
+        """
+        call = self._place()
+        await self._peer.called.wait()
+        self._beats.cancel()
+        self._peer.silent.set()
+        await self._link.run(_one_tick(self._timer))
+        await self._link.finish()
+        async with asyncio.timeout(2.0):
+            result = await call
+        self.assertIs(errors.ErrorKind.PEER_ANSWER_LOST, result.error.kind)
+
+
+async def _one_tick(
+    timer: timers.Timer,
+) -> collections.abc.AsyncIterator[float]:
+    yield timer.now_s()
