--- a/tests/walnutpoint_platform/test_processes.py
+++ b/tests/walnutpoint_platform/test_processes.py
@@ -105,6 +105,28 @@
         self._wait_done(self._submit(1, 2))
         self.assertEqual('410', self.site.state(0, job_id))
 
+    def test_loss_of_segments_is_no_reason_to_take_over(self) -> None:
+        """Callers are answered, and one process schedules all the while.
+
+        Every way to the store loses a tenth of its segments in both
+        directions, so that calls take 0.2 s, 0.6 s or longer now and then.
+        A dead scheduler would show otherwise: its process answers here.
+        """
+        self._submit(1, 2)
+        scheduler = self.site.scheduler()
+        for number in range(self.site.count):
+            self.site.break_link(number, 'lossy')
+        ids = self._submit(10, 60)
+        self._wait_done(ids)
+        won = [
+            line
+            for number in range(self.site.count)
+            for line in self.site.log(number).splitlines()
+            if 'event=scheduler.won' in line
+        ]
+        self.assertEqual(1, len(won), won)
+        self.assertEqual(scheduler, self.site.scheduler())
+
     def test_planned_stop_hands_over(self) -> None:
         """Callers notice nothing of a planned stop; it ends with 0."""
         ids = self._submit(1, 4)
