Hold lost jobs against the work that they turned out to be

The objective counts by the runs now, where they are longer and not more than twice what is usual in their step; half of the hosts must be in trouble before a time counts as out of anybody's reach (restarts before the first job counted as such); a step that no worker may run is out of reach; the four worst windows are told with what was possible in them.

--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_availability.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_availability.py
@@ -88,8 +88,9 @@
     """Return when nobody could serve; lines are in the order of time.
 
     A host is in trouble from its last answer of the store to the next one,
-    and from its last line to its next start. Such a time counts where no
-    write of any host was stored for a second or more.
+    and from its last line to its next start. Such a time counts while half of
+    all hosts or more are in trouble, and no write of any of them was stored
+    for a second or more.
     """
     hosts: dict[str, _Host] = {}
     proofs: list[float] = []
@@ -101,7 +102,7 @@
         return Availability(())
     for host in hosts.values():
         host.close(lines[-1].time_s)
-    troubles = _merge(span for host in hosts.values() for span in host.spans)
+    troubles = _widespread([_merge(host.spans) for host in hosts.values()])
     ends_s = [*proofs[1:], max(proofs[-1], lines[-1].time_s)]
     gaps = [
         Span(begin_s, end_s)
@@ -123,6 +124,29 @@
     return merged
 
 
+def _widespread(
+    by_host: collections.abc.Sequence[collections.abc.Sequence[Span]],
+) -> list[Span]:
+    """Return when half of the hosts or more are in trouble."""
+    changes = sorted(
+        change
+        for spans in by_host
+        for span in spans
+        for change in ((span.begin_s, 1), (span.end_s, -1))
+    )
+    found: list[Span] = []
+    count = 0
+    begin_s: float | None = None
+    for time_s, change in changes:
+        count += change
+        if count * 2 >= len(by_host):
+            begin_s = time_s if begin_s is None else begin_s
+        elif begin_s is not None:
+            found.append(Span(begin_s, time_s))
+            begin_s = None
+    return found
+
+
 def _common(
     troubles: collections.abc.Sequence[Span],
     gaps: collections.abc.Sequence[Span],
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_command_losses.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_command_losses.py
@@ -16,6 +16,8 @@
 
 # Of the plot's time axis.
 _BIN_S: typing.Final = 1.0
+# Windows that are told.
+_WORST: typing.Final = 4
 _WORDS: typing.Final = {
     _losses.Grade.IN_TIME: 'in time',
     _losses.Grade.LATE: 'late',
@@ -62,6 +64,15 @@
             [round(span.begin_s, 3), round(span.end_s, 3)]
             for span in found.away
         ],
+        'worst': [
+            {
+                'begin_s': window.begin_s,
+                'jobs': window.jobs,
+                'worth': round(window.got, 3),
+                'possible': round(window.possible, 3),
+            }
+            for window in _losses.worst_windows(found, _WORST)
+        ],
         'losses': [
             {
                 'job': loss.job_id,
@@ -96,6 +107,13 @@
             f'to {span.end_s:.1f} s',
             file=output,
         )
+    for window in _losses.worst_windows(found, _WORST):
+        print(
+            f'asked for from {window.begin_s:.0f} s on, for 2 s: '
+            f'{window.jobs} jobs, worth {window.got:.2f}, '
+            f'possible {window.possible:.2f}',
+            file=output,
+        )
     out_of_reach = [loss for loss in found.losses if loss.possible <= loss.got]
     print(f'out of reach: {len(out_of_reach)}', file=output)
     in_reach = [loss for loss in found.losses if loss.possible > loss.got]
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_losses.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_losses.py
@@ -6,6 +6,8 @@
 import collections.abc
 import dataclasses
 import enum
+import math
+import statistics
 import typing
 
 from walnutpoint_cli import _availability
@@ -16,13 +18,24 @@
     'Loss',
     'Losses',
     'Place',
+    'Window',
     'account',
+    'worst_windows',
 )
 
 # A job that is shown within this many times its objective still counts.
 _LATE_FACTOR: typing.Final = 3.0
+# A run that takes longer than this many times what is usual in its step was
+# held up; the tasks of a step differ by half.
+_BEHIND_FACTOR: typing.Final = 2.0
 _SERVED: typing.Final = frozenset({'done', 'failed'})
 _UNTOLD: typing.Final = 'scheduler'
+# The cause of a step that no worker may run.
+_DENIED: typing.Final = 'denied'
+# What a late job is worth of one in time, for comparing seconds.
+_LATE_WORTH: typing.Final = 0.2
+# Of the windows that are compared, in seconds.
+_WINDOW_S: typing.Final = 2.0
 
 
 class Grade(enum.IntEnum):
@@ -40,7 +53,7 @@
     TAKING_IN = 'stored late'
     PLACING = 'placed late'
     AGAIN = 'run again'
-    RUNNING = 'ran longer than declared'
+    RUNNING = 'ran on slow workers'
     SHOWING = 'shown late'
 
 
@@ -59,6 +72,16 @@
     cause: str
 
 
+class Window(typing.NamedTuple):
+    """The jobs that were asked for in some seconds."""
+
+    begin_s: float
+    jobs: int
+    # Shares of what was asked for: what callers got, and what they could have.
+    got: float
+    possible: float
+
+
 class Losses(typing.NamedTuple):
     """All jobs with an objective, by when they were asked for."""
 
@@ -75,8 +98,17 @@
     """The times of one step's runs."""
 
     waited_s: float = 0.0
-    ran_s: float = 0.0
     lost_s: float = 0.0
+    # Of each run that ended as done.
+    done_s: list[float] = dataclasses.field(default_factory=list)
+
+    @property
+    def ran_s(self) -> float:
+        """Return the longest run that is not far behind its neighbours."""
+        if not self.done_s:
+            return 0.0
+        usual_s = statistics.median(self.done_s)
+        return min(max(self.done_s), _BEHIND_FACTOR * usual_s)
 
 
 class _Job:
@@ -86,7 +118,9 @@
         self.asked_s = asked_s
         self.queue = ''
         self.chain_s = 0.0
-        self.objective_s: float | None = None
+        # Of the chain, and beside it; None where no objective is known.
+        self._stretch: float | None = None
+        self._allowance_s = 0.0
         # Until when its caller waits, as far as it was told.
         self.gone_s = asked_s
         self.accepted_s: float | None = None
@@ -98,6 +132,7 @@
         self.causes_s: collections.Counter[str] = collections.Counter()
         self._waiting: dict[str, tuple[float, str]] = {}
         self._placed_s: dict[str, float] = {}
+        self._first_s = math.inf
 
     def ask(self, line: _course.Line) -> None:
         """Take an answer to the caller."""
@@ -109,8 +144,9 @@
         left_s = _number(fields.get('left_s'))
         self.gone_s = max(self.gone_s, line.time_s + left_s)
         self.chain_s = _number(fields.get('chain_s'))
-        if fields.get('objective_s', '-') != '-':
-            self.objective_s = _number(fields['objective_s'])
+        if fields.get('stretch', '-') != '-':
+            self._stretch = _number(fields['stretch'])
+            self._allowance_s = _number(fields.get('allowance_s'))
         if line.event != 'job.refused' and self.accepted_s is None:
             self.accepted_s = line.time_s
 
@@ -127,6 +163,7 @@
         step = run.rpartition('.')[0]
         self._close(step, line.time_s)
         self._placed_s[run] = line.time_s
+        self._first_s = min(self._first_s, line.time_s)
         row = self.steps[step]
         row.waited_s = max(row.waited_s, _number(line.fields.get('waited_s')))
 
@@ -140,15 +177,36 @@
         row = self.steps[run.rpartition('.')[0]]
         ran_s = line.time_s - began_s
         if line.fields.get('how') == 'done':
-            row.ran_s = max(row.ran_s, ran_s)
+            row.done_s.append(ran_s)
         else:
             row.lost_s = max(row.lost_s, ran_s)
 
+    @property
+    def _cause(self) -> str:
+        """Return what a step still waits for, or nothing."""
+        return next((cause for _, cause in self._waiting.values()), '')
+
     def _close(self, step: str, now_s: float) -> None:
         waiting = self._waiting.pop(step, None)
         if waiting is not None:
             self.causes_s[waiting[1]] += now_s - waiting[0]
 
+    @property
+    def work_s(self) -> float:
+        """Return the longest chain, by its runs where they took longer."""
+        ran_s = sum(step.ran_s for step in self.steps.values())
+        if self.ended_s is not None:
+            # Steps beside one another are no chain.
+            ran_s = min(ran_s, self.ended_s - self._first_s)
+        return max(self.chain_s, ran_s)
+
+    @property
+    def objective_s(self) -> float | None:
+        """Return the time that is aimed at, if there is one."""
+        if self._stretch is None:
+            return None
+        return self.work_s * self._stretch + self._allowance_s
+
     def grade(self, shown_s: float | None) -> Grade:
         """Return what an end shown at a time is to the caller."""
         if shown_s is None or self.objective_s is None:
@@ -167,24 +225,28 @@
 
     def possible(self, away: _availability.Availability) -> Grade:
         """Return the most that anybody could have given."""
+        if self.final_s is None and self._cause == _DENIED:
+            return Grade.NOTHING
         stored_s = away.next_s(self.asked_s)
         if stored_s > self.gone_s and self.accepted_s is None:
             return Grade.NOTHING
-        return self.grade(away.next_s(stored_s + self.chain_s))
+        return self.grade(away.next_s(stored_s + self.work_s))
 
     def place_of_loss(self, end_s: float) -> tuple[Place, str]:
         """Return where most of the time went, and the cause if it waited."""
         if self.accepted_s is None:
             return Place.REFUSED, ''
+        if self.final_s is None and self._cause:
+            return Place.PLACING, self._cause
         steps = self.steps.values()
         open_s = end_s if self.final_s is None else self.final_s
         ended_s = open_s if self.ended_s is None else self.ended_s
-        ran_s = sum(step.ran_s for step in steps)
+        longest_s = sum(max(step.done_s, default=0.0) for step in steps)
         times_s = {
             Place.TAKING_IN: self.accepted_s - self.asked_s,
             Place.PLACING: sum(step.waited_s for step in steps),
             Place.AGAIN: sum(step.lost_s for step in steps),
-            Place.RUNNING: max(0.0, ran_s - self.chain_s),
+            Place.RUNNING: max(0.0, longest_s - self.work_s),
             Place.SHOWING: open_s - ended_s,
         }
         place = max(times_s, key=lambda name: times_s[name])
@@ -235,9 +297,10 @@
 def account(lines: collections.abc.Iterable[_course.Line]) -> Losses:
     """Return what callers got, and what was lost where.
 
-    What was possible is a bound: of a job, only its longest chain of declared
-    times counts, started as soon as anybody could store it and shown as soon
-    as anybody could; neither room nor advice nor killed schedulers do.
+    What was possible is a bound: of a job, only its longest chain counts,
+    by declared times or those of its runs where they are longer, started as
+    soon as anybody could store it and shown as soon as anybody could; neither
+    room nor advice nor killed schedulers do.
     """
     ordered = sorted(lines, key=lambda line: line.time_s)
     if not ordered:
@@ -283,6 +346,39 @@
     )
 
 
+def worst_windows(found: Losses, count: int) -> list[Window]:
+    """Return the windows in which callers got least, the worst first."""
+    jobs: collections.Counter[int] = collections.Counter()
+    got: collections.defaultdict[int, float] = _none_yet()
+    reach: collections.defaultdict[int, float] = _none_yet()
+    for asked_s, grade in found.grades:
+        number = int(asked_s // _WINDOW_S)
+        jobs[number] += 1
+        got[number] += _worth(grade)
+        reach[number] += _worth(grade)
+    for loss in found.losses:
+        number = int(loss.asked_s // _WINDOW_S)
+        reach[number] += _worth(loss.possible) - _worth(loss.got)
+    windows = [
+        Window(
+            number * _WINDOW_S,
+            jobs[number],
+            got[number] / jobs[number],
+            reach[number] / jobs[number],
+        )
+        for number in jobs
+    ]
+    return sorted(windows, key=lambda window: window.got)[:count]
+
+
+def _none_yet() -> collections.defaultdict[int, float]:
+    return collections.defaultdict(float)
+
+
+def _worth(grade: Grade) -> float:
+    return {Grade.IN_TIME: 1.0, Grade.LATE: _LATE_WORTH}.get(grade, 0.0)
+
+
 def _is_open(job: _Job, end_s: float) -> bool:
     """Return whether a job may still come in time after the last line."""
     if job.final_s is not None or job.objective_s is None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -83,15 +83,14 @@
         return any(step.lasting for step in self.steps)
 
     @property
-    def objective_s(self) -> float | None:
-        """Return the time from handing in to being done that is aimed at.
+    def objective(self) -> cell.Queue | None:
+        """Return the queue whose objective the job has, from its first call.
 
         None for a job that lasts, is due later, or whose queue is unknown.
         """
-        queue = self.accepted_by
-        if queue is None or self.lasting or self.occurrence_count:
+        if self.lasting or self.occurrence_count:
             return None
-        return chain_s(self.steps) * queue.stretch + queue.allowance_s
+        return self.accepted_by
 
     def due_ms(self, occurrence: int) -> int:
         """Return the time of day at which an occurrence is due."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -66,15 +66,15 @@
 
     def fields(self, now_s: float) -> dict[str, object]:
         """Return the inputs of what is decided now about the call."""
-        job = self.job
-        aim_s = job.objective_s
+        job, aim = self.job, self.job.objective
         return {
             'job': job.job_id,
             'queue': job.queue,
             'held_s': round(now_s - self._began_s, 3),
             'left_s': round(self._deadline_s - now_s, 3),
             'chain_s': round(document.chain_s(job.steps), 3),
-            'objective_s': '-' if aim_s is None else round(aim_s, 3),
+            'stretch': '-' if aim is None else aim.stretch,
+            'allowance_s': '-' if aim is None else aim.allowance_s,
         }
 
 
