--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_losses.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_losses.py
@@ -32,6 +32,8 @@
 _UNTOLD: typing.Final = 'scheduler'
 # The cause of a step that no worker may run.
 _DENIED: typing.Final = 'denied'
+# The attempt whose wait began when its step became ready.
+_FIRST: typing.Final = '#1'
 # What a late job is worth of one in time, for comparing seconds.
 _LATE_WORTH: typing.Final = 0.2
 # Of the windows that are compared, in seconds.
@@ -164,11 +166,13 @@
         self._close(step, line.time_s)
         self._placed_s[run] = line.time_s
         self._first_s = min(self._first_s, line.time_s)
-        row = self.steps[step]
-        row.waited_s = max(row.waited_s, _number(line.fields.get('waited_s')))
+        if run.endswith(_FIRST):
+            row = self.steps[step]
+            waited_s = _number(line.fields.get('waited_s'))
+            row.waited_s = max(row.waited_s, waited_s)
 
     def end(self, line: _course.Line) -> None:
-        """Take the end of a run."""
+        """Take the end of a run, or that it is over without one."""
         run = line.fields.get('run', '')
         began_s = self._placed_s.pop(run, None)
         if began_s is None:
@@ -285,7 +289,7 @@
                 job.wait(line)
             case 'run.placed':
                 job.place(line)
-            case 'run.ended':
+            case 'run.ended' | 'run.withdrawn':
                 job.end(line)
             case 'job.cancel_stored':
                 job.is_cancelled = True
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
@@ -94,6 +94,7 @@
             'step.waits': self._waits,
             'run.placed': self._placed,
             'run.ended': self._ended,
+            'job.concluded': self._concluded,
             'store.calls': self._called,
         }
 
@@ -142,6 +143,14 @@
             reason = line.fields.get('how', '')
         self.found.queue(queue).lost_s[reason] += line.time_s - began_s
 
+    def _concluded(self, line: _course.Line) -> None:
+        """Count no more waits of a job that is over."""
+        job_id = line.fields.get('job', '')
+        for step in list(self._steps):
+            if step.partition('.')[0] == job_id:
+                self._close(step, line.time_s)
+                self._began_s.pop(step, None)
+
     def _called(self, line: _course.Line) -> None:
         for part in line.fields.get('counts', '').split(','):
             purpose, _, count = part.rpartition('=')
--- a/tests/walnutpoint_cli/test_losses.py
+++ b/tests/walnutpoint_cli/test_losses.py
@@ -163,6 +163,21 @@
         )
         self.assertEqual((), found.losses)
 
+    def test_run_that_was_lost_with_its_worker(self) -> None:
+        """Started at once, lost after 2 s and then placed with a wait."""
+        run = 'run=aa.0.0.0'
+        loss = self._only(
+            [
+                _asked(2.0, 'aa'),
+                _at(2.1, 'b', 'run.placed', f'{run}#1 waited_s=0.1'),
+                _at(4.1, 'b', 'run.withdrawn', f'{run}#1 reason=x'),
+                _at(4.2, 'b', 'run.placed', f'{run}#2 waited_s=2.2'),
+                _at(5.2, 'b', 'run.ended', f'{run}#2 how=done'),
+                _at(5.3, 'b', 'job.final', 'job=aa state=done'),
+            ]
+        )
+        self.assertEqual(_losses.Place.AGAIN, loss.place)
+
     def test_run_on_a_slow_worker(self) -> None:
         """One of five runs takes four times as long as the others."""
         placed = [
--- a/tests/walnutpoint_cli/test_waits.py
+++ b/tests/walnutpoint_cli/test_waits.py
@@ -67,6 +67,16 @@
             {'commit:walnutpoint/run': 12, 'watch:b': 3}, found['store_calls']
         )
 
+    def test_steps_of_a_job_that_is_over_wait_no_more(self) -> None:
+        """A task failed for the last time while another waited."""
+        over = LINES + (
+            'timestamp=2026-01-01T10:00:04.600000Z level=info '
+            'event=job.concluded part=ends job=aa queue=maps state=failed '
+            'after_ms=4600\n'
+        )
+        found = json.loads(self._execute(over, _options.Output.JSON))
+        self.assertEqual(1.0, found['queues']['maps']['waits_s']['denied'])
+
     def test_lines_that_are_cut_are_counted(self) -> None:
         text = self._execute(LINES, _options.Output.TEXT)
         self.assertIn('1 lines passed over', text)
