Hold calls for a short time near the end of an outage

Ruled out: detection of the end (hosts accept 0.1 s after it); a shorter Retry-After (callers told 1 s and 2 s both come back after 1.05 s). Change: once an outage is 3 s old, calls are held for a quarter of what their job aims at, 1 s at most and half of the caller's time, 64 a host. Young outages are refused at once as before (test unchanged). Tests: a job handed in 0.2 s before the end is stored within 0.15 s of it (refused before); one at 0.6 s is refused after 0.29 s and never runs; a caller with little time keeps half of it.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_outages.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_outages.py
@@ -6,7 +6,10 @@
 
 from walnutpoint_core import errors
 
-__all__ = ('failure',)
+__all__ = (
+    'failure',
+    'is_young',
+)
 
 # When to come back in an outage, which lasts some 2 to 5 s and is over within
 # a second where it has lasted long. Callers come back after about half of
@@ -17,11 +20,15 @@
 _RETRY_OLD_S: typing.Final = 1.0
 
 
+def is_young(silent_s: float) -> bool:
+    """Return whether the end of an outage is not near yet, by its age."""
+    return silent_s < _YOUNG_OUTAGE_S
+
+
 def failure(silent_s: float) -> errors.Failure:
     """Return the failure of a call, given how long the store is silent."""
-    young = silent_s < _YOUNG_OUTAGE_S
     return errors.Failure(
         errors.ErrorKind.STORE_UNAVAILABLE,
         f'the store is silent for {silent_s:.1f} s',
-        _RETRY_YOUNG_S if young else _RETRY_OLD_S,
+        _RETRY_YOUNG_S if is_young(silent_s) else _RETRY_OLD_S,
     )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -64,6 +64,7 @@
         '_doubted_s',
         '_failed_s',
         '_failures',
+        '_returned',
         '_round_trips',
         '_running',
         '_through',
@@ -93,6 +94,8 @@
         self._failed_s = 0.0
         # When the store was last said not to answer.
         self._doubted_s = 0.0
+        # Set at each answer, and then replaced.
+        self._returned = asyncio.Event()
         # When the store last answered, whichever way.
         self.answered_s = 0.0
         self.relayed = 0
@@ -121,6 +124,14 @@
         answer = await self.get(_keys.SCHEDULER)
         return answer.is_ok()
 
+    async def comes_back(self, within_s: float) -> bool:
+        """Return whether the store answers within a time, and once it does."""
+        with anyio.move_on_after(within_s):
+            while self.is_down:
+                await self._returned.wait()
+            return True
+        return False
+
     async def watch_outages(self) -> None:
         """Ask again and again while the store does not answer.
 
@@ -302,7 +313,7 @@
         answer = through.result()
         if isinstance(answer, _messages.StoreAnswer):
             self.relayed += 1
-            self.answered_s = self._timer.now_s()
+            self._note_answer()
             self._carried_since_s = self._carried_since_s or self.answered_s
         else:
             self._carried_since_s = 0.0
@@ -316,7 +327,7 @@
                 _LOG.info('store.regained', failures=self._failures)
             self._failures = 0
             self._carried_since_s = 0.0
-            self.answered_s = self._timer.now_s()
+            self._note_answer()
             return
         self._failures += 1
         if self._failures == _FAILURES_MAX:
@@ -327,6 +338,11 @@
                 detail=answer.error.detail,
             )
 
+    def _note_answer(self) -> None:
+        self.answered_s = self._timer.now_s()
+        self._returned.set()
+        self._returned = asyncio.Event()
+
 
 def _may_apply(failure: errors.Failure) -> bool:
     return failure.kind is errors.ErrorKind.STORE_ANSWER_LOST
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -43,6 +43,17 @@
 _TOO_LARGE: typing.Final = errors.ErrorKind.TOO_LARGE
 _RETRY_S: typing.Final = 0.05
 _PEER_TIMEOUT_S: typing.Final = 0.4
+# How long a call is held in an outage before it is refused: a quarter of what
+# its job aims at, so that most of that is left to the caller, who knows best
+# whether to try once more; 0.5 s are that of the shortest jobs, of 2 s.
+_HELD_SHARE: typing.Final = 0.25
+_HELD_UNKNOWN_S: typing.Final = 0.5
+_HELD_MAX_S: typing.Final = 1.0
+# Of the caller's remaining time at most this share.
+_HELD_LEFT_SHARE: typing.Final = 0.5
+# Calls held at a time: five times what a host gets in a second at the peak of
+# large fleets, and some 0.1 MB.
+_HELD_MAX: typing.Final = 64
 
 
 class Taken(enum.Enum):
@@ -64,6 +75,16 @@
         self._began_s = began_s
         self._deadline_s = deadline_s
 
+    def patience_s(self, now_s: float) -> float:
+        """Return how long the call may wait for the store to come back."""
+        aim = self.job.objective
+        wait_s = _HELD_UNKNOWN_S
+        if aim is not None:
+            chain_s = document.chain_s(self.job.steps)
+            objective_s = chain_s * aim.stretch + aim.allowance_s
+            wait_s = min(_HELD_SHARE * objective_s, _HELD_MAX_S)
+        return min(wait_s, (self._deadline_s - now_s) * _HELD_LEFT_SHARE)
+
     def fields(self, now_s: float) -> dict[str, object]:
         """Return the inputs of what is decided now about the call."""
         job, aim = self.job, self.job.objective
@@ -82,6 +103,7 @@
     """Stores jobs and cancels, and says what is certain of them."""
 
     __slots__ = (
+        '_held',
         '_leadership',
         '_peers',
         '_rooms',
@@ -108,6 +130,8 @@
         self._term = term
         # Telling the scheduler must not hold up the answer: it may be paused.
         self._spawn = spawn
+        # How many calls wait for the store to come back.
+        self._held = 0
         # Every capacity that was ever seen, by pool: a worker that is away
         # for a while makes no job hopeless.
         self._rooms: dict[str, set[amount.Amount]] = {}
@@ -154,7 +178,7 @@
             (ports.Guard(key, 0),),
             (ports.Put(key, document.encode_job(job)),),
         )
-        if not await self._store.is_certain():
+        if not await self._is_reachable(call):
             return self._refuse(call, self._outage())
         left_s = deadline_s - _ANSWER_S - self._timer.now_s()
         reply: ports.CommitReply | None = None
@@ -167,6 +191,26 @@
             return self._refuse(call, errors.Failure(lost))
         return await self._conclude(call, reply)
 
+    async def _is_reachable(self, call: _Call) -> bool:
+        """Return whether the store answers, now or within a short time.
+
+        While no host reaches the store, nobody else could take the job. In
+        an outage whose end is near, a caller that is refused comes back after
+        a third of the time that it has left, some 1 s, which urgent jobs don't
+        have to spare.
+        """
+        if await self._store.is_certain():
+            return True
+        if _outages.is_young(self._store.silent_s) or self._held >= _HELD_MAX:
+            return False
+        self._held += 1
+        try:
+            return await self._store.comes_back(
+                call.patience_s(self._timer.now_s())
+            )
+        finally:
+            self._held -= 1
+
     async def _store_job(self, batch: ports.Batch) -> ports.CommitReply | None:
         """Return what a write came to, or None if it was certainly not done.
 
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -107,6 +107,53 @@
 
         harness.play(scene)
 
+    def _asked_before_the_end(self, early_s: float, wait_s: float) -> float:
+        """Return how long after an outage's end a job is stored, or inf."""
+        stored_s: list[float] = []
+
+        async def scene() -> None:
+            desk = Desk()
+            loop = asyncio.get_running_loop()
+            await desk.submit(1)
+            desk.store.fault = store.StoreFault.REFUSES
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(desk.relayed.watch_outages)
+                await desk.submit(2)
+                await anyio.sleep(3.0)
+                end_s = loop.time() + early_s
+
+                async def mend() -> None:
+                    await anyio.sleep(early_s)
+                    desk.store.fault = store.StoreFault.NONE
+
+                tasks.start_soon(mend)
+                answer = await desk.submit(3, wait_s)
+                if answer.is_ok():
+                    stored_s.append(loop.time() - end_s)
+                else:
+                    key = _keys.job_key(harness.job(3).job_id)
+                    await anyio.sleep(20)
+                    self.assertNotIn(key, desk.store.items)
+                tasks.cancel_scope.cancel()
+
+        harness.play(scene)
+        return stored_s[0] if stored_s else float('inf')
+
+    def test_call_at_the_end_of_an_outage_is_held(self) -> None:
+        """A job is in time that is handed in 0.2 s before an outage ends.
+
+        All hosts lost the store. Refused, the caller would come back after
+        a second, and its job, with 0.55 s to spare, would be late.
+        """
+        self.assertLess(self._asked_before_the_end(0.2, 3.0), 0.15)
+
+    def test_call_is_held_for_a_quarter_of_what_its_job_aims_at(self) -> None:
+        """A caller is refused after 0.29 s, and its job never runs."""
+        self.assertEqual(float('inf'), self._asked_before_the_end(0.6, 3.0))
+
+    def test_caller_with_little_time_keeps_half_of_it(self) -> None:
+        self.assertEqual(float('inf'), self._asked_before_the_end(0.2, 0.3))
+
     def test_lost_answer_is_resolved_before_anything_is_said(self) -> None:
         """The caller hears that its job was accepted.
 
