--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -22,6 +22,7 @@
 from walnutpoint_scheduler import _pulse
 from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import _suspicion
+from walnutpoint_scheduler import _witnesses
 from walnutpoint_scheduler import settings
 
 __all__ = ('Leadership',)
@@ -48,7 +49,6 @@
 _ISOLATED_S: typing.Final = 0.7
 # Before the probe that follows one without an answer.
 _AGAIN_S: typing.Final = 0.01
-_WITNESSES: typing.Final = 3
 
 
 class Leadership:
@@ -65,12 +65,12 @@
         '_members',
         '_peers',
         '_pulse',
-        '_released',
         '_revision',
         '_settings',
         '_store',
         '_suspicion',
         '_timer',
+        '_witnesses',
         '_won',
         'changes',
         'heard_s',
@@ -99,8 +99,8 @@
         self._revision = 0
         self._suspicion = _suspicion.Suspicion(clock)
         self._pulse = _pulse.Pulse(store, clock)
+        self._witnesses = _witnesses.Witnesses(members, peers, clock, config)
         self._won = anyio.Event()
-        self._released = False
         # The token while this process schedules, else zero.
         self.token = 0
         # When the scheduler was last heard, whoever it is.
@@ -283,40 +283,11 @@
 
     async def _shows_life(self) -> bool:
         """Return whether others hear the scheduler, or it writes signs."""
-        signs = await asyncio.gather(self._is_heard(), self._pulse.is_felt())
-        return any(signs)
-
-    async def _is_heard(self) -> bool:
-        """Return whether another process hears the silent scheduler.
-
-        Under a partial partition it serves everyone else; taking over would
-        make the other side suspect this process in turn, without end.
-        """
-        claim = self._claim
-        others = [
-            member
-            for member in self._members.others(self._timer.now_s())
-            if claim is None or member.name != claim.member.name
-        ]
-        # Asked at the same time: some of them may be silent as well.
-        words = await asyncio.gather(
-            *(self._hears(member) for member in others[:_WITNESSES])
-        )
-        return any(words)
-
-    async def _hears(self, member: _messages.Member) -> bool:
-        """Return whether a process heard the scheduler, or knows a newer."""
-        answer = await self._peers.probe(
-            member.address,
-            _messages.Probe(self._members.me.name, self._revision),
-            self._settings.probe_timeout_s,
+        heard = self._witnesses.hear(
+            self._claim, self._revision, self._suspicion.silence_s
         )
-        if isinstance(answer, web.Loss):
-            self._members.shun(member.address, self._timer.now_s())
-            return False
-        if answer.token > self._revision:
-            return True
-        return answer.scheduler_age_s < self._suspicion.silence_s
+        signs = await asyncio.gather(heard, self._pulse.is_felt())
+        return any(signs)
 
     async def claim_key(self, seen: int) -> None:
         """Try once to win the key.
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_witnesses.py
@@ -0,0 +1,72 @@
+"""What other processes say of a scheduler that this one does not hear."""
+
+from __future__ import annotations
+
+import asyncio
+import typing
+
+from walnutpoint_core import timer
+from walnutpoint_core import web
+from walnutpoint_scheduler import _membership
+from walnutpoint_scheduler import _messages
+from walnutpoint_scheduler import _peers
+from walnutpoint_scheduler import settings
+
+__all__ = ('Witnesses',)
+
+# Processes that are asked; one that hears the scheduler is enough.
+_ASKED: typing.Final = 3
+
+
+class Witnesses:
+    """Asks some processes whether they hear the scheduler."""
+
+    __slots__ = ('_members', '_peers', '_settings', '_timer')
+
+    def __init__(
+        self,
+        members: _membership.Membership,
+        peers: _peers.Peers,
+        clock: timer.Timer,
+        config: settings.SchedulerSettings,
+    ) -> None:
+        self._members = members
+        self._peers = peers
+        self._timer = clock
+        self._settings = config
+
+    async def hear(
+        self, claim: _messages.Claim | None, token: int, silence_s: float
+    ) -> bool:
+        """Return whether another process hears the silent scheduler.
+
+        Under a partial partition it serves everyone else; taking over would
+        make the other side suspect this process in turn, without end.
+        """
+        others = [
+            member
+            for member in self._members.others(self._timer.now_s())
+            if claim is None or member.name != claim.member.name
+        ]
+        # Asked at the same time: some of them may be silent as well.
+        words = await asyncio.gather(
+            *(
+                self._hears(member, token, silence_s)
+                for member in others[:_ASKED]
+            )
+        )
+        return any(words)
+
+    async def _hears(
+        self, member: _messages.Member, token: int, silence_s: float
+    ) -> bool:
+        """Return whether a process heard the scheduler, or knows a newer."""
+        answer = await self._peers.probe(
+            member.address,
+            _messages.Probe(self._members.me.name, token),
+            self._settings.probe_timeout_s,
+        )
+        if isinstance(answer, web.Loss):
+            self._members.shun(member.address, self._timer.now_s())
+            return False
+        return answer.token > token or answer.scheduler_age_s < silence_s
