Name the hosts that refused and the schedulers in turn; let readers leave

walnutpoint waits tells refusals by kind and host, and who scheduled from when on. waits and losses ended with a traceback and exit code 1 where the reader of a pipe had left, as head does; now 0 and nothing. Tests: each failed first.

--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_command_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_command_waits.py
@@ -15,6 +15,8 @@
 
 __all__ = ('execute',)
 
+# Rows of refusals that are told as text; one host alone, or all alike.
+_HOSTS: typing.Final = 8
 # Of the plot's time axis.
 _BIN_S: typing.Final = 1.0
 
@@ -55,6 +57,14 @@
             }
             for name, queue in sorted(found.queues.items())
         },
+        'refused': [
+            {'kind': kind, 'host': host, 'count': count}
+            for (kind, host), count in found.refused.most_common()
+        ],
+        'terms': [
+            {'begin_s': round(begin_s, 3), 'host': host, 'token': token}
+            for begin_s, host, token in found.terms
+        ],
         'store_calls': dict(found.store_calls),
         'lines_passed_over': passed_over,
     }
@@ -88,6 +98,13 @@
             print(f'  refused for {cause}: {count}', file=output)
         for cause, lost_s in _most(queue.lost_s):
             print(f'  work lost to {cause}: {lost_s:.1f} s', file=output)
+    for (kind, host), count in found.refused.most_common(_HOSTS):
+        print(f'refused for {kind} by {host}: {count}', file=output)
+    for begin_s, host, token in found.terms:
+        print(
+            f'{host} schedules from {begin_s:.1f} s on, token {token}',
+            file=output,
+        )
     jobs = max(1, found.jobs)
     for purpose, count in found.store_calls.most_common():
         print(
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import functools
+import os
 import re
 import sys
 import typing
@@ -34,6 +35,10 @@
     [], collections.abc.Awaitable[exit_code.ExitCode]
 ]
 _Words: typing.TypeAlias = tuple[str, ...]
+_LogCommand: typing.TypeAlias = collections.abc.Callable[
+    [_Words, _options.Output, str | None, typing.TextIO],
+    collections.abc.Awaitable[exit_code.ExitCode],
+]
 
 _REQUEST: typing.Final = 'request'
 _MODEL: typing.Final = 'model'
@@ -94,16 +99,11 @@
     )
 
 
-def _of_logs(
-    name: str,
-    execute: collections.abc.Callable[
-        ..., collections.abc.Awaitable[exit_code.ExitCode]
-    ],
-    words: _Words,
-) -> Command:
+def _of_logs(name: str, execute: _LogCommand, words: _Words) -> Command:
     if not words:
         raise flags.Error(f'{name} takes one log file or more')
     return functools.partial(
+        _read_logs,
         execute,
         words,
         _flags.output_form(),
@@ -112,6 +112,24 @@
     )
 
 
+async def _read_logs(
+    execute: _LogCommand,
+    files: _Words,
+    form: _options.Output,
+    plot: str | None,
+    output: typing.TextIO,
+) -> exit_code.ExitCode:
+    try:
+        code = await execute(files, form, plot, output)
+        output.flush()
+    except BrokenPipeError:
+        # The reader has seen enough, as head does; the interpreter would
+        # flush what is left once more.
+        os.dup2(os.open(os.devnull, os.O_WRONLY), output.fileno())
+        return exit_code.ExitCode.DONE
+    return code
+
+
 def _take(name: str, words: _Words, wanted: int) -> None:
     if len(words) != wanted:
         raise flags.Error(f'{name} takes {wanted} arguments')
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
@@ -49,12 +49,20 @@
 
 @dataclasses.dataclass(slots=True)
 class Waits:
-    """All queues, and what the store was asked for."""
+    """All queues, who refused and who scheduled, and calls to the store."""
 
     queues: dict[str, QueueWaits] = dataclasses.field(default_factory=dict)
     store_calls: collections.Counter[str] = dataclasses.field(
         default_factory=collections.Counter
     )
+    # By kind and host.
+    refused: collections.Counter[tuple[str, str]] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    # Seconds from the first line, host and token of each term that began.
+    terms: list[tuple[float, str, str]] = dataclasses.field(
+        default_factory=list
+    )
     # Seconds from the first line, queue and cause of each wait that began.
     begun: list[tuple[float, str, str]] = dataclasses.field(
         default_factory=list
@@ -95,6 +103,7 @@
             'run.placed': self._placed,
             'run.ended': self._ended,
             'job.concluded': self._concluded,
+            'scheduler.won': self._won,
             'store.calls': self._called,
         }
 
@@ -109,7 +118,14 @@
 
     def _refused(self, line: _course.Line) -> None:
         queue = self.found.queue(line.fields.get('queue', ''))
-        queue.refusals[line.fields.get('kind', '')] += 1
+        kind = line.fields.get('kind', '')
+        queue.refusals[kind] += 1
+        self.found.refused[kind, line.source] += 1
+
+    def _won(self, line: _course.Line) -> None:
+        token = line.fields.get('token', '')
+        row = (line.time_s - self._begin_s, line.source, token)
+        self.found.terms.append(row)
 
     def _waits(self, line: _course.Line) -> None:
         step = line.fields.get('step', '')
--- a/tests/walnutpoint_cli/test_main.py
+++ b/tests/walnutpoint_cli/test_main.py
@@ -51,6 +51,25 @@
                 self.assertIn('see --help', done.stderr)
                 self.assertNotIn('Traceback', done.stderr)
 
+    def test_reader_that_leaves_is_no_fault(self) -> None:
+        """Pattern: an operator looks at the first lines of a long report."""
+        for command in ('waits', 'losses'):
+            with (
+                self.subTest(command),
+                subprocess.Popen(
+                    [sys.executable, '-c', _RUN, command, os.devnull],
+                    stdout=subprocess.PIPE,
+                    stderr=subprocess.PIPE,
+                    text=True,
+                ) as process,
+            ):
+                assert process.stdout is not None
+                assert process.stderr is not None
+                process.stdout.close()
+                said = process.stderr.read()
+                self.assertEqual(exit_code.ExitCode.DONE, process.wait(60))
+                self.assertNotIn('Traceback', said)
+
     def test_unreachable(self) -> None:
         # Port 1 is reserved and nothing listens there.
         done = _run('request', '--entry', 'http://127.0.0.1:1')
--- a/tests/walnutpoint_cli/test_waits.py
+++ b/tests/walnutpoint_cli/test_waits.py
@@ -67,6 +67,15 @@
             {'commit:walnutpoint/run': 12, 'watch:b': 3}, found['store_calls']
         )
 
+    def test_hosts_that_refused_and_scheduled_are_named(self) -> None:
+        won = (
+            'timestamp=2026-01-01T10:00:02.000000Z level=warning '
+            'event=scheduler.won part=leadership token=9 before=3\n'
+        )
+        text = self._execute(LINES + won, _options.Output.TEXT)
+        self.assertIn('refused for store_unavailable by host: 1', text)
+        self.assertIn('host schedules from 2.0 s on, token 9', text)
+
     def test_steps_of_a_job_that_is_over_wait_no_more(self) -> None:
         """A task failed for the last time while another waited."""
         over = LINES + (
