--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
@@ -32,7 +32,12 @@
 
 
 class Pacer:
-    """Slows filling tasks at once and speeds them up in small steps."""
+    """Slows filling tasks at once and speeds them up in small steps.
+
+    An order without an answer may have been carried out. It is given again
+    at the next check, also where the figures ask for no change: a task that
+    was thought to run at full pace stood still to its end.
+    """
 
     __slots__ = ('_changed_s', '_context')
 
@@ -56,7 +61,7 @@
         )
         for run in filling:
             percent = next_percent(run.pace_percent, worst)
-            if percent != run.pace_percent:
+            if percent != run.pace_percent or run.pace_in_doubt:
                 self._changed_s[worker.worker_id] = now_s
                 self._set(worker, run, percent, worst)
 
@@ -76,6 +81,7 @@
             target_share=round(worst, 2),
         )
         run.pace_percent = percent
+        run.pace_in_doubt = True
         run.percent_changed_s = self._context.timer.now_s()
         self._context.spawn(self._send, worker, run, percent)
 
@@ -88,9 +94,9 @@
         )
         if reply.outcome is ports.OrderOutcome.FENCED:
             context.lost(f'worker {worker.worker_id} knows a newer token')
-        elif reply.outcome is not ports.OrderOutcome.DONE:
-            # The next check tries again from the same state.
-            run.pace_percent = _WHOLE if percent < _WHOLE else 0
+        elif reply.outcome is ports.OrderOutcome.DONE:
+            # Unless another order is on its way by now.
+            run.pace_in_doubt = run.pace_percent != percent
 
 
 def _target_share(run: _state.Run) -> float:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -73,6 +73,7 @@
         'load',
         'name',
         'need',
+        'pace_in_doubt',
         'pace_percent',
         'percent',
         'percent_changed_s',
@@ -112,6 +113,9 @@
         self.sample: tuple[int, float] | None = None
         self.load = 0.0
         self.pace_percent = 100
+        # Whether the worker may keep another pace than that: an order had no
+        # answer, or an earlier term may have given one.
+        self.pace_in_doubt = False
         self.stop_reason = ''
         self.fills = task is not None and task.step.step.fills
 
