--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_losses.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_losses.py
@@ -59,7 +59,7 @@
     TAKING_IN = 'stored late'
     PLACING = 'placed late'
     AGAIN = 'run again'
-    RUNNING = 'ran on slow workers'
+    RUNNING = 'ran longer'
     SHOWING = 'shown late'
 
 
