--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -50,7 +50,7 @@
 # Refused at once they come 0.4 s later in the mean, and 1 s at first (worked
 # out from when callers came back).
 _HELD_SHARE: typing.Final = 1 / 3
-# Calls held at a time, so that their memory is bounded: one of eight hosts gets
+# Calls held at a time, to bound their memory: one of eight hosts gets
 # some five a second in a burst, one of a hundred less than one.
 _HELD_MAX: typing.Final = 64
 
