Play lost segments and a loss of power with 97 hosts

The model's network loses a share of segments, which come 0.2 s later, doubled with each further loss.

--- a/packages/walnutpoint-model/src/walnutpoint_model/network.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/network.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import random
 import typing
 
 import anyio
@@ -14,12 +15,22 @@
 )
 
 _TRANSIT_S: typing.Final = 0.0005
+# When a lost segment is sent again: the least that the kernel waits, doubled
+# with each further loss.
+_RETRANSMIT_S: typing.Final = 0.2
 
 
 class Network:
     """Delivers requests between named hosts."""
 
-    __slots__ = ('_handlers', 'cuts', 'delivered', 'silent')
+    __slots__ = (
+        '_handlers',
+        '_random',
+        'cuts',
+        'delivered',
+        'loss_share',
+        'silent',
+    )
 
     def __init__(self) -> None:
         self._handlers: dict[str, web.Handler] = {}
@@ -28,6 +39,9 @@
         # Addresses that neither answer nor refuse: paused or without power.
         self.silent: set[str] = set()
         self.delivered = 0
+        # Of all segments, which are sent again until they are through.
+        self.loss_share = 0.0
+        self._random = random.Random(1)  # noqa: S311
 
     def listen(self, address: str, handler: web.Handler) -> None:
         """Answer at an address."""
@@ -52,20 +66,32 @@
         if (source, target) in self.cuts or target in self.silent:
             await anyio.sleep(timeout_s)
             return web.Loss(True, 'no response')
-        await anyio.sleep(_TRANSIT_S)
+        there_s = self._transit_s()
+        if there_s > timeout_s:
+            await anyio.sleep(timeout_s)
+            return web.Loss(True, 'no response')
+        await anyio.sleep(there_s)
         handler = self._handlers.get(target)
         if handler is None:
             return web.Loss(False, 'no connection: ConnectionRefusedError')
         self.delivered += 1
         answer: web.Response | None = None
-        with anyio.move_on_after(timeout_s):
+        with anyio.move_on_after(timeout_s - there_s):
             answer = await handler(request)
-            await anyio.sleep(_TRANSIT_S)
+            await anyio.sleep(self._transit_s())
         lost = (target, source) in self.cuts or target in self.silent
         if answer is None or lost or target not in self._handlers:
             return web.Loss(True, 'no response')
         return answer
 
+    def _transit_s(self) -> float:
+        """Return how long a segment takes, with the times it was lost."""
+        transit_s, wait_s = _TRANSIT_S, _RETRANSMIT_S
+        while self._random.random() < self.loss_share:
+            transit_s += wait_s
+            wait_s *= 2
+        return transit_s
+
 
 class _Listener:
     __slots__ = ('_address', '_handler', '_network')
--- a/tests/walnutpoint_scheduler/test_many_hosts.py
+++ b/tests/walnutpoint_scheduler/test_many_hosts.py
@@ -153,6 +153,46 @@
 
         harness.play(scene)
 
+    def test_lost_segments_are_no_reason_to_take_over(self) -> None:
+        """Callers notice nothing of links that lose segments.
+
+        Every link between hosts loses one segment in five, so that a third
+        of the probes is answered 0.2 s late or later, after their timeout.
+        """
+
+        async def scene() -> None:
+            async with watched() as seen:
+                seen.model.network.loss_share = 0.2
+                await anyio.sleep(20)
+                self.assertEqual(1, len(seen.tokens))
+                self.assertLess(seen.longest_gap_s(), 0.4)
+
+        harness.play(scene)
+
+    def test_power_is_lost_everywhere(self) -> None:
+        """Callers wait for 0.32 s more than the power was away.
+
+        All hosts are dead for a second, and are back within 0.3 s of each
+        other. One of the first schedules, and no other takes it over.
+        """
+
+        async def scene() -> None:
+            async with watched() as seen:
+                model = seen.model
+                names = list(model.processes)
+                for name in names:
+                    model.kill(name)
+                await anyio.sleep(1)
+                for name in names:
+                    model.start(name)
+                    await anyio.sleep(0.3 / HOSTS)
+                await anyio.sleep(4)
+                self.assertEqual(2, len(seen.tokens))
+                self.assertLess(seen.longest_gap_s(), 1.4)
+                self.assertEqual([], model.fleet.ledger.violations)
+
+        harness.play(scene)
+
     def test_all_are_stopped_in_turn(self) -> None:
         """Callers notice nothing of a restart of hosts in turn.
 
