Play series of faults on whole cells in virtual time

What callers were told is compared with what the workers ran. Tests: four seeds, the same series twice, and a lie that is found.

--- a/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
@@ -28,6 +28,7 @@
 )
 
 _MS: typing.Final = 1000
+_AnswerT = typing.TypeVar('_AnswerT')
 _NO_ADVICE: typing.Final = cell.AdviceTerms(0.05, 0.0003, 2.0)
 
 
@@ -86,7 +87,7 @@
 class ModelProcess:
     """One process and the switches of its host."""
 
-    __slots__ = ('_scope', 'address', 'name', 'process', 'store')
+    __slots__ = ('_calls', '_scope', 'address', 'name', 'process', 'store')
 
     def __init__(
         self, name: str, address: str, reached: _ReachedStore
@@ -95,17 +96,34 @@
         self.address = address
         self.store = reached
         self.process: process.Process = typing.cast(typing.Any, None)
-        self._scope: anyio.CancelScope | None = None
+        # Made here: a process may be killed before it has begun to run.
+        self._scope = anyio.CancelScope()
+        self._calls: set[anyio.CancelScope] = set()
 
     async def run(self) -> None:
         """Run until killed."""
-        with anyio.CancelScope() as self._scope:
+        with self._scope:
             await self.process.run()
 
     def kill(self) -> None:
         """End at once, without a word to anyone."""
-        if self._scope is not None:
-            self._scope.cancel()
+        for call in (self._scope, *self._calls):
+            call.cancel()
+
+    async def answer(
+        self,
+        operation: collections.abc.Callable[
+            [], collections.abc.Awaitable[_AnswerT]
+        ],
+    ) -> _AnswerT | None:
+        """Return what a caller gets, or None where the host dies before."""
+        with anyio.CancelScope() as call:
+            self._calls.add(call)
+            try:
+                return await operation()
+            finally:
+                self._calls.discard(call)
+        return None
 
 
 class CellModel:
--- /dev/null
+++ b/tests/walnutpoint_model/test_soak.py
@@ -0,0 +1,44 @@
+"""Series of faults on whole cells in virtual time."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+from unittest import mock
+
+import expression
+
+from walnutpoint_core import logs
+from walnutpoint_model import soak
+from walnutpoint_scheduler import submission
+
+# Of both ways to lose hosts, of the store's faults and of lossy links.
+_SEEDS = (1, 2, 17, 25)
+
+
+class SoakTest(unittest.TestCase):
+    """What callers were told is true, whatever befell the hosts."""
+
+    def setUp(self) -> None:
+        logs.configure('critical')
+
+    def test_promises_are_kept(self) -> None:
+        for seed in _SEEDS:
+            with self.subTest(seed=seed):
+                result = soak.play(seed)
+                self.assertEqual([], result.faults)
+                self.assertGreater(result.accepted, 50)
+
+    def test_same_seed_is_the_same_series(self) -> None:
+        one, other = (soak.play(3, duration_s=4.0) for _ in range(2))
+        self.assertEqual(one, other)
+
+    def test_broken_promise_is_found(self) -> None:
+        """Callers are told that jobs were accepted, and nothing is stored."""
+
+        async def lie(*_arguments: object) -> typing.Any:
+            return expression.Ok(submission.Taken.NEW)
+
+        with mock.patch.object(submission.Submissions, 'submit', lie):
+            result = soak.play(1, duration_s=2.0)
+        self.assertIn('was accepted and is None', result.faults[0])
