--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_availability.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_availability.py
@@ -67,7 +67,7 @@
                 self.spans.append(Span(self._last_s, now_s))
             self._end_loss(now_s)
         elif line.event == 'store.lost':
-            self._lost_s = now_s - _seconds(line.fields.get('silent_s'))
+            self._lost_s = now_s - line.number('silent_s')
         elif line.event == 'store.regained':
             self._end_loss(now_s)
         self._last_s = now_s
@@ -160,10 +160,3 @@
             if end_s - begin_s >= _SHORTEST_S:
                 found.append(Span(begin_s, end_s))
     return found
-
-
-def _seconds(text: str | None) -> float:
-    try:
-        return float(text or 0.0)
-    except ValueError:
-        return 0.0
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_command_losses.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_command_losses.py
@@ -7,6 +7,7 @@
 import sys
 import typing
 
+from walnutpoint_cli import _job_times
 from walnutpoint_cli import _log_files
 from walnutpoint_cli import _losses
 from walnutpoint_cli import _options
@@ -19,14 +20,14 @@
 # Windows that are told.
 _WORST: typing.Final = 4
 _WORDS: typing.Final = {
-    _losses.Grade.IN_TIME: 'in time',
-    _losses.Grade.LATE: 'late',
-    _losses.Grade.NOTHING: 'nothing',
+    _job_times.Grade.IN_TIME: 'in time',
+    _job_times.Grade.LATE: 'late',
+    _job_times.Grade.NOTHING: 'nothing',
 }
 _COLOURS: typing.Final = {
-    _losses.Grade.IN_TIME: 'tab:green',
-    _losses.Grade.LATE: 'tab:orange',
-    _losses.Grade.NOTHING: 'tab:red',
+    _job_times.Grade.IN_TIME: 'tab:green',
+    _job_times.Grade.LATE: 'tab:orange',
+    _job_times.Grade.NOTHING: 'tab:red',
 }
 
 
@@ -91,7 +92,7 @@
 
 def _counts(
     found: _losses.Losses,
-) -> collections.Counter[_losses.Grade]:
+) -> collections.Counter[_job_times.Grade]:
     return collections.Counter(grade for _, grade in found.grades)
 
 
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_course.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_course.py
@@ -64,6 +64,13 @@
     event: str
     fields: dict[str, str]
 
+    def number(self, name: str) -> float:
+        """Return a field's number, or zero where it has none."""
+        try:
+            return float(self.fields.get(name, ''))
+        except ValueError:
+            return 0.0
+
     def text(self) -> str:
         """Return the inputs of the decision as text."""
         hidden = ('event', 'level', 'part', 'timestamp')
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
@@ -142,7 +142,7 @@
         queue = line.fields.get('queue', '')
         figures = self.found.queue(queue)
         figures.starts += 1
-        waited_s = _seconds(line.fields.get('waited_s', ''))
+        waited_s = line.number('waited_s')
         figures.longest_wait_s = max(figures.longest_wait_s, waited_s)
         self._began_s.pop(run.rpartition('.')[0], None)
         self._runs[run] = (line.time_s, queue)
@@ -200,10 +200,3 @@
         adder.take(line)
     adder.close_all(ordered[-1].time_s)
     return adder.found
-
-
-def _seconds(text: str) -> float:
-    try:
-        return float(text)
-    except ValueError:
-        return 0.0
--- a/tests/walnutpoint_cli/test_losses.py
+++ b/tests/walnutpoint_cli/test_losses.py
@@ -13,6 +13,7 @@
 from walnutpoint_cli import _availability
 from walnutpoint_cli import _command_losses
 from walnutpoint_cli import _course
+from walnutpoint_cli import _job_times
 from walnutpoint_cli import _losses
 from walnutpoint_cli import _options
 
@@ -74,27 +75,27 @@
     def test_job_in_time_is_no_loss(self) -> None:
         found = _account([_asked(1.0, 'aa'), *_ran('aa', 1.1, 2.2)])
         self.assertEqual((), found.losses)
-        self.assertEqual([(0.0, _losses.Grade.IN_TIME)], list(found.grades))
+        self.assertEqual([(0.0, _job_times.Grade.IN_TIME)], list(found.grades))
 
     def test_caller_who_left_before_the_end_of_an_outage(self) -> None:
         """Asked at 11 s and gone at 14 s; the store is back at 15 s."""
         loss = self._only([_asked(11.0, 'aa', 'job.refused')])
-        self.assertEqual(_losses.Grade.NOTHING, loss.possible)
-        self.assertEqual(_losses.Place.REFUSED, loss.place)
+        self.assertEqual(_job_times.Grade.NOTHING, loss.possible)
+        self.assertEqual(_job_times.Place.REFUSED, loss.place)
 
     def test_caller_who_was_there_at_the_end_of_an_outage(self) -> None:
         """Asked at 14.5 s and refused, though all was well 0.5 s later."""
         loss = self._only([_asked(14.5, 'aa', 'job.refused')])
-        self.assertEqual(_losses.Grade.IN_TIME, loss.possible)
-        self.assertEqual(_losses.Place.REFUSED, loss.place)
+        self.assertEqual(_job_times.Grade.IN_TIME, loss.possible)
+        self.assertEqual(_job_times.Place.REFUSED, loss.place)
 
     def test_end_that_could_not_be_stored(self) -> None:
         """Done at 10.7 s, four seconds before anybody could show it."""
         lines = [_asked(9.6, 'aa'), *_ran('aa', 9.7, 15.1)]
         loss = self._only(lines)
-        self.assertEqual(_losses.Grade.LATE, loss.got)
-        self.assertEqual(_losses.Grade.LATE, loss.possible)
-        self.assertEqual(_losses.Place.SHOWING, loss.place)
+        self.assertEqual(_job_times.Grade.LATE, loss.got)
+        self.assertEqual(_job_times.Grade.LATE, loss.possible)
+        self.assertEqual(_job_times.Place.SHOWING, loss.place)
 
     def test_wait_for_advice(self) -> None:
         step = 'step=aa.0.0 queue=q'
@@ -109,8 +110,8 @@
                 _at(5.1, 'b', 'job.final', 'job=aa state=done'),
             ]
         )
-        self.assertEqual(_losses.Grade.IN_TIME, loss.possible)
-        self.assertEqual(_losses.Place.PLACING, loss.place)
+        self.assertEqual(_job_times.Grade.IN_TIME, loss.possible)
+        self.assertEqual(_job_times.Place.PLACING, loss.place)
         self.assertEqual('advice', loss.cause)
 
     def test_step_that_no_worker_may_run(self) -> None:
@@ -120,7 +121,7 @@
                 _at(2.1, 'b', 'step.waits', 'step=aa.0.0 cause=denied'),
             ]
         )
-        self.assertEqual(_losses.Grade.NOTHING, loss.possible)
+        self.assertEqual(_job_times.Grade.NOTHING, loss.possible)
         self.assertEqual('denied', loss.cause)
 
     def test_worst_window_with_what_was_possible(self) -> None:
@@ -148,7 +149,7 @@
                 *_ran('aa', 3.7, 4.8),
             ]
         )
-        self.assertEqual(_losses.Place.AGAIN, loss.place)
+        self.assertEqual(_job_times.Place.AGAIN, loss.place)
 
     def test_job_of_more_work_than_declared_has_longer(self) -> None:
         """Declared as 1 s, its run takes 1.9 s: the objective is 3.35 s."""
@@ -176,7 +177,7 @@
                 _at(5.3, 'b', 'job.final', 'job=aa state=done'),
             ]
         )
-        self.assertEqual(_losses.Place.AGAIN, loss.place)
+        self.assertEqual(_job_times.Place.AGAIN, loss.place)
 
     def test_run_on_a_slow_worker(self) -> None:
         """One of five runs takes four times as long as the others."""
@@ -195,7 +196,7 @@
         ]
         final = _at(6.2, 'b', 'job.final', 'job=aa state=done')
         loss = self._only([_asked(2.0, 'aa'), *placed, *ended, final])
-        self.assertEqual(_losses.Place.RUNNING, loss.place)
+        self.assertEqual(_job_times.Place.RUNNING, loss.place)
 
     def test_jobs_that_may_still_come_in_time_are_left_out(self) -> None:
         found = _account([*_outage(), _asked(28.5, 'aa')])
