--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_job_times.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_job_times.py
@@ -75,6 +75,25 @@
 class JobTimes:
     """What the lines of one job say."""
 
+    __slots__ = (
+        '_allowance_s',
+        '_first_s',
+        '_placed_s',
+        '_stretch',
+        '_waiting',
+        'accepted_s',
+        'asked_s',
+        'causes_s',
+        'chain_s',
+        'ended_s',
+        'final_s',
+        'gone_s',
+        'is_cancelled',
+        'queue',
+        'state',
+        'steps',
+    )
+
     def __init__(self, asked_s: float) -> None:
         self.asked_s = asked_s
         self.queue = ''
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_losses.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_losses.py
@@ -63,6 +63,8 @@
 class _Reader:
     """Follows all jobs through lines in the order of time."""
 
+    __slots__ = ('jobs', 'terms_s')
+
     def __init__(self) -> None:
         self.jobs: dict[str, _job_times.JobTimes] = {}
         self.terms_s: list[float] = []
