Tell withheld claims, and write shared figures and questions once

Read as a newcomer: a claim that is withheld while the store is down leaves a line now and says what it protects from; the time that a slow call takes stood three times, the question to the scheduler twice; objective returned a queue and is measured_by; a comment on when callers come back said otherwise than was measured.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
@@ -88,7 +88,7 @@
     had asked when the next one takes over: queued there, the questions of
     two terms kept 25 steps waiting for 3 to 8 s after a takeover. Some hosts
     are kept for brief questions: with batch ones of 0.2 s on each, urgent
-    jobs waited for 0.6 s in place of 0.03 s after a planned handover.
+    jobs waited for 0.6 s in place of 0.04 s after a planned handover.
     """
 
     __slots__ = (
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -42,13 +42,14 @@
 _BEAT_S: typing.Final = 0.2
 _RETRY_S: typing.Final = 0.1
 _WATCH_S: typing.Final = 10.0
-# The scheduler calls the store many times a second. Without an answer for this
-# long, twice a call's time in a slow store, it may be down.
+# The scheduler calls the store many times a second. Without an answer for
+# this long, twice a call's time while the store is slow, it may be down.
 _DOUBTED_AGE_S: typing.Final = 0.6
 # Others probe a scheduler several times in this time, and the store answers
 # it more often. Shorter than what a successor adds to the longest lease.
 _ISOLATED_S: typing.Final = 0.7
-# How long the store is waited for before the scheduler is looked at again.
+# The longest wait for the store before the scheduler is looked at again: one
+# line in the log a second is enough while nothing can be claimed.
 _STORE_WAIT_S: typing.Final = 1.0
 # Before the probe that follows one without an answer.
 _AGAIN_S: typing.Final = 0.01
@@ -272,8 +273,11 @@
         if self._revision != seen or self.leaving:
             return
         if self._store.is_down:
-            # A claim on its way when a host that was cut off is back would
-            # depose a scheduler that is well: it is looked at again first.
+            # Cut off from all, a host suspects a scheduler that is well; its
+            # claim would go through once it is back, and depose it (a third
+            # term where two were needed). Nothing is on its way then, and
+            # the scheduler is probed anew before the next claim.
+            _LOG.info('scheduler.not_claimed', reason='the store is down')
             await self._store.comes_back(_STORE_WAIT_S)
             return
         _SUSPICIONS.add(reason.name.lower())
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_outages.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_outages.py
@@ -12,9 +12,8 @@
 )
 
 # When to come back in an outage, which lasts some 2 to 5 s and is over within
-# a second where it has lasted long. Callers come back after about half of
-# what they are told, and give up after four repeats: told 1 s each time,
-# those of the first second were all refused for good.
+# a second where it has lasted long. Callers give up after four repeats, the
+# first of which came 1.05 s after the refusal, told 1 s or 2 s alike.
 _YOUNG_OUTAGE_S: typing.Final = 3.0
 _RETRY_YOUNG_S: typing.Final = 2.0
 _RETRY_OLD_S: typing.Final = 1.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_own_calls.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_own_calls.py
@@ -16,14 +16,15 @@
 __all__ = (
     'Call',
     'OwnCalls',
+    'SLOW_CALL_S',
 )
 
 # An own call without an answer for this many usual ones is put through a peer
 # as well: its timeout is 0.45 to 0.9 s, of some 0.9 s that a short job has to
 # spare. Calls twice as late as that are rare while the store is well.
 _LATE_FACTOR: typing.Final = 2.0
-# The same before the first answer: longer than a call to a slow store.
-_FIRST_LATE_S: typing.Final = 0.35
+# Longer than a call while the store is slow, some 280 ms.
+SLOW_CALL_S: typing.Final = 0.35
 _AnswerT = typing.TypeVar('_AnswerT')
 Call = collections.abc.Callable[
     [],
@@ -61,7 +62,7 @@
             return None
         usual_s = self._round_trips.usual_s
         if usual_s is None:
-            return _FIRST_LATE_S
+            return SLOW_CALL_S
         return usual_s * _LATE_FACTOR
 
     def begin(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -22,12 +22,9 @@
 
 __all__ = ('RelayedStore',)
 
-# An own call that shows whether the own way works has this long: longer than
-# one while the store is slow, some 280 ms.
-_OWN_WAY_S: typing.Final = 0.35
 # Between two questions in an outage, and how many may be unanswered: its end
 # is noticed within some 0.1 s where the store refuses, and 0.3 s where it is
-# silent and each takes 0.45 s (7 calls a second).
+# silent and each takes 0.45 s (worked out: 7 calls a second).
 _OUTAGE_PROBE_S: typing.Final = 0.1
 _OUTAGE_PROBES_MAX: typing.Final = 3
 _AnswerT = typing.TypeVar('_AnswerT')
@@ -160,7 +157,7 @@
         if not self.reaches_directly:
             return False
         question = _messages.StoreQuestion('get', _keys.SCHEDULER)
-        with anyio.move_on_after(_OWN_WAY_S):
+        with anyio.move_on_after(_own_calls.SLOW_CALL_S):
             answer = await self._own.begin(
                 lambda: self._direct.get(_keys.SCHEDULER), question
             )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_store_silence.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_store_silence.py
@@ -10,15 +10,13 @@
 from walnutpoint_core import errors
 from walnutpoint_core import logs
 from walnutpoint_core import timer
+from walnutpoint_scheduler import _own_calls
 
 __all__ = ('StoreSilence',)
 
 _LOG: typing.Final = logs.get_logger('store')
 # After this many own failures in a row other processes are asked first.
 _FAILURES_MAX: typing.Final = 2
-# Without an answer for this long, and with a failure, the store counts as
-# down: longer than a call while it is slow, some 280 ms.
-_DOWN_S: typing.Final = 0.35
 
 
 class StoreSilence:
@@ -36,8 +34,8 @@
 
     @property
     def is_down(self) -> bool:
-        """Return whether no way to the store has answered for a while."""
-        return self._failures > 0 and self.lasts_s > _DOWN_S
+        """Return whether no way has answered for longer than a slow call."""
+        return self._failures > 0 and self.lasts_s > _own_calls.SLOW_CALL_S
 
     @property
     def lasts_s(self) -> float:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -83,8 +83,8 @@
         return any(step.lasting for step in self.steps)
 
     @property
-    def objective(self) -> cell.Queue | None:
-        """Return the queue whose objective the job has, from its first call.
+    def measured_by(self) -> cell.Queue | None:
+        """Return the queue whose stretch and allowance make the objective.
 
         None for a job that lasts, is due later, or whose queue is unknown.
         """
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
@@ -28,6 +28,7 @@
 _PEER_TIMEOUT_S: typing.Final = 0.4
 # A count may be two seconds old; half of that leaves time for the way.
 _COUNT_KEPT_S: typing.Final = 1.0
+_AnswerT = typing.TypeVar('_AnswerT')
 
 
 class JobStatus:
@@ -123,30 +124,32 @@
         term = self._term()
         if term is not None:
             return term.state(job_id)
-        scheduler = self._leadership.scheduler
-        if scheduler is None:
-            return None
-        answer = await self._peers.ask(
-            scheduler.address,
+        answer = await self._ask_scheduler(
             _peers.STATE_PATH,
             _messages.StateQuestion(job_id),
             _messages.StateAnswer,
-            _PEER_TIMEOUT_S,
         )
-        return None if isinstance(answer, web.Loss) else answer.state
+        return None if answer is None else answer.state
 
     async def _ask_pending(self, queue: str) -> int | None:
         term = self._term()
         if term is not None:
             return term.pending(queue)
+        answer = await self._ask_scheduler(
+            _peers.PENDING_PATH,
+            _messages.PendingQuestion(queue),
+            _messages.PendingAnswer,
+        )
+        return None if answer is None else answer.count
+
+    async def _ask_scheduler(
+        self, path: str, question: object, kind: type[_AnswerT]
+    ) -> _AnswerT | None:
+        """Return the scheduler's answer, or None where there is none."""
         scheduler = self._leadership.scheduler
         if scheduler is None:
             return None
         answer = await self._peers.ask(
-            scheduler.address,
-            _peers.PENDING_PATH,
-            _messages.PendingQuestion(queue),
-            _messages.PendingAnswer,
-            _PEER_TIMEOUT_S,
+            scheduler.address, path, question, kind, _PEER_TIMEOUT_S
         )
-        return None if isinstance(answer, web.Loss) else answer.count
+        return None if isinstance(answer, web.Loss) else answer
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -80,15 +80,15 @@
 
     def fields(self, now_s: float) -> dict[str, object]:
         """Return the inputs of what is decided now about the call."""
-        job, aim = self.job, self.job.objective
+        job, queue = self.job, self.job.measured_by
         return {
             'job': job.job_id,
             'queue': job.queue,
             'held_s': round(now_s - self._began_s, 3),
             'left_s': round(self.left_s(now_s), 3),
             'chain_s': round(document.chain_s(job.steps), 3),
-            'stretch': '-' if aim is None else aim.stretch,
-            'allowance_s': '-' if aim is None else aim.allowance_s,
+            'stretch': '-' if queue is None else queue.stretch,
+            'allowance_s': '-' if queue is None else queue.allowance_s,
         }
 
 
