--- a/tests/walnutpoint_platform/test_processes.py
+++ b/tests/walnutpoint_platform/test_processes.py
@@ -118,6 +118,9 @@
             self.site.break_link(number, 'lossy')
         ids = self._submit(10, 60)
         self._wait_done(ids)
+        ledger = self.site.ledger()
+        assert ledger is not None
+        self.assertGreater(ledger['segments_lost'], 20)
         won = [
             line
             for number in range(self.site.count)
