--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -21,6 +21,9 @@
 _LOG: typing.Final = logs.get_logger('ends')
 _ENDS: typing.Final = metrics.Counter('run_ends', 'Ends of runs by kind.')
 _JOBS: typing.Final = metrics.Counter('jobs_ended', 'Jobs by final state.')
+_LOST: typing.Final = metrics.Counter(
+    'workers_lost', 'Workers that took runs with them, planned or not.'
+)
 _TOOK: typing.Final = metrics.Latency(
     'job', 'Time from accepting a job to its end, by final state.'
 )
@@ -28,6 +31,9 @@
 # A failure within this part of a run's estimate speaks against its worker: for
 # the shortest tasks that is 0.14 s, three times what failing workers take.
 _EARLY_SHARE: typing.Final = 0.2
+# Workers that fall silent within this time are counted as one loss: a report
+# is held back for up to twice as long, an order is answered within some ms.
+_TOGETHER_S: typing.Final = 0.25
 # The reason of a stop that speaks against the worker.
 STALLED: typing.Final = 'stalled'
 
@@ -95,6 +101,8 @@
             run=run_text(run.name),
             worker=run.worker_id,
             reason=reason,
+            phase=run.phase.value,
+            ordered_ago_s=self._ago_s(run.ordered_s),
         )
         self._context.health.withdraw(run.worker_id)
         task = run.task
@@ -117,12 +125,18 @@
     def expire(self, worker: _roster.WorkerState, reason: str) -> None:
         """Apply that nothing which was started on a worker still runs."""
         if worker.runs:
+            together = self._context.roster.silent_with(worker, _TOGETHER_S)
             _LOG.warning(
                 'worker.runs_lost',
                 worker=worker.worker_id,
                 reason=reason,
                 runs=len(worker.runs),
+                draining=worker.listed.draining,
+                heard_ago_s=self._ago_s(worker.heard_s),
+                silent_ago_s=self._ago_s(worker.silent_s),
+                together=together,
             )
+            _LOST.add('left' if worker.listed.draining else 'unplanned')
         for run in list(worker.runs.values()):
             self.lost += 1
             self.withdraw(run, reason)
@@ -139,6 +153,12 @@
         if not job.state.final and job.finished:
             self._conclude(job, _state.JobState.DONE)
 
+    def _ago_s(self, at_s: float | None) -> float | str:
+        """Return how long ago something was, for a log line."""
+        if at_s is None:
+            return '-'
+        return round(self._context.timer.now_s() - at_s, 3)
+
     def _detach(self, task: _state.TaskProgress, run: _state.Run) -> None:
         if task.run is run:
             task.run, task.copy = task.copy, None
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -277,6 +277,7 @@
             task,
         )
         run.phase = _state.RunPhase.ORDERED
+        run.ordered_s = context.started_s
         run.pace_in_doubt = True
         run.decisive_from_s = context.started_s
         # A done task may have a copy that was still being stopped. Taken for
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -116,6 +116,7 @@
                     wait_s = await self._acknowledge(worker, saving, upto)
                 continue
             failures += 1
+            worker.miss(context.timer.now_s())
             wait_s = _FIRST_WAIT_S
             if failures == 1 and reply.outcome is ports.OrderOutcome.UNKNOWN:
                 # One answer may be lost on its way; asking again at once
@@ -137,6 +138,7 @@
         self.reports += 1
         worker.lease.read_clock(report.clock_ms, now_s)
         worker.answered_s = now_s
+        worker.hear(now_s)
         if not worker.answering:
             worker.answering = True
             self._bury_others(worker)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -31,6 +31,9 @@
         ports.OrderOutcome.UNSENT,
     }
 )
+_UNHEARD: typing.Final = frozenset(
+    {ports.OrderOutcome.UNSENT, ports.OrderOutcome.UNKNOWN}
+)
 _WORKER_FAULTS: typing.Final = frozenset(
     {ports.OrderOutcome.UNHEALTHY, ports.OrderOutcome.UNSENT}
 )
@@ -103,6 +106,7 @@
             self._ends.withdraw(run, 'worker not read yet')
             return
         run.phase = _state.RunPhase.ORDERED
+        run.ordered_s = context.timer.now_s()
         reply = await context.orders.start(
             worker.listed,
             ports.Start(
@@ -128,6 +132,9 @@
         _STARTS.add(outcome.value)
         if reply.clock_ms is not None:
             worker.lease.read_clock(reply.clock_ms, now_s)
+            worker.hear(now_s)
+        elif outcome in _UNHEARD:
+            worker.miss(now_s)
         if run.name not in worker.runs:
             return
         if outcome is ports.OrderOutcome.DONE:
@@ -209,6 +216,7 @@
             now_s = context.timer.now_s()
             if reply.clock_ms is not None:
                 worker.lease.read_clock(reply.clock_ms, now_s)
+                worker.hear(now_s)
             if reply.outcome is ports.OrderOutcome.DONE:
                 run.decisive_from_s = now_s
                 if run.stop_reason == _UNANSWERED:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -34,11 +34,13 @@
         'expelled',
         'free',
         'gone',
+        'heard_s',
         'lease',
         'listed',
         'listed_until_s',
         'processed',
         'runs',
+        'silent_s',
         'step_counts',
         'taken',
         'unlisted_s',
@@ -60,6 +62,9 @@
         # Whether the newest call was answered under this term's token.
         self.answering = False
         self.answered_s = 0.0
+        # When anything was heard of it last, and since when calls fail.
+        self.heard_s: float | None = None
+        self.silent_s: float | None = None
         # Ends up to this number were taken into account, and stored.
         self.processed = 0
         self.acknowledged = 0
@@ -101,6 +106,16 @@
             and self.unlisted_s is None
         )
 
+    def hear(self, now_s: float) -> None:
+        """Note that this life has answered a call."""
+        self.heard_s = now_s
+        self.silent_s = None
+
+    def miss(self, now_s: float) -> None:
+        """Note that a call was not answered."""
+        if self.silent_s is None:
+            self.silent_s = now_s
+
     def book(self, run: _state.Run) -> None:
         """Take room for a run."""
         if run.name in self.runs:
@@ -174,6 +189,17 @@
         """Return the capacities that were seen of each pool."""
         return self._largest
 
+    def silent_with(self, worker: WorkerState, within_s: float) -> int:
+        """Return how many others fell silent at about the same time."""
+        if worker.silent_s is None:
+            return 0
+        return sum(
+            other is not worker
+            and other.silent_s is not None
+            and abs(other.silent_s - worker.silent_s) <= within_s
+            for other in self.workers.values()
+        )
+
     def holder(self, run: _state.Run) -> WorkerState | None:
         """Return the worker that a run is booked on."""
         return self.workers.get(run.worker_id)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -73,6 +73,7 @@
         'load',
         'name',
         'need',
+        'ordered_s',
         'pace_in_doubt',
         'pace_percent',
         'percent',
@@ -103,6 +104,8 @@
         self.task = task
         self.phase = RunPhase.PLANNED
         self.ticket = ''
+        # When its start was sent, or an earlier term's may have been.
+        self.ordered_s: float | None = None
         self.started_s: float | None = None
         # A report asked for after this time that does not list the run says
         # that it is over, or never was.
