--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/crashes.py
@@ -0,0 +1,91 @@
+"""Tasks that crash each worker which starts them, and workers' returns."""
+
+from __future__ import annotations
+
+import asyncio
+import collections
+import collections.abc
+import dataclasses
+import typing
+
+from walnutpoint_model import workers
+from walnutpoint_scheduler import ports
+
+__all__ = ('Crashes',)
+
+# From the start of a crashing task to the end of its worker.
+_CRASH_S: typing.Final = 0.01
+# From a worker's end to its next life.
+_BACK_S: typing.Final = 3.0
+
+
+class Crashes:
+    """Crashes workers, by their tasks or from outside, and brings them back.
+
+    A new life has another name and the same address, and runs nothing.
+    """
+
+    __slots__ = (
+        '_back_s',
+        '_crash_s',
+        '_fleet',
+        '_is_crashing',
+        '_length',
+        'crashed_by',
+        'innocent_losses',
+        'lives',
+    )
+
+    def __init__(
+        self,
+        fleet: workers.Fleet,
+        length: workers.Length,
+        is_crashing: collections.abc.Callable[[ports.TaskName], bool],
+        *,
+        crash_s: float = _CRASH_S,
+        back_s: float = _BACK_S,
+    ) -> None:
+        self._fleet = fleet
+        self._length = length
+        self._is_crashing = is_crashing
+        self._crash_s = crash_s
+        self._back_s = back_s
+        # How many workers each crashing task has ended.
+        self.crashed_by: collections.Counter[ports.TaskName] = (
+            collections.Counter()
+        )
+        # How often each other task has lost its worker.
+        self.innocent_losses: collections.Counter[ports.TaskName] = (
+            collections.Counter()
+        )
+        self.lives = 0
+        fleet.ledger.on_start = self._on_start
+
+    def crash(self, worker_id: str) -> None:
+        """Crash a worker for no cause of its tasks."""
+        worker = self._fleet.workers.get(worker_id)
+        if worker is None:
+            return
+        for run in worker.runs:
+            if not self._is_crashing(run.task):
+                self.innocent_losses[run.task] += 1
+        listed = self._fleet.crash(worker_id)
+        self.lives += 1
+        name = worker_id.partition('~')[0]
+        reborn = dataclasses.replace(listed, worker_id=f'{name}~{self.lives}')
+        asyncio.get_running_loop().call_later(
+            self._back_s, self._fleet.add, reborn, self._length, self.lives
+        )
+
+    def _on_start(self, task: ports.TaskName, worker_id: str) -> None:
+        if self._is_crashing(task):
+            asyncio.get_running_loop().call_later(
+                self._crash_s, self._crash_by, task, worker_id
+            )
+
+    def _crash_by(self, task: ports.TaskName, worker_id: str) -> None:
+        worker = self._fleet.workers.get(worker_id)
+        if worker is None or task not in {run.task for run in worker.runs}:
+            return
+        self.crashed_by[task] += 1
+        self.crash(worker_id)
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -32,6 +32,8 @@
 _LEASE_MAX_S: typing.Final = 10.0
 _WHOLE: typing.Final = 100.0
 _TICK_S: typing.Final = 0.02
+# Three signs of life, each 1.5 s after the other.
+_ENTRY_LAPSES_S: typing.Final = 4.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,6 +63,7 @@
         'clock_rate',
         'cut',
         'ends',
+        'is_over',
         'fails',
         'hangs',
         'listed',
@@ -86,6 +89,7 @@
         self.token = 0
         # Switches of its faults.
         self.cut = False
+        self.is_over = False
         self.fails = False
         self.hangs = False
         # How many times as long as usual what it starts takes.
@@ -142,6 +146,8 @@
         if not self.ends and order.wait_s > 0:
             with anyio.move_on_after(order.wait_s):
                 await self._changed.wait()
+        if self.is_over:
+            return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
         return ports.Report(
             self.clock_ms(),
             tuple(self._row(run) for run in self.runs.values()),
@@ -170,6 +176,8 @@
             self._ledger.end(run.name.task, self.listed.worker_id, False)
         self.runs.clear()
         self.ends.clear()
+        self.is_over = True
+        self._changed.set()
 
     def _refusal(self, order: ports.Start) -> ports.OrderOutcome | None:
         if order.token < self.token:
@@ -225,6 +233,7 @@
     __slots__ = (
         '_hidden',
         '_lingering',
+        '_refusing',
         '_revision',
         'calls',
         'ledger',
@@ -239,6 +248,8 @@
         self.order_timeout_s = settings.SchedulerSettings().order_timeout_s
         self._revision = 1
         self._lingering: list[cell.ListedWorker] = []
+        # Addresses that refuse connections.
+        self._refusing: set[str] = set()
         self._hidden = False
 
     def add(
@@ -247,6 +258,7 @@
         """Add a worker."""
         worker = Worker(listed, length, self.ledger, seed)
         self.workers[listed.worker_id] = worker
+        self._refusing.discard(listed.address)
         self._revision += 1
         return worker
 
@@ -255,6 +267,24 @@
         self.workers.pop(worker_id).crash()
         self._revision += 1
 
+    def crash(self, worker_id: str) -> cell.ListedWorker:
+        """End a worker's life, which nobody is told of.
+
+        Its address refuses connections, and its entry stays until it lapses.
+        """
+        worker = self.workers.pop(worker_id)
+        worker.crash()
+        self._refusing.add(worker.listed.address)
+        self._lingering.append(worker.listed)
+        asyncio.get_running_loop().call_later(
+            _ENTRY_LAPSES_S, self._unlist, worker.listed
+        )
+        return worker.listed
+
+    def _unlist(self, listed: cell.ListedWorker) -> None:
+        self._lingering.remove(listed)
+        self._revision += 1
+
     def list_other_life(self, listed: cell.ListedWorker) -> None:
         """List a life that is over beside the one at its address."""
         self._lingering.append(listed)
@@ -343,6 +373,8 @@
         await anyio.sleep(_TRANSIT_S)
         if self._other_life_answers(worker):
             return ports.OrderReply(ports.OrderOutcome.OTHER_LIFE)
+        if worker.address in self._refusing:
+            return ports.OrderReply(ports.OrderOutcome.UNSENT)
         live = self.workers.get(worker.worker_id)
         if live is None or live.cut:
             await anyio.sleep(_UNANSWERED_S)
