Send no order for a run that was given up while its record was stored

Callers would see a task run twice.

The run's booking is the proof that it is still meant: withdraw removes it, and a run's name is never used again, so that one look right before the order is enough (no await lies between).

test_run_that_was_given_up_before_its_order_is_not_sent failed before ('runs on worker-0 and worker-0') and passes now.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -100,6 +100,11 @@
             # Stopped before the order was sent, or the worker is gone.
             self._ends.withdraw(run, 'not sent')
             return
+        if run.name not in worker.runs:
+            # Given up while its record was being stored, as its worker was
+            # silent for a lease. By now the task may run elsewhere, and the
+            # worker answer again: sent, the order would start it twice.
+            return
         task = typing.cast(_state.TaskProgress, run.task)
         until_ms = worker.lease.extend(context.timer.now_s())
         if until_ms is None:
--- /dev/null
+++ b/tests/walnutpoint_scheduler/test_lost_workers.py
@@ -0,0 +1,93 @@
+"""What becomes of the runs of a worker that is lost."""
+
+from __future__ import annotations
+
+import unittest
+
+import anyio
+
+from tests.walnutpoint_scheduler import harness
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
+
+# A lease of 2.5 s on the slowest clock, and 0.2 s to notice and to place.
+BACK_S = 3.0
+
+
+class _HalfOpenFleet(harness.workers.Fleet):
+    """Open connections to a crashed worker go silent, new ones are refused."""
+
+    async def renew(
+        self, worker: cell.ListedWorker, order: ports.Renewal
+    ) -> ports.Report | ports.OrderReply:
+        """Return the report, or after a while that there is none."""
+        reply = await super().renew(worker, order)
+        if reply == ports.OrderReply(ports.OrderOutcome.UNKNOWN):
+            await anyio.sleep(0.5)
+        return reply
+
+
+class LostRunTest(unittest.TestCase):
+    """Its tasks run elsewhere, once its lease has lapsed and not twice."""
+
+    def test_refused_start_is_the_first_sign_of_a_crash(self) -> None:
+        """A job's tasks wait for ever after their worker has crashed.
+
+        The report that is waited for stays open, and a start is refused a
+        moment later. That made the worker one which does not answer, and
+        when the report failed as well nobody waited for its lease to lapse.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(0)
+            bed.fleet = _HalfOpenFleet()
+            for number in range(3):
+                bed.add_worker(number)
+            long = harness.job(1, harness.step(3, estimate_ms=6000))
+            bed.length_s = lambda task: (
+                6.0 if task.job_id == long.job_id else 0.3
+            )
+
+            def at_work() -> int:
+                running = bed.fleet.ledger.running
+                return sum(task.job_id == long.job_id for task in running)
+
+            async with bed.scheduling():
+                bed.hand_in(long)
+                await harness.until(lambda: at_work() == 3)
+                await anyio.sleep(0.7)
+                bed.fleet.crash('worker-0')
+                for number in range(10):
+                    bed.hand_in(harness.job(100 + number, harness.step(6)))
+                    await anyio.sleep(0.01)
+                await harness.until(lambda: at_work() == 3, BACK_S)
+
+        harness.play(scene)
+
+    def test_run_that_was_given_up_before_its_order_is_not_sent(self) -> None:
+        """A task runs on two workers at the same time.
+
+        A run is planned while the store is slow. Its worker is cut off until
+        the lease has lapsed, the task is planned elsewhere, and the cut
+        heals. Then the first plan is stored, and its order was sent.
+        """
+
+        async def scene() -> None:
+            bed = harness.Bed(2)
+            bed.length_s = lambda task: 12.0
+            handed = harness.job(1, harness.step(1, estimate_ms=12_000))
+            async with bed.scheduling() as term:
+                await anyio.sleep(0.5)
+                bed.store.latency_s = 4.5
+                term.add(handed)
+                await anyio.sleep(0.05)
+                for worker in bed.fleet.workers.values():
+                    worker.cut = True
+                await anyio.sleep(3.2)
+                for worker in bed.fleet.workers.values():
+                    worker.cut = False
+                await anyio.sleep(12.0)
+            self.assertEqual([], bed.fleet.ledger.violations)
+            self.assertEqual(1, bed.fleet.ledger.starts.total())
+
+        harness.play(scene)
