Wait out the lease of a worker whose first sign of loss is a refused start

Callers saw tasks that never ran again. A worker crashes; the report that is waited for stays open for some ms or, half open, up to 0.65 s; a start is refused in between and marks the worker as one that does not answer. When the report failed as well, the link took the worker for one whose lease was already being waited out, and nobody waited for it: its runs stayed booked until another life answered at its address, and for ever where none came.

Ruled out by the test: the lease itself, which had lapsed.

Whether a wait is under way is now a fact of its own (expiring), begun by any failed report while runs are booked and ended by that wait, so that it does not depend on who noticed the silence first.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -306,8 +306,12 @@
                 outcome=reply.outcome.value,
                 runs=len(worker.runs),
             )
-            context.spawn(self._expire_later, worker)
         worker.answering = False
+        # Also where a refused start was the first sign: it says only that
+        # nothing more is placed there, and its runs would wait for ever.
+        if worker.runs and not worker.expiring:
+            worker.expiring = True
+            context.spawn(self._expire_later, worker)
         return True
 
     async def _expire_later(self, worker: _roster.WorkerState) -> None:
@@ -320,7 +324,8 @@
                 continue
             self._ends.expire(worker, 'lease lapsed without an answer')
             context.wake()
-            return
+            break
+        worker.expiring = False
 
 
 _UNCONFIRMED: typing.Final = frozenset(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -32,6 +32,7 @@
         'answered_s',
         'ended',
         'expelled',
+        'expiring',
         'free',
         'gone',
         'heard_s',
@@ -65,6 +66,8 @@
         # When anything was heard of it last, and since when calls fail.
         self.heard_s: float | None = None
         self.silent_s: float | None = None
+        # Whether its lease is being waited out, to give up what runs there.
+        self.expiring = False
         # Ends up to this number were taken into account, and stored.
         self.processed = 0
         self.acknowledged = 0
