Give runs and the plan of a run a module each

Reading only: a run's order has its own life beside jobs, steps and tasks, and booking a run is the same for steps, gangs and copies.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -9,6 +9,7 @@
 from walnutpoint_core import metrics
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import ports
 
@@ -55,13 +56,13 @@
     def __init__(self, context: _context.Context) -> None:
         self._context = context
         # Set by whoever owns the order desk.
-        self.stop: collections.abc.Callable[[_state.Run, str], None] = _no_stop
+        self.stop: collections.abc.Callable[[_run.Run, str], None] = _no_stop
         self.done = 0
         self.failed = 0
         self.lost = 0
 
     def finish(
-        self, worker: _roster.WorkerState, run: _state.Run, end: ports.End
+        self, worker: _roster.WorkerState, run: _run.Run, end: ports.End
     ) -> None:
         """Apply an end that a worker lists."""
         worker.release(run)
@@ -89,7 +90,7 @@
             self._count_failure(task, run)
         self._settle(task)
 
-    def withdraw(self, run: _state.Run, reason: str) -> None:
+    def withdraw(self, run: _run.Run, reason: str) -> None:
         """Apply that a run was never started, or left no trace."""
         worker = self._context.roster.get(run.worker_id)
         if worker is not None:
@@ -159,7 +160,7 @@
             return '-'
         return round(self._context.timer.now_s() - at_s, 3)
 
-    def _detach(self, task: _state.TaskProgress, run: _state.Run) -> None:
+    def _detach(self, task: _state.TaskProgress, run: _run.Run) -> None:
         if task.run is run:
             task.run, task.copy = task.copy, None
         elif task.copy is run:
@@ -178,9 +179,7 @@
                         self.stop(run, 'another copy is done')
         task.checkpoint = ''
 
-    def _count_failure(
-        self, task: _state.TaskProgress, run: _state.Run
-    ) -> None:
+    def _count_failure(self, task: _state.TaskProgress, run: _run.Run) -> None:
         step = task.step
         if step.step.lasting:
             return
@@ -240,7 +239,7 @@
     def _judge(
         self,
         worker: _roster.WorkerState,
-        run: _state.Run,
+        run: _run.Run,
         kind: ports.EndKind,
     ) -> None:
         health = self._context.health
@@ -267,5 +266,5 @@
             health.withdraw(worker.worker_id)
 
 
-def _no_stop(_run: _state.Run, _reason: str) -> None:
+def _no_stop(_run: _run.Run, _reason: str) -> None:
     """Stand in until the order desk is connected."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -18,6 +18,7 @@
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _record
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
@@ -252,7 +253,7 @@
 
     def _restore_run(
         self, task: _state.TaskProgress, worker_id: str, attempt: int
-    ) -> _state.Run:
+    ) -> _run.Run:
         """Book a run that an earlier term may have started.
 
         Until its worker has answered under this term's token, or has
@@ -269,14 +270,14 @@
             )
             worker.unlisted_s = context.started_s
             context.roster.add(worker)
-        run = _state.Run(
+        run = _run.Run(
             _context.ports.RunName(task.name, attempt),
             worker_id,
             task.step.step.need,
             context.started_s,
             task,
         )
-        run.phase = _state.RunPhase.ORDERED
+        run.phase = _run.RunPhase.ORDERED
         run.ordered_s = context.started_s
         run.pace_in_doubt = True
         run.decisive_from_s = context.started_s
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -11,6 +11,7 @@
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _progress
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import ports
 
@@ -218,7 +219,7 @@
             if run is None:
                 run = self._book_stray(worker, row)
             if run.phase in _UNCONFIRMED:
-                run.phase = _state.RunPhase.RUNNING
+                run.phase = _run.RunPhase.RUNNING
                 run.started_s = run.percent_changed_s = now_s
             if row.percent != run.percent:
                 run.percent = row.percent
@@ -230,7 +231,7 @@
 
     def _book_stray(
         self, worker: _roster.WorkerState, row: ports.RunningTask
-    ) -> _state.Run:
+    ) -> _run.Run:
         """Book the room of a run that nobody asked for, and stop it.
 
         It is from an order of an earlier term that was carried out late, or
@@ -243,10 +244,10 @@
         need = worker.free
         if job is not None and task_name.step < len(job.document.steps):
             need = job.document.steps[task_name.step].need
-        run = _state.Run(
+        run = _run.Run(
             row.run, worker.worker_id, need, context.timer.now_s(), None
         )
-        run.phase = _state.RunPhase.RUNNING
+        run.phase = _run.RunPhase.RUNNING
         worker.book(run)
         self._desk.stop(run, 'not asked for')
         return run
@@ -330,8 +331,8 @@
 
 _UNCONFIRMED: typing.Final = frozenset(
     {
-        _state.RunPhase.PLANNED,
-        _state.RunPhase.ORDERED,
-        _state.RunPhase.IN_DOUBT,
+        _run.RunPhase.PLANNED,
+        _run.RunPhase.ORDERED,
+        _run.RunPhase.IN_DOUBT,
     }
 )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -10,6 +10,7 @@
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import ports
 
@@ -62,7 +63,7 @@
         self.refused = 0
         self.unanswered = 0
 
-    def launch(self, job: _state.JobProgress, runs: list[_state.Run]) -> None:
+    def launch(self, job: _state.JobProgress, runs: list[_run.Run]) -> None:
         """Journal planned runs and start them then."""
         job.begun = True
         if job.state is _state.JobState.QUEUED:
@@ -70,12 +71,12 @@
         self._context.journal.note(job)
         self._context.spawn(self._launch, job, runs)
 
-    def stop(self, run: _state.Run, reason: str) -> None:
+    def stop(self, run: _run.Run, reason: str) -> None:
         """Stop a run; its room is free once its end is listed."""
-        if run.phase is _state.RunPhase.STOPPING:
+        if run.phase is _run.RunPhase.STOPPING:
             return
-        planned = run.phase is _state.RunPhase.PLANNED
-        run.phase = _state.RunPhase.STOPPING
+        planned = run.phase is _run.RunPhase.PLANNED
+        run.phase = _run.RunPhase.STOPPING
         run.stop_reason = reason
         _LOG.info(
             'run.stopping',
@@ -87,16 +88,16 @@
             self._context.spawn(self._stop, run)
 
     async def _launch(
-        self, job: _state.JobProgress, runs: list[_state.Run]
+        self, job: _state.JobProgress, runs: list[_run.Run]
     ) -> None:
         await self._context.journal.saved(job)
         for run in runs:
             self._context.spawn(self._start, job, run)
 
-    async def _start(self, job: _state.JobProgress, run: _state.Run) -> None:
+    async def _start(self, job: _state.JobProgress, run: _run.Run) -> None:
         context = self._context
         worker = context.roster.get(run.worker_id)
-        if run.phase is not _state.RunPhase.PLANNED or worker is None:
+        if run.phase is not _run.RunPhase.PLANNED or worker is None:
             # Stopped before the order was sent, or the worker is gone.
             self._ends.withdraw(run, 'not sent')
             return
@@ -110,7 +111,7 @@
         if until_ms is None:
             self._ends.withdraw(run, 'worker not read yet')
             return
-        run.phase = _state.RunPhase.ORDERED
+        run.phase = _run.RunPhase.ORDERED
         run.ordered_s = context.timer.now_s()
         reply = await context.orders.start(
             worker.listed,
@@ -127,7 +128,7 @@
 
     def _learn(
         self,
-        run: _state.Run,
+        run: _run.Run,
         worker: _roster.WorkerState,
         reply: ports.OrderReply,
     ) -> None:
@@ -145,8 +146,8 @@
         if outcome is ports.OrderOutcome.DONE:
             self.started += 1
             run.decisive_from_s = now_s
-            if run.phase is _state.RunPhase.ORDERED:
-                run.phase = _state.RunPhase.RUNNING
+            if run.phase is _run.RunPhase.ORDERED:
+                run.phase = _run.RunPhase.RUNNING
                 run.started_s = run.percent_changed_s = now_s
                 resumes = run.task is not None and run.task.checkpoint
                 if reply.clock_ms is not None and not resumes:
@@ -172,13 +173,13 @@
         self.unanswered += 1
         # Placed there again at once, the task would meet the same silence.
         context.health.fail_start(run.worker_id, now_s)
-        if run.phase is _state.RunPhase.ORDERED:
-            run.phase = _state.RunPhase.IN_DOUBT
+        if run.phase is _run.RunPhase.ORDERED:
+            run.phase = _run.RunPhase.IN_DOUBT
             context.spawn(self._resolve, run)
 
     def _withdraw_refused(
         self,
-        run: _state.Run,
+        run: _run.Run,
         worker: _roster.WorkerState,
         outcome: ports.OrderOutcome,
     ) -> None:
@@ -190,7 +191,7 @@
             worker.answering = False
         self._ends.withdraw(run, outcome.value)
 
-    async def _resolve(self, run: _state.Run) -> None:
+    async def _resolve(self, run: _run.Run) -> None:
         """Block a run whose start has no answer, unless it shows up.
 
         The order may be carried out many seconds later. The same worker
@@ -201,10 +202,10 @@
         if worker is None:
             return
         await self.look(worker)
-        if run.phase is _state.RunPhase.IN_DOUBT:
+        if run.phase is _run.RunPhase.IN_DOUBT:
             self.stop(run, _UNANSWERED)
 
-    async def _stop(self, run: _state.Run) -> None:
+    async def _stop(self, run: _run.Run) -> None:
         context = self._context
         while True:
             worker = context.roster.get(run.worker_id)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
@@ -8,7 +8,7 @@
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _roster
-from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import ports
 
 __all__ = (
@@ -50,7 +50,7 @@
         filling = [
             run
             for run in worker.runs.values()
-            if run.fills and run.phase is _state.RunPhase.RUNNING
+            if run.fills and run.phase is _run.RunPhase.RUNNING
         ]
         if not filling:
             return
@@ -68,7 +68,7 @@
     def _set(
         self,
         worker: _roster.WorkerState,
-        run: _state.Run,
+        run: _run.Run,
         percent: int,
         worst: float,
     ) -> None:
@@ -86,7 +86,7 @@
         self._context.spawn(self._send, worker, run, percent)
 
     async def _send(
-        self, worker: _roster.WorkerState, run: _state.Run, percent: int
+        self, worker: _roster.WorkerState, run: _run.Run, percent: int
     ) -> None:
         context = self._context
         reply = await context.orders.pace(
@@ -99,7 +99,7 @@
             run.pace_in_doubt = run.pace_percent != percent
 
 
-def _target_share(run: _state.Run) -> float:
+def _target_share(run: _run.Run) -> float:
     """Return the share of its target that a serving task's tail takes."""
     task = run.task
     if task is None or run.percent < _WHOLE:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -4,34 +4,27 @@
 
 import typing
 
-from walnutpoint_core import logs
-from walnutpoint_core import metrics
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _delay
-from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _gang
 from walnutpoint_scheduler import _order
 from walnutpoint_scheduler import _orders
+from walnutpoint_scheduler import _planning
 from walnutpoint_scheduler import _preemption
 from walnutpoint_scheduler import _questions
 from walnutpoint_scheduler import _ready
-from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import cell
-from walnutpoint_scheduler import ports
 
 __all__ = ('Placer',)
 
-_LOG: typing.Final = logs.get_logger('placer')
 # Steps that may find no room before the rest of a pass only asks for advice:
 # each is a look at every worker, some 2 ms with 900 of them. A step that rules
 # permit a third of the workers counts for a third: it says little of the room
 # that others find.
 _BLOCKED_MAX: typing.Final = 16.0
-_WAITED: typing.Final = metrics.Latency(
-    'start_wait', 'Time from ready to placed, by priority of the queue.'
-)
 
 
 class Placer:
@@ -46,7 +39,6 @@
         '_ready',
         'longest_wait_s',
         'passes',
-        'placed',
     )
 
     def __init__(
@@ -60,7 +52,6 @@
         self._questions = _questions.Questions(context)
         self._ready = _ready.ReadySteps(context)
         self.passes = 0
-        self.placed = 0
         # The longest that a step waits now which some worker may run.
         self.longest_wait_s = 0.0
 
@@ -148,13 +139,17 @@
             _delay.tell(step, queue, _delay.Cause.BEHIND, len(step.waiting()))
             return
         waiting = step.waiting()[:tasks_max]
-        runs: list[_state.Run] = []
+        runs: list[_run.Run] = []
         shortlist = self._shortlist(chooser, queue, step)
         for task in waiting:
             worker = shortlist.take()
             if worker is None:
                 break
-            runs.append(self._plan(task, worker, queue, task.attempt + 1))
+            runs.append(
+                _planning.plan(
+                    self._context, task, worker, queue, task.attempt + 1
+                )
+            )
         if runs:
             self._desk.launch(step.job, runs)
         missing = len(waiting) - len(runs)
@@ -218,7 +213,9 @@
             if worker is None:
                 self._questions.ask(chooser, queue, task.step, 1)
                 continue
-            copy = self._plan(task, worker, queue, task.attempt + 1)
+            copy = _planning.plan(
+                self._context, task, worker, queue, task.attempt + 1
+            )
             task.run, task.copy = run, copy
             self._desk.launch(job, [copy])
 
@@ -251,51 +248,11 @@
         runs = []
         for task, worker in zip(step.tasks, picked, strict=True):
             task.checkpoint = checkpoint
-            runs.append(self._plan(task, worker, queue, attempt))
+            runs.append(
+                _planning.plan(self._context, task, worker, queue, attempt)
+            )
         self._desk.launch(step.job, runs)
 
-    def _plan(
-        self,
-        task: _state.TaskProgress,
-        worker: _roster.WorkerState,
-        queue: cell.Queue,
-        attempt: int,
-    ) -> _state.Run:
-        context = self._context
-        task.attempt = attempt
-        run = _state.Run(
-            _run_name(task, attempt),
-            worker.worker_id,
-            task.step.step.need,
-            context.timer.now_s(),
-            task,
-        )
-        if queue.advice is not None:
-            ticket = context.advice.ticket(task.step.key, worker.worker_id)
-            run.ticket = ticket or ''
-        task.run = run
-        task.state = _state.TaskState.ACTIVE
-        worker.book(run)
-        context.health.begin(worker.worker_id, context.timer.now_s())
-        self.placed += 1
-        now_s = context.timer.now_s()
-        task.step.placed_s = now_s
-        task.step.waits_for = ''
-        # A copy of a run that an earlier term started was never seen ready.
-        ready_s = task.step.ready_s
-        waited_s = 0.0 if ready_s is None else now_s - ready_s
-        _WAITED.observe(str(queue.priority), waited_s)
-        _LOG.info(
-            'run.placed',
-            run=_ends.run_text(run.name),
-            queue=queue.name,
-            worker=worker.worker_id,
-            free_millicores=worker.free.cpu_millicores,
-            waited_s=round(waited_s, 3),
-            token=context.token,
-        )
-        return run
-
     def _wait(
         self,
         chooser: _choice.Chooser,
@@ -315,7 +272,3 @@
         self._questions.ask(chooser, queue, step, missing, places)
         cause = _delay.find(chooser, advice, queue, step, places)
         _delay.tell(step, queue, cause, missing)
-
-
-def _run_name(task: _state.TaskProgress, attempt: int) -> ports.RunName:
-    return ports.RunName(task.name, attempt)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -0,0 +1,64 @@
+"""The plan of one run: its name, its room, and what the log says of it."""
+
+from __future__ import annotations
+
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_core import metrics
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
+
+__all__ = ('plan',)
+
+_LOG: typing.Final = logs.get_logger('placer')
+_WAITED: typing.Final = metrics.Latency(
+    'start_wait', 'Time from ready to placed, by priority of the queue.'
+)
+
+
+def plan(
+    context: _context.Context,
+    task: _state.TaskProgress,
+    worker: _roster.WorkerState,
+    queue: cell.Queue,
+    attempt: int,
+) -> _run.Run:
+    """Book room for a task's next run, with its ticket where it needs one."""
+    now_s = context.timer.now_s()
+    task.attempt = attempt
+    run = _run.Run(
+        ports.RunName(task.name, attempt),
+        worker.worker_id,
+        task.step.step.need,
+        now_s,
+        task,
+    )
+    if queue.advice is not None:
+        ticket = context.advice.ticket(task.step.key, worker.worker_id)
+        run.ticket = ticket or ''
+    task.run = run
+    task.state = _state.TaskState.ACTIVE
+    worker.book(run)
+    context.health.begin(worker.worker_id, now_s)
+    task.step.placed_s = now_s
+    task.step.waits_for = ''
+    # A copy of a run that an earlier term started was never seen ready.
+    ready_s = task.step.ready_s
+    waited_s = 0.0 if ready_s is None else now_s - ready_s
+    _WAITED.observe(str(queue.priority), waited_s)
+    _LOG.info(
+        'run.placed',
+        run=_ends.run_text(run.name),
+        queue=queue.name,
+        worker=worker.worker_id,
+        free_millicores=worker.free.cpu_millicores,
+        waited_s=round(waited_s, 3),
+        token=context.token,
+    )
+    return run
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -11,6 +11,7 @@
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _remaining
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import cell
 
@@ -39,7 +40,7 @@
         self.worker = worker
         # The room of what is being stopped there.
         self.leaving = _NOTHING
-        self.victims: list[_state.Run] = []
+        self.victims: list[_run.Run] = []
 
 
 class Preemption:
@@ -135,7 +136,7 @@
                 continue
             site = _Site(worker)
             for run in worker.runs.values():
-                if run.phase is _state.RunPhase.STOPPING:
+                if run.phase is _run.RunPhase.STOPPING:
                     site.leaving += run.need
                 elif self._may_stop(run, queue.priority, now_s):
                     site.victims.append(run)
@@ -175,7 +176,7 @@
 
     def _may_stop(
         self,
-        run: _state.Run,
+        run: _run.Run,
         priority: int,
         now_s: float,
     ) -> bool:
@@ -185,7 +186,7 @@
         step = task.step.step
         if not step.checkpoints or step.gang or step.lasting or step.fills:
             return False
-        if run.phase is not _state.RunPhase.RUNNING or task.copy is not None:
+        if run.phase is not _run.RunPhase.RUNNING or task.copy is not None:
             return False
         if self._context.queue_of(task.step.job).priority <= priority:
             return False
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
@@ -7,6 +7,7 @@
 from walnutpoint_core import logs
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import ports
 
@@ -69,13 +70,13 @@
         _LOG.info('worker.as_usual', **fields)
 
 
-def _is_telling(run: _state.Run, now_s: float) -> bool:
+def _is_telling(run: _run.Run, now_s: float) -> bool:
     """Return whether a run's progress depends on its worker alone."""
     task = typing.cast(_state.TaskProgress, run.task)
     step = task.step.step
     if step.lasting or step.fills or run.pace_percent < _WHOLE:
         return False
-    if run.phase is not _state.RunPhase.RUNNING:
+    if run.phase is not _run.RunPhase.RUNNING:
         return False
     if step.gang and run.percent <= 0.0:
         # Its members may not all be there yet.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_release.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_release.py
@@ -8,7 +8,7 @@
 from walnutpoint_core import amount
 from walnutpoint_scheduler import _remaining
 from walnutpoint_scheduler import _roster
-from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _run
 
 __all__ = ('Releases',)
 
@@ -54,8 +54,8 @@
             self._rows[worker.worker_id] = rows
         return rows
 
-    def _left_s(self, run: _state.Run) -> float:
-        if run.task is None or run.phase is _state.RunPhase.STOPPING:
+    def _left_s(self, run: _run.Run) -> float:
+        if run.task is None or run.phase is _run.RunPhase.STOPPING:
             return _STOP_S
         if run.task.step.step.lasting:
             return math.inf
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_remaining.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_remaining.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 
 __all__ = (
@@ -17,7 +18,7 @@
 _TELLING_PERCENT: typing.Final = 5.0
 
 
-def run_s(run: _state.Run, task: _state.TaskProgress, now_s: float) -> float:
+def run_s(run: _run.Run, task: _state.TaskProgress, now_s: float) -> float:
     """Return the estimated time that a run still takes."""
     estimate_s = task.step.step.estimate_ms / _MS
     if run.started_s is None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -8,7 +8,7 @@
 
 from walnutpoint_core import amount
 from walnutpoint_scheduler import _lease
-from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 
@@ -57,7 +57,7 @@
         # The room that is neither used nor booked.
         self.free = listed.capacity
         self.lease = lease
-        self.runs: dict[ports.RunName, _state.Run] = {}
+        self.runs: dict[ports.RunName, _run.Run] = {}
         self.taken = _NOTHING
         self.step_counts: collections.Counter[str] = collections.Counter()
         # Whether the newest call was answered under this term's token.
@@ -119,7 +119,7 @@
         if self.silent_s is None:
             self.silent_s = now_s
 
-    def book(self, run: _state.Run) -> None:
+    def book(self, run: _run.Run) -> None:
         """Take room for a run."""
         if run.name in self.runs:
             return
@@ -128,7 +128,7 @@
         if run.task is not None:
             self.step_counts[run.task.step.key] += 1
 
-    def release(self, run: _state.Run) -> None:
+    def release(self, run: _run.Run) -> None:
         """Give back the room of a run that is over."""
         if self.runs.pop(run.name, None) is None:
             return
@@ -146,7 +146,7 @@
         self.taken = taken
         self.free = self.listed.capacity - taken
 
-    def serving_runs(self) -> list[_state.Run]:
+    def serving_runs(self) -> list[_run.Run]:
         """Return the runs whose users have a target for response times."""
         return [
             run
@@ -203,6 +203,6 @@
             for other in self.workers.values()
         )
 
-    def holder(self, run: _state.Run) -> WorkerState | None:
+    def holder(self, run: _run.Run) -> WorkerState | None:
         """Return the worker that a run is booked on."""
         return self.workers.get(run.worker_id)
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
@@ -0,0 +1,88 @@
+"""One run of a task on a worker, and how far its order has come."""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+from walnutpoint_core import amount
+from walnutpoint_scheduler import ports
+
+if typing.TYPE_CHECKING:
+    from walnutpoint_scheduler import _state
+
+__all__ = (
+    'Run',
+    'RunPhase',
+)
+
+
+class RunPhase(enum.Enum):
+    """How far the order for a run has come."""
+
+    # The journal does not have it yet, and no order was sent.
+    PLANNED = 'planned'
+    ORDERED = 'ordered'
+    RUNNING = 'running'
+    # The order has no answer, and the worker must block the run first.
+    IN_DOUBT = 'in_doubt'
+    STOPPING = 'stopping'
+
+
+class Run:
+    """One run of a task on a worker, which books room until its end."""
+
+    __slots__ = (
+        'decisive_from_s',
+        'fills',
+        'load',
+        'name',
+        'need',
+        'ordered_s',
+        'pace_in_doubt',
+        'pace_percent',
+        'percent',
+        'percent_changed_s',
+        'phase',
+        'planned_s',
+        'sample',
+        'started_s',
+        'stop_reason',
+        'task',
+        'ticket',
+        'worker_id',
+    )
+
+    def __init__(
+        self,
+        name: ports.RunName,
+        worker_id: str,
+        need: amount.Amount,
+        planned_s: float,
+        task: _state.TaskProgress | None,
+    ) -> None:
+        self.name = name
+        self.worker_id = worker_id
+        self.need = need
+        self.planned_s = planned_s
+        # None for a run that no record of this term asks for.
+        self.task = task
+        self.phase = RunPhase.PLANNED
+        self.ticket = ''
+        # When its start was sent, or an earlier term's may have been.
+        self.ordered_s: float | None = None
+        self.started_s: float | None = None
+        # A report asked for after this time that does not list the run says
+        # that it is over, or never was.
+        self.decisive_from_s: float | None = None
+        self.percent = 0.0
+        self.percent_changed_s = planned_s
+        # The worker's time in ms and the percent that its pace counts from.
+        self.sample: tuple[int, float] | None = None
+        self.load = 0.0
+        self.pace_percent = 100
+        # Whether the worker may keep another pace than that: an order had no
+        # answer, or an earlier term may have given one.
+        self.pace_in_doubt = False
+        self.stop_reason = ''
+        self.fills = task is not None and task.step.step.fills
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
@@ -4,7 +4,7 @@
 
 import typing
 
-from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _run
 
 __all__ = ('limit_s',)
 
@@ -21,7 +21,7 @@
 _GATHERING_FACTOR: typing.Final = 4.0
 
 
-def limit_s(run: _state.Run, longest_s: float) -> float:
+def limit_s(run: _run.Run, longest_s: float) -> float:
     """Return how long a run may report the same progress.
 
     A worker that takes tasks and does not work on them costs each of them
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -6,7 +6,7 @@
 import enum
 import typing
 
-from walnutpoint_core import amount
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import ports
@@ -14,8 +14,6 @@
 __all__ = (
     'JobProgress',
     'JobState',
-    'Run',
-    'RunPhase',
     'StepProgress',
     'TaskProgress',
     'TaskState',
@@ -52,77 +50,6 @@
     DONE = 2
 
 
-class RunPhase(enum.Enum):
-    """How far the order for a run has come."""
-
-    # The journal does not have it yet, and no order was sent.
-    PLANNED = 'planned'
-    ORDERED = 'ordered'
-    RUNNING = 'running'
-    # The order has no answer, and the worker must block the run first.
-    IN_DOUBT = 'in_doubt'
-    STOPPING = 'stopping'
-
-
-class Run:
-    """One run of a task on a worker, which books room until its end."""
-
-    __slots__ = (
-        'decisive_from_s',
-        'fills',
-        'load',
-        'name',
-        'need',
-        'ordered_s',
-        'pace_in_doubt',
-        'pace_percent',
-        'percent',
-        'percent_changed_s',
-        'phase',
-        'planned_s',
-        'sample',
-        'started_s',
-        'stop_reason',
-        'task',
-        'ticket',
-        'worker_id',
-    )
-
-    def __init__(
-        self,
-        name: ports.RunName,
-        worker_id: str,
-        need: amount.Amount,
-        planned_s: float,
-        task: TaskProgress | None,
-    ) -> None:
-        self.name = name
-        self.worker_id = worker_id
-        self.need = need
-        self.planned_s = planned_s
-        # None for a run that no record of this term asks for.
-        self.task = task
-        self.phase = RunPhase.PLANNED
-        self.ticket = ''
-        # When its start was sent, or an earlier term's may have been.
-        self.ordered_s: float | None = None
-        self.started_s: float | None = None
-        # A report asked for after this time that does not list the run says
-        # that it is over, or never was.
-        self.decisive_from_s: float | None = None
-        self.percent = 0.0
-        self.percent_changed_s = planned_s
-        # The worker's time in ms and the percent that its pace counts from.
-        self.sample: tuple[int, float] | None = None
-        self.load = 0.0
-        self.pace_percent = 100
-        # Whether the worker may keep another pace than that: an order had no
-        # answer, or an earlier term may have given one.
-        self.pace_in_doubt = False
-        self.stop_reason = ''
-        self.fills = task is not None and task.step.step.fills
-
-
 class TaskProgress:
     """One task: how often it was started and how it stands."""
 
@@ -146,9 +73,9 @@
         self.attempt = 0
         self.failures = 0
         self.checkpoint = ''
-        self.run: Run | None = None
+        self.run: _run.Run | None = None
         # A second run at the same time, where the step allows copies.
-        self.copy: Run | None = None
+        self.copy: _run.Run | None = None
         self.waiting_since_s = 0.0
 
     @property
@@ -160,7 +87,7 @@
         )
 
     @property
-    def runs(self) -> tuple[Run, ...]:
+    def runs(self) -> tuple[_run.Run, ...]:
         """Return the runs that are not over."""
         return tuple(run for run in (self.run, self.copy) if run is not None)
 
@@ -324,7 +251,7 @@
         for steps in self.occurrences.values():
             yield from steps
 
-    def runs(self) -> list[Run]:
+    def runs(self) -> list[_run.Run]:
         """Return every run that is not over."""
         return [
             run
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -12,6 +12,7 @@
 from walnutpoint_scheduler import _questions
 from walnutpoint_scheduler import _remaining
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _stall
 from walnutpoint_scheduler import _state
 
@@ -33,7 +34,7 @@
 _STRAGGLE_FACTOR: typing.Final = 1.3
 _STRAGGLE_S: typing.Final = 0.2
 _AT_WORK: typing.Final = frozenset(
-    {_state.RunPhase.ORDERED, _state.RunPhase.RUNNING}
+    {_run.RunPhase.ORDERED, _run.RunPhase.RUNNING}
 )
 # What a move costs besides the run's time elsewhere: a stop takes up to 0.4 s,
 # and its end 0.1 s to be seen.
@@ -83,7 +84,7 @@
             return
         self._leave_slow(worker, now_s)
         for run in list(worker.runs.values()):
-            if run.task is None or run.phase is not _state.RunPhase.RUNNING:
+            if run.task is None or run.phase is not _run.RunPhase.RUNNING:
                 continue
             if self._stands_still(worker, run, run.task):
                 self._stop_stalled(run, run.task)
@@ -123,7 +124,7 @@
                 self._context.wake()
 
     def _is_late(
-        self, run: _state.Run, task: _state.TaskProgress, now_s: float
+        self, run: _run.Run, task: _state.TaskProgress, now_s: float
     ) -> bool:
         """Return whether a run would be over sooner elsewhere."""
         usual_pace = self._context.pace.usual(task.step.key)
@@ -149,7 +150,7 @@
             return
         for run in list(worker.runs.values()):
             task = run.task
-            if task is None or run.phase is not _state.RunPhase.RUNNING:
+            if task is None or run.phase is not _run.RunPhase.RUNNING:
                 continue
             step = task.step.step
             if step.gang or step.lasting or task.copy is not None:
@@ -164,7 +165,7 @@
     def _stands_still(
         self,
         worker: _roster.WorkerState,
-        run: _state.Run,
+        run: _run.Run,
         task: _state.TaskProgress,
     ) -> bool:
         # Up to the newest report: what happened since is not known.
@@ -177,9 +178,7 @@
             return False
         return still_s > _stall.limit_s(run, self._context.settings.stall_s)
 
-    def _stop_stalled(
-        self, run: _state.Run, task: _state.TaskProgress
-    ) -> None:
+    def _stop_stalled(self, run: _run.Run, task: _state.TaskProgress) -> None:
         """Run a task elsewhere that makes no progress.
 
         Its worker holds it without working on it, and would do so until the
@@ -201,7 +200,7 @@
             self._leaving_s[worker.worker_id] = leave_s
         for run in list(worker.runs.values()):
             task = run.task
-            if task is None or run.phase is not _state.RunPhase.RUNNING:
+            if task is None or run.phase is not _run.RunPhase.RUNNING:
                 continue
             if task.step.step.lasting:
                 self._desk.stop(run, 'worker leaves')
@@ -238,7 +237,7 @@
 
 
 def _straggles(
-    run: _state.Run,
+    run: _run.Run,
     task: _state.TaskProgress,
     now_s: float,
     usual_pace: float | None,
--- a/tests/walnutpoint_scheduler/test_pacing.py
+++ b/tests/walnutpoint_scheduler/test_pacing.py
@@ -13,6 +13,7 @@
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _pacing
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import ports
 
@@ -87,10 +88,10 @@
         self._pacer = _pacing.Pacer(context)
         self._timer = context.timer
 
-    def _run(self, task: _state.TaskProgress, worker_id: str) -> _state.Run:
+    def _run(self, task: _state.TaskProgress, worker_id: str) -> _run.Run:
         name = ports.RunName(task.name, 1)
-        run = _state.Run(name, worker_id, task.step.step.need, 0.0, task)
-        run.phase = _state.RunPhase.RUNNING
+        run = _run.Run(name, worker_id, task.step.step.need, 0.0, task)
+        run.phase = _run.RunPhase.RUNNING
         self.worker.book(run)
         return run
 
--- a/tests/walnutpoint_scheduler/test_slow_workers.py
+++ b/tests/walnutpoint_scheduler/test_slow_workers.py
@@ -19,6 +19,7 @@
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _progress
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import worker_pace
@@ -220,8 +221,8 @@
         task = progress.occurrence(0)[0].tasks[0]
         task.checkpoint = 'saved'
         name = ports.RunName(task.name, 2)
-        run = _state.Run(name, 'worker-0', task.step.step.need, 0.0, task)
-        run.phase, run.started_s = _state.RunPhase.RUNNING, 100.0 - age_s
+        run = _run.Run(name, 'worker-0', task.step.step.need, 0.0, task)
+        run.phase, run.started_s = _run.RunPhase.RUNNING, 100.0 - age_s
         worker = _roster.WorkerState(
             workers.listed_worker(0), _lease.WorkerLease(2.5, 0.0)
         )
--- a/tests/walnutpoint_scheduler/test_stall.py
+++ b/tests/walnutpoint_scheduler/test_stall.py
@@ -6,6 +6,7 @@
 
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_core import amount
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _stall
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import ports
@@ -13,14 +14,14 @@
 LONGEST_S = 1.3
 
 
-def run_of(checkpoint: str = '', **fields: object) -> _state.Run:
+def run_of(checkpoint: str = '', **fields: object) -> _run.Run:
     """Return a run of a task of a step with some fields."""
     document = harness.job(1, harness.step(1, **fields))
     job = _state.JobProgress(document, harness.QUEUE, 0.0)
     task = job.occurrence(0)[0].tasks[0]
     task.checkpoint = checkpoint
     name = ports.RunName(task.name, 1)
-    return _state.Run(name, 'worker-0', amount.Amount(), 0.0, task)
+    return _run.Run(name, 'worker-0', amount.Amount(), 0.0, task)
 
 
 class LimitTest(unittest.TestCase):
