Run a task that may crash its workers apart, and give it up

Cause, and its class (a retry without a bound or memory): a run that is lost with its worker went back to waiting and left no trace. Only ends that a worker lists counted, and a worker that crashes lists nothing. Ruled out: a count lost at takeovers (one term), late or repeated orders (each start has its own decision and attempt), workers that crash by themselves (each 10 ms after a start of one of nine tasks).

Each loss is weighed (Bayes' rule) by the ages of the runs, by what is held against the others, by how often workers are lost here anyway and by how many were lost at that moment. A suspect runs apart, so that its next crash tells; its job is failed at a thousand to one, or at even odds after five. The weights are in the job's record.

Why it holds: a task that crashes whatever starts it reaches even odds with each of at most five losses in a cell where workers are lost all the time, since nobody starts beside it; and a victim parts from it with its next start.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -232,7 +232,12 @@
         return self.may_start(worker)
 
     def may_start(self, worker: _roster.WorkerState) -> bool:
-        """Return whether a worker's health lets it take a task now."""
+        """Return whether a worker may take a task now.
+
+        Not beside a task that may crash it, nor where its health forbids it.
+        """
+        if worker.runs_suspect:
+            return False
         if not self._policies.worker_health:
             return True
         return self._health.may_try(worker.worker_id, self._now_s)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -13,6 +13,7 @@
 from walnutpoint_scheduler import _journal
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _suspects
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
@@ -47,6 +48,7 @@
         'roster',
         'settings',
         'started_s',
+        'suspects',
         'tasks',
         'timer',
         'token',
@@ -78,6 +80,7 @@
         self.copies_wanted: dict[ports.TaskName, _state.TaskProgress] = {}
         self.pace = worker_pace.WorkerPace()
         self.roster = _roster.Roster()
+        self.suspects = _suspects.Suspects(self.roster, clock)
         self.cell = cell.Cell(0)
         self.journal: _journal.Journal = typing.cast(typing.Any, None)
         self.advice: _advice.AdviceBook = typing.cast(typing.Any, None)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_delay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_delay.py
@@ -44,6 +44,8 @@
     NO_WORKER = 'no-worker'
     # Too many earlier steps of its pool wait: it was not looked at.
     BEHIND = 'behind'
+    # It may have crashed a worker, and waits for one that it runs on apart.
+    SUSPECT = 'suspect'
     # Its tasks may not share a worker, or the gang has no room at once.
     SPREAD = 'spread'
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -11,6 +11,7 @@
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _suspects
 from walnutpoint_scheduler import ports
 
 __all__ = (
@@ -32,9 +33,6 @@
 # A failure within this part of a run's estimate speaks against its worker: for
 # the shortest tasks that is 0.14 s, three times what failing workers take.
 _EARLY_SHARE: typing.Final = 0.2
-# Workers that fall silent within this time are counted as one loss: a report
-# is held back for up to twice as long, an order is answered within some ms.
-_TOGETHER_S: typing.Final = 0.25
 # The reason of a stop that speaks against the worker.
 STALLED: typing.Final = 'stalled'
 
@@ -126,7 +124,6 @@
     def expire(self, worker: _roster.WorkerState, reason: str) -> None:
         """Apply that nothing which was started on a worker still runs."""
         if worker.runs:
-            together = self._context.roster.silent_with(worker, _TOGETHER_S)
             _LOG.warning(
                 'worker.runs_lost',
                 worker=worker.worker_id,
@@ -135,12 +132,43 @@
                 draining=worker.listed.draining,
                 heard_ago_s=self._ago_s(worker.heard_s),
                 silent_ago_s=self._ago_s(worker.silent_s),
-                together=together,
+                together=self._context.suspects.lost_with(worker),
             )
             _LOST.add('left' if worker.listed.draining else 'unplanned')
+        guilty = self._context.suspects.blame(worker)
         for run in list(worker.runs.values()):
             self.lost += 1
             self.withdraw(run, reason)
+        for task in guilty:
+            self._give_up(task)
+
+    def acquit(self, worker: _roster.WorkerState) -> None:
+        """Apply that a worker answers whose lease had lapsed."""
+        for task in self._context.suspects.acquit(worker):
+            if not task.step.job.state.final:
+                self._context.journal.note(task.step.job, urgent=False)
+
+    def _give_up(self, task: _state.TaskProgress) -> None:
+        """Fail the job of a task that crashes its workers.
+
+        Started again it would end one worker after the other, each with
+        some eight runs of other jobs.
+        """
+        job = task.step.job
+        if job.state.final:
+            return
+        job.reason = (
+            f'task {_suspects.task_text(task)} crashed '
+            f'{len(task.losses)} workers'
+        )
+        _LOG.warning(
+            'task.given_up',
+            task=_suspects.task_text(task),
+            queue=job.document.queue,
+            workers=','.join(loss.worker_id for loss in task.losses),
+            attempt=task.attempt,
+        )
+        self._conclude(job, _state.JobState.FAILED)
 
     def cancel(self, job: _state.JobProgress) -> None:
         """End a job that its client account has cancelled."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_gang.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_gang.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import typing
 
 from walnutpoint_scheduler import _choice
@@ -10,6 +11,8 @@
 
 __all__ = ('pick',)
 
+_NOBODY: typing.Final[dict[int, _roster.WorkerState]] = {}
+
 
 class _Try(typing.NamedTuple):
     """Workers to choose among, and whether doubted ones are left out."""
@@ -24,24 +27,39 @@
     permitted: _choice.Permitted,
     *,
     is_urgent: bool,
+    apart: collections.abc.Mapping[int, _roster.WorkerState] = _NOBODY,
 ) -> list[_roster.WorkerState] | None:
     """Return a worker for each member, or None without room for all.
 
+    Some members have a worker of their own already, by their index.
+
     One failure costs all members, so that doubted workers are left out. A
     gang that has waited takes them too: where no sound worker may run it,
     nothing else may ever prove the others sound.
     """
-    for tried in _tries(chooser, step, is_urgent):
-        picked = _pick(chooser, step, permitted, tried)
+    taken = {worker.worker_id for worker in apart.values()}
+    count = len(step.tasks) - len(apart)
+    for tried in _tries(chooser, step, taken, is_urgent):
+        picked = _pick(chooser, step, permitted, count, tried)
         if picked is not None:
-            return picked
+            others = iter(picked)
+            return [
+                apart.get(task.index) or next(others) for task in step.tasks
+            ]
     return None
 
 
 def _tries(
-    chooser: _choice.Chooser, step: _state.StepProgress, is_urgent: bool
+    chooser: _choice.Chooser,
+    step: _state.StepProgress,
+    taken: collections.abc.Set[str],
+    is_urgent: bool,
 ) -> list[_Try]:
-    everyone = chooser.able(step.step)
+    everyone = [
+        worker
+        for worker in chooser.able(step.step)
+        if worker.worker_id not in taken
+    ]
     racks: dict[str, list[_roster.WorkerState]] = {}
     for worker in everyone:
         racks.setdefault(worker.listed.rack, []).append(worker)
@@ -61,6 +79,7 @@
     chooser: _choice.Chooser,
     step: _state.StepProgress,
     permitted: _choice.Permitted,
+    count: int,
     tried: _Try,
 ) -> list[_roster.WorkerState] | None:
     picked: list[_roster.WorkerState] = []
@@ -76,10 +95,10 @@
         if permitted is not None and worker.worker_id not in permitted:
             continue
         free = chooser.free(worker, step.step.expected_s)
-        count = free.times(step.step.need)
+        places = free.times(step.step.need)
         if step.step.per_worker_max:
-            count = min(count, step.step.per_worker_max)
-        picked += [worker] * count
-        if len(picked) >= len(step.tasks):
-            return picked[: len(step.tasks)]
+            places = min(places, step.step.per_worker_max)
+        picked += [worker] * places
+        if len(picked) >= count:
+            return picked[:count]
     return None
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -222,6 +222,9 @@
         if item is not None:
             record = _record.decode_record(item.value)
             runs = _record.apply_record(progress, record, item.revision)
+            for step in progress.steps():
+                for task in step.tasks:
+                    context.suspects.restore(task)
             for task, worker_id, attempt in runs:
                 run = self._restore_run(task, worker_id, attempt)
                 if task.state is _state.TaskState.DONE:
@@ -278,7 +281,7 @@
             task,
         )
         run.phase = _run.RunPhase.ORDERED
-        run.ordered_s = context.started_s
+        run.restored_s = context.started_s
         run.pace_in_doubt = True
         run.decisive_from_s = context.started_s
         # A done task may have a copy that was still being stopped. Taken for
@@ -290,6 +293,8 @@
         else:
             task.copy = run
         worker.book(run)
+        if task.is_suspect:
+            context.suspects.admit(worker, run)
         return run
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -143,6 +143,7 @@
         if not worker.answering:
             worker.answering = True
             self._bury_others(worker)
+            self._ends.acquit(worker)
             _LOG.info(
                 'worker.answering',
                 worker=worker.worker_id,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -12,6 +12,7 @@
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _planning
 from walnutpoint_scheduler import _preemption
+from walnutpoint_scheduler import _quarantine
 from walnutpoint_scheduler import _questions
 from walnutpoint_scheduler import _ready
 from walnutpoint_scheduler import _run
@@ -35,6 +36,7 @@
         '_context',
         '_desk',
         '_preemption',
+        '_quarantine',
         '_questions',
         '_ready',
         'longest_wait_s',
@@ -49,6 +51,7 @@
         # By pool, for one pass.
         self._choosers: dict[str, _choice.Chooser] = {}
         self._preemption = _preemption.Preemption(context, desk)
+        self._quarantine = _quarantine.Quarantine(context)
         self._questions = _questions.Questions(context)
         self._ready = _ready.ReadySteps(context)
         self.passes = 0
@@ -65,6 +68,7 @@
         self.passes += 1
         self._questions.begin()
         self._preemption.begin()
+        self._quarantine.begin()
         self._choosers.clear()
         rows = self._ready.rows()
         self.longest_wait_s = self._ready.longest_wait_s(rows)
@@ -75,6 +79,7 @@
             if row not in promoted:
                 self._place(row)
         self._place_copies()
+        self._place_suspects()
 
     def _place(
         self, row: _order.Waiting, tasks_max: int | None = None
@@ -138,7 +143,9 @@
             self._questions.ask(chooser, queue, step, len(step.waiting()))
             _delay.tell(step, queue, _delay.Cause.BEHIND, len(step.waiting()))
             return
-        waiting = step.waiting()[:tasks_max]
+        waiting = self._quarantine.part(queue, step)[:tasks_max]
+        if not waiting:
+            return
         runs: list[_run.Run] = []
         shortlist = self._shortlist(chooser, queue, step)
         for task in waiting:
@@ -205,6 +212,8 @@
             job, run = task.step.job, task.run
             if job.state.final or run is None or task.copy is not None:
                 continue
+            if task.is_suspect:
+                continue
             queue = context.queue_of(job)
             chooser = self._chooser(queue)
             worker = self._shortlist(
@@ -219,6 +228,24 @@
             task.run, task.copy = run, copy
             self._desk.launch(job, [copy])
 
+    def _place_suspects(self) -> None:
+        """Start tasks that may crash their workers, each apart."""
+        for row in self._quarantine.waiting():
+            step = row.task.step
+            chooser = self._chooser(row.queue)
+            permitted = self._permitted(row.queue, step)
+            worker = self._quarantine.pick(chooser, row, permitted)
+            if worker is None:
+                self._questions.ask(chooser, row.queue, step, 1)
+                _delay.tell(step, row.queue, _delay.Cause.SUSPECT, 1)
+                continue
+            attempt = row.task.attempt + 1
+            run = _planning.plan(
+                self._context, row.task, worker, row.queue, attempt
+            )
+            self._context.suspects.admit(worker, run)
+            self._desk.launch(step.job, [run])
+
     def _place_gang(
         self,
         chooser: _choice.Chooser,
@@ -232,11 +259,16 @@
         """
         if any(task.runs for task in step.tasks):
             return
+        now_s = self._context.timer.now_s()
+        if any(task.not_before_s > now_s for task in step.tasks):
+            return
+        permitted = self._permitted(queue, step)
         picked = _gang.pick(
             chooser,
             step,
-            self._permitted(queue, step),
+            permitted,
             is_urgent=self._questions.is_starved(step),
+            apart=self._quarantine.for_gang(chooser, step, permitted),
         )
         if picked is None:
             self._wait(chooser, queue, step, len(step.tasks))
@@ -248,9 +280,10 @@
         runs = []
         for task, worker in zip(step.tasks, picked, strict=True):
             task.checkpoint = checkpoint
-            runs.append(
-                _planning.plan(self._context, task, worker, queue, attempt)
-            )
+            run = _planning.plan(self._context, task, worker, queue, attempt)
+            if task.is_suspect:
+                self._context.suspects.admit(worker, run)
+            runs.append(run)
         self._desk.launch(step.job, runs)
 
     def _wait(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from walnutpoint_scheduler import _blame
 from walnutpoint_scheduler import _state
 
 __all__ = (
@@ -27,6 +28,7 @@
     checkpoint: str
     # The worker of each run that is not known to be over, with its attempt.
     runs: list[tuple[str, int]]
+    losses: list[_blame.Loss] = []
 
 
 class StepRecord(msgspec.Struct, array_like=True):
@@ -46,6 +48,8 @@
     # The time of day at which the record was written, to remove old ones.
     written_ms: int
     steps: list[StepRecord]
+    # Why the job failed, where its caller is to be told.
+    reason: str = ''
 
 
 _ENCODER: typing.Final = msgspec.msgpack.Encoder()
@@ -74,7 +78,7 @@
     """Serialize what a job's record has to say."""
     steps = [] if job.state.final else [_step_record(s) for s in job.steps()]
     return _ENCODER.encode(
-        JobRecord(job.state.value, job.begun, now_ms, steps)
+        JobRecord(job.state.value, job.begun, now_ms, steps, job.reason)
     )
 
 
@@ -85,6 +89,7 @@
     job.state = _state.JobState(record.state)
     job.saved_state = record.state
     job.begun = record.begun
+    job.reason = record.reason
     job.record_revision = revision
     runs: list[tuple[_state.TaskProgress, str, int]] = []
     for step_record in record.steps:
@@ -98,6 +103,7 @@
             task.attempt = saved.attempt
             task.failures = saved.failures
             task.checkpoint = saved.checkpoint
+            task.losses = saved.losses
             if saved.done:
                 step.finish(task)
             runs += [(task, worker, at) for worker, at in saved.runs]
@@ -115,6 +121,7 @@
             task.state is _state.TaskState.DONE,
             task.checkpoint,
             [(run.worker_id, run.name.attempt) for run in task.runs],
+            task.losses,
         )
         for task in step.tasks
         if task.attempt
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -21,6 +21,8 @@
 _NOTHING: typing.Final = amount.Amount()
 # Ends of some seconds on the busiest worker.
 _ENDED_MAX: typing.Final = 64
+# A start counts as recent for as long as a silent worker takes to be noticed.
+_FRESH_S: typing.Final = 0.7
 
 
 class WorkerState:
@@ -34,6 +36,7 @@
         'expelled',
         'expiring',
         'free',
+        'fresh_jobs',
         'gone',
         'heard_s',
         'lease',
@@ -41,6 +44,7 @@
         'listed_until_s',
         'processed',
         'runs',
+        'runs_suspect',
         'silent_s',
         'step_counts',
         'taken',
@@ -66,6 +70,10 @@
         # When anything was heard of it last, and since when calls fail.
         self.heard_s: float | None = None
         self.silent_s: float | None = None
+        # The jobs of which a task had just been started then.
+        self.fresh_jobs: frozenset[str] = frozenset()
+        # Whether a task that may crash it runs there, and nothing may start.
+        self.runs_suspect = False
         # Whether its lease is being waited out, to give up what runs there.
         self.expiring = False
         # Ends up to this number were taken into account, and stored.
@@ -118,6 +126,12 @@
         """Note that a call was not answered."""
         if self.silent_s is None:
             self.silent_s = now_s
+            self.fresh_jobs = frozenset(
+                run.name.task.job_id
+                for run in self.runs.values()
+                if run.ordered_s is not None
+                and now_s - run.ordered_s <= _FRESH_S
+            )
 
     def book(self, run: _run.Run) -> None:
         """Take room for a run."""
@@ -192,16 +206,19 @@
         """Return the capacities that were seen of each pool."""
         return self._largest
 
-    def silent_with(self, worker: WorkerState, within_s: float) -> int:
-        """Return how many others fell silent at about the same time."""
+    def lost_with(
+        self, worker: WorkerState, within_s: float
+    ) -> list[WorkerState]:
+        """Return the others that fell silent at about the same time."""
         if worker.silent_s is None:
-            return 0
-        return sum(
-            other is not worker
+            return []
+        return [
+            other
+            for other in self.workers.values()
+            if other is not worker
             and other.silent_s is not None
             and abs(other.silent_s - worker.silent_s) <= within_s
-            for other in self.workers.values()
-        )
+        ]
 
     def holder(self, run: _run.Run) -> WorkerState | None:
         """Return the worker that a run is booked on."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
@@ -45,6 +45,7 @@
         'percent_changed_s',
         'phase',
         'planned_s',
+        'restored_s',
         'sample',
         'started_s',
         'stop_reason',
@@ -69,8 +70,9 @@
         self.task = task
         self.phase = RunPhase.PLANNED
         self.ticket = ''
-        # When its start was sent, or an earlier term's may have been.
+        # When this term sent its start, or found that an earlier one may have.
         self.ordered_s: float | None = None
+        self.restored_s: float | None = None
         self.started_s: float | None = None
         # A report asked for after this time that does not list the run says
         # that it is over, or never was.
@@ -86,3 +88,9 @@
         self.pace_in_doubt = False
         self.stop_reason = ''
         self.fills = task is not None and task.step.step.fills
+
+    def may_have_begun(self, before_s: float) -> bool:
+        """Return whether the run may have been at work before a time."""
+        if self.ordered_s is not None:
+            return self.ordered_s < before_s
+        return self.restored_s is not None
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -6,6 +6,7 @@
 import enum
 import typing
 
+from walnutpoint_scheduler import _blame
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
@@ -59,6 +60,8 @@
         'copy',
         'failures',
         'index',
+        'losses',
+        'not_before_s',
         'run',
         'state',
         'step',
@@ -77,6 +80,15 @@
         # A second run at the same time, where the step allows copies.
         self.copy: _run.Run | None = None
         self.waiting_since_s = 0.0
+        # The workers that were lost while it may have run there.
+        self.losses: list[_blame.Loss] = []
+        # A task that may crash its workers pauses between its starts.
+        self.not_before_s = 0.0
+
+    @property
+    def is_suspect(self) -> bool:
+        """Return whether the task is to run apart from others."""
+        return _blame.is_suspect(self.losses)
 
     @property
     def name(self) -> ports.TaskName:
@@ -176,6 +188,7 @@
         'notes',
         'occurrences',
         'queue',
+        'reason',
         'record_revision',
         'saved_changes',
         'saved_state',
@@ -194,6 +207,8 @@
         # Whether a step may have become ready since the last pass.
         self.unsettled = True
         self.state = JobState.QUEUED
+        # Why it failed, for its caller, where it is not its attempts.
+        self.reason = ''
         self.cancel_requested = False
         self.begun = False
         # Whether the stored document is replaced by its name alone.
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -0,0 +1,230 @@
+"""Tasks that may crash their workers: what is known, and who runs apart."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_core import timer
+from walnutpoint_scheduler import _blame
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _state
+
+__all__ = (
+    'Suspects',
+    'task_text',
+)
+
+_LOG: typing.Final = logs.get_logger('suspects')
+# Workers that fall silent within this time of each other are one loss: a
+# refused connection is seen within some ms, and a lost power within a report's
+# wait of 0.5 s, half of it in the mean.
+_TOGETHER_S: typing.Final = 0.25
+# An order of an earlier term may have begun at any earlier time.
+_UNKNOWN_AGE_S: typing.Final = 20.0
+# How long a suspect has to run well before others may start beside it: half
+# as long again as it ever took to lose a worker, within these bounds.
+_PROBATION_FACTOR: typing.Final = 1.5
+_PROBATION_MIN_S: typing.Final = 0.3
+_PROBATION_MAX_S: typing.Final = 3.0
+# The pause before a suspect's third start, doubled with each further one: its
+# neighbours get a worker back in some 3 s.
+_BACKOFF_S: typing.Final = 0.5
+_BACKOFF_MAX_S: typing.Final = 4.0
+# A lasting task that ran this long on a worker is not what crashed it.
+_CLEARED_AFTER_S: typing.Final = 600.0
+
+
+def task_text(task: _state.TaskProgress) -> str:
+    """Return a task's name for a log line."""
+    name = task.name
+    return f'{name.job_id}.{name.occurrence}.{name.step}.{name.ordinal}'
+
+
+class Suspects:
+    """Weighs each lost worker against the tasks that ran there."""
+
+    __slots__ = (
+        '_background',
+        '_probations',
+        '_roster',
+        '_tasks',
+        '_timer',
+    )
+
+    def __init__(self, roster: _roster.Roster, clock: timer.Timer) -> None:
+        self._roster = roster
+        self._timer = clock
+        self._background = _blame.Background(clock.now_s())
+        # The tasks that hold a loss against a worker's life.
+        self._tasks: collections.defaultdict[
+            str, list[_state.TaskProgress]
+        ] = collections.defaultdict(list)
+        # The suspect that each worker runs apart.
+        self._probations: dict[str, _run.Run] = {}
+
+    def blame(self, worker: _roster.WorkerState) -> list[_state.TaskProgress]:
+        """Weigh the loss of a worker, and return the tasks to give up.
+
+        Its runs are still booked. A worker that leaves as planned tells
+        nothing, and neither does a run whose start was never sent.
+        """
+        now_s = self._timer.now_s()
+        watched = sum(w.answering for w in self._roster.workers.values())
+        self._background.observe(watched, now_s)
+        if worker.listed.draining:
+            return []
+        rows = self._lost_runs(worker, now_s)
+        weights, unexplained = _blame.weigh([lost for _, lost in rows])
+        if rows:
+            self._background.add(unexplained)
+        guilty = []
+        for (run, lost), weight in zip(rows, weights, strict=True):
+            task = typing.cast(_state.TaskProgress, run.task)
+            age_s = lost.age_min_s
+            if run.ordered_s is not None:
+                age_s = lost.age_max_s
+            loss = _blame.Loss(worker.worker_id, weight, age_s)
+            self._hold_against(task, loss, now_s)
+            if _blame.is_guilty(task.losses):
+                guilty.append(task)
+        return guilty
+
+    def acquit(self, worker: _roster.WorkerState) -> list[_state.TaskProgress]:
+        """Take a worker's loss back: it was cut off, and answers again."""
+        acquitted = self._tasks.pop(worker.worker_id, [])
+        for task in acquitted:
+            task.losses = [
+                loss
+                for loss in task.losses
+                if loss.worker_id != worker.worker_id
+            ]
+        if acquitted:
+            _LOG.info(
+                'tasks.cleared',
+                worker=worker.worker_id,
+                tasks=len(acquitted),
+                reason='the worker answers again',
+            )
+        return acquitted
+
+    def restore(self, task: _state.TaskProgress) -> None:
+        """Take over what an earlier term held against a task."""
+        for loss in task.losses:
+            self._tasks[loss.worker_id].append(task)
+
+    def lost_with(self, worker: _roster.WorkerState) -> int:
+        """Return how many workers were lost together with one."""
+        return len(self._roster.lost_with(worker, _TOGETHER_S))
+
+    def admit(self, worker: _roster.WorkerState, run: _run.Run) -> None:
+        """Let a suspect's run begin, and start nothing else beside it."""
+        worker.runs_suspect = True
+        self._probations[worker.worker_id] = run
+
+    def at_work(self, pool: str) -> int:
+        """Return how many workers of a pool run a suspect apart."""
+        now_s = self._timer.now_s()
+        count = 0
+        for worker_id, run in list(self._probations.items()):
+            worker = self._roster.get(worker_id)
+            if worker is None or self._is_over(worker, run, now_s):
+                del self._probations[worker_id]
+                if worker is not None and worker.silent_s is None:
+                    worker.runs_suspect = False
+            elif worker.listed.pool == pool:
+                count += 1
+        return count
+
+    def _is_over(
+        self, worker: _roster.WorkerState, run: _run.Run, now_s: float
+    ) -> bool:
+        """Return whether a run has ended, or stood its probation."""
+        if run.name not in worker.runs or worker.silent_s is not None:
+            return True
+        if run.started_s is None or worker.heard_s is None:
+            return False
+        task = typing.cast(_state.TaskProgress, run.task)
+        longest_s = max((loss.age_s for loss in task.losses), default=0.0)
+        needed_s = max(longest_s * _PROBATION_FACTOR, _PROBATION_MIN_S)
+        stood_s = worker.heard_s - run.started_s
+        return stood_s >= min(needed_s, _PROBATION_MAX_S)
+
+    def _lost_runs(
+        self, worker: _roster.WorkerState, now_s: float
+    ) -> list[tuple[_run.Run, _blame.LostRun]]:
+        """Return the runs that may have begun, and how old each was."""
+        silent_s = now_s if worker.silent_s is None else worker.silent_s
+        rows = []
+        for run in worker.runs.values():
+            task = run.task
+            if task is None or not run.may_have_begun(silent_s):
+                continue
+            age_min_s, age_max_s = _ages_s(worker, run, silent_s)
+            if task.step.step.lasting and age_min_s > _CLEARED_AFTER_S:
+                task.losses = []
+            rows.append(
+                (
+                    run,
+                    _blame.LostRun(
+                        _blame.odds(task.losses),
+                        age_min_s,
+                        age_max_s,
+                        self._background.rate()
+                        + self._shared_rate(worker, run.name.task.job_id),
+                    ),
+                )
+            )
+        return rows
+
+    def _shared_rate(self, worker: _roster.WorkerState, job_id: str) -> float:
+        """Return the rate of a loss that took other workers as well.
+
+        Workers that run a suspect, or have just started a task of the same
+        job, may have been crashed by that.
+        """
+        others = sum(
+            not other.runs_suspect and job_id not in other.fresh_jobs
+            for other in self._roster.lost_with(worker, _TOGETHER_S)
+        )
+        size = sum(
+            not other.gone
+            for other in self._roster.in_pool(worker.listed.pool)
+        )
+        return others / max(1, size) / (2 * _TOGETHER_S)
+
+    def _hold_against(
+        self, task: _state.TaskProgress, loss: _blame.Loss, now_s: float
+    ) -> None:
+        task.losses = _blame.remember(task.losses, loss)
+        self._tasks[loss.worker_id].append(task)
+        if not _blame.is_suspect(task.losses):
+            return
+        pause_s = _BACKOFF_S * 2.0 ** (len(task.losses) - 2)
+        if len(task.losses) > 1:
+            task.not_before_s = now_s + min(pause_s, _BACKOFF_MAX_S)
+        _LOG.info(
+            'task.suspected',
+            task=task_text(task),
+            worker=loss.worker_id,
+            age_max_s=round(loss.age_s, 3),
+            losses=len(task.losses),
+            odds=round(_blame.odds(task.losses), 3),
+            background=round(self._background.rate(), 5),
+        )
+
+
+def _ages_s(
+    worker: _roster.WorkerState, run: _run.Run, silent_s: float
+) -> tuple[float, float]:
+    """Return how old a run was at least and at most when it was lost."""
+    began_s = run.ordered_s
+    if began_s is None:
+        began_s = typing.cast(float, run.restored_s)
+    heard_s = began_s if worker.heard_s is None else worker.heard_s
+    age_min_s = max(0.0, heard_s - began_s)
+    if run.ordered_s is None:
+        return age_min_s, age_min_s + _UNKNOWN_AGE_S
+    return age_min_s, max(age_min_s, silent_s - began_s)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -117,6 +117,8 @@
             task = run.task
             if task is None or not task.step.step.speculative:
                 continue
+            if task.is_suspect:
+                continue
             if task.copy is not None or run.phase not in _AT_WORK:
                 continue
             if silent or self._is_late(run, task, now_s):
