--- a/tests/walnutpoint_scheduler/test_crashing_tasks.py
+++ b/tests/walnutpoint_scheduler/test_crashing_tasks.py
@@ -150,3 +150,46 @@
             self.assertEqual([], bed.fleet.ledger.violations)
 
         harness.play(scene)
+
+
+class RackTest(unittest.TestCase):
+    """The loss of a rack around a takeover is no task's doing."""
+
+    def test_its_tasks_are_back_within_a_second(self) -> None:
+        """Callers of what ran on a lost rack wait for seconds more.
+
+        Eight workers with three tasks each crash, and the scheduler with
+        them. The next one finds other lives at their addresses, and can't
+        tell when each was lost. Were all their tasks suspects, they would
+        start three at a time.
+        """
+        bed = harness.Bed(24)
+        bed.length_s = lambda _task: 20.0
+        beside = crashes.Crashes(
+            bed.fleet,
+            lambda task: bed.length_s(task),
+            lambda _task: False,
+            back_s=0.5,
+        )
+
+        async def scene() -> None:
+            async with bed.scheduling():
+                for number in range(24):
+                    step = harness.step(
+                        3, cpu_millicores=4000, estimate_ms=20_000
+                    )
+                    bed.hand_in(harness.job(number, step))
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 24 * 3
+                )
+                await anyio.sleep(3)
+                for number in range(8):
+                    beside.crash(f'worker-{number}')
+            await anyio.sleep(1)
+            async with bed.scheduling():
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 24 * 3, 1.0
+                )
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
