--- a/packages/walnutpoint-model/src/walnutpoint_model/crashes.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/crashes.py
@@ -59,7 +59,7 @@
             collections.Counter()
         )
         self.lives = 0
-        fleet.ledger.on_start = self._on_start
+        fleet.ledger.listen(self._on_start)
 
     def crash(self, worker_id: str) -> None:
         """Crash a worker for no cause of its tasks."""
--- a/packages/walnutpoint-model/src/walnutpoint_model/ledger.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/ledger.py
@@ -35,6 +35,18 @@
             [ports.TaskName, str], None
         ] = lambda _task, _worker: None
 
+    def listen(
+        self, callback: collections.abc.Callable[[ports.TaskName, str], None]
+    ) -> None:
+        """Tell one more of each start, before it counts."""
+        earlier = self.on_start
+
+        def tell(task: ports.TaskName, worker: str) -> None:
+            earlier(task, worker)
+            callback(task, worker)
+
+        self.on_start = tell
+
     def start(self, task: ports.TaskName, worker: str) -> None:
         """Count a start; a second run at a time is a violation."""
         self.on_start(task, worker)
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -47,6 +47,10 @@
         return self.started_s + self.length_s
 
 
+_UNREACHABLE: typing.Final = expression.Error(
+    errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE, 'the list is frozen')
+)
+
 Length = collections.abc.Callable[[ports.TaskName], float]
 
 
@@ -231,6 +235,7 @@
     """Carries orders to the workers, over a network with faults."""
 
     __slots__ = (
+        '_frozen',
         '_hidden',
         '_lingering',
         '_refusing',
@@ -251,6 +256,7 @@
         # Addresses that refuse connections.
         self._refusing: set[str] = set()
         self._hidden = False
+        self._frozen = False
 
     def add(
         self, listed: cell.ListedWorker, length: Length, seed: int = 1
@@ -285,11 +291,20 @@
         self._lingering.remove(listed)
         self._revision += 1
 
+    def relist(self, listed: cell.ListedWorker) -> None:
+        """Let a worker say something else of itself."""
+        self.workers[listed.worker_id].listed = listed
+        self._revision += 1
+
     def list_other_life(self, listed: cell.ListedWorker) -> None:
         """List a life that is over beside the one at its address."""
         self._lingering.append(listed)
         self._revision += 1
 
+    def freeze_list(self, frozen: bool) -> None:
+        """Let nobody read the list, or let it be read again."""
+        self._frozen = frozen
+
     def hide_list(self, hidden: bool) -> None:
         """Let every entry lapse, or come back."""
         self._hidden = hidden
@@ -342,6 +357,8 @@
     ) -> expression.Result[ports.WorkerListing, errors.Failure]:
         """Return every listed worker."""
         await anyio.sleep(_TRANSIT_S)
+        if self._frozen:
+            return _UNREACHABLE
         return expression.Ok(
             ports.WorkerListing(
                 self._listed(),
@@ -359,6 +376,8 @@
         self, revision: int, wait_s: float
     ) -> expression.Result[ports.WorkerChanges | None, errors.Failure]:
         """Wait for a change; the whole list is read then."""
+        if self._frozen:
+            return _UNREACHABLE
         end_s = _now_s() + wait_s
         while self._revision == revision and _now_s() < end_s:
             await anyio.sleep(_TICK_S)
--- /dev/null
+++ b/tests/walnutpoint_scheduler/test_changing_capacity.py
@@ -0,0 +1,203 @@
+"""Workers whose capacity shrinks and grows while they run."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+import anyio
+
+from tests.walnutpoint_scheduler import harness
+from walnutpoint_core import amount
+from walnutpoint_model import capacities
+from walnutpoint_model import store
+from walnutpoint_scheduler import ports
+
+WHOLE = amount.Amount(16_000, 64_000)
+QUARTER = amount.Amount(4000, 16_000)
+
+
+class ShrinkTest(unittest.TestCase):
+    """Pattern: workers start what they are told, whatever they have left."""
+
+    def setUp(self) -> None:
+        """Prepare two workers and the needs of all tasks."""
+        self.bed = harness.Bed(2)
+        self.capacities = capacities.Capacities(self.bed.fleet, self._need)
+        self.need = harness.step().need
+
+    def _need(self, _task: ports.TaskName) -> amount.Amount:
+        return self.need
+
+    def _shrink_all(self, capacity: amount.Amount = QUARTER) -> None:
+        for worker_id in self.bed.fleet.workers:
+            self.capacities.change(worker_id, capacity)
+
+    def test_room_that_is_listed_as_gone_is_not_used(self) -> None:
+        """Nothing starts on a shrunk worker until its runs have ended."""
+
+        async def scene() -> None:
+            bed = self.bed
+            async with bed.scheduling():
+                for number in range(8):
+                    bed.hand_in(harness.job(number, harness.step(6)))
+                await anyio.sleep(0.3)
+                self._shrink_all()
+                for number in range(8, 120):
+                    bed.hand_in(harness.job(number, harness.step(6)))
+                    await anyio.sleep(0.1)
+            self.assertEqual([], self.capacities.overruns)
+
+        harness.play(scene)
+
+    def test_room_that_has_grown_is_used(self) -> None:
+        """A worker that has more than at first gets more, and holds more.
+
+        A task that needs more than any worker had is not waited for in vain.
+        """
+        large = harness.job(
+            1, harness.step(1, cpu_millicores=24_000, memory_mb=70_000)
+        )
+
+        async def scene() -> None:
+            bed = self.bed
+            async with bed.scheduling() as term:
+                await harness.until(lambda: term.ready)
+                self.need = large.steps[0].need
+                self.capacities.change(
+                    'worker-0', amount.Amount(32_000, 128_000)
+                )
+                await anyio.sleep(2)
+                rooms = term.rooms()[0].capacities
+                self.assertTrue(any(r.covers(self.need) for r in rooms))
+                bed.hand_in(large)
+                await harness.until(lambda: bed.state(large.job_id) == 'done')
+            self.assertEqual([], self.capacities.overruns)
+
+        harness.play(scene)
+
+    def test_planned_run_is_not_sent_to_a_shrunk_worker(self) -> None:
+        """A worker runs more than it has, for all that fits was planned.
+
+        Starts are planned while the store takes 5 s for a write, and their
+        workers shrink meanwhile. Once stored the starts were sent.
+        """
+
+        async def scene() -> None:
+            bed = self.bed
+            async with bed.scheduling() as term:
+                await anyio.sleep(0.5)
+                bed.store.latency_s = 5.0
+                handed = harness.job(1, harness.step(24))
+                term.add(handed)
+                await anyio.sleep(0.1)
+                self._shrink_all()
+                await anyio.sleep(6)
+                bed.store.latency_s = 0.004
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
+            self.assertEqual([], self.capacities.overruns)
+
+        harness.play(scene)
+
+    def test_planned_gang_is_not_sent_to_a_shrunk_worker(self) -> None:
+        """A gang is planned again as a whole where one worker shrinks."""
+
+        async def scene() -> None:
+            bed = self.bed
+            async with bed.scheduling() as term:
+                await anyio.sleep(0.5)
+                bed.store.latency_s = 5.0
+                handed = harness.job(1, harness.step(20, gang=True))
+                term.add(handed)
+                await anyio.sleep(0.1)
+                self.capacities.change('worker-0', QUARTER)
+                await anyio.sleep(6)
+                bed.store.latency_s = 0.004
+                self.capacities.change('worker-0', WHOLE)
+                await harness.until(lambda: bed.state(handed.job_id) == 'done')
+            self.assertEqual([], self.capacities.overruns)
+            self.assertEqual([], bed.fleet.ledger.violations)
+
+        harness.play(scene)
+
+    def test_old_entry_is_not_trusted_after_an_outage(self) -> None:
+        """A worker that shrank while it could not say so is overrun.
+
+        The store is away for 6 s, and with it the list of workers. When it
+        is back a term has what it needs to start all that waits, and hears
+        what workers have now up to a sign of life later.
+        """
+
+        async def scene() -> None:
+            bed = self.bed
+            async with bed.scheduling():
+                await anyio.sleep(0.5)
+                bed.store.fault = store.StoreFault.REFUSES
+                bed.fleet.freeze_list(True)
+                await anyio.sleep(0.2)
+                for worker_id in bed.fleet.workers:
+                    self.capacities.change(worker_id, QUARTER, 7.0)
+                await anyio.sleep(5.8)
+                bed.store.fault = store.StoreFault.NONE
+                bed.fleet.freeze_list(False)
+                bed.hand_in(harness.job(1, harness.step(24)))
+                await harness.until(lambda: bed.state(f'{1:016x}') == 'done')
+            self.assertEqual([], self.capacities.overruns)
+
+        harness.play(scene)
+
+
+class RandomChangesTest(unittest.TestCase):
+    """Property: no start overruns a capacity that was listed in time."""
+
+    def test_random_shrink_growth_stops_and_late_orders(self) -> None:
+        """Forty seeds of changes, late orders, cancels and takeovers."""
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                self.assertEqual([], self._play(seed))
+
+    def _play(self, seed: int) -> list[str]:
+        drawn = random.Random(seed)  # noqa: S311
+        bed = harness.Bed(4)
+        needs = {}
+        changes = capacities.Capacities(
+            bed.fleet, lambda task: needs[task.job_id]
+        )
+
+        async def change() -> None:
+            while True:
+                await anyio.sleep(drawn.uniform(0.1, 1.5))
+                worker_id = drawn.choice(sorted(bed.fleet.workers))
+                cores = drawn.choice((2, 4, 8, 16, 24)) * 1000
+                capacity = amount.Amount(cores, cores * 4)
+                changes.change(worker_id, capacity, drawn.uniform(0.0, 1.5))
+
+        async def hand_in() -> None:
+            for number in range(120):
+                cores = drawn.choice((500, 1000, 3000))
+                step = harness.step(
+                    drawn.randint(1, 8),
+                    cpu_millicores=cores,
+                    gang=drawn.random() < 0.1,
+                    speculative=drawn.random() < 0.2,
+                )
+                handed = harness.job(number, step)
+                needs[handed.job_id] = step.need
+                bed.hand_in(handed)
+                if drawn.random() < 0.1:
+                    bed.cancel(handed.job_id)
+                await anyio.sleep(0.1)
+
+        async def scene() -> None:
+            for worker in bed.fleet.workers.values():
+                worker.late_share = 0.05
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(change)
+                tasks.start_soon(hand_in)
+                for _ in range(3):
+                    async with bed.scheduling():
+                        await anyio.sleep(drawn.uniform(3.0, 6.0))
+                tasks.cancel_scope.cancel()
+
+        harness.play(scene)
+        return changes.overruns
