Withdraw a planned start whose worker has shrunk before it is sent

Callers would see tasks on a worker that has no room for them: killed for want of memory, or slow. Cause: room is looked at when a run is planned alone. The list's newest capacity is compared with all that is booked, ends awaited included, right before the order, with no await between.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -106,6 +106,11 @@
             # silent for a lease. By now the task may run elsewhere, and the
             # worker answer again: sent, the order would start it twice.
             return
+        if worker.is_overrun:
+            # It has shrunk since the run was planned, and starts whatever it
+            # is told. A gang whose member is withdrawn begins anew.
+            self._ends.withdraw(run, 'no room since the worker shrank')
+            return
         task = typing.cast(_state.TaskProgress, run.task)
         until_ms = worker.lease.extend(context.timer.now_s())
         if until_ms is None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -117,6 +117,11 @@
             and self.unlisted_s is None
         )
 
+    @property
+    def is_overrun(self) -> bool:
+        """Return whether more is booked here than there is."""
+        return not self.free.covers(_NOTHING)
+
     def hear(self, now_s: float) -> None:
         """Note that this life has answered a call."""
         self.heard_s = now_s
