Count what a worker has grown to among the capacities of its pool

A caller's job that fits a grown worker was refused for ever as too large for any: capacities were noted at a worker's first listing alone.

test_room_that_has_grown_is_used failed before and passes now.

--- a/packages/walnutpoint-model/src/walnutpoint_model/capacities.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/capacities.py
@@ -55,13 +55,13 @@
         if not changes:
             changes.append(_Change(0.0, worker.listed.capacity))
         changes.append(_Change(now_s, capacity))
-        asyncio.get_running_loop().call_later(
-            listed_s, self._list, worker_id, capacity
-        )
+        asyncio.get_running_loop().call_later(listed_s, self._list, worker_id)
 
-    def _list(self, worker_id: str, capacity: amount.Amount) -> None:
+    def _list(self, worker_id: str) -> None:
+        """Let a worker say what it has now."""
         worker = self._fleet.workers.get(worker_id)
         if worker is not None:
+            capacity = self._changes[worker_id][-1].capacity
             self._fleet.relist(
                 dataclasses.replace(worker.listed, capacity=capacity)
             )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -139,7 +139,7 @@
             )
         before = dataclasses.replace(worker.listed, clock_ms=listed.clock_ms)
         is_news = before != listed or worker.unlisted_s is not None
-        worker.relist(listed)
+        self._context.roster.relist(worker, listed)
         if worker.unlisted_s is not None:
             worker.unlisted_s = None
             worker.expelled = False
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -191,9 +191,24 @@
     def add(self, worker: WorkerState) -> None:
         """Add a worker's life."""
         self.workers[worker.worker_id] = worker
-        largest = self._largest.setdefault(worker.listed.pool, [])
-        if worker.listed.capacity not in largest:
-            largest.append(worker.listed.capacity)
+        self._note_capacity(worker.listed)
+
+    def relist(self, worker: WorkerState, listed: cell.ListedWorker) -> None:
+        """Take what a worker says of itself now."""
+        worker.relist(listed)
+        self._note_capacity(listed)
+
+    def _note_capacity(self, listed: cell.ListedWorker) -> None:
+        """Remember a capacity, unless a larger one was seen.
+
+        A worker that has shrunk may grow again, and is not the pool; one
+        that has grown holds tasks which none could hold before.
+        """
+        largest = self._largest.setdefault(listed.pool, [])
+        capacity = listed.capacity
+        if not any(known.covers(capacity) for known in largest):
+            kept = [known for known in largest if not capacity.covers(known)]
+            self._largest[listed.pool] = [*kept, capacity]
 
     def remove(self, worker_id: str) -> None:
         """Forget a worker's life."""
@@ -208,7 +223,7 @@
         return (w for w in self.workers.values() if w.listed.pool == pool)
 
     def largest(self) -> dict[str, list[amount.Amount]]:
-        """Return the capacities that were seen of each pool."""
+        """Return the capacities of each pool that none seen was larger than."""
         return self._largest
 
     def lost_with(
