Read capacities in answers, and give nothing new where one can't be read

What a worker says of its room may be in its entry or in its answers; the smaller counts while they differ. A capacity that is negative or no number leaves no room, and costs the worker neither its lease nor its runs; an entry that can't be read closes its worker at once, where one that is gone may only have lapsed and is given work for 2.5 s more.

--- a/packages/walnutpoint-core/src/walnutpoint_core/amount.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/amount.py
@@ -34,6 +34,15 @@
             self.slots - other.slots,
         )
 
+    def least(self, other: Amount) -> Amount:
+        """Return the smaller of each resource."""
+        return Amount(
+            min(self.cpu_millicores, other.cpu_millicores),
+            min(self.memory_mb, other.memory_mb),
+            min(self.accelerators, other.accelerators),
+            min(self.slots, other.slots),
+        )
+
     def covers(self, need: Amount) -> bool:
         """Tell whether this is enough for a need."""
         return (
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
 import typing
 
@@ -110,6 +111,7 @@
         for worker in self._context.roster.workers.values():
             if worker.worker_id not in listed_ids:
                 self._note_absence(worker)
+        self._close(listing.unreadable)
         self._context.wake()
 
     def _take(self, changes: ports.WorkerChanges) -> bool:
@@ -120,6 +122,7 @@
             worker = self._context.roster.get(worker_id)
             if worker is not None:
                 news.append(self._note_absence(worker))
+        self._close(changes.unreadable)
         if any(news):
             self._context.wake()
         return any(news)
@@ -153,6 +156,17 @@
             self._context.roster.add(worker)
         return is_news
 
+    def _close(self, worker_ids: collections.abc.Iterable[str]) -> None:
+        """Give nothing more to workers whose entries can't be read.
+
+        What they run goes on: they may be sound, and their entries another
+        writer's. But what they have by now is not known.
+        """
+        for worker_id in worker_ids:
+            worker = self._context.roster.get(worker_id)
+            if worker is not None:
+                worker.expelled = True
+
     def _note_absence(self, worker: _roster.WorkerState) -> bool:
         """Note that a worker has no entry, and tell whether it just had."""
         if worker.unlisted_s is not None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -140,6 +140,7 @@
         worker.lease.read_clock(report.clock_ms, now_s)
         worker.answered_s = now_s
         worker.hear(now_s)
+        worker.answer_capacity(report.capacity)
         context.roster.check_entry(
             worker, now_s, context.settings.entry_trusted_s
         )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -32,6 +32,7 @@
     """One life of a worker in the memory of a term."""
 
     __slots__ = (
+        '_answered_capacity',
         'acknowledged',
         'answering',
         'answered_s',
@@ -62,6 +63,7 @@
         self.listed = listed
         # The identifier of this life.
         self.worker_id = listed.worker_id
+        self._answered_capacity: amount.Amount | None = None
         # The room that is neither used nor booked.
         self.free = listed.capacity
         self.lease = lease
@@ -178,9 +180,19 @@
         self.listed = listed
         self._take(self.taken)
 
+    def answer_capacity(self, capacity: amount.Amount | None) -> None:
+        """Take what an answer says of the worker's room, if it does."""
+        if capacity != self._answered_capacity:
+            self._answered_capacity = capacity
+            self._take(self.taken)
+
     def _take(self, taken: amount.Amount) -> None:
         self.taken = taken
-        self.free = self.listed.capacity - taken
+        capacity = self.listed.capacity
+        if self._answered_capacity is not None:
+            # Either may be the older one, and the smaller is safe.
+            capacity = capacity.least(self._answered_capacity)
+        self.free = capacity - taken
 
     def serving_runs(self) -> list[_run.Run]:
         """Return the runs whose users have a target for response times."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/ports.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/ports.py
@@ -8,6 +8,7 @@
 
 import expression
 
+from walnutpoint_core import amount
 from walnutpoint_core import errors
 from walnutpoint_core import ports
 from walnutpoint_scheduler import cell
@@ -138,6 +139,8 @@
     clock_ms: int
     running: tuple[RunningTask, ...]
     ends: tuple[End, ...]
+    # What the worker has now, where its answer says so.
+    capacity: amount.Amount | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -217,6 +220,8 @@
 
     workers: tuple[cell.ListedWorker, ...]
     revision: int
+    # Names whose entries can't be read: what they have is not known.
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -226,6 +231,8 @@
     workers: tuple[cell.ListedWorker, ...]
     removed: tuple[str, ...]
     revision: int
+    # Of the removed, those whose entries are there and can't be read.
+    unreadable: tuple[str, ...] = ()
 
 
 class WorkerDirectory(typing.Protocol):
--- a/tests/walnutpoint_platform/test_foreign_entries.py
+++ b/tests/walnutpoint_platform/test_foreign_entries.py
@@ -12,6 +12,7 @@
 from hypothesis import strategies
 import msgspec
 
+from walnutpoint_core import amount
 from walnutpoint_core import entry_faults
 from walnutpoint_core import ports as core_ports
 from walnutpoint_core import web
@@ -257,6 +258,34 @@
         reply = _run(orders.renew(listed, ports.Renewal(1, 0, None, 0.0)))
         self.assertIsInstance(reply, (ports.Report, ports.OrderReply))
 
+    def test_capacity_that_can_not_be_read_leaves_no_room(self) -> None:
+        """The worker keeps its lease and its runs, and gets nothing new.
+
+        Its answer names what it runs, and a capacity that is negative or no
+        number. An answer that names none says nothing of its room.
+        """
+        listed = cell.ListedWorker(
+            'w1', 'pool', '10.0.0.1:1', 'a', False, document.Step(1).need,
+            (), '',
+        )  # fmt: skip
+        for capacity, expected in (
+            ({'cpu': -1}, amount.Amount()),
+            ({'cpu': 'all'}, amount.Amount()),
+            ('much', amount.Amount()),
+            ({'cpu': 8000, 'memMb': 100}, amount.Amount(8000, 100)),
+            (None, None),
+        ):
+            with self.subTest(capacity=capacity):
+                body = _encoded(SOUND_REPORT | {'capacity': capacity})
+                orders = _workers.HttpWorkers(
+                    typing.cast(web.Client, _Fixed(body)), 0.1, 0.1
+                )
+                renewal = ports.Renewal(1, 0, None, 0.0)
+                reply = _run(orders.renew(listed, renewal))
+                self.assertIsInstance(reply, ports.Report)
+                self.assertTrue(reply.running)
+                self.assertEqual(expected, reply.capacity)
+
     @_settings
     @hypothesis.given(
         _bodies({'clockMs': 5, 'reason': 'fence'}),
--- a/tests/walnutpoint_scheduler/test_directory.py
+++ b/tests/walnutpoint_scheduler/test_directory.py
@@ -24,13 +24,20 @@
         super().__init__()
         self.readings = 0
         self.watches = 0
+        self.damaged: tuple[str, ...] = ()
 
     async def fetch(
         self,
     ) -> expression.Result[ports.WorkerListing, errors.Failure]:
         """Return every listed worker."""
         self.readings += 1
-        return await super().fetch()
+        listing = (await super().fetch()).ok
+        workers = tuple(
+            w for w in listing.workers if w.worker_id not in self.damaged
+        )
+        return expression.Ok(
+            ports.WorkerListing(workers, listing.revision, self.damaged)
+        )
 
     async def changes(
         self, revision: int, wait_s: float
@@ -41,9 +48,12 @@
         signs = [
             dataclasses.replace(worker.listed, clock_ms=revision)
             for worker in self.workers.values()
+            if worker.listed.worker_id not in self.damaged
         ]
         return expression.Ok(
-            ports.WorkerChanges(tuple(signs), (), revision + 1)
+            ports.WorkerChanges(
+                tuple(signs), self.damaged, revision + 1, self.damaged
+            )
         )
 
 
@@ -91,3 +101,27 @@
             self.assertEqual(100, fleet.ledger.starts.total())
 
         self._play(scene)
+
+    def test_worker_whose_entry_is_unreadable_gets_no_more_work(self) -> None:
+        """Nothing is placed by what a damaged entry said before.
+
+        An entry that is gone may only have lapsed, and its worker is given
+        work for 2.5 s more. One that can't be read says that something has
+        changed, and not what.
+        """
+
+        async def scene(bed: harness.Bed, fleet: _Signs) -> None:
+            await anyio.sleep(1.0)
+            fleet.damaged = ('worker-0',)
+            await anyio.sleep(0.5)
+            before = fleet.ledger.starts_on['worker-0']
+            bed.hand_in(harness.job(1, harness.step(100)))
+            await anyio.sleep(1.0)
+            self.assertEqual(before, fleet.ledger.starts_on['worker-0'])
+            fleet.damaged = ()
+            await anyio.sleep(0.5)
+            bed.hand_in(harness.job(2, harness.step(100)))
+            await anyio.sleep(1.0)
+            self.assertLess(before, fleet.ledger.starts_on['worker-0'])
+
+        self._play(scene)
