Let workers fail in the soak of the model, and play histories of crashes

The faults of hosts and of workers are modules of their own.

python -m walnutpoint_model.crash_history plays sound and crashing tasks with losses that no task causes, and tells how many workers each crashing task has cost and which innocent jobs were given up.

The stand-in's crash now voids ends that nobody had taken note of, as the platform does; counted as done, such a task's next start was told as a fault (seed 73 of draw 2).

--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/crash_history.py
@@ -0,0 +1,302 @@
+"""Histories of crashing tasks among sound ones, and of lost workers.
+
+python -m walnutpoint_model.crash_history plays seeds, each a short history of
+one term: sound jobs, some tasks that crash each worker which starts them, and
+losses that no task causes, of single workers, racks, and up to 15% of the
+workers at once. It tells how many workers each crashing task has cost, and
+which innocent jobs were given up.
+"""
+
+from __future__ import annotations
+
+import collections
+import collections.abc
+import dataclasses
+import random
+import statistics
+import sys
+import typing
+
+import anyio
+
+from walnutpoint_core import logs
+from walnutpoint_model import cell_model
+from walnutpoint_model import crashes
+from walnutpoint_model import seeds
+from walnutpoint_model import virtual_time
+from walnutpoint_model import workers
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import document
+from walnutpoint_scheduler import ports
+from walnutpoint_scheduler import settings
+
+__all__ = (
+    'History',
+    'Wanted',
+    'play',
+)
+
+_CORES_MILLI: typing.Final = 16_000
+# Eight tasks fill a worker.
+_TASK_MILLI: typing.Final = 2000
+_TASK_MB: typing.Final = 100
+_PER_RACK: typing.Final = 6
+_RUN_S: typing.Final = (0.2, 3.0)
+_MS: typing.Final = 1000
+# Jobs from this number on have a task that crashes its workers.
+_CRASHING_FROM: typing.Final = 0xC0000000
+_AT_ONCE_SHARE: typing.Final = 0.15
+_STARTS_MAX: typing.Final = 5
+# A job's objective: its chain of work half as long again, and a quarter.
+_QUEUE: typing.Final = cell.Queue(
+    'urgent', 'host', '/urgent/', 'pool', 0, 4, 1.5, 0.25, 3.0
+)
+_CELL: typing.Final = cell.Cell(1, (_QUEUE,), (cell.Pool('pool'),))
+_FINAL: typing.Final = ('done', 'failed')
+_LOOK_S: typing.Final = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wanted:
+    """What a history is to have."""
+
+    workers: int = 18
+    jobs: int = 60
+    jobs_per_s: float = 5.0
+    crashing: int = 3
+    # Losses for other causes, in the mean of one second.
+    losses_per_s: float = 0.2
+    # From a crashing task's start to its worker's end.
+    crash_s: float = 0.01
+    # Before the first job: a cell has been watched for a while.
+    quiet_s: float = 20.0
+    settle_s: float = 25.0
+    config: settings.SchedulerSettings = settings.SchedulerSettings()
+
+
+_USUAL: typing.Final = Wanted()
+
+
+@dataclasses.dataclass(slots=True)
+class History:
+    """What one seed showed."""
+
+    seed: int
+    # The workers that each crashing task has crashed.
+    crashes: list[int] = dataclasses.field(default_factory=list)
+    # Workers lost for other causes.
+    losses: int = 0
+    # Runs of sound tasks that ended with their worker.
+    runs_lost: int = 0
+    given_up: int = 0
+    late: int = 0
+    jobs: int = 0
+    actions: list[str] = dataclasses.field(default_factory=list)
+    faults: list[str] = dataclasses.field(default_factory=list)
+
+
+class _Play:
+    """One history on one cell."""
+
+    def __init__(
+        self, seed: int, wanted: Wanted, model: cell_model.CellModel
+    ) -> None:
+        self.history = History(seed)
+        self._wanted = wanted
+        self._random = random.Random(seed)  # noqa: S311
+        self._model = model
+        self._lengths_s: dict[str, float] = {}
+        self._began_s: dict[str, float] = {}
+        self._ended: dict[str, tuple[float, str]] = {}
+        self._crashes = crashes.Crashes(
+            model.fleet,
+            self.length_s,
+            _is_crashing,
+            crash_s=wanted.crash_s,
+            back_s=self._random.choice((0.5, 3.0)),
+        )
+
+    def length_s(self, task: ports.TaskName) -> float:
+        """Return how long a task runs on a sound worker."""
+        return self._lengths_s.get(task.job_id, _RUN_S[0])
+
+    async def run(self) -> None:
+        """Hand all jobs in, lose workers, and compare at the end."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch)
+            await anyio.sleep(self._wanted.quiet_s)
+            async with anyio.create_task_group() as losses:
+                losses.start_soon(self._lose)
+                await self._hand_in_all()
+                losses.cancel_scope.cancel()
+            await anyio.sleep(self._wanted.settle_s)
+            tasks.cancel_scope.cancel()
+        self._compare()
+
+    async def _hand_in_all(self) -> None:
+        wanted = self._wanted
+        crashing = self._random.sample(range(wanted.jobs), wanted.crashing)
+        for number in range(wanted.jobs):
+            await self._hand_in(f'{number + 1:016x}')
+            if number in crashing:
+                await self._hand_in(f'{_CRASHING_FROM + number:016x}')
+            await anyio.sleep(self._random.expovariate(wanted.jobs_per_s))
+
+    async def _hand_in(self, job_id: str) -> None:
+        length_s = self._random.uniform(*_RUN_S)
+        if int(job_id, 16) >= _CRASHING_FROM:
+            # A task that is over before its worker's end crashes nothing.
+            length_s += self._wanted.crash_s
+        self._lengths_s[job_id] = length_s
+        step = document.Step(
+            self._random.randint(1, 8),
+            _TASK_MILLI,
+            _TASK_MB,
+            estimate_ms=int(length_s * _MS),
+        )
+        now_s = self._model.timer.now_s()
+        job = document.Job(
+            job_id,
+            _QUEUE.name,
+            'payload',
+            (step,),
+            self._model.now_ms(),
+            accepted_by=_QUEUE,
+        )
+        self._began_s[job_id] = now_s
+        host = next(iter(self._model.processes.values()))
+        await host.process.submissions.submit(job, now_s + _QUEUE.timeout_s)
+
+    async def _lose(self) -> None:
+        """Lose workers for causes outside of their tasks."""
+        if not self._wanted.losses_per_s:
+            return
+        while True:
+            pause_s = self._random.expovariate(self._wanted.losses_per_s)
+            await anyio.sleep(pause_s)
+            names = sorted(self._model.fleet.workers)
+            if not names:
+                continue
+            kind = self._random.choice(('one', 'some', 'rack'))
+            lost = [self._random.choice(names)]
+            if kind == 'some':
+                most = max(1, int(len(names) * _AT_ONCE_SHARE))
+                lost = self._random.sample(
+                    names, self._random.randint(1, most)
+                )
+            elif kind == 'rack':
+                rack = self._model.fleet.workers[lost[0]].listed.rack
+                lost = [
+                    name
+                    for name in names
+                    if self._model.fleet.workers[name].listed.rack == rack
+                ]
+            self.history.actions.append(f'{kind} {len(lost)}')
+            self.history.losses += len(lost)
+            for name in lost:
+                self._crashes.crash(name)
+
+    async def _watch(self) -> None:
+        """Note when callers are told that their jobs have ended."""
+        while True:
+            await anyio.sleep(_LOOK_S)
+            host = next(iter(self._model.processes.values()))
+            for job_id in self._began_s.keys() - self._ended.keys():
+                answer = await host.process.job_status.state(job_id)
+                if answer.is_error() or answer.ok is None:
+                    continue
+                if answer.ok.state in _FINAL:
+                    now_s = self._model.timer.now_s()
+                    self._ended[job_id] = now_s, answer.ok.state
+
+    def _compare(self) -> None:
+        history = self.history
+        ledger = self._model.fleet.ledger
+        history.faults += ledger.violations
+        by_task = self._crashes.crashed_by
+        history.crashes = sorted(by_task.values())
+        history.runs_lost = sum(self._crashes.innocent_losses.values())
+        history.jobs = len(self._began_s)
+        for task, count in by_task.items():
+            if count > _STARTS_MAX:
+                history.faults.append(f'{task} crashed {count} workers')
+        for job_id, began_s in self._began_s.items():
+            ended_s, state = self._ended.get(job_id, (0.0, 'open'))
+            is_crashing = int(job_id, 16) >= _CRASHING_FROM
+            if not is_crashing and state == 'failed':
+                history.given_up += 1
+            if state != ('failed' if is_crashing else 'done'):
+                history.faults.append(f'{job_id} is {state}')
+            objective_s = self._lengths_s[job_id] * _QUEUE.stretch
+            objective_s += _QUEUE.allowance_s + _LOOK_S
+            if not is_crashing and ended_s - began_s > objective_s:
+                history.late += 1
+
+
+def _is_crashing(task: ports.TaskName) -> bool:
+    return int(task.job_id, 16) >= _CRASHING_FROM and not task.ordinal
+
+
+def play(seed: int, wanted: Wanted | None = None) -> History:
+    """Play one seed."""
+    chosen = wanted or _USUAL
+    histories: list[History] = []
+
+    async def scene() -> None:
+        async with cell_model.running(
+            _CELL, 1, config=chosen.config, seed=seed
+        ) as model:
+            played = _Play(seed, chosen, model)
+            for number in range(chosen.workers):
+                listed = workers.listed_worker(
+                    number, cpu_millicores=_CORES_MILLI, per_rack=_PER_RACK
+                )
+                model.fleet.add(listed, played.length_s, number)
+            await played.run()
+            histories.append(played.history)
+
+    virtual_time.run(scene())
+    return histories[0]
+
+
+def main() -> int:
+    """Play the seeds that the arguments name; 1 where one broke a promise."""
+    logs.configure('critical')
+    told: collections.Counter[str] = collections.Counter()
+    crashed: list[int] = []
+
+    def tell(history: History) -> str:
+        told['runs lost'] += history.runs_lost
+        told['given up'] += history.given_up
+        told['late'] += history.late
+        told['jobs'] += history.jobs
+        crashed.extend(history.crashes)
+        mean = statistics.fmean(crashed) if crashed else 0.0
+        return (
+            f'crashes {history.crashes}, {history.losses} other losses, '
+            f'so far {mean:.2f} a task and {dict(told)}'
+        )
+
+    return seeds.run(
+        __doc__,
+        {
+            'first': 1,
+            'seeds': 20,
+            'crashing': _USUAL.crashing,
+            'losses_per_s': _USUAL.losses_per_s,
+            'crash_s': _USUAL.crash_s,
+        },
+        lambda seed, options: play(
+            seed,
+            Wanted(
+                crashing=options.crashing,
+                losses_per_s=options.losses_per_s,
+                crash_s=options.crash_s,
+            ),
+        ),
+        tell,
+    )
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- a/packages/walnutpoint-model/src/walnutpoint_model/soak.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak.py
@@ -4,12 +4,16 @@
 that are killed, stopped, silent or cut off, alone, by thirds or all, links
 that lose segments, and a store that is slow, silent or turns hosts away.
 Callers keep handing jobs in. At the end what they were told is compared with
-what the workers ran.
+what the workers ran. From the second draw on workers fail as well: they crash,
+by themselves or by a task that does it to each, are cut off, and change their
+capacity.
+
+A seed and a draw make a series. A kind of fault that is added makes a new
+draw, so that series that failed once can be played again.
 """
 
 from __future__ import annotations
 
-import collections.abc
 import dataclasses
 import itertools
 import random
@@ -18,23 +22,37 @@
 
 import anyio
 
+from walnutpoint_core import amount
 from walnutpoint_core import errors
 from walnutpoint_core import logs
 from walnutpoint_model import cell_model
+from walnutpoint_model import host_faults
 from walnutpoint_model import seeds
-from walnutpoint_model import store
 from walnutpoint_model import virtual_time
+from walnutpoint_model import worker_faults
 from walnutpoint_model import workers
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
+from walnutpoint_scheduler import ports
 
 __all__ = (
+    'NEWEST_DRAW',
     'Result',
     'play',
 )
 
+NEWEST_DRAW: typing.Final = 2
 _WORKERS: typing.Final = 6
+# A third that is lost leaves room for all jobs on the others.
+_FAILING_WORKERS: typing.Final = 9
+# Of the faults of a series with failing workers, theirs.
+_WORKER_FAULTS_SHARE: typing.Final = 0.5
+# A job that crashes its workers comes with one in so many others.
+_CRASHING_EVERY: typing.Final = 25
 _TASK_S: typing.Final = 0.5
+_MILLICORES: typing.Final = 1000
+_MEMORY_MB: typing.Final = 100
+_NEED: typing.Final = amount.Amount(_MILLICORES, _MEMORY_MB)
 _JOB_GAP_S: typing.Final = 0.1
 # How long a caller waits for the answer to one call.
 _PATIENCE_S: typing.Final = 3.0
@@ -43,29 +61,16 @@
 # Once the faults are over every accepted job ends within this time: a lease, a
 # takeover and two steps, and as much again.
 _SETTLE_S: typing.Final = 12.0
-# Hosts that come back together do so within some 0.2 s of each other.
-_APART_S: typing.Final = 0.02
-# Power is back, and a stopped host, sooner than a host that broke.
-_POWER_SHARE: typing.Final = 1 / 2
-_RESTART_SHARE: typing.Final = 1 / 3
-# Of the cuts of a third of the hosts, how many take the store as well.
-_CUT_ALL_SHARE: typing.Final = 0.5
+# Five crashes of one task, with a lease and a pause after each.
+_CRASHES_SETTLE_S: typing.Final = 30.0
 # Between two looks for terms, which last far longer.
 _WATCH_S: typing.Final = 0.01
 _HOSTS: typing.Final = 9
 _DURATION_S: typing.Final = 12.0
-_LOSS_SHARE: typing.Final = 0.2
-_SLOW_S: typing.Final = 0.28
 _QUEUE: typing.Final = cell.Queue(
     'urgent', 'host', '/urgent/', 'pool', 0, 3, 1.5, 0.25, 3.0
 )
 _CELL: typing.Final = cell.Cell(1, (_QUEUE,), (cell.Pool('pool'),))
-_STORE_FAULTS: typing.Final = (
-    store.StoreFault.REFUSES,
-    store.StoreFault.SILENT,
-    store.StoreFault.LOSES_ANSWERS,
-    store.StoreFault.APPLIES_LATE,
-)
 
 
 @dataclasses.dataclass(slots=True)
@@ -88,11 +93,14 @@
     """One series of faults on one cell."""
 
     def __init__(
-        self, seed: int, hosts: int, model: cell_model.CellModel
+        self,
+        seed: int,
+        hosts: int,
+        model: cell_model.CellModel,
+        draw: int,
     ) -> None:
         self.result = Result(seed)
         self._random = random.Random(seed)  # noqa: S311
-        self._third = max(1, hosts // 3)
         self._model = model
         self._accepted: set[str] = set()
         self._refused: set[str] = set()
@@ -103,31 +111,34 @@
         model.fleet.ledger.on_start = lambda _task, _worker: (
             self._starts_s.append(model.timer.now_s())
         )
-        self._actions: tuple[
-            collections.abc.Callable[[float], collections.abc.Awaitable[None]],
-            ...,
-        ] = (
-            self._kill,
-            self._kill_scheduler,
-            self._kill_all,
-            self._stop,
-            self._silence,
-            self._cut_pair,
-            self._cut_third,
-            self._turn_away_third,
-            self._break_store,
-            self._slow_store,
-            self._lose_segments,
-        )
+        self._worker_faults: worker_faults.WorkerFaults | None = None
+        self._worker_actions: tuple[host_faults.Action, ...] = ()
+        if draw > 1:
+            self._worker_faults = failing = worker_faults.WorkerFaults(
+                model, self._random, _length_s, _NEED
+            )
+            self._worker_actions = (
+                failing.crash_worker,
+                failing.crash_third,
+                failing.cut_worker,
+                failing.change_capacity,
+            )
+        self._actions = host_faults.HostFaults(
+            model, self._random, hosts
+        ).actions()
 
     async def run(self, duration_s: float) -> None:
         """Break and mend for a time, and compare at the end."""
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._watch)
             tasks.start_soon(self._hand_in_all, tasks)
+            settle_s = _SETTLE_S
+            if self._worker_faults is not None:
+                tasks.start_soon(self._worker_faults.run)
+                settle_s = _CRASHES_SETTLE_S
             await self._break_things(duration_s)
             self._is_over = True
-            await anyio.sleep(_SETTLE_S)
+            await anyio.sleep(settle_s)
             tasks.cancel_scope.cancel()
         await self._check()
 
@@ -135,7 +146,11 @@
         clock = self._model.timer
         end_s = clock.now_s() + duration_s
         while clock.now_s() < end_s:
-            action = self._random.choice(self._actions)
+            actions = self._actions
+            if self._worker_actions:
+                if self._random.random() < _WORKER_FAULTS_SHARE:
+                    actions = self._worker_actions
+            action = self._random.choice(actions)
             for_s = self._random.uniform(*_FAULT_S)
             name = action.__name__.strip('_')
             self.result.actions.append(f'{name} {for_s:.2f}')
@@ -155,6 +170,10 @@
             if self._is_over:
                 return
             tasks.start_soon(self._hand_in, f'{number:016x}')
+            if self._worker_faults is not None:
+                if not number % _CRASHING_EVERY:
+                    crashing_id = worker_faults.crashing_id(number)
+                    tasks.start_soon(self._hand_in, crashing_id)
             await anyio.sleep(_JOB_GAP_S)
 
     async def _hand_in(self, job_id: str) -> None:
@@ -163,8 +182,10 @@
         if not names:
             self.result.unknown += 1
             return
-        step = document.Step(2, 1000, 100, estimate_ms=500)
-        last = document.Step(1, 1000, 100, estimate_ms=500, after=(0,))
+        step = document.Step(2, _MILLICORES, _MEMORY_MB, estimate_ms=500)
+        last = document.Step(
+            1, _MILLICORES, _MEMORY_MB, estimate_ms=500, after=(0,)
+        )
         job = document.Job(
             job_id,
             _QUEUE.name,
@@ -196,6 +217,8 @@
         gaps_s = [after - before for before, after in pairs]
         result.longest_gap_s = max(gaps_s, default=0.0)
         result.faults += ledger.violations
+        if self._worker_faults is not None:
+            result.faults += self._worker_faults.faults()
         started = {task.job_id for task in ledger.starts}
         result.faults += [
             f'{job_id} was refused and ran'
@@ -213,118 +236,33 @@
                 said = answer.error.kind.value
             elif answer.ok is not None:
                 said = answer.ok.state
-            if said != 'done':
+            is_crashing = worker_faults.is_crashing_job(job_id)
+            expected = 'failed' if is_crashing else 'done'
+            if said != expected:
                 result.faults.append(f'{job_id} was accepted and is {said}')
 
-    def _any(self) -> str:
-        return self._random.choice(sorted(self._model.processes))
-
-    def _some(self) -> list[str]:
-        return self._random.sample(sorted(self._model.processes), self._third)
-
-    async def _kill(self, for_s: float) -> None:
-        name = self._any()
-        self._model.kill(name)
-        await anyio.sleep(for_s)
-        self._model.start(name)
-
-    async def _kill_scheduler(self, for_s: float) -> None:
-        name = self._model.scheduler()
-        if name is not None:
-            self._model.kill(name)
-            await anyio.sleep(for_s)
-            self._model.start(name)
-
-    async def _kill_all(self, for_s: float) -> None:
-        names = sorted(self._model.processes)
-        for name in names:
-            self._model.kill(name)
-        await anyio.sleep(for_s * _POWER_SHARE)
-        for name in names:
-            self._model.start(name)
-            await anyio.sleep(_APART_S)
-
-    async def _stop(self, for_s: float) -> None:
-        name = self._any()
-        await self._model.stop(name)
-        await anyio.sleep(for_s * _RESTART_SHARE)
-        self._model.start(name)
 
-    async def _silence(self, for_s: float) -> None:
-        address = self._model.processes[self._any()].address
-        self._model.network.silent.add(address)
-        await anyio.sleep(for_s)
-        self._model.network.silent.discard(address)
-
-    async def _cut_pair(self, for_s: float) -> None:
-        one, other = self._random.sample(sorted(self._model.processes), 2)
-        self._cut([one], [other])
-        await anyio.sleep(for_s)
-        self._model.network.cuts.clear()
-
-    async def _cut_third(self, for_s: float) -> None:
-        names = self._some()
-        self._cut(names, set(self._model.processes) - set(names))
-        if self._random.random() < _CUT_ALL_SHARE:
-            await self._turn_away(names, for_s)
-        else:
-            await anyio.sleep(for_s)
-        self._model.network.cuts.clear()
-
-    async def _turn_away_third(self, for_s: float) -> None:
-        await self._turn_away(self._some(), for_s)
-
-    async def _turn_away(self, names: list[str], for_s: float) -> None:
-        reached = [self._model.processes[name].store for name in names]
-        for one in reached:
-            one.refused = True
-        await anyio.sleep(for_s)
-        for one in reached:
-            one.refused = False
-
-    async def _break_store(self, for_s: float) -> None:
-        self._model.store.fault = self._random.choice(_STORE_FAULTS)
-        await anyio.sleep(for_s)
-        self._model.store.fault = store.StoreFault.NONE
-
-    async def _slow_store(self, for_s: float) -> None:
-        usual_s = self._model.store.latency_s
-        self._model.store.latency_s = _SLOW_S
-        await anyio.sleep(for_s)
-        self._model.store.latency_s = usual_s
-
-    async def _lose_segments(self, for_s: float) -> None:
-        self._model.network.loss.share = _LOSS_SHARE
-        await anyio.sleep(for_s)
-        self._model.network.loss.share = 0.0
-
-    def _cut(
-        self,
-        some: collections.abc.Iterable[str],
-        others: collections.abc.Iterable[str],
-    ) -> None:
-        for one, other in itertools.product(some, others):
-            self._model.network.cut(
-                self._model.processes[one].address,
-                self._model.processes[other].address,
-            )
+def _length_s(_task: ports.TaskName) -> float:
+    return _TASK_S
 
 
 def play(
-    seed: int, hosts: int = _HOSTS, duration_s: float = _DURATION_S
+    seed: int,
+    hosts: int = _HOSTS,
+    duration_s: float = _DURATION_S,
+    draw: int = NEWEST_DRAW,
 ) -> Result:
-    """Play one seed."""
+    """Play one seed of a draw."""
     results: list[Result] = []
 
     async def scene() -> None:
         async with cell_model.running(_CELL, hosts, seed=seed) as model:
-            for number in range(_WORKERS):
+            count = _FAILING_WORKERS if draw > 1 else _WORKERS
+            for number in range(count):
                 model.fleet.add(
-                    workers.listed_worker(number),
-                    lambda _task: _TASK_S,
-                    number,
+                    workers.listed_worker(number), _length_s, number
                 )
-            soak = _Soak(seed, hosts, model)
+            soak = _Soak(seed, hosts, model, draw)
             await soak.run(duration_s)
             results.append(soak.result)
 
@@ -342,8 +280,11 @@
             'seeds': 20,
             'hosts': _HOSTS,
             'duration_s': _DURATION_S,
+            'draw': NEWEST_DRAW,
         },
-        lambda seed, wanted: play(seed, wanted.hosts, wanted.duration_s),
+        lambda seed, wanted: play(
+            seed, wanted.hosts, wanted.duration_s, wanted.draw
+        ),
         lambda result: (
             f'{result.accepted} accepted, {result.refused} refused, '
             f'{result.unknown} unknown, {result.terms} terms, longest gap '
--- /dev/null
+++ b/packages/walnutpoint-model/src/walnutpoint_model/worker_faults.py
@@ -0,0 +1,116 @@
+"""Faults of workers in the soak: crashes, cuts, and capacities that change."""
+
+from __future__ import annotations
+
+import random
+import typing
+
+import anyio
+
+from walnutpoint_core import amount
+from walnutpoint_model import capacities
+from walnutpoint_model import cell_model
+from walnutpoint_model import crashes
+from walnutpoint_model import workers
+from walnutpoint_scheduler import ports
+
+__all__ = (
+    'WorkerFaults',
+    'crashing_id',
+    'is_crashing_job',
+)
+
+# After the third crash a task may be started twice more.
+_STARTS_MAX: typing.Final = 5
+# Jobs from this number on crash their workers.
+_CRASHING_FROM: typing.Final = 0xC0000000
+_THIRD: typing.Final = 1 / 3
+_CORES: typing.Final = (4, 8, 16, 24)
+_MB_EACH: typing.Final = 4000
+_MILLI: typing.Final = 1000
+# From a crash to the next life; sooner than a lease lapses, and later.
+_BACK_S: typing.Final = 2.0
+
+
+class WorkerFaults:
+    """Breaks workers, and knows which tasks are to be given up."""
+
+    __slots__ = ('_capacities', '_crashes', '_model', '_random')
+
+    def __init__(
+        self,
+        model: cell_model.CellModel,
+        drawn: random.Random,
+        length: workers.Length,
+        need: amount.Amount,
+    ) -> None:
+        self._model = model
+        self._random = drawn
+        self._crashes = crashes.Crashes(
+            model.fleet, length, is_crashing, back_s=_BACK_S
+        )
+        self._capacities = capacities.Capacities(
+            model.fleet, lambda _task: need
+        )
+
+    async def run(self) -> None:
+        """Let workers give signs of life until cancelled."""
+        await self._capacities.beat()
+
+    async def crash_worker(self, for_s: float) -> None:
+        """Crash one worker, and wait."""
+        self._crashes.crash(self._any())
+        await anyio.sleep(for_s)
+
+    async def crash_third(self, for_s: float) -> None:
+        """Crash a third of the workers at once, and wait."""
+        names = sorted(self._model.fleet.workers)
+        count = max(1, int(len(names) * _THIRD))
+        for name in self._random.sample(names, min(count, len(names))):
+            self._crashes.crash(name)
+        await anyio.sleep(for_s)
+
+    async def cut_worker(self, for_s: float) -> None:
+        """Cut one worker off for a while, at times for longer than a lease."""
+        worker = self._model.fleet.workers[self._any()]
+        worker.cut = True
+        await anyio.sleep(for_s * 2.0)
+        worker.cut = False
+
+    async def change_capacity(self, for_s: float) -> None:
+        """Give some workers another capacity, and wait."""
+        names = sorted(self._model.fleet.workers)
+        for name in self._random.sample(names, max(1, len(names) // 2)):
+            cores = self._random.choice(_CORES)
+            self._capacities.change(
+                name, amount.Amount(cores * _MILLI, cores * _MB_EACH)
+            )
+        await anyio.sleep(for_s)
+
+    def faults(self) -> list[str]:
+        """Return what should not have been, as the workers saw it."""
+        found = list(self._capacities.overruns)
+        found += [
+            f'{task} was started {count} times, and crashed each worker'
+            for task, count in self._model.fleet.ledger.starts.items()
+            if is_crashing(task) and count > _STARTS_MAX
+        ]
+        return found
+
+    def _any(self) -> str:
+        return self._random.choice(sorted(self._model.fleet.workers))
+
+
+def crashing_id(number: int) -> str:
+    """Return the identifier of a job that crashes its workers."""
+    return f'{_CRASHING_FROM + number:016x}'
+
+
+def is_crashing_job(job_id: str) -> bool:
+    """Return whether a job crashes its workers."""
+    return int(job_id, 16) >= _CRASHING_FROM
+
+
+def is_crashing(task: ports.TaskName) -> bool:
+    """Return whether a task crashes the workers that start it."""
+    return is_crashing_job(task.job_id) and not task.ordinal
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -164,9 +164,7 @@
         if self.clock_ms() > self._until_ms:
             for name in list(self.runs):
                 self._end(name, ports.EndKind.LAPSED)
-            for end in self.ends:
-                if end.kind is ports.EndKind.DONE:
-                    self._ledger.void(end.run.task)
+            self._void_ends()
         for run in list(self.runs.values()):
             if not self.hangs and run.ends_s <= now_s:
                 kind = ports.EndKind.DONE
@@ -175,14 +173,20 @@
                 self._end(run.name, kind)
 
     def crash(self) -> None:
-        """Lose everything."""
+        """Lose everything, also the ends that nobody took note of."""
         for run in list(self.runs.values()):
             self._ledger.end(run.name.task, self.listed.worker_id, False)
+        self._void_ends()
         self.runs.clear()
         self.ends.clear()
         self.is_over = True
         self._changed.set()
 
+    def _void_ends(self) -> None:
+        for end in self.ends:
+            if end.kind is ports.EndKind.DONE:
+                self._ledger.void(end.run.task)
+
     def _refusal(self, order: ports.Start) -> ports.OrderOutcome | None:
         if order.token < self.token:
             return ports.OrderOutcome.FENCED
--- a/tests/walnutpoint_model/test_soak.py
+++ b/tests/walnutpoint_model/test_soak.py
@@ -15,6 +15,13 @@
 # Together they have every kind of fault.
 _SEEDS = (3, 12, 17, 25)
 _KINDS = 11
+_WORKER_SEEDS = (4, 8, 73, 92)
+_WORKER_KINDS = {
+    'crash_worker',
+    'crash_third',
+    'cut_worker',
+    'change_capacity',
+}
 
 
 class SoakTest(unittest.TestCase):
@@ -27,14 +34,25 @@
         kinds = set()
         for seed in _SEEDS:
             with self.subTest(seed=seed):
-                result = soak.play(seed)
+                result = soak.play(seed, draw=1)
                 self.assertEqual([], result.faults)
                 self.assertGreater(result.accepted, 50)
                 kinds |= {action.split()[0] for action in result.actions}
         self.assertEqual(_KINDS, len(kinds))
 
+    def test_promises_are_kept_where_workers_fail(self) -> None:
+        """Crashing tasks are given up, and nobody else's job is."""
+        kinds = set()
+        for seed in _WORKER_SEEDS:
+            with self.subTest(seed=seed):
+                result = soak.play(seed)
+                self.assertEqual([], result.faults)
+                self.assertGreater(result.accepted, 50)
+                kinds |= {action.split()[0] for action in result.actions}
+        self.assertLessEqual(_WORKER_KINDS, kinds)
+
     def test_same_seed_is_the_same_series(self) -> None:
-        one, other = (soak.play(3, duration_s=4.0) for _ in range(2))
+        one, other = (soak.play(3, duration_s=4.0, draw=1) for _ in range(2))
         self.assertEqual(one, other)
 
     def test_broken_promise_is_found(self) -> None:
@@ -44,5 +62,5 @@
             return expression.Ok(submission.Taken.NEW)
 
         with mock.patch.object(submission.Submissions, 'submit', lie):
-            result = soak.play(1, duration_s=2.0)
+            result = soak.play(1, duration_s=2.0, draw=1)
         self.assertIn('was accepted and is None', result.faults[0])
