Know how old a run of an earlier term was, and trust two losses less at first

Cause of the first: what a term never heard had no known age, and losses from before it counted as one moment, so that such losses said next to nothing. A run's record now has the time of day at which it was planned; workers that were lost before a term are weighed together once all others have been asked (0.25 s), as lost at any time within that span; and after five losses even a tenth of even odds is enough. Cause of the second: a cell that had been watched for 45 worker-seconds was taken to lose one worker in a thousand. It is one in a hundred until more was seen.

Sharper besides: a task that crashed a worker is expected to do so again at a similar age, which tells culprit from coincidence.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_blame.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_blame.py
@@ -10,6 +10,7 @@
 
 import collections.abc
 import math
+import statistics
 import typing
 
 import msgspec
@@ -30,26 +31,29 @@
 # From these odds on a task is run apart: of 33 such tasks one is guilty, and
 # its next crash would cost as many runs as the others lose by waiting.
 _SUSPECT_ODDS: typing.Final = 0.03
-# A job is given up at a thousand to one.
+# A job is given up at a thousand to one, and never for one loss.
 _GUILTY_ODDS: typing.Final = 1000.0
-# One loss is never enough, and after five the likelier of both is taken:
-# each further start costs its neighbours their worker.
 _LOSSES_MIN: typing.Final = 2
+# After five losses it is enough that a task is a hundred times as likely to
+# be guilty as any: each further start may cost its neighbours their worker.
 _LOSSES_MAX: typing.Final = 5
+_LAST_ODDS: typing.Final = 0.1
 # Nobody knows how long after its start a task crashes a worker: each decade
 # between these times is taken to be equally likely.
 _SOONEST_S: typing.Final = 0.02
 _LATEST_S: typing.Final = 20.0
-_DECADES: typing.Final = math.log1p(_LATEST_S / _SOONEST_S)
 # Later crashes are possible, if unlikely.
 _SURVIVAL_MIN: typing.Final = 0.01
+# Once it has crashed one, nine in ten do so again within a factor of this age.
+_AGAIN_FACTOR: typing.Final = 3.0
+_AGAIN_SHARE: typing.Final = 0.9
 # Losses that lie further back are dropped.
 _REMEMBERED_MAX: typing.Final = 8
-# What is expected before anything is seen: a worker is lost after a thousand
+# What is expected before anything is seen: a worker is lost after a hundred
 # seconds. Losses are forgotten by half in two minutes, so that a cell which
 # has had trouble is not taken for one that always has.
 _EXPECTED_LOSSES: typing.Final = 1.0
-_EXPECTED_WORKER_S: typing.Final = 1000.0
+_EXPECTED_WORKER_S: typing.Final = 100.0
 _HALF_LIFE_S: typing.Final = 120.0
 
 
@@ -61,19 +65,21 @@
 
     worker_id: str
     weight: float
-    # How old the run was at most.
-    age_s: float
+    # How old the run was at least and at most.
+    age_min_s: float
+    age_max_s: float
 
     def __post_init__(self) -> None:
         """Refuse what another writer may have put into a record."""
-        if not math.isfinite(self.weight) or not 0 <= self.age_s < math.inf:
-            raise ValueError('a loss has a finite weight and age')
+        is_sound = 0.0 <= self.age_min_s <= self.age_max_s < math.inf
+        if not is_sound or not math.isfinite(self.weight):
+            raise ValueError('a loss has a finite weight and ages')
 
 
 class LostRun(typing.NamedTuple):
-    """A run on a lost worker: the odds of its task, and its age then."""
+    """A run on a lost worker: the losses of its task, and its age then."""
 
-    odds: float
+    losses: collections.abc.Sequence[Loss]
     age_min_s: float
     age_max_s: float
     # The rate at which its worker was lost for causes outside of its tasks.
@@ -122,8 +128,8 @@
     """Return whether a task is to be given up."""
     if len(losses) < _LOSSES_MIN:
         return False
-    limit = 1.0 if len(losses) >= _LOSSES_MAX else _GUILTY_ODDS
-    return odds(losses) >= limit
+    is_last = len(losses) >= _LOSSES_MAX
+    return odds(losses) >= (_LAST_ODDS if is_last else _GUILTY_ODDS)
 
 
 def remember(losses: collections.abc.Sequence[Loss], loss: Loss) -> list[Loss]:
@@ -138,8 +144,7 @@
     """Return each run's weight, and the share that none of them explains."""
     rates = [_crash_rate(run) for run in runs]
     shares = [
-        run.odds / (1.0 + run.odds) * rate
-        for run, rate in zip(runs, rates, strict=True)
+        _guilt(run) * rate for run, rate in zip(runs, rates, strict=True)
     ]
     explained = sum(shares)
     weights = []
@@ -147,25 +152,46 @@
         # Of a task that crashes its workers, either this was its moment, or
         # it would have had it later and another cause was there first.
         others = run.background + max(explained - share, 0.0)
-        weights.append(math.log(_survival(run.age_min_s) + rate / others))
+        survival = max(1.0 - _crashed_by(run, run.age_min_s), _SURVIVAL_MIN)
+        weights.append(math.log(survival + rate / others))
     background = max((run.background for run in runs), default=1.0)
     return weights, background / (background + explained)
 
 
-def _crashed_share(age_s: float) -> float:
-    """Return the share of the guilty that have crashed by an age."""
-    return min(math.log1p(age_s / _SOONEST_S) / _DECADES, 1.0)
-
-
-def _survival(age_s: float) -> float:
-    return max(1.0 - _crashed_share(age_s), _SURVIVAL_MIN)
+def _guilt(run: LostRun) -> float:
+    known = odds(run.losses)
+    return known / (1.0 + known)
 
 
 def _crash_rate(run: LostRun) -> float:
     """Return the mean rate of crashes within a run's possible ages."""
     span_s = max(run.age_max_s - run.age_min_s, _SOONEST_S)
     latest_s = run.age_min_s + span_s
-    # Beyond the latest time the shares are equal; the rate falls on.
-    rate = 1.0 / ((latest_s + _SOONEST_S) * _DECADES)
-    share = _crashed_share(latest_s) - _crashed_share(run.age_min_s)
-    return max(share / span_s, rate * _SURVIVAL_MIN)
+    share = _crashed_by(run, latest_s) - _crashed_by(run, run.age_min_s)
+    # Beyond the latest time all shares are equal; the rate falls on.
+    least = _SURVIVAL_MIN / (latest_s + _SOONEST_S)
+    return max(share / span_s, least)
+
+
+def _crashed_by(run: LostRun, age_s: float) -> float:
+    """Return the share of the guilty that have crashed by an age."""
+    share = _share_between(0.0, _LATEST_S, age_s)
+    if not run.losses:
+        return share
+    # Any of its losses may have had another cause.
+    again = statistics.fmean(
+        _share_between(
+            loss.age_min_s / _AGAIN_FACTOR,
+            max(loss.age_max_s, _SOONEST_S) * _AGAIN_FACTOR,
+            age_s,
+        )
+        for loss in run.losses
+    )
+    return again * _AGAIN_SHARE + share * (1.0 - _AGAIN_SHARE)
+
+
+def _share_between(soonest_s: float, latest_s: float, age_s: float) -> float:
+    """Return the share by an age, each decade between two being as likely."""
+    span = math.log((latest_s + _SOONEST_S) / (soonest_s + _SOONEST_S))
+    passed = math.log((age_s + _SOONEST_S) / (soonest_s + _SOONEST_S))
+    return min(max(passed / span, 0.0), 1.0)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -33,6 +33,8 @@
 # A failure within this part of a run's estimate speaks against its worker: for
 # the shortest tasks that is 0.14 s, three times what failing workers take.
 _EARLY_SHARE: typing.Final = 0.2
+# A new term has heard every worker that lives by then.
+_CONTACT_S: typing.Final = 0.25
 # The reason of a stop that speaks against the worker.
 STALLED: typing.Final = 'stalled'
 
@@ -118,8 +120,24 @@
             return
         worker.gone = True
         worker.answering = False
-        self.expire(worker, reason)
         self._context.orders.forget(worker.listed)
+        young_s = self._context.timer.now_s() - self._context.started_s
+        if worker.heard_s is None and young_s < _CONTACT_S:
+            left_s = _CONTACT_S - young_s
+            self._context.spawn(self._expire_later, worker, reason, left_s)
+        else:
+            self.expire(worker, reason)
+
+    async def _expire_later(
+        self, worker: _roster.WorkerState, reason: str, left_s: float
+    ) -> None:
+        """Give up the runs of a worker that was lost before this term.
+
+        Whether it was lost alone or with a rack shows only once the others
+        have been asked: its tasks were taken for what crashed it.
+        """
+        await self._context.timer.sleep(left_s)
+        self.expire(worker, reason)
 
     def expire(self, worker: _roster.WorkerState, reason: str) -> None:
         """Apply that nothing which was started on a worker still runs."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -35,6 +35,10 @@
 # job changes twice what is watched: 18 calls a second at nine jobs, 6 so.
 _WATCH_PAUSE_S: typing.Final = 0.1
 _RETRY_S: typing.Final = 0.3
+_MS: typing.Final = 1000.0
+# A run that is older counts as this old: records of earlier versions do not
+# say when theirs were planned.
+_AGE_MAX_S: typing.Final = 20.0
 # A queue that was removed before its job was first seen here.
 _LOST_QUEUE: typing.Final = ''
 # What a record raises that another writer has damaged: no bytes of ours, a
@@ -225,8 +229,8 @@
             for step in progress.steps():
                 for task in step.tasks:
                     context.suspects.restore(task)
-            for task, worker_id, attempt in runs:
-                run = self._restore_run(task, worker_id, attempt)
+            for task, saved in runs:
+                run = self._restore_run(task, saved)
                 if task.state is _state.TaskState.DONE:
                     self._ends.stop(run, 'another copy is done')
         if not progress.state.final:
@@ -255,7 +259,7 @@
         context.jobs[job_id] = progress
 
     def _restore_run(
-        self, task: _state.TaskProgress, worker_id: str, attempt: int
+        self, task: _state.TaskProgress, saved: _record.RunRecord
     ) -> _run.Run:
         """Book a run that an earlier term may have started.
 
@@ -263,10 +267,10 @@
         certainly let its lease lapse, the task is not started elsewhere.
         """
         context = self._context
-        worker = context.roster.get(worker_id)
+        worker = context.roster.get(saved.worker_id)
         if worker is None:
             worker = _roster.WorkerState(
-                _unlisted(worker_id),
+                _unlisted(saved.worker_id),
                 _lease.WorkerLease(
                     context.settings.lease_s, context.started_s
                 ),
@@ -274,14 +278,17 @@
             worker.unlisted_s = context.started_s
             context.roster.add(worker)
         run = _run.Run(
-            _context.ports.RunName(task.name, attempt),
-            worker_id,
+            _context.ports.RunName(task.name, saved.attempt),
+            saved.worker_id,
             task.step.step.need,
             context.started_s,
             task,
+            saved.planned_ms,
         )
         run.phase = _run.RunPhase.ORDERED
         run.restored_s = context.started_s
+        age_s = (context.now_ms() - saved.planned_ms) / _MS
+        run.age_at_restore_s = min(max(age_s, 0.0), _AGE_MAX_S)
         run.pace_in_doubt = True
         run.decisive_from_s = context.started_s
         # A done task may have a copy that was still being stopped. Taken for
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -38,6 +38,7 @@
         task.step.step.need,
         now_s,
         task,
+        context.now_ms(),
     )
     if queue.advice is not None:
         ticket = context.advice.ticket(task.step.key, worker.worker_id)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -11,6 +11,7 @@
 
 __all__ = (
     'JobRecord',
+    'RunRecord',
     'apply_record',
     'decode_record',
     'encode_record',
@@ -18,6 +19,15 @@
 )
 
 
+class RunRecord(msgspec.Struct, array_like=True):
+    """One run that is not known to be over."""
+
+    worker_id: str
+    attempt: int
+    # The time of day at which it was planned; zero where that is not known.
+    planned_ms: int = 0
+
+
 class TaskRecord(msgspec.Struct, array_like=True):
     """One task that was planned at least once."""
 
@@ -26,8 +36,7 @@
     failures: int
     done: bool
     checkpoint: str
-    # The worker of each run that is not known to be over, with its attempt.
-    runs: list[tuple[str, int]]
+    runs: list[RunRecord]
     losses: list[_blame.Loss] = []
 
 
@@ -84,14 +93,14 @@
 
 def apply_record(
     job: _state.JobProgress, record: JobRecord, revision: int
-) -> list[tuple[_state.TaskProgress, str, int]]:
+) -> list[tuple[_state.TaskProgress, RunRecord]]:
     """Restore a job, and return the runs that may be at work."""
     job.state = _state.JobState(record.state)
     job.saved_state = record.state
     job.begun = record.begun
     job.reason = record.reason
     job.record_revision = revision
-    runs: list[tuple[_state.TaskProgress, str, int]] = []
+    runs: list[tuple[_state.TaskProgress, RunRecord]] = []
     for step_record in record.steps:
         step = job.occurrence(step_record.occurrence)[step_record.number]
         if step_record.done:
@@ -106,7 +115,7 @@
             task.losses = saved.losses
             if saved.done:
                 step.finish(task)
-            runs += [(task, worker, at) for worker, at in saved.runs]
+            runs += [(task, run) for run in saved.runs]
     return runs
 
 
@@ -120,7 +129,10 @@
             task.failures,
             task.state is _state.TaskState.DONE,
             task.checkpoint,
-            [(run.worker_id, run.name.attempt) for run in task.runs],
+            [
+                RunRecord(run.worker_id, run.name.attempt, run.planned_ms)
+                for run in task.runs
+            ],
             task.losses,
         )
         for task in step.tasks
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -290,14 +290,25 @@
     def lost_with(
         self, worker: WorkerState, within_s: float
     ) -> list[WorkerState]:
-        """Return the others that fell silent at about the same time."""
+        """Return the others that fell silent at about the same time.
+
+        Of a worker that this term never heard, those are all that it never
+        heard: nobody knows when each was lost.
+        """
+        lost = [
+            other
+            for other in self.workers.values()
+            if other is not worker
+            and (other.gone or other.silent_s is not None)
+        ]
+        if worker.heard_s is None:
+            return [other for other in lost if other.heard_s is None]
         if worker.silent_s is None:
             return []
         return [
             other
-            for other in self.workers.values()
-            if other is not worker
-            and other.silent_s is not None
+            for other in lost
+            if other.silent_s is not None
             and abs(other.silent_s - worker.silent_s) <= within_s
         ]
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
@@ -33,6 +33,7 @@
     """One run of a task on a worker, which books room until its end."""
 
     __slots__ = (
+        'age_at_restore_s',
         'decisive_from_s',
         'fills',
         'load',
@@ -44,7 +45,7 @@
         'percent',
         'percent_changed_s',
         'phase',
-        'planned_s',
+        'planned_ms',
         'restored_s',
         'sample',
         'started_s',
@@ -61,11 +62,13 @@
         need: amount.Amount,
         planned_s: float,
         task: _state.TaskProgress | None,
+        planned_ms: int = 0,
     ) -> None:
         self.name = name
         self.worker_id = worker_id
         self.need = need
-        self.planned_s = planned_s
+        # The time of day, which outlives the term; zero where it is unknown.
+        self.planned_ms = planned_ms
         # None for a run that no record of this term asks for.
         self.task = task
         self.phase = RunPhase.PLANNED
@@ -73,6 +76,8 @@
         # When this term sent its start, or found that an earlier one may have.
         self.ordered_s: float | None = None
         self.restored_s: float | None = None
+        # How old it may have been then.
+        self.age_at_restore_s = 0.0
         self.started_s: float | None = None
         # A report asked for after this time that does not list the run says
         # that it is over, or never was.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -22,8 +22,6 @@
 # refused connection is seen within some ms, and a lost power within a report's
 # wait of 0.5 s, half of it in the mean.
 _TOGETHER_S: typing.Final = 0.25
-# An order of an earlier term may have begun at any earlier time.
-_UNKNOWN_AGE_S: typing.Final = 20.0
 # How long a suspect has to run well before others may start beside it: half
 # as long again as it ever took to lose a worker, within these bounds.
 _PROBATION_FACTOR: typing.Final = 1.5
@@ -83,10 +81,9 @@
         guilty = []
         for (run, lost), weight in zip(rows, weights, strict=True):
             task = typing.cast(_state.TaskProgress, run.task)
-            age_s = lost.age_min_s
-            if run.ordered_s is not None:
-                age_s = lost.age_max_s
-            loss = _blame.Loss(worker.worker_id, weight, age_s)
+            loss = _blame.Loss(
+                worker.worker_id, weight, lost.age_min_s, lost.age_max_s
+            )
             self._hold_against(task, loss, now_s)
             if _blame.is_guilty(task.losses):
                 guilty.append(task)
@@ -147,7 +144,7 @@
         if run.started_s is None or worker.heard_s is None:
             return False
         task = typing.cast(_state.TaskProgress, run.task)
-        longest_s = max((loss.age_s for loss in task.losses), default=0.0)
+        longest_s = max((loss.age_max_s for loss in task.losses), default=0.0)
         needed_s = max(longest_s * _PROBATION_FACTOR, _PROBATION_MIN_S)
         stood_s = worker.heard_s - run.started_s
         return stood_s >= min(needed_s, _PROBATION_MAX_S)
@@ -163,27 +160,32 @@
             if task is None or not run.may_have_begun(silent_s):
                 continue
             age_min_s, age_max_s = _ages_s(worker, run, silent_s)
+            shared = self._shared_rate(
+                worker, run.name.task.job_id, age_max_s - age_min_s
+            )
             if task.step.step.lasting and age_min_s > _CLEARED_AFTER_S:
                 task.losses = []
             rows.append(
                 (
                     run,
                     _blame.LostRun(
-                        _blame.odds(task.losses),
+                        task.losses,
                         age_min_s,
                         age_max_s,
-                        self._background.rate()
-                        + self._shared_rate(worker, run.name.task.job_id),
+                        self._background.rate() + shared,
                     ),
                 )
             )
         return rows
 
-    def _shared_rate(self, worker: _roster.WorkerState, job_id: str) -> float:
+    def _shared_rate(
+        self, worker: _roster.WorkerState, job_id: str, span_s: float
+    ) -> float:
         """Return the rate of a loss that took other workers as well.
 
         Workers that run a suspect, or have just started a task of the same
-        job, may have been crashed by that.
+        job, may have been crashed by that. Others that this term never heard
+        may have been lost at any time within a span, each by itself.
         """
         others = sum(
             not other.runs_suspect and job_id not in other.fresh_jobs
@@ -193,7 +195,10 @@
             not other.gone
             for other in self._roster.in_pool(worker.listed.pool)
         )
-        return others / max(1, size) / (2 * _TOGETHER_S)
+        moment_s = 2 * _TOGETHER_S
+        if worker.heard_s is None:
+            moment_s = max(moment_s, span_s)
+        return others / max(1, size) / moment_s
 
     def _hold_against(
         self, task: _state.TaskProgress, loss: _blame.Loss, now_s: float
@@ -209,7 +214,8 @@
             'task.suspected',
             task=task_text(task),
             worker=loss.worker_id,
-            age_max_s=round(loss.age_s, 3),
+            age_min_s=round(loss.age_min_s, 3),
+            age_max_s=round(loss.age_max_s, 3),
             losses=len(task.losses),
             odds=round(_blame.odds(task.losses), 3),
             background=round(self._background.rate(), 5),
@@ -219,12 +225,14 @@
 def _ages_s(
     worker: _roster.WorkerState, run: _run.Run, silent_s: float
 ) -> tuple[float, float]:
-    """Return how old a run was at least and at most when it was lost."""
+    """Return how old a run was at least and at most when it was lost.
+
+    One of an earlier term may have begun at any time since it was planned.
+    """
     began_s = run.ordered_s
     if began_s is None:
         began_s = typing.cast(float, run.restored_s)
     heard_s = began_s if worker.heard_s is None else worker.heard_s
     age_min_s = max(0.0, heard_s - began_s)
-    if run.ordered_s is None:
-        return age_min_s, age_min_s + _UNKNOWN_AGE_S
-    return age_min_s, max(age_min_s, silent_s - began_s)
+    age_max_s = max(age_min_s, silent_s - began_s)
+    return age_min_s, age_max_s + run.age_at_restore_s
--- a/tests/walnutpoint_scheduler/test_blame.py
+++ b/tests/walnutpoint_scheduler/test_blame.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import math
 import unittest
 
@@ -11,23 +12,26 @@
 
 QUIET = 0.001
 TROUBLED = 0.05
-PRIOR = _blame.odds([])
+# Losses of a task that is a hundred times likelier guilty than not.
+LIKELY = [_blame.Loss('worker-9', math.log(100_000), 0.01, 0.03)]
 
 
 def _run(
-    age_s: float, odds: float = PRIOR, background: float = QUIET
+    age_s: float,
+    losses: collections.abc.Sequence[_blame.Loss] = (),
+    background: float = QUIET,
 ) -> _blame.LostRun:
     """Return a run that was lost within 20 ms of an age."""
-    return _blame.LostRun(odds, age_s, age_s + 0.02, background)
+    return _blame.LostRun(losses, age_s, age_s + 0.02, background)
 
 
 def _lose(
     losses: list[_blame.Loss], number: int, *others: _blame.LostRun, **fields
 ) -> list[_blame.Loss]:
     """Return a task's losses after another one, 10 ms after its start."""
-    run = _run(0.01, _blame.odds(losses), **fields)
+    run = _run(0.01, losses, **fields)
     weight = _blame.weigh([run, *others])[0][0]
-    loss = _blame.Loss(f'worker-{number}', weight, 0.03)
+    loss = _blame.Loss(f'worker-{number}', weight, 0.01, 0.03)
     return _blame.remember(losses, loss)
 
 
@@ -42,7 +46,7 @@
     def test_likely_culprit_clears_its_neighbours(self) -> None:
         """A task that has crashed workers explains the next loss alone."""
         alone, _ = _blame.weigh([_run(0.1)])
-        beside, _ = _blame.weigh([_run(0.1), _run(0.01, odds=100.0)])
+        beside, _ = _blame.weigh([_run(0.1), _run(0.01, losses=LIKELY)])
         self.assertGreater(alone[0], math.log(100))
         self.assertLess(beside[0], math.log(2))
 
@@ -51,10 +55,19 @@
         weights, _ = _blame.weigh([_run(60.0, background=TROUBLED)])
         self.assertLess(weights[0], 0.0)
 
+    def test_crash_at_another_age_says_less(self) -> None:
+        """What crashed a worker at its start does so at its start again."""
+        once = [_blame.Loss('worker-0', 5.0, 0.0, 0.02)]
+        same, _ = _blame.weigh([_run(0.01, once)])
+        other, _ = _blame.weigh([_run(0.5, once)])
+        unknown, _ = _blame.weigh([_run(0.5)])
+        self.assertGreater(same[0], unknown[0])
+        self.assertLess(other[0], unknown[0])
+
     def test_share_that_nothing_explains(self) -> None:
         """A loss beside old runs alone counts as one of the cell's own."""
         _, without = _blame.weigh([_run(30.0), _run(60.0)])
-        _, beside_suspect = _blame.weigh([_run(0.01, odds=100.0)])
+        _, beside_suspect = _blame.weigh([_run(0.01, losses=LIKELY)])
         self.assertGreater(without, 0.9)
         self.assertLess(beside_suspect, 0.01)
 
@@ -87,9 +100,9 @@
         """Five times a third of the cell is lost, and a long task with it."""
         losses: list[_blame.Loss] = []
         for number in range(5):
-            run = _run(3.0, _blame.odds(losses), background=0.6)
+            run = _run(3.0, losses, background=0.6)
             weight = _blame.weigh([run])[0][0]
-            loss = _blame.Loss(f'worker-{number}', weight, 3.0)
+            loss = _blame.Loss(f'worker-{number}', weight, 3.0, 3.02)
             losses = _blame.remember(losses, loss)
         self.assertFalse(_blame.is_guilty(losses))
 
@@ -125,12 +138,13 @@
 
     def test_not_a_finite_weight_or_age(self) -> None:
         for row in (
-            ['worker-0', math.inf, 0.1],
-            ['worker-0', math.nan, 0.1],
-            ['worker-0', 1.0, -1.0],
-            ['worker-0', 1.0, math.inf],
-            ['worker-0', 'much', 0.1],
-            [7, 1.0, 0.1],
+            ['worker-0', math.inf, 0.1, 0.1],
+            ['worker-0', math.nan, 0.1, 0.1],
+            ['worker-0', 1.0, -1.0, 0.1],
+            ['worker-0', 1.0, 0.1, math.inf],
+            ['worker-0', 1.0, 0.2, 0.1],
+            ['worker-0', 'much', 0.1, 0.1],
+            [7, 1.0, 0.1, 0.1],
             'worker-0',
         ):
             with self.subTest(row=row), self.assertRaises(msgspec.DecodeError):
--- a/tests/walnutpoint_scheduler/test_crashing_tasks.py
+++ b/tests/walnutpoint_scheduler/test_crashing_tasks.py
@@ -148,6 +148,37 @@
         harness.play(scene)
         self._check(crashing)
 
+    def test_crash_that_nobody_watched_counts(self) -> None:
+        """Each scheduler dies together with the worker that it started on.
+
+        Two other workers die beside them. The next scheduler finds runs in
+        the journal and other lives at their workers' addresses, which it
+        never heard. It took the three losses for one, and did not know how
+        old the runs were: the task was started six times.
+        """
+        crashing = harness.job(1, harness.step(1))
+        task = ports.TaskName(crashing.job_id, 0, 0, 0)
+
+        async def scene() -> None:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(self._hand_in_all, crashing)
+                for seen in range(1, 8):
+                    async with self.bed.scheduling():
+                        with anyio.move_on_after(8):
+                            await harness.until(
+                                lambda seen=seen: (
+                                    self.crashes.crashed_by[task] >= seen
+                                )
+                            )
+                        for name in sorted(self.bed.fleet.workers)[:2]:
+                            self.crashes.crash(name)
+                    await anyio.sleep(0.3)
+            async with self.bed.scheduling():
+                await anyio.sleep(40)
+
+        harness.play(scene)
+        self._check(crashing)
+
     def test_cut_that_heals_clears_its_tasks(self) -> None:
         """Workers that were cut off and answer again speak against no task.
 
