Lead from crashing workers to the task: waits, explain, gauges, one page

The operators' page had no way from an alarm on lost workers to what crashes them. run.withdrawn says whether the run was lost with its worker; waits adds that up by task, explain takes task.* lines for the job's own and task.given_up for what decided.

--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_command_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_command_waits.py
@@ -16,6 +16,8 @@
 
 # Rows of refusals that are told as text; one host alone, or all alike.
 _HOSTS: typing.Final = 8
+# Tasks that lost more than one worker, of which as many are told as text.
+_TASKS: typing.Final = 8
 # Of the plot's time axis.
 _BIN_S: typing.Final = 1.0
 
@@ -75,6 +77,10 @@
             {'begin_s': round(begin_s, 3), 'host': host, 'token': token}
             for begin_s, host, token in found.terms
         ],
+        'lost_workers': dict(found.lost_workers.most_common()),
+        'given_up': {
+            task: list(workers) for task, workers in found.given_up.items()
+        },
         'store_calls': dict(found.store_calls),
     }
 
@@ -112,6 +118,13 @@
             f'{host} schedules from {begin_s:.1f} s on, token {token}',
             file=output,
         )
+    for task, workers in found.given_up.items():
+        print(
+            f'{task} was given up: crashed {", ".join(workers)}', file=output
+        )
+    for task, count in found.lost_workers.most_common(_TASKS):
+        if count > 1:
+            print(f'{task} lost its worker {count} times', file=output)
     jobs = max(1, found.jobs)
     for purpose, count in found.store_calls.most_common():
         print(
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_course.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_course.py
@@ -36,7 +36,9 @@
 )
 _WORKER_EVENTS: typing.Final = frozenset(
     {
+        'tasks.cleared',
         'worker.answering',
+        'worker.capacity_changed',
         'worker.draining',
         'worker.listed',
         'worker.runs_lost',
@@ -46,6 +48,7 @@
 )
 # What decides a job's fate, the last of them first.
 _DECISIVE: typing.Final = (
+    'task.given_up',
     'job.concluded',
     'job.refused',
     'job.rejected',
@@ -142,8 +145,10 @@
 def _names(line: Line, job_id: str) -> bool:
     if line.fields.get('job') == job_id:
         return True
-    named = line.fields.get('run') or line.fields.get('step') or ''
-    return named.partition('.')[0] == job_id
+    for name in ('run', 'step', 'task'):
+        if line.fields.get(name, '').partition('.')[0] == job_id:
+            return True
+    return False
 
 
 def _decisive(own: tuple[Line, ...]) -> Line | None:
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_waits.py
@@ -19,6 +19,8 @@
 _UNTOLD: typing.Final = 'untold'
 # The cause of a step that no worker may run.
 _DENIED: typing.Final = 'denied'
+# What ended a run whose worker was lost, the wait for its lease included.
+_LOST_WORKER: typing.Final = 'a lost worker'
 
 
 def _no_seconds() -> collections.defaultdict[str, float]:
@@ -63,6 +65,14 @@
     terms: list[tuple[float, str, str]] = dataclasses.field(
         default_factory=list
     )
+    # How often each task lost its worker, and what those that were given up
+    # had crashed.
+    lost_workers: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    given_up: dict[str, tuple[str, ...]] = dataclasses.field(
+        default_factory=dict
+    )
     # Seconds from the first line, queue and cause of each wait that began.
     begun: list[tuple[float, str, str]] = dataclasses.field(
         default_factory=list
@@ -102,6 +112,8 @@
             'step.waits': self._waits,
             'run.placed': self._placed,
             'run.ended': self._ended,
+            'run.withdrawn': self._withdrawn,
+            'task.given_up': self._given_up,
             'job.concluded': self._concluded,
             'scheduler.won': self._won,
             'store.calls': self._called,
@@ -159,6 +171,21 @@
             reason = line.fields.get('how', '')
         self.found.queue(queue).lost_s[reason] += line.time_s - began_s
 
+    def _withdrawn(self, line: _course.Line) -> None:
+        run = line.fields.get('run', '')
+        began = self._runs.pop(run, None)
+        if line.fields.get('lost') != 'true':
+            return
+        self.found.lost_workers[run.partition('#')[0]] += 1
+        if began is not None:
+            began_s, queue = began
+            lost_s = line.time_s - began_s
+            self.found.queue(queue).lost_s[_LOST_WORKER] += lost_s
+
+    def _given_up(self, line: _course.Line) -> None:
+        workers = line.fields.get('workers', '').split(',')
+        self.found.given_up[line.fields.get('task', '')] = tuple(workers)
+
     def _concluded(self, line: _course.Line) -> None:
         """Count no more waits of a job that is over."""
         job_id = line.fields.get('job', '')
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -90,8 +90,10 @@
             self._count_failure(task, run)
         self._settle(task)
 
-    def withdraw(self, run: _run.Run, reason: str) -> None:
-        """Apply that a run was never started, or left no trace."""
+    def withdraw(
+        self, run: _run.Run, reason: str, *, is_lost: bool = False
+    ) -> None:
+        """Apply that a run was never started, or is lost with its worker."""
         worker = self._context.roster.get(run.worker_id)
         if worker is not None:
             if run.name not in worker.runs:
@@ -102,6 +104,7 @@
             run=run_text(run.name),
             worker=run.worker_id,
             reason=reason,
+            lost=is_lost,
             phase=run.phase.value,
             ordered_ago_s=self._ago_s(run.ordered_s),
         )
@@ -156,7 +159,7 @@
         guilty = self._context.suspects.blame(worker)
         for run in list(worker.runs.values()):
             self.lost += 1
-            self.withdraw(run, reason)
+            self.withdraw(run, reason, is_lost=True)
         for task in guilty:
             self._give_up(task)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -121,8 +121,8 @@
         worker.runs_suspect = True
         self._probations[worker.worker_id] = run
 
-    def at_work(self, pool: str) -> int:
-        """Return how many workers of a pool run a suspect apart."""
+    def at_work(self, pool: str | None = None) -> int:
+        """Return how many workers of a pool, or of all, run a suspect apart."""
         now_s = self._timer.now_s()
         count = 0
         for worker_id, run in list(self._probations.items()):
@@ -131,7 +131,7 @@
                 del self._probations[worker_id]
                 if worker is not None and worker.silent_s is None:
                     worker.runs_suspect = False
-            elif worker.listed.pool == pool:
+            elif pool is None or worker.listed.pool == pool:
                 count += 1
         return count
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -202,6 +202,8 @@
             'advice_calls': context.advice.calls,
             'passes': placer.passes,
             'longest_wait_s': placer.longest_wait_s,
+            'suspects_at_work': context.suspects.at_work(),
+            'workers_overrun': sum(w.is_overrun for w in workers),
         }
 
     def end(self, reason: str) -> None:
--- a/tests/walnutpoint_cli/test_course.py
+++ b/tests/walnutpoint_cli/test_course.py
@@ -53,6 +53,23 @@
             [line.event for line in course.own],
         )
 
+    def test_given_up_task_decides(self) -> None:
+        """The job failed for what its task did, not for its attempts."""
+        told = [
+            _course.parse_line(row, 'b')
+            for row in (
+                'timestamp=2026-01-01T10:00:03.000000Z level=warning '
+                'event=task.given_up part=ends task=aa.0.0.1 queue=urgent '
+                'workers=w1,w2 attempt=2',
+                'timestamp=2026-01-01T10:00:02.000000Z level=info '
+                'event=task.suspected part=suspects task=aa.0.0.1 worker=w2 '
+                'losses=2 odds=2000.0',
+            )
+        ]
+        course = _course.rebuild([*_lines(), *told], 'aa')
+        self.assertEqual('task.given_up', course.decisive.event)
+        self.assertIn('task.suspected', [line.event for line in course.own])
+
     def test_what_was_around_is_shown_and_the_rest_is_not(self) -> None:
         course = _course.rebuild(_lines(), 'aa')
         self.assertEqual(
--- a/tests/walnutpoint_cli/test_waits.py
+++ b/tests/walnutpoint_cli/test_waits.py
@@ -61,6 +61,36 @@
             {'commit:walnutpoint/run': 12, 'watch:b': 3}, found['store_calls']
         )
 
+    def test_tasks_that_lost_their_workers_are_named(self) -> None:
+        """The operator sees which task crashes workers, and its victim."""
+        lost = ''.join(
+            f'timestamp=2026-01-01T10:00:0{second}.000000Z level=info '
+            f'event=run.placed part=placer run={task}#{attempt} queue=maps '
+            f'worker=w{attempt} waited_s=0.1 token=3\n'
+            f'timestamp=2026-01-01T10:00:0{second + 2}.500000Z level=info '
+            f'event=run.withdrawn part=ends run={task}#{attempt} '
+            f'worker=w{attempt} reason="another life answered" lost=true '
+            f'phase=running ordered_ago_s=2.5\n'
+            for task, attempt, second in (
+                ('cc.0.0.0', 1, 1),
+                ('dd.0.0.0', 1, 1),
+                ('cc.0.0.0', 2, 4),
+            )
+        )
+        given_up = (
+            'timestamp=2026-01-01T10:00:07.000000Z level=warning '
+            'event=task.given_up part=ends task=cc.0.0.0 queue=maps '
+            'workers=w1,w2 attempt=2\n'
+        )
+        lines = LINES + lost + given_up
+        text = self._execute(lines, _options.Output.TEXT)
+        self.assertIn('cc.0.0.0 was given up: crashed w1, w2', text)
+        self.assertIn('cc.0.0.0 lost its worker 2 times', text)
+        self.assertIn('work lost to a lost worker: 7.5 s', text)
+        found = json.loads(self._execute(lines, _options.Output.JSON))
+        self.assertEqual({'cc.0.0.0': 2, 'dd.0.0.0': 1}, found['lost_workers'])
+        self.assertEqual({'cc.0.0.0': ['w1', 'w2']}, found['given_up'])
+
     def test_hosts_that_refused_and_scheduled_are_named(self) -> None:
         won = (
             'timestamp=2026-01-01T10:00:02.000000Z level=warning '
