--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -122,7 +122,7 @@
         self._probations[worker.worker_id] = run
 
     def at_work(self, pool: str | None = None) -> int:
-        """Return how many workers of a pool, or of all, run a suspect apart."""
+        """Return how many workers run a suspect apart, of a pool or all."""
         now_s = self._timer.now_s()
         count = 0
         for worker_id, run in list(self._probations.items()):
--- a/specs/_cases.py
+++ b/specs/_cases.py
@@ -15,6 +15,7 @@
 from specs import acceptance
 from specs import cancel
 from specs import confirmation
+from specs import crashes
 from specs import doubt
 from specs import gang
 from specs import lease
@@ -59,6 +60,7 @@
     Model('term', term.build, term.Guard, term.GOALS),
     Model('acceptance', acceptance.build, acceptance.Guard, acceptance.GOALS),
     Model('cancel', cancel.build, cancel.Guard, cancel.GOALS),
+    Model('crashes', crashes.build, crashes.Guard, crashes.GOALS),
 )
 
 
