Let a task pause whose starts come to nothing one after the other

What operators would see: one job that no worker takes costs 200 orders and as many commits a second for as long as it is open. Same class as the crashing task: a retry without a bound or memory. A refused start was planned again in the next pass, some ms later; an unanswered one as soon as it was resolved. The first repeat is made at once, on another worker; from then on 0.1 s, doubled up to 1 s, until a run of the task is done. Refusals for the worker's own faults and lapsed tickets do not count.

The stand-in's workers report progress in whole hundredths, as the platform's do.

--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -232,7 +232,7 @@
     def _row(self, run: _Run) -> ports.RunningTask:
         elapsed_s = 0.0 if self.hangs else _now_s() - run.started_s
         percent = min(_WHOLE, _WHOLE * elapsed_s / max(run.length_s, 0.001))
-        return ports.RunningTask(run.name, '', percent, 0.0)
+        return ports.RunningTask(run.name, '', float(int(percent)), 0.0)
 
 
 class Fleet:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -84,6 +84,7 @@
         self._detach(task, run)
         if end.kind is ports.EndKind.DONE:
             self.done += 1
+            task.setbacks.clear()
             self._complete(task)
         elif end.kind is ports.EndKind.FAILED:
             self.failed += 1
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -35,6 +35,15 @@
 _UNHEARD: typing.Final = frozenset(
     {ports.OrderOutcome.UNSENT, ports.OrderOutcome.UNKNOWN}
 )
+# Refusals that may be the task's, not the worker's or a lapsed ticket's.
+_TASK_REFUSED: typing.Final = frozenset(
+    {
+        ports.OrderOutcome.OUTDATED,
+        ports.OrderOutcome.EXPIRED,
+        ports.OrderOutcome.NO_ROOM,
+        ports.OrderOutcome.REJECTED,
+    }
+)
 _WORKER_FAULTS: typing.Final = frozenset(
     {ports.OrderOutcome.UNHEALTHY, ports.OrderOutcome.UNSENT}
 )
@@ -176,6 +185,7 @@
             self._withdraw_refused(run, worker, outcome)
             return
         self.unanswered += 1
+        self._set_back(run)
         # Placed there again at once, the task would meet the same silence.
         context.health.fail_start(run.worker_id, now_s)
         if run.phase is _run.RunPhase.ORDERED:
@@ -191,11 +201,22 @@
         context = self._context
         if outcome is ports.OrderOutcome.BAD_TICKET and run.task is not None:
             context.advice.spoil(run.task.step.key, run.worker_id)
+        if outcome in _TASK_REFUSED:
+            self._set_back(run)
         if outcome in _WORKER_FAULTS:
             context.health.fail_start(run.worker_id, context.timer.now_s())
             worker.answering = False
         self._ends.withdraw(run, outcome.value)
 
+    def _set_back(self, run: _run.Run) -> None:
+        """Let a task pause whose starts come to nothing one after the other.
+
+        What no worker takes would be planned again in each pass: hundreds of
+        orders and commits a second for one task.
+        """
+        if run.task is not None:
+            run.task.setbacks.add(self._context.timer.now_s())
+
     async def _resolve(self, run: _run.Run) -> None:
         """Block a run whose start has no answer, unless it shows up.
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -260,7 +260,7 @@
         if any(task.runs for task in step.tasks):
             return
         now_s = self._context.timer.now_s()
-        if any(task.not_before_s > now_s for task in step.tasks):
+        if any(task.setbacks.pauses(now_s) for task in step.tasks):
             return
         permitted = self._permitted(queue, step)
         picked = _gang.pick(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
@@ -59,21 +59,23 @@
     def part(
         self, queue: cell.Queue, step: _state.StepProgress
     ) -> list[_state.TaskProgress]:
-        """Return the tasks of a step to place as usual; keep the others.
+        """Return the tasks of a step to place as usual, and keep suspects.
 
         Suspects come last in a pass: what is placed before them goes
         elsewhere then, and not beside them.
         """
-        waiting = step.waiting()
-        if not any(task.losses for task in waiting):
-            return waiting
         now_s = self._context.timer.now_s()
         usual = []
-        for task in waiting:
-            if not task.is_suspect:
+        for task in step.waiting():
+            if not task.losses and not task.setbacks.count:
+                # Nearly all: thousands may wait in a pass.
                 usual.append(task)
-            elif task.not_before_s <= now_s:
+            elif task.setbacks.pauses(now_s):
+                continue
+            elif task.is_suspect:
                 self._waiting.append(Waiting(queue, task))
+            else:
+                usual.append(task)
         return usual
 
     def waiting(self) -> collections.abc.Sequence[Waiting]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -8,6 +8,7 @@
 
 from walnutpoint_scheduler import _blame
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _setbacks
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import ports
@@ -21,6 +22,8 @@
 )
 
 _MS: typing.Final = 1000.0
+# Callers of urgent jobs wait for some 3 s in all.
+_PAUSE_MAX_S: typing.Final = 1.0
 
 
 class JobState(enum.Enum):
@@ -61,8 +64,8 @@
         'failures',
         'index',
         'losses',
-        'not_before_s',
         'run',
+        'setbacks',
         'state',
         'step',
         'waiting_since_s',
@@ -82,8 +85,8 @@
         self.waiting_since_s = 0.0
         # The workers that were lost while it may have run there.
         self.losses: list[_blame.Loss] = []
-        # A task that may crash its workers pauses between its starts.
-        self.not_before_s = 0.0
+        # Starts that came to nothing, and losses of a suspect.
+        self.setbacks = _setbacks.Setbacks(_PAUSE_MAX_S)
 
     @property
     def is_suspect(self) -> bool:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -209,7 +209,7 @@
             return
         pause_s = _BACKOFF_S * 2.0 ** (len(task.losses) - 2)
         if len(task.losses) > 1:
-            task.not_before_s = now_s + min(pause_s, _BACKOFF_MAX_S)
+            task.setbacks.hold(now_s + min(pause_s, _BACKOFF_MAX_S))
         _LOG.info(
             'task.suspected',
             task=task_text(task),
