Let a lasting task pause that fails soon after each start

What its owner saw: nothing; what the cell paid: some fourteen starts a second, each journaled, for as long as the job lasts. Attempts of lasting tasks have no limit, and a failed one waited again at once. The first restart is made at once, the next after 0.1 s, doubled up to 2 s; a run of 5 s clears it.

test_restarts_pause failed before (more than 30 starts in 20 s), and passes now (between 7 and 30).

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -33,6 +33,10 @@
 # A failure within this part of a run's estimate speaks against its worker: for
 # the shortest tasks that is 0.14 s, three times what failing workers take.
 _EARLY_SHARE: typing.Final = 0.2
+# A lasting task that ran for this long had begun well.
+_SETTLED_S: typing.Final = 5.0
+# Its failures may have been its workers', which recover in some seconds.
+_RESTART_PAUSE_MAX_S: typing.Final = 2.0
 # A new term has heard every worker that lives by then.
 _CONTACT_S: typing.Final = 0.25
 # The reason of a stop that speaks against the worker.
@@ -232,6 +236,7 @@
     def _count_failure(self, task: _state.TaskProgress, run: _run.Run) -> None:
         step = task.step
         if step.step.lasting:
+            self._pace_restart(task, run)
             return
         if step.step.gang:
             # The attempt failed once, whoever of the gang says so.
@@ -246,6 +251,19 @@
         if task.failures >= limit and not step.job.state.final:
             self._conclude(step.job, _state.JobState.FAILED)
 
+    def _pace_restart(
+        self, task: _state.TaskProgress, run: _run.Run
+    ) -> None:
+        """Let a lasting task pause that fails soon after each start.
+
+        Its attempts have no limit: one that fails at once would be started
+        some fourteen times a second for as long as its job lasts.
+        """
+        now_s = self._context.timer.now_s()
+        if run.started_s is not None and now_s - run.started_s > _SETTLED_S:
+            task.setbacks.clear()
+        task.setbacks.add(now_s, _RESTART_PAUSE_MAX_S)
+
     def _settle(self, task: _state.TaskProgress) -> None:
         """Make a task whose run ended wait again, and note its job."""
         job = task.step.job
