Let no fault in placing one step keep all others from being placed

What callers would see: nothing starts any more while one job is open. A pass ended at the first step that met an unforeseen fault; the next pass met it at the same place, so that what came after it in the order was never looked at, and each pass left a traceback. The comment at the pass said that one job must not stop all others; it did.

Each step is placed by itself, and one that failed pauses, up to 60 s. test_other_jobs_are_placed failed before (queued after 5 s) and passes.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -251,9 +251,7 @@
         if task.failures >= limit and not step.job.state.final:
             self._conclude(step.job, _state.JobState.FAILED)
 
-    def _pace_restart(
-        self, task: _state.TaskProgress, run: _run.Run
-    ) -> None:
+    def _pace_restart(self, task: _state.TaskProgress, run: _run.Run) -> None:
         """Let a lasting task pause that fails soon after each start.
 
         Its attempts have no limit: one that fails at once would be started
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from walnutpoint_core import logs
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _delay
@@ -21,6 +22,7 @@
 
 __all__ = ('Placer',)
 
+_LOG: typing.Final = logs.get_logger('placer')
 # Steps that may find no room before the rest of a pass only asks for advice:
 # each is a look at every worker, some 2 ms with 900 of them. A step that rules
 # permit a third of the workers counts for a third: it says little of the room
@@ -74,13 +76,36 @@
         self.longest_wait_s = self._ready.longest_wait_s(rows)
         promoted = self._ready.promoted(rows, self._may_start)
         for row in promoted:
-            self._place(row, 1)
+            self._place_guarded(row, 1)
         for row in rows:
             if row not in promoted:
-                self._place(row)
+                self._place_guarded(row)
         self._place_copies()
         self._place_suspects()
 
+    def _place_guarded(
+        self, row: _order.Waiting, tasks_max: int | None = None
+    ) -> None:
+        """Place a step, and let no unforeseen fault end the pass there.
+
+        The next pass would meet it at the same place, and what comes after
+        it in the order would never start.
+        """
+        now_s = self._context.timer.now_s()
+        if row.step.faults.pauses(now_s):
+            return
+        try:
+            self._place(row, tasks_max)
+        except Exception as error:
+            row.step.faults.add(now_s)
+            _LOG.exception(
+                'step.failed',
+                step=row.step.key,
+                queue=row.queue.name,
+                faults=row.step.faults.count,
+                error=repr(error),
+            )
+
     def _place(
         self, row: _order.Waiting, tasks_max: int | None = None
     ) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -24,6 +24,8 @@
 _MS: typing.Final = 1000.0
 # Callers of urgent jobs wait for some 3 s in all.
 _PAUSE_MAX_S: typing.Final = 1.0
+# Between two tracebacks of the same fault.
+_FAULT_PAUSE_MAX_S: typing.Final = 60.0
 
 
 class JobState(enum.Enum):
@@ -113,6 +115,7 @@
     __slots__ = (
         'done_count',
         'failed_attempt',
+        'faults',
         'job',
         'key',
         'number',
@@ -141,6 +144,8 @@
         self.done_count = 0
         # The newest attempt of a gang that is counted as failed.
         self.failed_attempt = 0
+        # Passes that met an unforeseen fault at this step.
+        self.faults = _setbacks.Setbacks(_FAULT_PAUSE_MAX_S)
         # When the scheduler first saw that the step may start.
         self.ready_s: float | None = None
         # When a task of it was placed last.
