--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -10,6 +10,7 @@
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _stall
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _suspects
 from walnutpoint_scheduler import ports
@@ -327,7 +328,9 @@
             )
         elif run.stop_reason == STALLED:
             health.withdraw(worker.worker_id)
-            health.fail_start(worker.worker_id, now_s)
+            # A task that hangs everywhere would set aside its workers in turn.
+            if run.task and run.task.stalls <= _stall.WORKERS_BLAMED:
+                health.fail_start(worker.worker_id, now_s)
         else:
             health.withdraw(worker.worker_id)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
@@ -6,7 +6,10 @@
 
 from walnutpoint_scheduler import _run
 
-__all__ = ('limit_s',)
+__all__ = (
+    'WORKERS_BLAMED',
+    'limit_s',
+)
 
 _MS: typing.Final = 1000.0
 # The share of its estimate that a task may stand still. Progress comes in
@@ -19,6 +22,12 @@
 _FILLING_FACTOR: typing.Final = 4.0
 # Not all members of a gang may be present yet.
 _GATHERING_FACTOR: typing.Final = 4.0
+# Of the workers on which a task stood still, how many are taken for the cause:
+# one worker in seven may be faulty, three in a row hardly ever are. From then
+# on it is the task's own, which gets longer each time.
+WORKERS_BLAMED: typing.Final = 2
+_PATIENCE_FACTOR: typing.Final = 4.0
+_PATIENCE_STEPS_MAX: typing.Final = 6
 
 
 def limit_s(run: _run.Run, longest_s: float) -> float:
@@ -41,4 +50,5 @@
         limit = longest_s * _FILLING_FACTOR
     if step.gang and run.percent <= 0.0:
         limit = longest_s * _GATHERING_FACTOR
-    return limit
+    patience = max(0, task.stalls - WORKERS_BLAMED + 1)
+    return limit * _PATIENCE_FACTOR ** min(patience, _PATIENCE_STEPS_MAX)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -68,6 +68,7 @@
         'losses',
         'run',
         'setbacks',
+        'stalls',
         'state',
         'step',
         'waiting_since_s',
@@ -89,6 +90,8 @@
         self.losses: list[_blame.Loss] = []
         # Starts that came to nothing, and losses of a suspect.
         self.setbacks = _setbacks.Setbacks(_PAUSE_MAX_S)
+        # How often it was stopped since it made no progress.
+        self.stalls = 0
 
     @property
     def is_suspect(self) -> bool:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -187,6 +187,7 @@
         job is of no use; the stop returns what was saved.
         """
         self.stalled += 1
+        task.stalls += 1
         self._desk.stop(run, _ends.STALLED)
         if task.step.step.gang:
             for member in task.step.tasks:
