Clear the victims of a task that is given up

A caller saw a sound job failed (one of 2,640 histories of 60 jobs with 3 crashing tasks): its task and a crashing one had started on a worker in the same ms, and both were as likely to have ended it. The culprit was found with its next crash; the victim's next worker was lost for another cause, 0.05 s after its start, and the first loss still counted.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_blame.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_blame.py
@@ -19,6 +19,7 @@
     'Background',
     'Loss',
     'LostRun',
+    'excuse',
     'is_guilty',
     'is_suspect',
     'odds',
@@ -138,6 +139,18 @@
     return [*kept, loss][-_REMEMBERED_MAX:]
 
 
+def excuse(
+    losses: collections.abc.Iterable[Loss], worker_id: str
+) -> list[Loss]:
+    """Return a task's losses, one of which says no more against it."""
+    return [
+        msgspec.structs.replace(loss, weight=min(loss.weight, 0.0))
+        if loss.worker_id == worker_id
+        else loss
+        for loss in losses
+    ]
+
+
 def weigh(
     runs: collections.abc.Sequence[LostRun],
 ) -> tuple[list[float], float]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -195,6 +195,8 @@
             workers=','.join(loss.worker_id for loss in task.losses),
             attempt=task.attempt,
         )
+        for cleared in self._context.suspects.convict(task):
+            self._context.journal.note(cleared.step.job, urgent=False)
         self._conclude(job, _state.JobState.FAILED)
 
     def cancel(self, job: _state.JobProgress) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -107,6 +107,31 @@
             )
         return acquitted
 
+    def convict(
+        self, guilty: _state.TaskProgress
+    ) -> list[_state.TaskProgress]:
+        """Take a guilty task for the cause of its losses, and clear others.
+
+        Two tasks that start together on a worker are equally likely to have
+        crashed it. Without this the innocent one would be a coincidence away
+        from being given up as well. Its losses still count as such.
+        """
+        cleared = []
+        for lost in guilty.losses:
+            for task in self._tasks.get(lost.worker_id, ()):
+                if task is guilty or task.step.job.state.final:
+                    continue
+                task.losses = _blame.excuse(task.losses, lost.worker_id)
+                cleared.append(task)
+        if cleared:
+            _LOG.info(
+                'tasks.cleared',
+                worker=','.join(loss.worker_id for loss in guilty.losses),
+                tasks=len(cleared),
+                reason=f'{task_text(guilty)} crashed it',
+            )
+        return cleared
+
     def restore(self, task: _state.TaskProgress) -> None:
         """Take over what an earlier term held against a task."""
         for loss in task.losses:
--- a/tests/walnutpoint_model/test_crash_history.py
+++ b/tests/walnutpoint_model/test_crash_history.py
@@ -49,6 +49,16 @@
         )
         self.assertEqual([], history.faults)
 
+    def test_victim_of_a_culprit_that_is_found_is_cleared(self) -> None:
+        """A sound job was given up in one of some 2,600 histories.
+
+        One of its tasks started on a worker together with a crashing one,
+        and both were as likely to have ended it. The culprit was found; its
+        victim's next worker was lost for another cause, and the first loss
+        still counted against it.
+        """
+        self.assertEqual([], crash_history.play(3730).faults)
+
     def test_quiet_cell_finds_them_soon(self) -> None:
         """Without other losses the goal is reached with room to spare."""
         crashes = [
