--- a/bench/placement_pass.py
+++ b/bench/placement_pass.py
@@ -66,9 +66,12 @@
             began_s = time.perf_counter()
             placer.run()
             took_ms.append((time.perf_counter() - began_s) * 1000)
+            placed = sum(
+                len(worker.runs) for worker in context.roster.workers.values()
+            )
         print(
             f'{worker_count} workers, {step_count} steps of 10 tasks: '
-            f'{placer.placed} placed, median '
+            f'{placed} placed, median '
             f'{statistics.median(took_ms):.1f} ms, longest '
             f'{max(took_ms):.1f} ms'
         )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -263,7 +263,7 @@
         now_s = self._context.timer.now_s()
         if run.started_s is not None and now_s - run.started_s > _SETTLED_S:
             task.setbacks.clear()
-        task.setbacks.add(now_s, _RESTART_PAUSE_MAX_S)
+        task.set_back(now_s, _RESTART_PAUSE_MAX_S)
 
     def _settle(self, task: _state.TaskProgress) -> None:
         """Make a task whose run ended wait again, and note its job."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -215,7 +215,7 @@
         orders and commits a second for one task.
         """
         if run.task is not None:
-            run.task.setbacks.add(self._context.timer.now_s())
+            run.task.set_back(self._context.timer.now_s())
 
     async def _resolve(self, run: _run.Run) -> None:
         """Block a run whose start has no answer, unless it shows up.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
@@ -64,15 +64,16 @@
         Suspects come last in a pass: what is placed before them goes
         elsewhere then, and not beside them.
         """
+        waiting = step.waiting()
+        if not step.is_marked:
+            # Nearly all: thousands of tasks may wait in a pass.
+            return waiting
         now_s = self._context.timer.now_s()
         usual = []
-        for task in step.waiting():
-            if not task.losses and not task.setbacks.count:
-                # Nearly all: thousands may wait in a pass.
-                usual.append(task)
-            elif task.setbacks.pauses(now_s):
+        for task in waiting:
+            if task.setbacks.pauses(now_s):
                 continue
-            elif task.is_suspect:
+            if task.is_suspect:
                 self._waiting.append(Waiting(queue, task))
             else:
                 usual.append(task)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -112,7 +112,7 @@
             task.attempt = saved.attempt
             task.failures = saved.failures
             task.checkpoint = saved.checkpoint
-            task.losses = saved.losses
+            task.hold_against(saved.losses)
             if saved.done:
                 step.finish(task)
             runs += [(task, run) for run in saved.runs]
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -93,6 +93,16 @@
         # How often it was stopped since it made no progress.
         self.stalls = 0
 
+    def set_back(self, now_s: float, longest_s: float | None = None) -> None:
+        """Note a start that came to nothing."""
+        self.step.is_marked = True
+        self.setbacks.add(now_s, longest_s)
+
+    def hold_against(self, losses: list[_blame.Loss]) -> None:
+        """Take the workers that it lost."""
+        self.step.is_marked = self.step.is_marked or bool(losses)
+        self.losses = losses
+
     @property
     def is_suspect(self) -> bool:
         """Return whether the task is to run apart from others."""
@@ -119,6 +129,7 @@
         'done_count',
         'failed_attempt',
         'faults',
+        'is_marked',
         'job',
         'key',
         'number',
@@ -147,6 +158,8 @@
         self.done_count = 0
         # The newest attempt of a gang that is counted as failed.
         self.failed_attempt = 0
+        # Whether a task of it ever pauses, or lost a worker.
+        self.is_marked = False
         # Passes that met an unforeseen fault at this step.
         self.faults = _setbacks.Setbacks(_FAULT_PAUSE_MAX_S)
         # When the scheduler first saw that the step may start.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -228,7 +228,7 @@
     def _hold_against(
         self, task: _state.TaskProgress, loss: _blame.Loss, now_s: float
     ) -> None:
-        task.losses = _blame.remember(task.losses, loss)
+        task.hold_against(_blame.remember(task.losses, loss))
         self._tasks[loss.worker_id].append(task)
         if not _blame.is_suspect(task.losses):
             return
