--- a/packages/walnutpoint-model/src/walnutpoint_model/store.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/store.py
@@ -77,6 +77,10 @@
         self._notify()
         return self.revision
 
+    def delete(self, key: str) -> None:
+        """Remove as the platform does with entries that lapse."""
+        self._apply(ports.Batch((), (), (key,)))
+
     def forget_history(self) -> None:
         """Cut every watch, and drop what changed so far."""
         self._compacted = self.revision
