--- a/packages/walnutpoint-model/src/walnutpoint_model/crash_history.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/crash_history.py
@@ -89,6 +89,7 @@
     # Runs of sound tasks that ended with their worker.
     runs_lost: int = 0
     given_up: int = 0
+    # Sound jobs that were not done in time, or not at all.
     late: int = 0
     jobs: int = 0
     actions: list[str] = dataclasses.field(default_factory=list)
@@ -229,7 +230,8 @@
                 history.faults.append(f'{job_id} is {state}')
             objective_s = self._lengths_s[job_id] * _QUEUE.stretch
             objective_s += _QUEUE.allowance_s + _LOOK_S
-            if not is_crashing and ended_s - began_s > objective_s:
+            is_late = state != 'done' or ended_s - began_s > objective_s
+            if not is_crashing and is_late:
                 history.late += 1
 
 
