--- a/packages/walnutpoint-model/src/walnutpoint_model/crashes.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/crashes.py
@@ -22,7 +22,8 @@
 class Crashes:
     """Crashes workers, by their tasks or from outside, and brings them back.
 
-    A new life has another name and the same address, and runs nothing.
+    A new incarnation has the same address and runs nothing. Its name is
+    another one, or the same.
     """
 
     __slots__ = (
@@ -30,6 +31,7 @@
         '_crash_s',
         '_fleet',
         '_is_crashing',
+        '_keeps_name',
         '_length',
         'crashed_by',
         'innocent_losses',
@@ -44,12 +46,14 @@
         *,
         crash_s: float = _CRASH_S,
         back_s: float = _BACK_S,
+        keeps_name: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
         self._fleet = fleet
         self._length = length
         self._is_crashing = is_crashing
         self._crash_s = crash_s
         self._back_s = back_s
+        self._keeps_name = keeps_name
         # How many workers each crashing task has ended.
         self.crashed_by: collections.Counter[ports.TaskName] = (
             collections.Counter()
@@ -71,8 +75,10 @@
                 self.innocent_losses[run.task] += 1
         listed = self._fleet.crash(worker_id)
         self.lives += 1
-        name = worker_id.partition('~')[0]
-        reborn = dataclasses.replace(listed, worker_id=f'{name}~{self.lives}')
+        name = worker_id
+        if not self._keeps_name():
+            name = f'{worker_id.partition("~")[0]}~{self.lives}'
+        reborn = dataclasses.replace(listed, worker_id=name)
         asyncio.get_running_loop().call_later(
             self._back_s, self._fleet.add, reborn, self._length, self.lives
         )
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -31,6 +31,7 @@
 _LATE_RANGE_S: typing.Final = (2.0, 12.0)
 _LEASE_MAX_S: typing.Final = 10.0
 _WHOLE: typing.Final = 100.0
+_FIRST_BORN_MS: typing.Final = 1_700_000_000_000
 _TICK_S: typing.Final = 0.02
 # Three signs of life, each 1.5 s after the other.
 _ENTRY_LAPSES_S: typing.Final = 4.5
@@ -55,7 +56,7 @@
 
 
 class Worker:
-    """One life of a worker: leases, fencing tokens, runs and ends."""
+    """One incarnation of a worker: leases, fencing tokens, runs and ends."""
 
     __slots__ = (
         '_blocked',
@@ -63,6 +64,7 @@
         '_ledger',
         '_length',
         '_numbers',
+        '_started_s',
         '_until_ms',
         'clock_rate',
         'cut',
@@ -108,11 +110,13 @@
         self._length = length
         self._numbers = 0
         self._until_ms = 0.0
+        # Its steady clock begins anew with it.
+        self._started_s = _started_s()
         self._changed = asyncio.Event()
 
     def clock_ms(self) -> int:
         """Return the worker's own clock."""
-        return int(_now_s() * self.clock_rate * _MS)
+        return int((_now_s() - self._started_s) * self.clock_rate * _MS)
 
     def start(self, order: ports.Start) -> ports.OrderReply:
         """Carry out a start."""
@@ -156,6 +160,8 @@
             self.clock_ms(),
             tuple(self._row(run) for run in self.runs.values()),
             tuple(self.ends),
+            None,
+            self.listed.born_ms,
         )
 
     def advance(self) -> None:
@@ -239,10 +245,12 @@
     """Carries orders to the workers, over a network with faults."""
 
     __slots__ = (
+        '_born_ms',
         '_hidden',
         '_lingering',
         '_refusing',
         '_revision',
+        '_unwritten',
         'calls',
         'is_frozen',
         'ledger',
@@ -256,23 +264,51 @@
         self.calls = 0
         self.order_timeout_s = settings.SchedulerSettings().order_timeout_s
         self._revision = 1
+        # The start of the newest incarnation; zero where none is told.
+        self._born_ms = _FIRST_BORN_MS
         self._lingering: list[cell.ListedWorker] = []
         # Addresses that refuse connections.
         self._refusing: set[str] = set()
+        # Workers that have not written their entries yet.
+        self._unwritten: set[str] = set()
         self._hidden = False
         # Whether nobody can write or read an entry.
         self.is_frozen = False
 
     def add(
-        self, listed: cell.ListedWorker, length: Length, seed: int = 1
+        self,
+        listed: cell.ListedWorker,
+        length: Length,
+        seed: int = 1,
+        listed_after_s: float = 0.0,
     ) -> Worker:
-        """Add a worker."""
+        """Add a worker, or a new incarnation of one that is over.
+
+        Its entry is written a time later; until then that of a former
+        incarnation stays.
+        """
+        if self._born_ms:
+            self._born_ms += 1
+            listed = dataclasses.replace(listed, born_ms=self._born_ms)
         worker = Worker(listed, length, self.ledger, seed)
         self.workers[listed.worker_id] = worker
+        if listed_after_s:
+            self._unwritten.add(listed.worker_id)
+            asyncio.get_running_loop().call_later(
+                listed_after_s, self._write, listed.worker_id
+            )
         self._refusing.discard(listed.address)
         self._revision += 1
         return worker
 
+    def _write(self, worker_id: str) -> None:
+        self._unwritten.discard(worker_id)
+        self._revision += 1
+
+    def tell_no_starts(self) -> None:
+        """Let no worker that is added say when it started."""
+        self._born_ms = 0
+
     def remove(self, worker_id: str) -> None:
         """Take a worker off the list and end its life."""
         self.workers.pop(worker_id).crash()
@@ -370,8 +406,11 @@
     def _listed(self) -> tuple[cell.ListedWorker, ...]:
         if self._hidden:
             return ()
-        listed = [worker.listed for worker in self.workers.values()]
-        return (*listed, *self._lingering)
+        entries = {listed.worker_id: listed for listed in self._lingering}
+        for worker_id, worker in self.workers.items():
+            if worker_id not in self._unwritten:
+                entries[worker_id] = worker.listed
+        return tuple(entries.values())
 
     async def changes(
         self, revision: int, wait_s: float
@@ -414,7 +453,10 @@
         may_be_late = live.stops_are_late or not is_stop
         if may_be_late and live.random.random() < live.late_share:
             asyncio.get_running_loop().call_later(
-                live.random.uniform(*_LATE_RANGE_S), act, live
+                live.random.uniform(*_LATE_RANGE_S),
+                self._carry_out,
+                worker,
+                act,
             )
             await anyio.sleep(self.order_timeout_s)
             return ports.OrderReply(ports.OrderOutcome.UNKNOWN)
@@ -425,6 +467,16 @@
         await anyio.sleep(_TRANSIT_S)
         return reply
 
+    def _carry_out(
+        self,
+        worker: cell.ListedWorker,
+        act: collections.abc.Callable[[Worker], ports.OrderReply],
+    ) -> None:
+        """Carry out a late order on what has the name and address by now."""
+        live = self.workers.get(worker.worker_id)
+        if live is not None and live.listed.address == worker.address:
+            act(live)
+
 
 def listed_worker(
     number: int,
@@ -448,5 +500,13 @@
     )
 
 
+def _started_s() -> float:
+    """Return the time, or zero before the loop runs."""
+    try:
+        return _now_s()
+    except RuntimeError:
+        return 0.0
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
@@ -150,6 +150,13 @@
         if known is not None:
             known.expires_s.pop(worker_id, None)
 
+    def forget_worker(self, worker_id: str) -> None:
+        """Drop what is known of a worker, which has started again."""
+        for known in self._steps.values():
+            known.tickets.pop(worker_id, None)
+            known.expires_s.pop(worker_id, None)
+            known.denied.discard(worker_id)
+
     def forget(self, step: str) -> None:
         """Drop what is known of a step."""
         self._steps.pop(step, None)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_blame.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_blame.py
@@ -15,6 +15,8 @@
 
 import msgspec
 
+from walnutpoint_scheduler import _incarnation
+
 __all__ = (
     'Background',
     'Loss',
@@ -69,6 +71,13 @@
     # How old the run was at least and at most.
     age_min_s: float
     age_max_s: float
+    # The start of the lost incarnation; zero where that is not known.
+    born_ms: int = 0
+
+    @property
+    def incarnation(self) -> _incarnation.Incarnation:
+        """Return which incarnation was lost."""
+        return _incarnation.Incarnation(self.worker_id, self.born_ms)
 
     def __post_init__(self) -> None:
         """Refuse what another writer may have put into a record."""
@@ -134,18 +143,19 @@
 
 
 def remember(losses: collections.abc.Sequence[Loss], loss: Loss) -> list[Loss]:
-    """Return a task's losses with another one, each worker once."""
-    kept = [known for known in losses if known.worker_id != loss.worker_id]
+    """Return a task's losses with another one, each incarnation once."""
+    kept = [k for k in losses if k.incarnation != loss.incarnation]
     return [*kept, loss][-_REMEMBERED_MAX:]
 
 
 def excuse(
-    losses: collections.abc.Iterable[Loss], worker_id: str
+    losses: collections.abc.Iterable[Loss],
+    lost: _incarnation.Incarnation,
 ) -> list[Loss]:
     """Return a task's losses, one of which says no more against it."""
     return [
         msgspec.structs.replace(loss, weight=min(loss.weight, 0.0))
-        if loss.worker_id == worker_id
+        if loss.incarnation == lost
         else loss
         for loss in losses
     ]
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -40,7 +40,6 @@
         '_context',
         '_ends',
         '_links',
-        '_opened',
         '_read_s',
         '_revision',
         '_source',
@@ -58,7 +57,6 @@
         self._ends = ends
         self._links = links
         self._revision = 0
-        self._opened: set[str] = set()
         self._read_s = 0.0
 
     async def read(self) -> bool:
@@ -74,10 +72,7 @@
     def open_links(self) -> None:
         """Follow every known worker that is not followed yet."""
         for worker in list(self._context.roster.workers.values()):
-            if worker.worker_id in self._opened:
-                continue
-            if worker.listed.address:
-                self._opened.add(worker.worker_id)
+            if worker.listed.address and not worker.is_followed:
                 self._links.open(worker)
 
     async def follow(self) -> None:
@@ -130,9 +125,11 @@
     def _note_entry(self, listed: cell.ListedWorker) -> bool:
         """Take an entry, and tell whether it says anything new."""
         worker = self._context.roster.get(listed.worker_id)
-        if worker is None:
+        if worker is None or _has_followed(worker, listed):
             self._add(listed)
             return True
+        if _roster.differ(worker.born_ms, listed.born_ms):
+            return self._announce(worker, listed)
         if listed.draining and not worker.listed.draining:
             _LOG.info(
                 'worker.draining',
@@ -156,6 +153,30 @@
             self._context.roster.add(worker)
         return is_news
 
+    def _announce(
+        self, worker: _roster.WorkerState, listed: cell.ListedWorker
+    ) -> bool:
+        """Note the entry of another incarnation, and tell whether it is new.
+
+        Only its report says what became of the runs on this one. An entry
+        that is older than this one's start is read late.
+        """
+        if listed.born_ms < typing.cast(int, worker.born_ms):
+            return False
+        known, worker.next_listed = worker.next_listed, listed
+        if known is not None and known.born_ms == listed.born_ms:
+            return False
+        _LOG.info(
+            'worker.restart_listed',
+            worker=listed.worker_id,
+            address=listed.address,
+            born_ms=listed.born_ms,
+            known_born_ms=worker.born_ms,
+            runs=len(worker.runs),
+        )
+        self._context.spawn(self._links.look, worker)
+        return True
+
     def _close(self, worker_ids: collections.abc.Iterable[str]) -> None:
         """Give nothing more to workers whose entries can't be read.
 
@@ -196,6 +217,7 @@
             rack=listed.rack,
             cpu_millicores=listed.capacity.cpu_millicores,
             draining=listed.draining,
+            born_ms=listed.born_ms,
         )
 
     def _check_unlisted(self) -> None:
@@ -206,6 +228,7 @@
         """
         context = self._context
         now_s = context.timer.now_s()
+        context.roster.prune(now_s - _FORGET_S)
         for worker in list(context.roster.workers.values()):
             if worker.unlisted_s is None:
                 continue
@@ -223,3 +246,15 @@
                 context.roster.remove(worker.worker_id)
                 context.health.forget(worker.worker_id)
                 context.pace.forget(worker.worker_id)
+
+
+def _has_followed(
+    worker: _roster.WorkerState, listed: cell.ListedWorker
+) -> bool:
+    """Return whether an entry is of one that follows a lost incarnation."""
+    known_ms = worker.incarnation.born_ms
+    return (
+        worker.gone
+        and _roster.differ(known_ms, listed.born_ms)
+        and listed.born_ms > known_ms
+    )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -100,11 +100,10 @@
         self, run: _run.Run, reason: str, *, is_lost: bool = False
     ) -> None:
         """Apply that a run was never started, or is lost with its worker."""
-        worker = self._context.roster.get(run.worker_id)
-        if worker is not None:
-            if run.name not in worker.runs:
-                return
-            worker.release(run)
+        worker = self._context.roster.holder(run)
+        if worker is None:
+            return
+        worker.release(run)
         _LOG.info(
             'run.withdrawn',
             run=run_text(run.name),
@@ -123,8 +122,16 @@
             self._stop_gang(task.step, 'a member did not start')
         self._settle(task)
 
-    def bury(self, worker: _roster.WorkerState, reason: str) -> None:
-        """Apply that a worker's life is over, and with it all its runs."""
+    def bury(
+        self,
+        worker: _roster.WorkerState,
+        reason: str,
+        spared: collections.abc.Collection[_run.Run] = (),
+    ) -> None:
+        """Apply that an incarnation is over, and with it all its runs.
+
+        Of those spared it is not known yet.
+        """
         if worker.gone:
             return
         worker.gone = True
@@ -135,7 +142,7 @@
             left_s = _CONTACT_S - young_s
             self._context.spawn(self._expire_later, worker, reason, left_s)
         else:
-            self.expire(worker, reason)
+            self.expire(worker, reason, spared)
 
     async def _expire_later(
         self, worker: _roster.WorkerState, reason: str, left_s: float
@@ -148,7 +155,12 @@
         await self._context.timer.sleep(left_s)
         self.expire(worker, reason)
 
-    def expire(self, worker: _roster.WorkerState, reason: str) -> None:
+    def expire(
+        self,
+        worker: _roster.WorkerState,
+        reason: str,
+        spared: collections.abc.Collection[_run.Run] = (),
+    ) -> None:
         """Apply that nothing which was started on a worker still runs."""
         if worker.runs:
             _LOG.warning(
@@ -164,8 +176,9 @@
             _LOST.add('left' if worker.listed.draining else 'unplanned')
         guilty = self._context.suspects.blame(worker)
         for run in list(worker.runs.values()):
-            self.lost += 1
-            self.withdraw(run, reason, is_lost=True)
+            if run not in spared:
+                self.lost += 1
+                self.withdraw(run, reason, is_lost=True)
         for task in guilty:
             self._give_up(task)
 
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_incarnation.py
@@ -0,0 +1,19 @@
+"""The name of one incarnation of a worker."""
+
+from __future__ import annotations
+
+import typing
+
+__all__ = ('Incarnation',)
+
+
+class Incarnation(typing.NamedTuple):
+    """One process of a worker, from its start to its end.
+
+    A worker that starts again may keep its name; it runs nothing then, and
+    numbers its ends anew.
+    """
+
+    worker_id: str
+    # Its start, as Unix time; zero where it is not told.
+    born_ms: int = 0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -284,6 +284,7 @@
             context.started_s,
             task,
             saved.planned_ms,
+            saved.born_ms,
         )
         run.phase = _run.RunPhase.ORDERED
         run.restored_s = context.started_s
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_lease.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_lease.py
@@ -18,17 +18,26 @@
 class WorkerLease:
     """Tells when everything that a worker ran has certainly lapsed.
 
+    started_s is when this scheduler began: earlier ones granted as much.
+
     A worker that is cut off runs on until its lease passes on its own clock.
     Starting its tasks elsewhere before that would run them twice; the lower
     bound of its clock makes the wait long enough whatever its rate.
     """
 
-    __slots__ = ('_clock_ms', '_length_s', '_read_s', '_until_ms', 'started_s')
+    __slots__ = (
+        '_clock_ms',
+        '_length_s',
+        '_others_end_s',
+        '_read_s',
+        '_until_ms',
+    )
 
     def __init__(self, length_s: float, started_s: float) -> None:
         self._length_s = length_s
-        # When this scheduler began: what others granted ends a length later.
-        self.started_s = started_s
+        # When what others granted has ended.
+        self._others_end_s = 0.0
+        self.assume_granted(started_s, length_s)
         self._clock_ms: int | None = None
         self._read_s = 0.0
         self._until_ms = 0
@@ -38,6 +47,12 @@
         """Return whether the worker's clock was read."""
         return self._clock_ms is not None
 
+    def assume_granted(self, now_s: float, length_s: float) -> None:
+        """Count on a lease that others may have granted by now."""
+        self._others_end_s = max(
+            self._others_end_s, now_s + length_s / _SLOWEST_RATE + _KILL_S
+        )
+
     def read_clock(self, clock_ms: int, received_s: float) -> None:
         """Learn the clock from an answer received at a time."""
         if self._clock_ms is None or clock_ms >= self._clock_ms:
@@ -65,8 +80,7 @@
 
     def left_s(self, now_s: float) -> float:
         """Return how long something that was started there may still run."""
-        by_others_s = self.started_s + self._length_s / _SLOWEST_RATE + _KILL_S
-        left_s = by_others_s - now_s
+        left_s = self._others_end_s - now_s
         if self._clock_ms is None:
             return left_s
         granted_s = (self._until_ms - self._clock_ms) / _MS / _SLOWEST_RATE
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -13,6 +13,7 @@
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _succession
 from walnutpoint_scheduler import ports
 
 __all__ = ('WorkerLinks',)
@@ -33,7 +34,7 @@
 class WorkerLinks:
     """Asks each worker for its report again and again, one task each."""
 
-    __slots__ = ('_context', '_desk', '_ends', 'reports')
+    __slots__ = ('_context', '_desk', '_ends', '_succession', 'reports')
 
     def __init__(
         self,
@@ -44,10 +45,12 @@
         self._context = context
         self._ends = ends
         self._desk = desk
+        self._succession = _succession.Succession(context, ends)
         self.reports = 0
 
     def open(self, worker: _roster.WorkerState) -> None:
-        """Follow one life of a worker until it is over."""
+        """Follow one incarnation of a worker until it is over."""
+        worker.is_followed = True
         self._context.spawn(self._keep_following, worker)
 
     async def look(self, worker: _roster.WorkerState) -> None:
@@ -57,15 +60,16 @@
         reply = await context.orders.renew(
             worker.listed,
             ports.Renewal(
-                context.token,
-                worker.acknowledged,
+                worker.fence(context.token),
+                # What ended is acknowledged with the report that is waited
+                # for.
+                0,
                 # Asked after an unanswered order: nothing is granted.
                 None,
                 0.0,
             ),
         )
         if isinstance(reply, ports.Report) and not worker.gone:
-            # What ended is acknowledged with the report that is waited for.
             self._take(worker, reply, asked_s)
 
     async def _keep_following(self, worker: _roster.WorkerState) -> None:
@@ -96,11 +100,12 @@
             # silent nothing more is granted, or its lease would never be
             # known to have lapsed, and its tasks would wait for its return.
             until_ms = None if failures else worker.lease.extend(asked_s)
+            acknowledged = 0 if failures else worker.unconfirmed
             reply = await context.orders.renew(
                 worker.listed,
                 ports.Renewal(
-                    context.token,
-                    worker.acknowledged,
+                    worker.fence(context.token),
+                    acknowledged,
                     until_ms,
                     wait_s,
                     0.0 if worker.answered_s else _FIRST_SLACK_S,
@@ -111,6 +116,7 @@
             if isinstance(reply, ports.Report):
                 failures = 0
                 saving = self._take(worker, reply, asked_s)
+                worker.confirmed = max(worker.confirmed, acknowledged)
                 wait_s = context.settings.report_wait_s
                 if saving is not None:
                     upto = max(end.number for end in reply.ends)
@@ -135,6 +141,20 @@
     ) -> asyncio.Future[typing.Any] | None:
         """Apply a report, and return what must be stored before the ack."""
         context = self._context
+        reporter = self._succession.reporter(worker, report, asked_s)
+        if reporter is None:
+            _LOG.info(
+                'report.outdated',
+                worker=worker.worker_id,
+                born_ms=report.born_ms,
+                known_born_ms=worker.born_ms,
+            )
+            return None
+        if reporter is not worker:
+            # Its own link reads these ends again, and acknowledges them.
+            self._take(reporter, report, asked_s)
+            self.open(reporter)
+            return None
         now_s = context.timer.now_s()
         self.reports += 1
         worker.lease.read_clock(report.clock_ms, now_s)
@@ -152,8 +172,10 @@
                 'worker.answering',
                 worker=worker.worker_id,
                 address=worker.listed.address,
+                born_ms=worker.born_ms,
                 running=len(report.running),
                 ends=len(report.ends),
+                processed=worker.processed,
                 token=context.token,
             )
             context.wake()
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -105,16 +105,19 @@
 
     async def _start(self, job: _state.JobProgress, run: _run.Run) -> None:
         context = self._context
-        worker = context.roster.get(run.worker_id)
-        if run.phase is not _run.RunPhase.PLANNED or worker is None:
-            # Stopped before the order was sent, or the worker is gone.
-            self._ends.withdraw(run, 'not sent')
-            return
-        if run.name not in worker.runs:
+        worker = context.roster.holder(run)
+        if worker is None:
             # Given up while its record was being stored, as its worker was
             # silent for a lease. By now the task may run elsewhere, and the
             # worker answer again: sent, the order would start it twice.
             return
+        if run.phase is not _run.RunPhase.PLANNED:
+            # Stopped before the order was sent.
+            self._ends.withdraw(run, 'not sent')
+            return
+        if worker.entry_is_foreign:
+            self._ends.withdraw(run, 'the worker has started again')
+            return
         if worker.is_overrun or worker.entry_is_old:
             # It has shrunk since the run was planned, or may have, and starts
             # whatever it is told. A gang begins anew as a whole.
@@ -127,13 +130,14 @@
             return
         run.phase = _run.RunPhase.ORDERED
         run.ordered_s = context.timer.now_s()
+        worker.unanswered.add(run.name)
         reply = await context.orders.start(
             worker.listed,
             ports.Start(
                 run.name,
                 job.document.payload,
                 until_ms,
-                context.token,
+                worker.fence(context.token),
                 task.checkpoint,
                 run.ticket,
             ),
@@ -150,6 +154,8 @@
         now_s = context.timer.now_s()
         outcome = reply.outcome
         _STARTS.add(outcome.value)
+        if outcome is not ports.OrderOutcome.UNKNOWN:
+            worker.unanswered.discard(run.name)
         if reply.clock_ms is not None:
             worker.lease.read_clock(reply.clock_ms, now_s)
             worker.hear(now_s)
@@ -224,7 +230,7 @@
         refuses it for good once it has taken a stop for that attempt, and
         only then may the task be started elsewhere.
         """
-        worker = self._context.roster.get(run.worker_id)
+        worker = self._context.roster.holder(run)
         if worker is None:
             return
         await self.look(worker)
@@ -234,8 +240,8 @@
     async def _stop(self, run: _run.Run) -> None:
         context = self._context
         while True:
-            worker = context.roster.get(run.worker_id)
-            if worker is None or run.name not in worker.runs:
+            worker = context.roster.holder(run)
+            if worker is None:
                 return
             if not worker.listed.address:
                 # Known by the journal alone: it has to be listed again, or
@@ -243,8 +249,11 @@
                 await context.timer.sleep(_STOP_RETRY_S)
                 continue
             reply = await context.orders.stop(
-                worker.listed, run.name, context.token
+                worker.listed, run.name, worker.fence(context.token)
             )
+            if worker.gone:
+                # The answer may be of the incarnation that follows.
+                continue
             now_s = context.timer.now_s()
             if reply.clock_ms is not None:
                 worker.lease.read_clock(reply.clock_ms, now_s)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
@@ -90,8 +90,10 @@
     ) -> None:
         context = self._context
         reply = await context.orders.pace(
-            worker.listed, run.name, percent, context.token
+            worker.listed, run.name, percent, worker.fence(context.token)
         )
+        if worker.gone:
+            return
         if reply.outcome is ports.OrderOutcome.FENCED:
             context.lost(f'worker {worker.worker_id} knows a newer token')
         elif reply.outcome is ports.OrderOutcome.DONE:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -39,6 +39,7 @@
         now_s,
         task,
         context.now_ms(),
+        worker.incarnation.born_ms,
     )
     if queue.advice is not None:
         ticket = context.advice.ticket(task.step.key, worker.worker_id)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -26,6 +26,8 @@
     attempt: int
     # The time of day at which it was planned; zero where that is not known.
     planned_ms: int = 0
+    # The start of the worker's incarnation; zero where that is not known.
+    born_ms: int = 0
 
 
 class TaskRecord(msgspec.Struct, array_like=True):
@@ -130,7 +132,12 @@
             task.state is _state.TaskState.DONE,
             task.checkpoint,
             [
-                RunRecord(run.worker_id, run.name.attempt, run.planned_ms)
+                RunRecord(
+                    run.worker_id,
+                    run.name.attempt,
+                    run.planned_ms,
+                    run.born_ms,
+                )
                 for run in task.runs
             ],
             task.losses,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -8,6 +8,7 @@
 
 from walnutpoint_core import amount
 from walnutpoint_core import logs
+from walnutpoint_scheduler import _incarnation
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import cell
@@ -17,6 +18,7 @@
     'Roster',
     'WorkerState',
     'by_room',
+    'differ',
 )
 
 _LOG: typing.Final = logs.get_logger('roster')
@@ -24,35 +26,43 @@
 _MS: typing.Final = 1000.0
 # Ends of some seconds on the busiest worker.
 _ENDED_MAX: typing.Final = 64
+# The incarnations of a worker that the calls of one term tell apart.
+_INCARNATIONS_MAX: typing.Final = 1000
 # A start counts as recent for as long as a silent worker takes to be noticed.
 _FRESH_S: typing.Final = 0.7
 
 
 class WorkerState:
-    """One life of a worker in the memory of a term."""
+    """One incarnation of a worker in the memory of a term."""
 
     __slots__ = (
         '_answered_capacity',
         'acknowledged',
         'answering',
         'answered_s',
+        'born_ms',
+        'confirmed',
         'ended',
         'entry_is_old',
         'expelled',
         'expiring',
+        'first_report_s',
         'free',
         'fresh_jobs',
         'gone',
         'heard_s',
+        'is_followed',
         'lease',
         'listed',
-        'listed_until_s',
+        'next_listed',
         'processed',
+        'restarts',
         'runs',
         'runs_suspect',
         'silent_s',
         'step_counts',
         'taken',
+        'unanswered',
         'unlisted_s',
         'worker_id',
     )
@@ -61,8 +71,13 @@
         self, listed: cell.ListedWorker, lease: _lease.WorkerLease
     ) -> None:
         self.listed = listed
-        # The identifier of this life.
+        # The entry of a later incarnation, which has not answered yet.
+        self.next_listed: cell.ListedWorker | None = None
+        # What its calls name it by; a later incarnation may have it too.
         self.worker_id = listed.worker_id
+        # Its start by its own answers; None before the first.
+        self.born_ms: int | None = None
+        self.first_report_s: float | None = None
         self._answered_capacity: amount.Amount | None = None
         # The room that is neither used nor booked.
         self.free = listed.capacity
@@ -82,10 +97,18 @@
         self.runs_suspect = False
         # Whether its lease is being waited out, to give up what runs there.
         self.expiring = False
-        # Ends up to this number were taken into account, and stored.
+        # Ends up to this number were taken into account, may be forgotten as
+        # they are stored, and are known to be forgotten.
         self.processed = 0
         self.acknowledged = 0
-        # Whether this life is certainly over.
+        self.confirmed = 0
+        # Starts without an answer.
+        self.unanswered: set[ports.RunName] = set()
+        # How often this term saw a worker of its name start again.
+        self.restarts = 0
+        # Whether a link asks it for reports.
+        self.is_followed = False
+        # Whether this incarnation is certainly over.
         self.gone = False
         # Runs that ended lately: reports on two connections may come in
         # the wrong order.
@@ -98,11 +121,46 @@
         # Whether it has been unlisted for too long to be given work.
         self.expelled = False
 
+    @property
+    def unconfirmed(self) -> int:
+        """Return up to which number ends are to be forgotten, or zero.
+
+        Sent with each report, a number could reach an incarnation that has
+        numbered its ends anew, and lose those that nobody has read.
+        """
+        is_known = self.confirmed >= self.acknowledged
+        return 0 if is_known else self.acknowledged
+
+    @property
+    def incarnation(self) -> _incarnation.Incarnation:
+        """Return the name of this incarnation."""
+        born_ms = self.born_ms or self.listed.born_ms
+        return _incarnation.Incarnation(self.worker_id, born_ms)
+
+    def fence(self, token: int) -> int:
+        """Return the fencing token of calls to this incarnation in a term.
+
+        A call to the incarnation before may arrive late. This one refuses it
+        from its first call on, with a higher number.
+        """
+        number = min(self.restarts, _INCARNATIONS_MAX - 1)
+        return token * _INCARNATIONS_MAX + number
+
     @property
     def open_for_starts(self) -> bool:
         """Return whether new runs may be placed here."""
         return self._is_usable and not self.entry_is_old
 
+    @property
+    def entry_is_foreign(self) -> bool:
+        """Return whether the newest entry is another incarnation's.
+
+        What room this one has is not known then.
+        """
+        if self.next_listed is not None:
+            return True
+        return differ(self.born_ms, self.listed.born_ms)
+
     @property
     def _is_usable(self) -> bool:
         return (
@@ -110,6 +168,7 @@
             and not self.gone
             and not self.listed.draining
             and not self.expelled
+            and not self.entry_is_foreign
         )
 
     @property
@@ -142,7 +201,7 @@
         return (clock_ms - self.listed.clock_ms) / _MS
 
     def hear(self, now_s: float) -> None:
-        """Note that this life has answered a call."""
+        """Note that this incarnation has answered a call."""
         self.heard_s = now_s
         self.silent_s = None
 
@@ -203,6 +262,11 @@
         ]
 
 
+def differ(born_ms: int | None, other_ms: int | None) -> bool:
+    """Return whether two starts are known, and not the same."""
+    return bool(born_ms and other_ms) and born_ms != other_ms
+
+
 def by_room(worker: WorkerState) -> int:
     """Return a key that sorts the worker with the most processor first."""
     return -worker.free.cpu_millicores
@@ -211,25 +275,43 @@
 class Roster:
     """The workers of a term."""
 
-    __slots__ = ('_largest', 'changing', 'workers')
+    __slots__ = ('_former', '_largest', '_restarts', 'changing', 'workers')
 
     def __init__(self) -> None:
         self.workers: dict[str, WorkerState] = {}
+        # Incarnations that another one of the same name has followed.
+        self._former: list[WorkerState] = []
+        # How often each name came back, of those that did.
+        self._restarts: dict[str, int] = {}
         self._largest: dict[str, list[amount.Amount]] = {}
         # Pools in which the capacity of a worker was seen to change.
         self.changing: set[str] = set()
 
     def add(self, worker: WorkerState) -> None:
-        """Add a worker's life."""
+        """Add a worker's incarnation, in place of one of the same name."""
+        former = self.workers.get(worker.worker_id)
+        if former is not None and former is not worker:
+            self._former.append(former)
+            self._restarts[worker.worker_id] = former.restarts + 1
+        worker.restarts = self._restarts.get(worker.worker_id, 0)
         self.workers[worker.worker_id] = worker
         self._note_capacity(worker.listed)
 
+    def prune(self, before_s: float) -> None:
+        """Forget former incarnations that were lost before a time."""
+        self._former = [
+            worker
+            for worker in self._former
+            if worker.runs or (worker.silent_s or 0.0) >= before_s
+        ]
+
     def relist(self, worker: WorkerState, listed: cell.ListedWorker) -> None:
         """Take what a worker says of itself now."""
         before = worker.listed.capacity
+        is_foreign = differ(worker.listed.born_ms, listed.born_ms)
         worker.relist(listed)
         self._note_capacity(listed)
-        if before == listed.capacity or not worker.answered_s:
+        if before == listed.capacity or not worker.answered_s or is_foreign:
             return
         self.changing.add(listed.pool)
         _LOG.info(
@@ -272,11 +354,11 @@
         )
 
     def remove(self, worker_id: str) -> None:
-        """Forget a worker's life."""
+        """Forget a worker's incarnation."""
         self.workers.pop(worker_id, None)
 
     def get(self, worker_id: str) -> WorkerState | None:
-        """Return a worker's life."""
+        """Return a worker's newest incarnation."""
         return self.workers.get(worker_id)
 
     def in_pool(self, pool: str) -> collections.abc.Iterator[WorkerState]:
@@ -297,7 +379,7 @@
         """
         lost = [
             other
-            for other in self.workers.values()
+            for other in (*self.workers.values(), *self._former)
             if other is not worker
             and (other.gone or other.silent_s is not None)
         ]
@@ -313,5 +395,11 @@
         ]
 
     def holder(self, run: _run.Run) -> WorkerState | None:
-        """Return the worker that a run is booked on."""
-        return self.workers.get(run.worker_id)
+        """Return the incarnation that a run is booked on, if any is."""
+        newest = self.workers.get(run.worker_id)
+        if newest is not None and run.name in newest.runs:
+            return newest
+        for worker in self._former:
+            if worker.worker_id == run.worker_id and run.name in worker.runs:
+                return worker
+        return None
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
@@ -34,6 +34,7 @@
 
     __slots__ = (
         'age_at_restore_s',
+        'born_ms',
         'decisive_from_s',
         'fills',
         'load',
@@ -63,9 +64,12 @@
         planned_s: float,
         task: _state.TaskProgress | None,
         planned_ms: int = 0,
+        born_ms: int = 0,
     ) -> None:
         self.name = name
         self.worker_id = worker_id
+        # The start of the incarnation that it was planned for, if known.
+        self.born_ms = born_ms
         self.need = need
         # The time of day, which outlives the term; zero where it is unknown.
         self.planned_ms = planned_ms
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -8,6 +8,7 @@
 from walnutpoint_core import logs
 from walnutpoint_core import timer
 from walnutpoint_scheduler import _blame
+from walnutpoint_scheduler import _incarnation
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
@@ -56,9 +57,9 @@
         self._roster = roster
         self._timer = clock
         self._background = _blame.Background(clock.now_s())
-        # The tasks that hold a loss against a worker's life.
+        # The tasks that a lost incarnation is held against.
         self._tasks: collections.defaultdict[
-            str, list[_state.TaskProgress]
+            _incarnation.Incarnation, list[_state.TaskProgress]
         ] = collections.defaultdict(list)
         # The suspect that each worker runs apart.
         self._probations: dict[str, _run.Run] = {}
@@ -82,7 +83,11 @@
         for (run, lost), weight in zip(rows, weights, strict=True):
             task = typing.cast(_state.TaskProgress, run.task)
             loss = _blame.Loss(
-                worker.worker_id, weight, lost.age_min_s, lost.age_max_s
+                worker.worker_id,
+                weight,
+                lost.age_min_s,
+                lost.age_max_s,
+                worker.incarnation.born_ms,
             )
             self._hold_against(task, loss, now_s)
             if _blame.is_guilty(task.losses):
@@ -91,12 +96,12 @@
 
     def acquit(self, worker: _roster.WorkerState) -> list[_state.TaskProgress]:
         """Take a worker's loss back: it was cut off, and answers again."""
-        acquitted = self._tasks.pop(worker.worker_id, [])
+        acquitted = self._tasks.pop(worker.incarnation, [])
         for task in acquitted:
             task.losses = [
                 loss
                 for loss in task.losses
-                if loss.worker_id != worker.worker_id
+                if loss.incarnation != worker.incarnation
             ]
         if acquitted:
             _LOG.info(
@@ -118,10 +123,10 @@
         """
         cleared = []
         for lost in guilty.losses:
-            for task in self._tasks.get(lost.worker_id, ()):
+            for task in self._tasks.get(lost.incarnation, ()):
                 if task is guilty or task.step.job.state.final:
                     continue
-                task.losses = _blame.excuse(task.losses, lost.worker_id)
+                task.losses = _blame.excuse(task.losses, lost.incarnation)
                 cleared.append(task)
         if cleared:
             _LOG.info(
@@ -135,7 +140,7 @@
     def restore(self, task: _state.TaskProgress) -> None:
         """Take over what an earlier term held against a task."""
         for loss in task.losses:
-            self._tasks[loss.worker_id].append(task)
+            self._tasks[loss.incarnation].append(task)
 
     def lost_with(self, worker: _roster.WorkerState) -> int:
         """Return how many workers were lost together with one."""
@@ -229,7 +234,7 @@
         self, task: _state.TaskProgress, loss: _blame.Loss, now_s: float
     ) -> None:
         task.hold_against(_blame.remember(task.losses, loss))
-        self._tasks[loss.worker_id].append(task)
+        self._tasks[loss.incarnation].append(task)
         if not _blame.is_suspect(task.losses):
             return
         pause_s = _BACKOFF_S * 2.0 ** (len(task.losses) - 2)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -80,6 +80,8 @@
             self._renew_advice(worker)
         if worker.listed.draining:
             self._empty(worker, now_s)
+        else:
+            self._leaving_s.pop(worker.worker_id, None)
         if not worker.answering or now_s - worker.answered_s > _FRESH_S:
             return
         self._leave_slow(worker, now_s)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/cell.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/cell.py
@@ -88,7 +88,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ListedWorker:
-    """One life of a worker as it lists itself."""
+    """One incarnation of a worker as it lists itself."""
 
     worker_id: str
     pool: str
@@ -101,3 +101,5 @@
     clock_ms: int = 0
     # How long a draining worker stays at least.
     remaining_s: float | None = None
+    # When this incarnation started, as Unix time; zero where it is not told.
+    born_ms: int = 0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/ports.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/ports.py
@@ -141,6 +141,8 @@
     ends: tuple[End, ...]
     # What the worker has now, where its answer says so.
     capacity: amount.Amount | None = None
+    # When the incarnation that reports started; zero where it is not told.
+    born_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/tests/walnutpoint_model/test_ledger.py
+++ b/tests/walnutpoint_model/test_ledger.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import unittest
 
 import anyio
@@ -17,8 +16,9 @@
 LEASE_S = 2.5
 
 
-def order(attempt: int, until_ms: int) -> ports.Start:
-    """Return the order for a run."""
+def order(attempt: int, worker: workers.Worker) -> ports.Start:
+    """Return the order for a run, with a lease on its worker's clock."""
+    until_ms = worker.clock_ms() + int(LEASE_S * 1000)
     return ports.Start(ports.RunName(TASK, attempt), 'x', until_ms, 1)
 
 
@@ -27,20 +27,18 @@
     shared = ledger.Ledger()
 
     async def scene() -> None:
-        now_s = asyncio.get_running_loop().time
         first, second = (
             workers.Worker(
                 workers.listed_worker(n), lambda _: LENGTH_S, shared, n
             )
             for n in range(2)
         )
-        until_ms = int((now_s() + LEASE_S) * 1000)
-        first.start(order(1, until_ms))
+        first.start(order(1, first))
         await anyio.sleep(LENGTH_S + 0.1)
         if acknowledged:
             await first.renew(ports.Renewal(1, 1, None, 0.0))
         await anyio.sleep(wait_s)
-        second.start(order(2, int((now_s() + LEASE_S) * 1000)))
+        second.start(order(2, second))
 
     virtual_time.run(scene())
     return shared.violations
--- a/tests/walnutpoint_scheduler/harness.py
+++ b/tests/walnutpoint_scheduler/harness.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from walnutpoint_core import amount
 from walnutpoint_core import ports as core_ports
 from walnutpoint_model import advice
 from walnutpoint_model import store
@@ -17,14 +18,17 @@
 from walnutpoint_model import workers
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _record
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _term
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
+from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
 
 __all__ = (
     'Bed',
     'core_ports',
+    'core_run',
     'document',
     'job',
     'play',
@@ -77,6 +81,11 @@
     return document.Step(count, **(values | fields))
 
 
+def core_run(name: ports.RunName) -> _run.Run:
+    """Return a run of one core on the first worker."""
+    return _run.Run(name, 'worker-0', amount.Amount(1000, 100), 0.0, None)
+
+
 class Bed:
     """Store, workers and terms of one test."""
 
--- a/tests/walnutpoint_scheduler/test_doubted_workers.py
+++ b/tests/walnutpoint_scheduler/test_doubted_workers.py
@@ -34,9 +34,7 @@
     def _play(self, job: harness.document.Job) -> None:
         async def scene() -> None:
             async with self.bed.scheduling():
-                lasting = harness.step(
-                    WORKERS, lasting=True, per_worker_max=1
-                )
+                lasting = harness.step(WORKERS, lasting=True, per_worker_max=1)
                 self.bed.hand_in(harness.job(1, lasting))
                 await harness.until(
                     lambda: len(self.bed.fleet.ledger.running) == WORKERS
--- a/tests/walnutpoint_scheduler/test_restarted_workers.py
+++ b/tests/walnutpoint_scheduler/test_restarted_workers.py
@@ -2,13 +2,22 @@
 
 from __future__ import annotations
 
+import dataclasses
+import typing
 import unittest
 
 import anyio
 
 from tests.walnutpoint_scheduler import harness
+from walnutpoint_core import amount
+from walnutpoint_model import capacities
+from walnutpoint_scheduler import _lease
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import ports
 
 DOWN_S = 3.0
+LEASE_S = 2.5
 
 
 class RestartedWorkerTest(unittest.TestCase):
@@ -18,16 +27,21 @@
         """Prepare a cell with one worker."""
         self.bed = harness.Bed(1)
 
-    async def _run_job(self, number: int, tasks: int = 4) -> None:
-        job = harness.job(number, harness.step(tasks))
+    async def _run_job(
+        self, number: int, tasks: int = 4, **fields: typing.Any
+    ) -> None:
+        job = harness.job(number, harness.step(tasks), **fields)
         self.bed.hand_in(job)
         await harness.until(lambda: self.bed.state(job.job_id) == 'done')
 
-    async def _restart(self, down_s: float = DOWN_S) -> None:
+    async def _restart(
+        self, down_s: float = DOWN_S, listed_after_s: float = 0.0
+    ) -> None:
         listed = self.bed.fleet.crash('worker-0')
         await anyio.sleep(down_s)
-        self.bed.add_worker(0)
-        self.assertEqual(listed.worker_id, 'worker-0')
+        self.bed.fleet.add(
+            listed, lambda task: self.bed.length_s(task), 1, listed_after_s
+        )
 
     def _check(self, number: int, tasks: int = 4) -> None:
         starts = self.bed.fleet.ledger.starts
@@ -61,3 +75,295 @@
 
         harness.play(scene)
         self._check(2)
+
+    def test_worker_that_restarts_ten_times_in_a_row(self) -> None:
+        """Guards against mixing up more than two incarnations."""
+
+        async def scene() -> None:
+            async with self.bed.scheduling():
+                for number in range(10):
+                    await self._run_job(number)
+                    await self._restart(number % 3 * 0.2)
+                await self._run_job(10)
+
+        harness.play(scene)
+        for number in range(11):
+            self._check(number)
+
+    def test_runs_of_the_former_incarnation_are_lost_at_once(self) -> None:
+        """Guards against waiting for a lease that ended with its worker."""
+        job = harness.job(1, harness.step(2))
+        took = []
+
+        async def scene() -> None:
+            async with self.bed.scheduling():
+                await self._run_job(2)
+                self.bed.hand_in(job)
+                await harness.until(lambda: self.bed.fleet.ledger.running)
+                await self._restart(0.1)
+                took.append(
+                    await harness.until(
+                        lambda: self.bed.state(job.job_id) == 'done'
+                    )
+                )
+
+        harness.play(scene)
+        self.assertLess(took[0], LEASE_S)
+        self.assertEqual([], self.bed.fleet.ledger.violations)
+
+    def test_nothing_starts_before_the_new_entry_is_read(self) -> None:
+        """Guards against overrunning a worker that is of another kind now."""
+        bed = self.bed
+        small = amount.Amount(2000, 64_000)
+        room = capacities.Capacities(
+            bed.fleet, lambda _task: harness.step().need
+        )
+
+        async def scene() -> None:
+            async with bed.scheduling():
+                await self._run_job(1, 16)
+                listed = bed.fleet.crash('worker-0')
+                bed.fleet.add(
+                    dataclasses.replace(listed, capacity=small),
+                    lambda _task: harness.LENGTH_S,
+                    1,
+                    1.0,
+                )
+                await self._run_job(2, 6)
+
+        harness.play(scene)
+        self.assertEqual([], room.overruns)
+        self._check(2, 6)
+
+    def test_tickets_of_the_former_incarnation_are_dropped(self) -> None:
+        """Guards against starts that the new one refuses for their tickets."""
+        bed = self.bed
+        refused = []
+
+        async def scene() -> None:
+            async with bed.scheduling() as term:
+                await harness.until(lambda: term.ready)
+                advice = term._context.advice
+                advice.ask('step', ['worker-0'], harness.ADVISED.advice)
+                await harness.until(lambda: not advice.may_ask('step'))
+                await harness.until(
+                    lambda: advice.permits('step', 'worker-0') is not None
+                )
+                await self._restart(0.1)
+                await anyio.sleep(1.0)
+                refused.append(advice.permits('step', 'worker-0'))
+
+        harness.play(scene)
+        self.assertEqual([None], refused)
+
+    def test_worker_without_a_start_is_one_incarnation(self) -> None:
+        """Guards against refusing workers that don't tell their starts."""
+        self.bed = harness.Bed(0)
+        self.bed.fleet.tell_no_starts()
+        self.bed.add_worker(0)
+
+        async def scene() -> None:
+            async with self.bed.scheduling():
+                await self._run_job(1)
+
+        harness.play(scene)
+        self._check(1)
+
+    def test_worker_that_was_forgotten_is_followed_again(self) -> None:
+        """Guards against listing a worker for good that nobody asks."""
+        bed = self.bed
+
+        async def scene() -> None:
+            async with bed.scheduling():
+                await self._run_job(1)
+                worker = bed.fleet.workers['worker-0']
+                worker.cut = True
+                bed.fleet.hide_list(True)
+                await anyio.sleep(60)
+                worker.cut = False
+                bed.fleet.hide_list(False)
+                await self._run_job(2)
+
+        harness.play(scene)
+        self._check(2)
+
+    def test_name_that_comes_back_after_another_had_its_address(self) -> None:
+        """Guards against ending a name for good with one incarnation."""
+        bed = self.bed
+
+        async def scene() -> None:
+            async with bed.scheduling():
+                await self._run_job(1)
+                listed = bed.fleet.crash('worker-0')
+                other = harness.reborn(listed, 'other')
+                bed.fleet.add(other, lambda _task: harness.LENGTH_S)
+                await self._run_job(2)
+                bed.fleet.remove('other')
+                bed.add_worker(0)
+                await self._run_job(3)
+
+        harness.play(scene)
+        self._check(3)
+
+
+class TakeoverTest(unittest.TestCase):
+    """Another scheduler finds a later incarnation of a recorded worker."""
+
+    def test_run_of_a_former_incarnation_counts_as_a_loss(self) -> None:
+        """Guards against losing count of crashes over a takeover."""
+        bed = harness.Bed(1)
+        job = harness.job(1, harness.step(1))
+        losses = []
+
+        async def scene() -> None:
+            async with bed.scheduling():
+                bed.hand_in(job)
+                await harness.until(lambda: bed.fleet.ledger.running)
+                await anyio.sleep(0.1)
+            listed = bed.fleet.crash('worker-0')
+            bed.fleet.add(listed, lambda _task: harness.LENGTH_S)
+            async with bed.scheduling() as term:
+                await harness.until(lambda: bed.state(job.job_id) == 'done')
+                found = term._context.jobs[job.job_id]
+                losses.extend(found.occurrence(0)[0].tasks[0].losses)
+
+        harness.play(scene)
+        self.assertEqual(1, len(losses))
+        self.assertEqual([], bed.fleet.ledger.violations)
+
+    def test_run_of_the_same_incarnation_goes_on(self) -> None:
+        """Guards against starting again what still runs."""
+        bed = harness.Bed(1)
+        job = harness.job(1, harness.step(1))
+
+        async def scene() -> None:
+            async with bed.scheduling():
+                bed.hand_in(job)
+                await harness.until(lambda: bed.fleet.ledger.running)
+                await anyio.sleep(0.1)
+            async with bed.scheduling():
+                await harness.until(lambda: bed.state(job.job_id) == 'done')
+
+        harness.play(scene)
+        self.assertEqual([1], list(bed.fleet.ledger.starts.values()))
+
+
+class LateOrderTest(unittest.TestCase):
+    """An order for one incarnation is carried out by the next one."""
+
+    def setUp(self) -> None:
+        """Prepare two workers and a job that takes longer than a lease."""
+        self.bed = harness.Bed(0)
+        self.bed.length_s = lambda _task: 4.0
+        self.job = harness.job(1, harness.step(4))
+
+    def _add(self, seed: int) -> None:
+        for number in range(2):
+            self.bed.fleet.add(
+                harness.workers.listed_worker(number),
+                lambda _task: 4.0,
+                seed * 2 + number,
+            )
+
+    def _restart(self, seed: int) -> harness.workers.Worker:
+        listed = self.bed.fleet.crash('worker-0')
+        return self.bed.fleet.add(listed, lambda _task: 4.0, seed)
+
+    def _play(self, seed: int, crash_after_s: float, *, is_late: bool) -> None:
+        """Crash a worker whose starts are late; the next may be late too."""
+        bed = self.bed
+
+        async def scene() -> None:
+            async with bed.scheduling():
+                await anyio.sleep(1.0)
+                first = bed.fleet.workers['worker-0']
+                first.late_share = 1.0
+                first.stops_are_late = False
+                bed.hand_in(self.job)
+                await anyio.sleep(crash_after_s)
+                second = self._restart(seed)
+                second.late_share = float(is_late)
+                await anyio.sleep(6)
+                second.late_share = 0.0
+                await anyio.sleep(12)
+
+        harness.play(scene)
+        self.assertEqual([], bed.fleet.ledger.violations)
+        self.assertEqual('done', bed.state(self.job.job_id))
+
+    def test_task_waits_until_the_new_incarnation_refuses_it(self) -> None:
+        """Guards against a second run while a start may still arrive."""
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self._add(seed)
+                self._play(seed, 0.1, is_late=True)
+
+    def test_start_that_was_given_up_is_refused_again(self) -> None:
+        """Guards against a start that only the former one had refused."""
+        for seed in range(10):
+            with self.subTest(seed=seed):
+                self.setUp()
+                self._add(seed)
+                self._play(seed, 1.0, is_late=False)
+
+    def test_lease_on_the_former_clock(self) -> None:
+        """Guards against a lease that a late order made longer."""
+        bed = self.bed
+        self._add(1)
+
+        async def scene() -> None:
+            async with bed.scheduling() as term:
+                await anyio.sleep(60)
+                until_ms = bed.fleet.workers['worker-0'].clock_ms() + 2500
+                second = self._restart(1)
+                await anyio.sleep(0.5)
+                await second.renew(ports.Renewal(term.token, 0, until_ms, 0.0))
+                bed.hand_in(self.job)
+                await anyio.sleep(0.5)
+                second.cut = True
+                await anyio.sleep(12)
+                second.cut = False
+                await anyio.sleep(6)
+
+        harness.play(scene)
+        self.assertEqual([], bed.fleet.ledger.violations)
+        self.assertEqual('done', bed.state(self.job.job_id))
+
+
+class NameTest(unittest.TestCase):
+    """What is told apart by the start of an incarnation, and what is not."""
+
+    def setUp(self) -> None:
+        """Prepare a worker that has answered."""
+        self.worker = _roster.WorkerState(
+            dataclasses.replace(harness.workers.listed_worker(0), born_ms=5),
+            _lease.WorkerLease(LEASE_S, 0.0),
+        )
+        self.worker.answering = True
+        self.worker.born_ms = 5
+
+    def test_entry_of_another_incarnation_closes_a_worker(self) -> None:
+        self.assertTrue(self.worker.open_for_starts)
+        self.worker.born_ms = 6
+        self.assertFalse(self.worker.open_for_starts)
+
+    def test_number_is_sent_until_it_is_confirmed(self) -> None:
+        """Guards against forgetting the ends of a later incarnation."""
+        self.worker.acknowledged = 7
+        self.assertEqual(7, self.worker.unconfirmed)
+        self.worker.confirmed = 7
+        self.assertEqual(0, self.worker.unconfirmed)
+
+    def test_former_incarnation_keeps_its_runs(self) -> None:
+        roster = _roster.Roster()
+        roster.add(self.worker)
+        run = harness.core_run(ports.RunName(ports.TaskName('1', 0, 0, 0), 1))
+        self.worker.book(run)
+        listed: cell.ListedWorker = dataclasses.replace(
+            self.worker.listed, born_ms=6
+        )
+        roster.add(
+            _roster.WorkerState(listed, _lease.WorkerLease(LEASE_S, 0.0))
+        )
+        self.assertIs(self.worker, roster.holder(run))
