Open a worker again once its suspect has ended

A worker that runs a suspect apart is closed; it was opened only by the count of such workers, which a pass makes only while a suspect waits. And one that was silent at that moment was never opened, as its entry was dropped before.

Now each pass opens the workers whose suspects have ended or stood their time, and one that is silent keeps its entry until its runs are over. Both tests failed before: nothing started within 3 s on the only worker.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
@@ -55,6 +55,7 @@
     def begin(self) -> None:
         """Begin a pass."""
         self._waiting.clear()
+        self._context.suspects.review()
 
     def part(
         self, queue: cell.Queue, step: _state.StepProgress
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -151,25 +151,29 @@
         worker.runs_suspect = True
         self._probations[worker.worker_id] = run
 
-    def at_work(self, pool: str | None = None) -> int:
-        """Return how many workers run a suspect apart, of a pool or all."""
-        now_s = self._timer.now_s()
-        count = 0
+    def review(self) -> None:
+        """Open the workers whose suspects have ended, or run well."""
         for worker_id, run in list(self._probations.items()):
             worker = self._roster.get(worker_id)
-            if worker is None or self._is_over(worker, run, now_s):
+            if worker is None or self._is_over(worker, run):
                 del self._probations[worker_id]
-                if worker is not None and worker.silent_s is None:
+                if worker is not None:
                     worker.runs_suspect = False
-            elif pool is None or worker.listed.pool == pool:
-                count += 1
+
+    def at_work(self, pool: str | None = None) -> int:
+        """Return how many workers run a suspect apart, of a pool or all."""
+        self.review()
+        count = 0
+        for worker_id in self._probations:
+            worker = self._roster.get(worker_id)
+            if worker is None or worker.silent_s is not None:
+                continue
+            count += pool is None or worker.listed.pool == pool
         return count
 
-    def _is_over(
-        self, worker: _roster.WorkerState, run: _run.Run, now_s: float
-    ) -> bool:
+    def _is_over(self, worker: _roster.WorkerState, run: _run.Run) -> bool:
         """Return whether a run has ended, or stood its probation."""
-        if run.name not in worker.runs or worker.silent_s is not None:
+        if run.name not in worker.runs:
             return True
         if run.started_s is None or worker.heard_s is None:
             return False
--- a/tests/walnutpoint_scheduler/test_doubted_workers.py
+++ b/tests/walnutpoint_scheduler/test_doubted_workers.py
@@ -1,4 +1,4 @@
-"""Workers that left a start unanswered, and run tasks that last."""
+"""Workers that are given nothing new for a while, and no longer."""
 
 from __future__ import annotations
 
@@ -7,6 +7,8 @@
 import anyio
 
 from tests.walnutpoint_scheduler import harness
+from walnutpoint_scheduler import _blame
+from walnutpoint_scheduler import _term
 
 WORKERS = 4
 
@@ -56,3 +58,61 @@
     def test_urgent_step_starts_beside_tasks_that_last(self) -> None:
         """Guards against one task at a time on a worker that is sound."""
         self._play(harness.job(3, harness.step(12)))
+
+
+class SuspectTest(unittest.TestCase):
+    """A worker that ran a suspect apart is open again after it."""
+
+    def setUp(self) -> None:
+        """Prepare a cell with one worker and a job of two steps."""
+        self.bed = harness.Bed(1)
+        self.job = harness.job(1, harness.step(1), harness.step(1, after=(0,)))
+
+    async def _begin(self, term: _term.Term) -> None:
+        """Start the first step, and make a suspect of the second."""
+        self.bed.hand_in(self.job)
+        await harness.until(lambda: bool(self.bed.fleet.ledger.running))
+        context = term._context
+        steps = context.jobs[self.job.job_id].occurrence(0)
+        loss = _blame.Loss('lost-worker', 4.0, 0.01, 0.02)
+        steps[1].tasks[0].hold_against([loss])
+        await harness.until(lambda: self.bed.fleet.ledger.starts.total() == 2)
+
+    async def _run_another(self) -> None:
+        other = harness.job(2, harness.step(4))
+        self.bed.hand_in(other)
+        await harness.until(
+            lambda: self.bed.state(other.job_id) == 'done', 3.0
+        )
+
+    def test_worker_is_open_after_a_suspect_has_ended(self) -> None:
+        """Guards against closing a worker until another suspect comes."""
+
+        async def scene() -> None:
+            async with self.bed.scheduling() as term:
+                await self._begin(term)
+                await harness.until(
+                    lambda: self.bed.state(self.job.job_id) == 'done'
+                )
+                await self._run_another()
+
+        harness.play(scene)
+
+    def test_worker_is_open_after_it_was_cut_off_with_a_suspect(self) -> None:
+        """Guards against closing a worker for good that was silent."""
+        self.bed.length_s = lambda task: 2.0 if task.step else 0.6
+
+        async def scene() -> None:
+            async with self.bed.scheduling() as term:
+                await self._begin(term)
+                worker = self.bed.fleet.workers['worker-0']
+                worker.cut = True
+                await anyio.sleep(1.0)
+                term.figures()
+                worker.cut = False
+                await harness.until(
+                    lambda: self.bed.state(self.job.job_id) == 'done'
+                )
+                await self._run_another()
+
+        harness.play(scene)
