Let a task that gets on speak for its worker

Callers saw steps that nothing ran of, with most of the room free. A start without an answer puts a worker in doubt; it gets one task at a time until one is done. A task that lasts is never done and counts as one that has proved nothing, so that a worker in doubt that runs one was closed for as long as it lasts: after a cut of half a second all workers of a cell that each run such a task were closed for good.

Now a run that shows progress for a second counts as a proof, as the first design has it, and is no longer among the starts that have proved nothing. Runs of an earlier term, strays and runs that move to a new incarnation were never counted, and no longer take from the count.

They are at work after 0.3 s now, as on the platform, and the workers are cut off for 0.5 s in place of losing answers; run on the code before, both fail.

--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import math
 import random
 import typing
 
@@ -31,6 +32,7 @@
 _LATE_RANGE_S: typing.Final = (2.0, 12.0)
 _LEASE_MAX_S: typing.Final = 10.0
 _WHOLE: typing.Final = 100.0
+_START_UP_S: typing.Final = 0.3
 _FIRST_BORN_MS: typing.Final = 1_700_000_000_000
 _TICK_S: typing.Final = 0.02
 # Three signs of life, each 1.5 s after the other.
@@ -210,7 +212,10 @@
         self._ledger.start(order.run.task, self.listed.worker_id)
         length_s = self._length(order.run.task) * self.slowness
         self.runs[order.run] = _Run(order.run, _now_s(), length_s)
-        asyncio.get_running_loop().call_later(length_s + _TICK_S, self.advance)
+        if length_s < math.inf:
+            asyncio.get_running_loop().call_later(
+                length_s + _TICK_S, self.advance
+            )
 
     def _extend(self, until_ms: int | None) -> None:
         if until_ms is not None:
@@ -237,7 +242,11 @@
 
     def _row(self, run: _Run) -> ports.RunningTask:
         elapsed_s = 0.0 if self.hangs else _now_s() - run.started_s
-        percent = min(_WHOLE, _WHOLE * elapsed_s / max(run.length_s, 0.001))
+        length_s = run.length_s
+        if length_s == math.inf:
+            # A task that lasts is wholly at work once it has begun.
+            length_s = _START_UP_S
+        percent = min(_WHOLE, _WHOLE * elapsed_s / max(length_s, 0.001))
         return ports.RunningTask(run.name, '', float(int(percent)), 0.0)
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -113,7 +113,8 @@
             phase=run.phase.value,
             ordered_ago_s=self._ago_s(run.ordered_s),
         )
-        self._context.health.withdraw(run.worker_id)
+        if run.is_unproved:
+            self._context.health.withdraw(run.worker_id)
         task = run.task
         if task is None:
             return
@@ -326,28 +327,30 @@
     ) -> None:
         health = self._context.health
         now_s = self._context.timer.now_s()
-        job_id = run.name.task.job_id
+        name, job_id = worker.worker_id, run.name.task.job_id
         if kind is ports.EndKind.DONE:
-            health.prove(worker.worker_id, job_id, now_s)
-        elif kind is ports.EndKind.FAILED:
+            health.prove(name, job_id, now_s, is_counted=run.is_unproved)
+            return
+        if kind is ports.EndKind.FAILED:
             run_s = 0.0 if run.started_s is None else now_s - run.started_s
             estimate_s = 0.0
             if run.task is not None:
                 estimate_s = run.task.step.step.estimate_ms / _MS
             health.fail(
-                worker.worker_id,
+                name,
                 job_id,
                 run_s,
                 now_s,
                 is_early=run_s <= estimate_s * _EARLY_SHARE,
+                is_counted=run.is_unproved,
             )
-        elif run.stop_reason == STALLED:
-            health.withdraw(worker.worker_id)
+            return
+        if run.is_unproved:
+            health.withdraw(name)
+        if run.stop_reason == STALLED:
             # A task that hangs everywhere would set aside its workers in turn.
             if run.task and run.task.stalls <= _stall.WORKERS_BLAMED:
-                health.fail_start(worker.worker_id, now_s)
-        else:
-            health.withdraw(worker.worker_id)
+                health.fail_start(name, now_s)
 
 
 def _no_stop(_run: _run.Run, _reason: str) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
@@ -37,6 +37,7 @@
         'born_ms',
         'decisive_from_s',
         'fills',
+        'is_unproved',
         'load',
         'name',
         'need',
@@ -96,6 +97,9 @@
         # answer, or an earlier term may have given one.
         self.pace_in_doubt = False
         self.stop_reason = ''
+        # Whether its worker's health counts it as a start that has proved
+        # nothing yet.
+        self.is_unproved = False
         self.fills = task is not None and task.step.step.fills
 
     def may_have_begun(self, before_s: float) -> bool:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_succession.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_succession.py
@@ -131,6 +131,7 @@
             return
         worker.release(run)
         run.born_ms = successor.incarnation.born_ms
+        run.is_unproved = False
         successor.book(run)
         if run.task is not None and run.task.is_suspect:
             self._context.suspects.admit(successor, run)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_health.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_health.py
@@ -11,6 +11,8 @@
 __all__ = ('WorkerHealth',)
 
 _FAST_FAILURE_S: typing.Final = 5.0
+# Longer than a worker that fails everything takes to fail a task.
+_WELL_BEGUN_S: typing.Final = 1.0
 _BAD_JOB_WORKERS: typing.Final = 3
 _JOBS_MAX: typing.Final = 10_000
 
@@ -92,9 +94,20 @@
         """Tell whether a run is long enough to speak for its worker."""
         return run_s >= _FAST_FAILURE_S
 
-    def prove(self, worker: str, job: str, now_s: float) -> None:
-        """Learn that a task ran well on a worker."""
-        self.withdraw(worker)
+    def has_begun_well(self, run_s: float) -> bool:
+        """Tell whether a run that gets on speaks for its worker."""
+        return run_s >= _WELL_BEGUN_S
+
+    def prove(
+        self, worker: str, job: str, now_s: float, *, is_counted: bool = True
+    ) -> None:
+        """Learn that a task ran well on a worker.
+
+        is_counted: whether its start is still among those that have proved
+        nothing.
+        """
+        if is_counted:
+            self.withdraw(worker)
         self._job(job).has_run_well = True
         self._suspects.discard(worker)
         self._outliers.observe(worker, True, now_s)
@@ -107,6 +120,7 @@
         now_s: float,
         *,
         is_early: bool = True,
+        is_counted: bool = True,
     ) -> None:
         """Learn that a task failed on a worker, early in its run or not.
 
@@ -115,7 +129,8 @@
         twenty does: taken for its worker's, each would leave that with one
         task at a time until it ends. Several in a row count all the same.
         """
-        self.withdraw(worker)
+        if is_counted:
+            self.withdraw(worker)
         if self.is_proved(run_s) or not self._is_to_blame(worker, job):
             return
         if is_early:
--- a/tests/walnutpoint_scheduler/test_doubted_workers.py
+++ b/tests/walnutpoint_scheduler/test_doubted_workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 import anyio
@@ -20,18 +21,18 @@
         """Prepare a cell whose workers each run a task that lasts."""
         self.bed = harness.Bed(WORKERS)
         self.bed.length_s = lambda task: (
-            1000.0 if int(task.job_id, 16) == 1 else harness.LENGTH_S
+            math.inf if int(task.job_id, 16) == 1 else harness.LENGTH_S
         )
 
-    async def _lose_answers(self) -> None:
-        """Lose the answers to some starts on each worker."""
+    async def _cut_off(self) -> None:
+        """Let no start reach a worker, for less than a lease."""
         fleet = self.bed.fleet
         for worker in fleet.workers.values():
-            worker.loses_answers_share = 1.0
+            worker.cut = True
         self.bed.hand_in(harness.job(2, harness.step(2 * WORKERS)))
         await anyio.sleep(0.5)
         for worker in fleet.workers.values():
-            worker.loses_answers_share = 0.0
+            worker.cut = False
 
     def _play(self, job: harness.document.Job) -> None:
         async def scene() -> None:
@@ -41,7 +42,7 @@
                 await harness.until(
                     lambda: len(self.bed.fleet.ledger.running) == WORKERS
                 )
-                await self._lose_answers()
+                await self._cut_off()
                 await anyio.sleep(10)
                 self.bed.hand_in(job)
                 await harness.until(
@@ -116,3 +117,31 @@
                 await self._run_another()
 
         harness.play(scene)
+
+
+class RestartedWorkerTest(unittest.TestCase):
+    """What was held against a worker ends with its process."""
+
+    def test_doubt_does_not_outlive_a_restart(self) -> None:
+        """Guards against closing a worker for what an earlier process did."""
+        bed = harness.Bed(1)
+        bed.length_s = lambda task: (
+            math.inf if int(task.job_id, 16) == 1 else harness.LENGTH_S
+        )
+        job = harness.job(2, harness.step(4, gang=True))
+
+        async def scene() -> None:
+            async with bed.scheduling() as term:
+                bed.hand_in(harness.job(1, harness.step(2, lasting=True)))
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 2)
+                term._context.health.fail_start('worker-0', bed.timer.now_s())
+                bed.fleet.crash('worker-0')
+                await anyio.sleep(0.5)
+                bed.add_worker(0)
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 2)
+                bed.hand_in(job)
+                await harness.until(
+                    lambda: bed.state(job.job_id) == 'done', 3.0
+                )
+
+        harness.play(scene)
