Tell which workers are closed: a gauge, two events, gauges first

The incident's record could not tell a worker that is closed by doubt from one that is full: there was no line for either, and the gauges stood behind kilobytes of histograms, where the record was cut off.

--- a/packages/walnutpoint-core/src/walnutpoint_core/metrics.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/metrics.py
@@ -34,6 +34,7 @@
     math.inf,
 )
 _registry = aioprometheus.Registry()
+_gauge_registry = aioprometheus.Registry()
 _gauges: dict[str, aioprometheus.Gauge] = {}
 
 
@@ -73,12 +74,20 @@
 def render(
     figures: collections.abc.Mapping[str, float],
 ) -> tuple[bytes, dict[str, str]]:
-    """Return everything as text for Prometheus, and its headers."""
+    """Return everything as text for Prometheus, and its headers.
+
+    Gauges come first: a reader who keeps the beginning of a long text has the
+    state of the process in it.
+    """
     for name, value in figures.items():
         gauge = _gauges.get(name)
         if gauge is None:
             gauge = _gauges[name] = aioprometheus.Gauge(
-                _PREFIX + name, name.replace('_', ' '), registry=_registry
+                _PREFIX + name,
+                name.replace('_', ' '),
+                registry=_gauge_registry,
             )
         gauge.set({}, value)
-    return aioprometheus.renderer.render(_registry, [])
+    state, headers = aioprometheus.renderer.render(_gauge_registry, [])
+    events, _ = aioprometheus.renderer.render(_registry, [])
+    return state + events, headers
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -183,6 +183,26 @@
         for task in guilty:
             self._give_up(task)
 
+    def trust(self, run: _run.Run) -> None:
+        """Count a run that gets on, or is done, for its worker."""
+        health = self._context.health
+        if health.is_suspect(run.worker_id):
+            _LOG.info('worker.trusted', worker=run.worker_id)
+        health.prove(
+            run.worker_id,
+            run.name.task.job_id,
+            self._context.timer.now_s(),
+            is_counted=run.is_unproved,
+        )
+        run.is_unproved = False
+
+    def doubt(self, worker_id: str, reason: str) -> None:
+        """Count a start that came to nothing against its worker."""
+        health = self._context.health
+        if not health.is_suspect(worker_id):
+            _LOG.info('worker.doubted', worker=worker_id, reason=reason)
+        health.fail_start(worker_id, self._context.timer.now_s())
+
     def acquit(self, worker: _roster.WorkerState) -> None:
         """Apply that a worker answers whose lease had lapsed."""
         for task in self._context.suspects.acquit(worker):
@@ -329,7 +349,7 @@
         now_s = self._context.timer.now_s()
         name, job_id = worker.worker_id, run.name.task.job_id
         if kind is ports.EndKind.DONE:
-            health.prove(name, job_id, now_s, is_counted=run.is_unproved)
+            self.trust(run)
             return
         if kind is ports.EndKind.FAILED:
             run_s = 0.0 if run.started_s is None else now_s - run.started_s
@@ -350,7 +370,7 @@
         if run.stop_reason == STALLED:
             # A task that hangs everywhere would set aside its workers in turn.
             if run.task and run.task.stalls <= _stall.WORKERS_BLAMED:
-                health.fail_start(name, now_s)
+                self.doubt(name, STALLED)
 
 
 def _no_stop(_run: _run.Run, _reason: str) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -253,14 +253,12 @@
                 run.percent_changed_s = now_s
             run.load = row.load
             if run.is_unproved and row.percent > 0.0:
-                self._trust(worker, run, now_s)
+                self._trust(run, now_s)
             if run.task is not None and row.checkpoint:
                 run.task.checkpoint = row.checkpoint
         return listed
 
-    def _trust(
-        self, worker: _roster.WorkerState, run: _run.Run, now_s: float
-    ) -> None:
+    def _trust(self, run: _run.Run, now_s: float) -> None:
         """Count a run that gets on as a proof of its worker's health.
 
         A task that lasts never ends well: a worker in doubt that runs one
@@ -268,10 +266,8 @@
         """
         if run.started_s is None or run.phase is not _run.RunPhase.RUNNING:
             return
-        health = self._context.health
-        if health.has_begun_well(now_s - run.started_s):
-            run.is_unproved = False
-            health.prove(worker.worker_id, run.name.task.job_id, now_s)
+        if self._context.health.has_begun_well(now_s - run.started_s):
+            self._ends.trust(run)
 
     def _book_stray(
         self, worker: _roster.WorkerState, row: ports.RunningTask
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -193,7 +193,7 @@
         self.unanswered += 1
         self._set_back(run)
         # Placed there again at once, the task would meet the same silence.
-        context.health.fail_start(run.worker_id, now_s)
+        self._ends.doubt(run.worker_id, outcome.value)
         if run.phase is _run.RunPhase.ORDERED:
             run.phase = _run.RunPhase.IN_DOUBT
             context.spawn(self._resolve, run)
@@ -210,7 +210,7 @@
         if outcome in _TASK_REFUSED:
             self._set_back(run)
         if outcome in _WORKER_FAULTS:
-            context.health.fail_start(run.worker_id, context.timer.now_s())
+            self._ends.doubt(run.worker_id, outcome.value)
             worker.answering = False
         self._ends.withdraw(run, outcome.value)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -25,6 +25,7 @@
 from walnutpoint_scheduler import _placer
 from walnutpoint_scheduler import _pools
 from walnutpoint_scheduler import _retention
+from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _watch
 from walnutpoint_scheduler import cell
@@ -204,8 +205,23 @@
             'longest_wait_s': placer.longest_wait_s,
             'suspects_at_work': context.suspects.at_work(),
             'workers_overrun': sum(w.is_overrun for w in workers),
+            'workers_closed': sum(
+                self._is_closed(context, w) for w in workers
+            ),
         }
 
+    def _is_closed(
+        self, context: _context.Context, worker: _roster.WorkerState
+    ) -> bool:
+        """Return whether a worker answers and is given nothing now."""
+        if not worker.answering or worker.listed.draining:
+            return False
+        return (
+            not worker.open_for_starts
+            or worker.runs_suspect
+            or not context.health.may_start(worker.worker_id)
+        )
+
     def end(self, reason: str) -> None:
         """End the term: nothing more of it is sent or written."""
         if not self.reason:
