--- a/packages/walnutpoint-model/src/walnutpoint_model/crash_history.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/crash_history.py
@@ -71,6 +71,8 @@
     # Before the first job: a cell has been watched for a while.
     quiet_s: float = 20.0
     settle_s: float = 25.0
+    # Whether workers come back under their names.
+    keeps_name: bool = False
     config: settings.SchedulerSettings = settings.SchedulerSettings()
 
 
@@ -109,12 +111,15 @@
         self._lengths_s: dict[str, float] = {}
         self._began_s: dict[str, float] = {}
         self._ended: dict[str, tuple[float, str]] = {}
+        back_s = self._random.choice((0.5, 3.0))
         self._crashes = crashes.Crashes(
             model.fleet,
             self.length_s,
             _is_crashing,
             crash_s=wanted.crash_s,
-            back_s=self._random.choice((0.5, 3.0)),
+            returns=lambda: crashes.Return(
+                back_s, keeps_name=wanted.keeps_name
+            ),
         )
 
     def length_s(self, task: ports.TaskName) -> float:
@@ -287,6 +292,7 @@
             'crashing': _USUAL.crashing,
             'losses_per_s': _USUAL.losses_per_s,
             'crash_s': _USUAL.crash_s,
+            'keeps_name': 0,
         },
         lambda seed, options: play(
             seed,
@@ -294,6 +300,7 @@
                 crashing=options.crashing,
                 losses_per_s=options.losses_per_s,
                 crash_s=options.crash_s,
+                keeps_name=bool(options.keeps_name),
             ),
         ),
         tell,
--- a/packages/walnutpoint-model/src/walnutpoint_model/worker_faults.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/worker_faults.py
@@ -11,6 +11,7 @@
 from walnutpoint_model import capacities
 from walnutpoint_model import cell_model
 from walnutpoint_model import crashes
+from walnutpoint_model import host_faults
 from walnutpoint_model import workers
 from walnutpoint_scheduler import ports
 
@@ -28,14 +29,20 @@
 _CORES: typing.Final = (4, 8, 16, 24)
 _MB_EACH: typing.Final = 4000
 _MILLI: typing.Final = 1000
-# From a crash to the next life; sooner than a lease lapses, and later.
+# From a crash to the next start; sooner than a lease lapses, and later.
 _BACK_S: typing.Final = 2.0
+_RETURNS_S: typing.Final = (0.0, 0.3, 2.0, 4.0)
+_LISTED_AFTER_S: typing.Final = (0.0, 0.0, 0.5, 1.4)
+_KEEPS_NAME_SHARE: typing.Final = 0.7
+_RESTARTS: typing.Final = 4
+_CLOCK_STEP_MS: typing.Final = 5000
+_HALF: typing.Final = 0.5
 
 
 class WorkerFaults:
     """Breaks workers, and knows which tasks are to be given up."""
 
-    __slots__ = ('_capacities', '_crashes', '_model', '_random')
+    __slots__ = ('_capacities', '_crashes', '_model', '_random', '_restarts')
 
     def __init__(
         self,
@@ -43,11 +50,15 @@
         drawn: random.Random,
         length: workers.Length,
         need: amount.Amount,
+        *,
+        restarts: bool = False,
     ) -> None:
+        """Create the faults; restarts: workers may keep their names."""
         self._model = model
         self._random = drawn
+        self._restarts = restarts
         self._crashes = crashes.Crashes(
-            model.fleet, length, is_crashing, back_s=_BACK_S
+            model.fleet, length, is_crashing, returns=self._return
         )
         self._capacities = capacities.Capacities(
             model.fleet, lambda _task: need
@@ -57,6 +68,70 @@
         """Let workers give signs of life until cancelled."""
         await self._capacities.beat()
 
+    def actions(self) -> tuple[host_faults.Action, ...]:
+        """Return the kinds of fault that a series draws from."""
+        usual = (
+            self.crash_worker,
+            self.crash_third,
+            self.cut_worker,
+            self.change_capacity,
+        )
+        if not self._restarts:
+            return usual
+        return (
+            *usual,
+            self.crash_in_a_row,
+            self.delay_orders,
+            self.lose_answers,
+            self.step_clock,
+        )
+
+    async def crash_in_a_row(self, for_s: float) -> None:
+        """Crash one worker each time that it is back."""
+        name = self._any()
+        for _ in range(_RESTARTS):
+            self._crashes.crash(name)
+            await anyio.sleep(for_s)
+
+    async def delay_orders(self, for_s: float) -> None:
+        """Let half of the orders to some workers be carried out late."""
+        chosen = self._some()
+        for worker in chosen:
+            worker.late_share = _HALF
+        await anyio.sleep(for_s)
+        for worker in chosen:
+            worker.late_share = 0.0
+
+    async def lose_answers(self, for_s: float) -> None:
+        """Lose half of the answers to orders of some workers."""
+        chosen = self._some()
+        for worker in chosen:
+            worker.loses_answers_share = _HALF
+        await anyio.sleep(for_s)
+        for worker in chosen:
+            worker.loses_answers_share = 0.0
+
+    async def step_clock(self, for_s: float) -> None:
+        """Let the workers' time of day jump, and wait."""
+        self._model.fleet.step_clock(
+            self._random.randint(-_CLOCK_STEP_MS, _CLOCK_STEP_MS)
+        )
+        await anyio.sleep(for_s)
+
+    def _return(self) -> crashes.Return:
+        if not self._restarts:
+            return crashes.Return(_BACK_S)
+        return crashes.Return(
+            self._random.choice(_RETURNS_S),
+            self._random.choice(_LISTED_AFTER_S),
+            self._random.random() < _KEEPS_NAME_SHARE,
+        )
+
+    def _some(self) -> list[workers.Worker]:
+        fleet = self._model.fleet.workers
+        names = self._random.sample(sorted(fleet), max(1, len(fleet) // 3))
+        return [fleet[name] for name in names]
+
     async def crash_worker(self, for_s: float) -> None:
         """Crash one worker, and wait."""
         self._crashes.crash(self._any())
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -314,6 +314,10 @@
         self._unwritten.discard(worker_id)
         self._revision += 1
 
+    def step_clock(self, by_ms: int) -> None:
+        """Let later starts be told by a clock that has jumped."""
+        self._born_ms += by_ms
+
     def tell_no_starts(self) -> None:
         """Let no worker that is added say when it started."""
         self._born_ms = 0
--- a/tests/walnutpoint_scheduler/test_crashing_tasks.py
+++ b/tests/walnutpoint_scheduler/test_crashing_tasks.py
@@ -29,6 +29,9 @@
     the task, each by one decision, 2.83 s after the other.
     """
 
+    # Whether workers come back under their names.
+    keeps_name = False
+
     def setUp(self) -> None:
         """Prepare a cell whose crashing jobs have numbers below 1000."""
         self.bed = harness.Bed(WORKERS)
@@ -36,6 +39,7 @@
             self.bed.fleet,
             lambda task: self.bed.length_s(task),
             lambda task: int(task.job_id, 16) < 1000,
+            returns=lambda: crashes.Return(keeps_name=self.keeps_name),
         )
 
     async def _hand_in_all(self, *crashing: document.Job) -> None:
@@ -208,6 +212,12 @@
         harness.play(scene)
 
 
+class KeptNameTest(CrashingTaskTest):
+    """Guards against counting the crashes of one name as one."""
+
+    keeps_name = True
+
+
 class RackTest(unittest.TestCase):
     """The loss of a rack around a takeover is no task's doing."""
 
