Miss a run whose start had no answer, once it was listed

Callers' lasting tasks could be shown as running for ever with nothing at work: a start without an answer that a report then listed was given up only by the stall limit, which tasks at 100% never reach, and which grows fourfold with each stall of the others. A restarted worker that does not tell its start lists neither the run nor its end. Found while ruling hypotheses out.

Now a run that was listed once is over when a later report misses it. The test failed before: nothing within 3 s.

--- a/packages/walnutpoint-model/src/walnutpoint_model/worker_faults.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/worker_faults.py
@@ -42,7 +42,14 @@
 class WorkerFaults:
     """Breaks workers, and knows which tasks are to be given up."""
 
-    __slots__ = ('_capacities', '_crashes', '_model', '_random', '_restarts')
+    __slots__ = (
+        '_capacities',
+        '_crashes',
+        '_model',
+        '_random',
+        '_restarts',
+        '_returns',
+    )
 
     def __init__(
         self,
@@ -57,6 +64,10 @@
         self._model = model
         self._random = drawn
         self._restarts = restarts
+        # Apart from the series, as tasks crash workers too.
+        self._returns = random.Random(  # noqa: S311
+            drawn.random() if restarts else 0.0
+        )
         self._crashes = crashes.Crashes(
             model.fleet, length, is_crashing, returns=self._return
         )
@@ -122,9 +133,9 @@
         if not self._restarts:
             return crashes.Return(_BACK_S)
         return crashes.Return(
-            self._random.choice(_RETURNS_S),
-            self._random.choice(_LISTED_AFTER_S),
-            self._random.random() < _KEEPS_NAME_SHARE,
+            self._returns.choice(_RETURNS_S),
+            self._returns.choice(_LISTED_AFTER_S),
+            self._returns.random() < _KEEPS_NAME_SHARE,
         )
 
     def _some(self) -> list[workers.Worker]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -248,6 +248,9 @@
             if run.phase in _UNCONFIRMED:
                 run.phase = _run.RunPhase.RUNNING
                 run.started_s = run.percent_changed_s = now_s
+            if run.decisive_from_s is None:
+                # Its start had no answer, but has been carried out.
+                run.decisive_from_s = now_s
             if row.percent != run.percent:
                 run.percent = row.percent
                 run.percent_changed_s = now_s
--- a/tests/walnutpoint_scheduler/test_restarted_workers.py
+++ b/tests/walnutpoint_scheduler/test_restarted_workers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import typing
 import unittest
 
@@ -169,6 +170,29 @@
         harness.play(scene)
         self._check(1)
 
+    def test_run_whose_start_had_no_answer_is_missed(self) -> None:
+        """Guards against believing for good that a task is at work."""
+        bed = self.bed = harness.Bed(0)
+        bed.length_s = lambda _task: math.inf
+        bed.fleet.tell_no_starts()
+        bed.add_worker(0)
+        step = harness.step(2, lasting=True)
+
+        async def scene() -> None:
+            async with bed.scheduling() as term:
+                await harness.until(lambda: term.ready)
+                worker = bed.fleet.workers['worker-0']
+                worker.loses_answers_share = 1.0
+                bed.hand_in(harness.job(1, step))
+                await harness.until(lambda: len(bed.fleet.ledger.running) == 2)
+                await anyio.sleep(2)
+                await self._restart(0.1)
+                await harness.until(
+                    lambda: len(bed.fleet.ledger.running) == 2, 3.0
+                )
+
+        harness.play(scene)
+
     def test_worker_that_was_forgotten_is_followed_again(self) -> None:
         """Guards against listing a worker for good that nobody asks."""
         bed = self.bed
