Give a task up for five losses only where it is likelier guilty than not

Its odds were 0.18; after five losses 0.1 was enough. A task that lasts is lost with every worker that it ever runs on, and five losses are no evidence by themselves.

Now it takes even odds.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_blame.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_blame.py
@@ -37,10 +37,10 @@
 # A job is given up at a thousand to one, and never for one loss.
 _GUILTY_ODDS: typing.Final = 1000.0
 _LOSSES_MIN: typing.Final = 2
-# After five losses it is enough that a task is a hundred times as likely to
-# be guilty as any: each further start may cost its neighbours their worker.
+# After five losses it is enough that a task is likelier guilty than not: each
+# further start may cost its neighbours their worker.
 _LOSSES_MAX: typing.Final = 5
-_LAST_ODDS: typing.Final = 0.1
+_LAST_ODDS: typing.Final = 1.0
 # Nobody knows how long after its start a task crashes a worker: each decade
 # between these times is taken to be equally likely.
 _SOONEST_S: typing.Final = 0.02
--- a/tests/walnutpoint_scheduler/test_blame.py
+++ b/tests/walnutpoint_scheduler/test_blame.py
@@ -106,6 +106,16 @@
             losses = _blame.remember(losses, loss)
         self.assertFalse(_blame.is_guilty(losses))
 
+    def test_unlikely_culprit_is_not_given_up_for_five_losses(self) -> None:
+        """Guards against failing a task that lasts in a cell with trouble."""
+        weights = (0.0, 3.22, -0.1, -0.32, 2.4)
+        losses = [
+            _blame.Loss(f'worker-{n}', weight, 1.0, 1.5)
+            for n, weight in enumerate(weights)
+        ]
+        self.assertLess(_blame.odds(losses), 1.0)
+        self.assertFalse(_blame.is_guilty(losses))
+
     def test_worker_counts_once(self) -> None:
         """The same loss, seen again by another scheduler, adds nothing."""
         losses = _lose([], 0)
