--- /dev/null
+++ b/tests/walnutpoint_scheduler/test_succession.py
@@ -0,0 +1,213 @@
+"""What becomes of runs when a worker has started again."""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import unittest
+
+import anyio
+
+from tests.walnutpoint_scheduler import harness
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _orders
+from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _succession
+from walnutpoint_scheduler import _watch
+from walnutpoint_scheduler import ports
+
+TASKS = 3
+LEASE_MAX_S = 10.0
+
+Check = collections.abc.Callable[
+    [_context.Context, _roster.WorkerState, _succession.Succession], None
+]
+
+
+class SuccessionTest(unittest.TestCase):
+    """A worker runs three tasks when a report comes of another start."""
+
+    def setUp(self) -> None:
+        """Prepare a cell with one worker."""
+        self.bed = harness.Bed(1)
+        self.bed.length_s = lambda _task: 30.0
+
+    def _play(self, check: Check) -> None:
+        async def scene() -> None:
+            async with self.bed.scheduling() as term:
+                job = harness.job(1, harness.step(TASKS))
+                self.bed.hand_in(job)
+                await harness.until(
+                    lambda: len(self.bed.fleet.ledger.running) == TASKS
+                )
+                await anyio.sleep(1)
+                context = term._context
+                worker = context.roster.get('worker-0')
+                succession = _succession.Succession(
+                    context, _ends.EndDesk(context)
+                )
+                check(context, worker, succession)
+
+        harness.play(scene)
+
+    def _report(
+        self,
+        worker: _roster.WorkerState,
+        *listed: _run.Run,
+        later_ms: int = 1,
+    ) -> ports.Report:
+        rows = [ports.RunningTask(run.name, '', 1.0, 0.0) for run in listed]
+        born_ms = worker.incarnation.born_ms + later_ms
+        return ports.Report(5, tuple(rows), (), None, born_ms)
+
+    def test_runs_of_the_former_incarnation_are_lost(self) -> None:
+        """Guards against waiting for runs that ended with their worker."""
+
+        def check(context, worker, succession) -> None:
+            now_s = context.timer.now_s()
+            found = succession.reporter(worker, self._report(worker), now_s)
+            self.assertIsNot(worker, found)
+            self.assertTrue(worker.gone)
+            self.assertEqual({}, worker.runs)
+            self.assertEqual({}, found.runs)
+            self.assertIs(found, context.roster.get('worker-0'))
+
+        self._play(check)
+
+    def test_listed_run_goes_on(self) -> None:
+        """Guards against a second start of what the new one runs."""
+
+        def check(context, worker, succession) -> None:
+            run = next(iter(worker.runs.values()))
+            now_s = context.timer.now_s()
+            report = self._report(worker, run)
+            found = succession.reporter(worker, report, now_s)
+            self.assertEqual([run], list(found.runs.values()))
+            self.assertEqual(report.born_ms, run.born_ms)
+            self.assertIs(found, context.roster.holder(run))
+
+        self._play(check)
+
+    def test_run_that_began_since_the_question_is_kept(self) -> None:
+        """Guards against losing a start that the new one has answered."""
+
+        def check(context, worker, succession) -> None:
+            run = next(iter(worker.runs.values()))
+            now_s = context.timer.now_s()
+            run.decisive_from_s = now_s
+            found = succession.reporter(
+                worker, self._report(worker), now_s - 0.1
+            )
+            self.assertEqual([run], list(found.runs.values()))
+
+        self._play(check)
+
+    def test_run_without_an_answer_waits_for_the_next_report(self) -> None:
+        """Guards against a start elsewhere while this one may come."""
+
+        def check(context, worker, succession) -> None:
+            run = next(iter(worker.runs.values()))
+            run.phase = _run.RunPhase.ORDERED
+            worker.unanswered.add(run.name)
+            now_s = context.timer.now_s()
+            found = succession.reporter(worker, self._report(worker), now_s)
+            self.assertEqual([run], list(found.runs.values()))
+            self.assertIs(_run.RunPhase.IN_DOUBT, run.phase)
+            self.assertEqual(now_s, run.decisive_from_s)
+            self.assertGreater(found.fence(7), worker.fence(7))
+
+        self._play(check)
+
+    def test_report_of_a_former_incarnation_is_ignored(self) -> None:
+        """Guards against going back to a process that is over."""
+
+        def check(context, worker, succession) -> None:
+            report = self._report(worker, later_ms=-1)
+            asked_s = worker.first_report_s - 0.1
+            self.assertIsNone(succession.reporter(worker, report, asked_s))
+
+        self._play(check)
+
+    def test_start_by_a_clock_that_jumped_back(self) -> None:
+        """Guards against taking a new process for an old one."""
+
+        def check(context, worker, succession) -> None:
+            report = self._report(worker, later_ms=-1)
+            now_s = context.timer.now_s()
+            found = succession.reporter(worker, report, now_s)
+            self.assertIsNot(worker, found)
+            self.assertEqual(report.born_ms, found.born_ms)
+
+        self._play(check)
+
+    def test_lease_may_be_the_longest_at_first(self) -> None:
+        """Guards against counting on a lease that was granted before."""
+
+        def check(context, worker, succession) -> None:
+            now_s = context.timer.now_s()
+            report = self._report(worker)
+            found = succession.reporter(worker, report, now_s)
+            succession.reporter(found, report, now_s)
+            self.assertGreaterEqual(found.lease.left_s(now_s), LEASE_MAX_S)
+
+        self._play(check)
+
+    def test_fence_rises_for_the_whole_term(self) -> None:
+        """Guards against a token below one that the worker has seen."""
+
+        def check(context, worker, succession) -> None:
+            now_s = context.timer.now_s()
+            found = succession.reporter(worker, self._report(worker), now_s)
+            before = found.fence(7)
+            context.roster.remove('worker-0')
+            again = _roster.WorkerState(found.listed, found.lease)
+            context.roster.add(again)
+            self.assertEqual(before, again.fence(7))
+            self.assertLess(again.fence(7), again.fence(8))
+
+        self._play(check)
+
+    def test_second_leave_is_counted_from_its_own_notice(self) -> None:
+        """Guards against emptying a worker by an earlier notice."""
+
+        def check(context, worker, succession) -> None:
+            desk = _orders.OrderDesk(context, _ends.EndDesk(context))
+            watch = _watch.Watch(context, desk)
+            staying = worker.listed
+            worker.listed = dataclasses.replace(
+                staying, draining=True, remaining_s=100.0
+            )
+            watch._check_worker(worker, context.timer.now_s())
+            self.assertIn('worker-0', watch._leaving_s)
+            worker.listed = staying
+            watch._check_worker(worker, context.timer.now_s())
+            self.assertNotIn('worker-0', watch._leaving_s)
+
+        self._play(check)
+
+
+class StartTest(unittest.TestCase):
+    """The list names a restart while a start is being stored."""
+
+    def test_start_is_not_sent_to_an_unknown_incarnation(self) -> None:
+        """Guards against overrunning a worker that is of another kind now."""
+        bed = harness.Bed(1)
+        job = harness.job(1, harness.step(2))
+
+        async def scene() -> None:
+            async with bed.scheduling() as term:
+                await harness.until(lambda: term.ready)
+                worker = term._context.roster.get('worker-0')
+                await harness.until(lambda: worker.answering)
+                bed.hand_in(job)
+                await harness.until(lambda: len(worker.runs) > 0)
+                self.assertEqual(0, bed.fleet.ledger.starts.total())
+                worker.next_listed = worker.listed
+                await anyio.sleep(0.5)
+                self.assertEqual(0, bed.fleet.ledger.starts.total())
+                worker.next_listed = None
+                await harness.until(lambda: bed.state(job.job_id) == 'done')
+
+        harness.play(scene)
