--- a/packages/walnutpoint-core/src/walnutpoint_core/web/_hedge.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/_hedge.py
@@ -64,11 +64,9 @@
 
     Only for requests that may be carried out twice. Where answers are lost
     after the work was done, each loss would otherwise cost the whole
-    timeout, which has to allow for a slow server: with a third of all
-    answers lost, 0.45 s each, a job of five calls in a row is 0.7 s late
-    (worked out).
-    The first request is waited for all the same: a server that turns slow
-    is not mistaken for one that does not answer.
+    timeout, which has to allow for a slow server. The first request is waited
+    for all the same: a server that turns slow is not mistaken for one that
+    does not answer.
     """
 
     __slots__ = ('_client', '_missed', '_round_trips', 'repeated')
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
@@ -20,8 +20,7 @@
     'advice', 'Questions for advice by outcome, waiting included.'
 )
 # The share of the workers that is taken to be granted before any answer, and
-# how many named workers that guess counts for: the users' urgent queues grant
-# 0.7, their long ones 0.35, and one answer about 24 outweighs the guess.
+# how many named workers that guess counts for: one answer outweighs it.
 _SHARE_GUESS: typing.Final = 0.5
 _GUESS_WEIGHT: typing.Final = 20
 # A ticket this close to its end may be refused on arrival.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
@@ -44,11 +44,10 @@
 _SLACK_S: typing.Final = 0.8
 # A host whose call failed is not used for this long.
 _FAILED_S: typing.Final = 2.0
-# One that refused the connection: after a loss of power all are back within
-# some 0.3 s of each other, and the first of them schedules at once.
+# One that refused the connection: after a loss of power all are back soon
+# after each other, and the first of them schedules at once.
 _REFUSED_S: typing.Final = 0.25
-# Hosts that may refuse a question before its step is told: with four in five
-# of them away, one step in fifteen finds none (worked out).
+# Hosts that may refuse a question before its step is told.
 _REFUSALS_MAX: typing.Final = 12
 
 
@@ -85,10 +84,8 @@
     The service works through a host's questions in turn, also those that
     were given up on. Queued here, an urgent question passes slow ones, a
     host that dies takes one with it, and little is left of what a scheduler
-    had asked when the next one takes over: queued there, the questions of
-    two terms kept 25 steps waiting for 3 to 8 s after a takeover. Some hosts
-    are kept for brief questions: with batch ones of 0.2 s on each, urgent
-    jobs waited for 0.6 s in place of 0.04 s after a planned handover.
+    had asked when the next one takes over. Some hosts are kept for brief
+    questions, which would wait behind batch ones on all of them.
     """
 
     __slots__ = (
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -44,7 +44,7 @@
 
     The order is that of the pass's beginning, and each offer is checked
     against the room that is left: sorting again after each task would cost
-    a pass over 900 workers 710 ms in place of 110 (bench.placement_pass).
+    most of a pass.
     """
 
     __slots__ = (
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_holding.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_holding.py
@@ -19,10 +19,8 @@
 )
 
 # Of the permitted workers, how many a step that starts in parts may hold room
-# on: among the 32 freest, room comes soon on some. All of 900 would cost some
-# 60 ms a pass (worked out: 16 waiting steps, a third permitted, ten runs
-# each). A gang needs all of its room at once, and looks at as many as it
-# takes: few of them wait at a time.
+# on: among the freest, room comes soon on some. A gang needs all of its room
+# at once, and looks at as many as it takes.
 _CANDIDATES_MAX: typing.Final = 32
 # Tasks of one step that room is held for; wider steps start in parts.
 _TASKS_MAX: typing.Final = 32
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
@@ -39,11 +39,8 @@
     """Return the likely workers for some tasks, those with room first.
 
     Candidates come freest first, and are looked at only until there are
-    enough: with 270 workers and 160 steps that is a quarter of a pass.
-
-    Each name costs the service time, which the step waits for, and its
-    queue is shared by all steps. On 176 workers a question about a hundred
-    of them takes 1.2 s in place of 0.7 s (worked out from its terms).
+    enough. Each name costs the service time, which the step waits for, and
+    its queue is shared by all steps.
     """
     names: list[str] = []
     full: list[str] = []
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
@@ -24,21 +24,17 @@
 # The platform's store takes 32 entries a call: a guard and up to two puts for
 # each job, and one guard for the token.
 _JOBS_PER_COMMIT: typing.Final = 10
-# Commits that may be on their way. Each takes some 4 ms, and some 300 ms
-# while the store is slow: 12 x 10 jobs keep up with 400 changes a second then,
-# a burst of 50 jobs of two steps. With 4, half of those took 3.3 s in place of
-# 2.5 s; with 16, no less (test_journal).
+# Commits that may be on their way: enough to keep up with a burst of jobs
+# while the store is slow.
 _COMMITS_MAX: typing.Final = 12
-# How long a change waits for others: a commit's own time. Calls are paid
-# for, and 5 ms are half a hundredth of the shortest objective.
+# How long a change waits for others, to share a commit with them.
 _GROUP_S: typing.Final = 0.005
-# How long a change that nothing waits for may lie: at 90 ends a second seven
-# share a commit then, and 80 ms are a tenth of the slack that the shortest
-# objective leaves (1.5 times a chain of 1 s, and 0.25 s).
+# How long a change that nothing waits for may lie: a small part of the slack
+# that the shortest objective leaves.
 _PATIENT_S: typing.Final = 0.08
 # While commits take long, a change that nothing waits for lies for this many
 # commits: a job's next commit waits for the one on its way, and a step's last
-# end would wait for that of an end before it, up to 0.28 s in a slow store.
+# end would wait for that of an end before it.
 _PATIENT_COMMITS: typing.Final = 2.0
 # Two commits in the slowest store; longer only in an outage.
 _PATIENT_MAX_S: typing.Final = 0.6
@@ -107,8 +103,7 @@
         """Write the job's record, at once or with what comes next.
 
         Nothing waits for the end of one task among others of its step but
-        its acknowledgement. Written with its neighbours, 340 jobs took 1,961
-        commits in place of 2,452 in the model; calls are paid for.
+        its acknowledgement: written with its neighbours it saves calls.
         """
         job.changes += 1
         self._dirty[job.document.job_id] = job
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -25,9 +25,7 @@
 # The first report, and one after silence, is not to wait for an end.
 _FIRST_WAIT_S: typing.Final = 0.0
 # How much longer the first answer may take: a new scheduler connects to all
-# workers while it reads and decides, and reads their answers late. Taken for
-# silent, 270 workers were asked again twice, and nothing started for 1.2 s
-# after a takeover in place of some 0.3 s. A worker that is dead costs no more.
+# workers while it reads and decides, and reads their answers late.
 _FIRST_SLACK_S: typing.Final = 0.6
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -24,9 +24,8 @@
 
 _LOG: typing.Final = logs.get_logger('placer')
 # Steps that may find no room before the rest of a pass only asks for advice:
-# each is a look at every worker, some 2 ms with 900 of them. A step that rules
-# permit a third of the workers counts for a third: it says little of the room
-# that others find.
+# each is a look at every worker. A step that rules permit a third of the
+# workers counts for a third: it says little of the room that others find.
 _BLOCKED_MAX: typing.Final = 16.0
 
 
@@ -110,9 +109,8 @@
         self, row: _order.Waiting, tasks_max: int | None = None
     ) -> None:
         if self._awaits_advice(row):
-            # Nothing is to be placed, held or asked for yet. A look at all
-            # workers for each took a quarter of the profiled time at 460
-            # starts a second.
+            # Nothing is to be placed, held or asked for yet, and a look at
+            # all workers would be spent on it.
             waiting = len(row.step.waiting())
             _delay.tell(row.step, row.queue, _delay.Cause.ADVICE, waiting)
             return
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -47,9 +47,8 @@
     """Stops batch runs that save their state where urgent tasks wait.
 
     A run that saves its state gives it out at a stop, and goes on from there
-    elsewhere: it loses its restart, some 0.25 to 0.6 s of an objective of
-    15 s, and an urgent task wins the rest of a batch task's time, some 3 s
-    of an objective of 1.8 s (worked out from the users' sizes).
+    elsewhere: it loses its restart, a small part of its objective, and an
+    urgent task wins the rest of a batch task's time.
     """
 
     __slots__ = (
@@ -100,8 +99,7 @@
             return
         if queue.priority >= self._lowest:
             return
-        # Looked up once a pass: 1,760 runs on 176 workers take 4 ms to go
-        # through (measured), and 16 steps may ask.
+        # Looked up once a pass: many steps may ask.
         key = queue.pool, queue.priority
         if key not in self._sites:
             self._sites[key] = self._find_sites(queue)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pulse.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pulse.py
@@ -76,8 +76,7 @@
 
         The last sign of a scheduler that is gone is new to whoever looks
         for the first time. With this look before the second probe runs out,
-        the one after it decides: 0.7 s from a second loss to the next start
-        in place of 1.1 s (the test of a second silent scheduler).
+        the one after it decides.
         """
         self._looked = None
         began_s = self._timer.now_s()
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -15,23 +15,21 @@
 
 __all__ = ('Questions',)
 
-# How much earlier than an answer takes a ticket is asked for: estimates of
-# when a run ends are off by some tenths of a second at that distance.
+# How much earlier than an answer takes a ticket is asked for, as estimates of
+# when a run ends are off.
 _EARLY_S: typing.Final = 0.4
 # Waiting steps that renew their tickets before there is room for them.
 _REFRESH_STEPS_MAX: typing.Final = 10
-# Questions about a gang that are put at a time, through as many hosts. All of
-# its tickets must be valid at one moment, and each lives for 2 to 2.5 s: with
-# one question of 1.4 s after the other, two are the most that can be. Four
-# are enough for 128 members with one in three workers granted.
+# Questions about a gang that are put at a time, through as many hosts: all of
+# its tickets must be valid at one moment.
 _GANG_QUESTIONS_MAX: typing.Final = 4
 # How long a step that lacks no advice is left alone: each look at it goes over
-# all workers, and a hundred steps may wait. Tickets
-# are renewed _EARLY_S before they are needed, so that none lapses meanwhile.
+# all workers. Tickets are renewed _EARLY_S before they are needed, so that
+# none lapses meanwhile.
 _QUIET_S: typing.Final = 0.2
 _URGENT_QUIET_S: typing.Final = 0.05
-# Two questions about the least number of workers, some 0.7 s each in the
-# slowest queue: a step that still waits then has too few granted workers.
+# Two questions about the least number of workers in the slowest queue: a step
+# that still waits then has too few granted workers.
 _STARVED_S: typing.Final = 1.5
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_relay.py
@@ -22,9 +22,7 @@
 
 __all__ = ('RelayedStore',)
 
-# Between two questions in an outage, and how many may be unanswered: its end
-# is noticed within some 0.1 s where the store refuses, and 0.3 s where it is
-# silent and each takes 0.45 s (worked out: 7 calls a second).
+# Between two questions in an outage, and how many may be unanswered.
 _OUTAGE_PROBE_S: typing.Final = 0.1
 _OUTAGE_PROBES_MAX: typing.Final = 3
 _AnswerT = typing.TypeVar('_AnswerT')
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -53,9 +53,8 @@
 _RETRY_S: typing.Final = 0.1
 # How often a scheduler asks itself whether it still hears anybody.
 _ALONE_S: typing.Final = 0.1
-# A worker that fails three different tasks in a row is set aside for one
-# second, then two, up to eight: the users' faulty workers recover in some
-# 6 s, and one probe at a time is lost to them meanwhile.
+# A worker that fails this many different tasks in a row is set aside for a
+# time that doubles: one probe at a time is lost to it meanwhile.
 _EJECT_AFTER_FAILURES: typing.Final = 3
 _EJECT_S: typing.Final = 1.0
 _EJECT_MAX_S: typing.Final = 8.0
