Open a worker again once its own entry is back

A worker was closed for good by one entry with a later start than its own, also where its own entry came again: what the list had announced was never dropped. Found by reading the change for states that nothing clears. Starts without an answer are forgotten with their runs, too. The test failed before.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -130,6 +130,7 @@
             return True
         if _roster.differ(worker.born_ms, listed.born_ms):
             return self._announce(worker, listed)
+        worker.next_listed = None
         if listed.draining and not worker.listed.draining:
             _LOG.info(
                 'worker.draining',
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_roster.py
@@ -230,6 +230,7 @@
         if self.runs.pop(run.name, None) is None:
             return
         self.ended.append(run.name)
+        self.unanswered.discard(run.name)
         self._take(self.taken - run.need)
         if run.task is not None:
             self.step_counts[run.task.step.key] -= 1
--- a/tests/walnutpoint_scheduler/test_succession.py
+++ b/tests/walnutpoint_scheduler/test_succession.py
@@ -4,12 +4,14 @@
 
 import collections.abc
 import dataclasses
+import types
 import unittest
 
 import anyio
 
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _directory
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _roster
@@ -26,6 +28,10 @@
 ]
 
 
+async def _look(_worker: _roster.WorkerState) -> None:
+    """Ask for no report."""
+
+
 class SuccessionTest(unittest.TestCase):
     """A worker runs three tasks when a report comes of another start."""
 
@@ -169,6 +175,22 @@
 
         self._play(check)
 
+    def test_worker_is_open_once_its_own_entry_is_back(self) -> None:
+        """Guards against closing a worker for an entry of another writer."""
+
+        def check(context, worker, succession) -> None:
+            directory = _directory.Directory(
+                context, None, None, types.SimpleNamespace(look=_look)
+            )
+            own = worker.listed
+            other = dataclasses.replace(own, born_ms=own.born_ms + 9)
+            directory._note_entry(other)
+            self.assertFalse(worker.open_for_starts)
+            directory._note_entry(own)
+            self.assertTrue(worker.open_for_starts)
+
+        self._play(check)
+
     def test_second_leave_is_counted_from_its_own_notice(self) -> None:
         """Guards against emptying a worker by an earlier notice."""
 
