--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -253,6 +253,7 @@
             )
             if worker.gone:
                 # The answer may be of the incarnation that follows.
+                await context.timer.sleep(_STOP_RETRY_S)
                 continue
             now_s = context.timer.now_s()
             if reply.clock_ms is not None:
