--- a/tests/walnutpoint_platform/test_foreign_entries.py
+++ b/tests/walnutpoint_platform/test_foreign_entries.py
@@ -31,6 +31,7 @@
 # or two for each decoder.
 EXAMPLES = 60
 QUEUE = cell.Queue('queue', 'host', '/queue/', 'pool')
+BORN_MS = 1_770_000_000_000
 SOUND_WORKER: dict[str, typing.Any] = {
     'service': 'pool',
     'addr': '10.0.0.1:8080',
@@ -40,9 +41,11 @@
     'labels': ['a', 'r1'],
     'clockMs': 5,
     'seq': 4,
+    'born': BORN_MS,
 }
 SOUND_REPORT: dict[str, typing.Any] = {
     'clockMs': 10,
+    'born': BORN_MS,
     'running': [['5c0e7a21d94b36f8.0.0.1', 1, '', 40, 0]],
     'finished': [[1, '5c0e7a21d94b36f8.0.0.2', 1, 'done', '']],
 }
@@ -184,6 +187,9 @@
             {'addr': '10.0.0.1:99999'},
             {'service': ''},
             {'capacity': {'cpu': -1}},
+            {'born': 1.5},
+            {'born': -1},
+            {'born': 'now'},
             {'clockMs': 1e300},
         ):
             with self.subTest(damage=damage):
@@ -258,6 +264,38 @@
         reply = _run(orders.renew(listed, ports.Renewal(1, 0, None, 0.0)))
         self.assertIsInstance(reply, (ports.Report, ports.OrderReply))
 
+    def test_start_that_can_not_be_read_is_no_report(self) -> None:
+        """Guards against taking one process's ends for another's."""
+        for born, expected in (
+            (BORN_MS, BORN_MS),
+            (None, None),
+            (1.5, None),
+            (-1, None),
+            ('now', None),
+        ):
+            with self.subTest(born=born):
+                body = _encoded(SOUND_REPORT | {'born': born})
+                reply = self._renew(body)
+                if expected is None:
+                    self.assertIsInstance(reply, ports.OrderReply)
+                else:
+                    self.assertEqual(expected, reply.born_ms)
+
+    def test_start_that_is_not_told_is_zero(self) -> None:
+        report = dict(SOUND_REPORT)
+        del report['born']
+        self.assertEqual(0, self._renew(_encoded(report)).born_ms)
+
+    def _renew(self, body: bytes) -> typing.Any:
+        listed = cell.ListedWorker(
+            'w1', 'pool', '10.0.0.1:1', 'a', False, document.Step(1).need,
+            (), '',
+        )  # fmt: skip
+        orders = _workers.HttpWorkers(
+            typing.cast(web.Client, _Fixed(body)), 0.1, 0.1
+        )
+        return _run(orders.renew(listed, ports.Renewal(1, 0, None, 0.0)))
+
     def test_capacity_that_can_not_be_read_leaves_no_room(self) -> None:
         """The worker keeps its lease and its runs, and gets nothing new.
 
