Model a task on a worker that starts again under its name

One proof and five mutants: without a token that rises or is checked, ends that are read from the first on, listed runs that go on, or runs in doubt that wait, the task runs twice.

--- a/specs/_cases.py
+++ b/specs/_cases.py
@@ -18,6 +18,7 @@
 from specs import crashes
 from specs import doubt
 from specs import gang
+from specs import incarnation
 from specs import lease
 from specs import memory
 from specs import proposal
@@ -61,6 +62,12 @@
     Model('acceptance', acceptance.build, acceptance.Guard, acceptance.GOALS),
     Model('cancel', cancel.build, cancel.Guard, cancel.GOALS),
     Model('crashes', crashes.build, crashes.Guard, crashes.GOALS),
+    Model(
+        'incarnation',
+        incarnation.build,
+        incarnation.Guard,
+        incarnation.GOALS,
+    ),
 )
 
 
--- /dev/null
+++ b/specs/incarnation.py
@@ -0,0 +1,332 @@
+"""Model one task and a worker that starts again under its name.
+
+The scheduler starts the task on the worker, or elsewhere, and other tasks end
+on the worker. A start may arrive at once, late, or never, at the process that
+it was meant for or at the one after it. A process that runs the task may end
+it; ends are numbered from one in each process, and forgotten up to a number. A
+report is one call: it carries the scheduler's fencing token, and tells the
+process's start, its run and its ends.
+
+Assumed: no start reaches the second process after the one that it was meant
+for, or a process that the scheduler has not called yet after its run was given
+up; no acknowledgement reaches another process than the one it was meant for.
+
+| guard | code module |
+|---|---|
+| FENCE_RISES | walnutpoint_scheduler._roster (WorkerState.fence) |
+| FENCE_CHECKED | the platform's workers |
+| NUMBERS_CLEARED | walnutpoint_scheduler._succession (_successor) |
+| LISTED_KEPT | walnutpoint_scheduler._succession (_kept) |
+| DOUBT_KEPT | walnutpoint_scheduler._succession (_succeed) |
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+import minicheck
+
+from specs import _check
+
+PROCESSES_MAX = 3
+# Ends of other tasks in one process.
+OTHERS_MAX = 2
+ATTEMPTS_MAX = 4
+
+
+class Guard(enum.Enum):
+    """Name each guard that a mutant drops."""
+
+    FENCE_RISES = 'calls to a new process carry a higher token'
+    FENCE_CHECKED = 'a process refuses a token below one that it has seen'
+    NUMBERS_CLEARED = 'ends of a new process are read from the first on'
+    LISTED_KEPT = 'a run that the new process lists goes on'
+    DOUBT_KEPT = 'a run without an answer waits for the next report'
+
+
+class Phase(enum.IntEnum):
+    """Name what the scheduler knows of the task."""
+
+    WAITING = 0
+    SENT = 1
+    RUNNING = 2
+    ELSEWHERE = 3
+    DONE = 4
+
+
+class Start(typing.NamedTuple):
+    """Hold a start under way: its attempt, token and process meant."""
+
+    attempt: int
+    token: int
+    process: int
+
+
+class World(typing.NamedTuple):
+    """Hold the worker's newest process, and what the scheduler knows.
+
+    `ends` has the numbers and attempts of ends that are not forgotten.
+    """
+
+    process: int = 1
+    seen: int = 0
+    run: int = 0
+    blocked: int = 0
+    ends: tuple[tuple[int, int], ...] = ()
+    count: int = 0
+    starts: tuple[Start, ...] = ()
+    known: int = 1
+    token: int = 1
+    phase: Phase = Phase.WAITING
+    attempt: int = 0
+    processed: int = 0
+    restarts_seen: int = 0
+    # Ends `done` that were forgotten, or happened elsewhere.
+    noted: bool = False
+    # A start that was carried out after such an end.
+    repeated: bool = False
+
+
+class Worker:
+    """Generate the steps of a task on a worker, without the dropped guard."""
+
+    def __init__(self, dropped: Guard | None) -> None:
+        self._dropped = dropped
+
+    def _drops(self, guard: Guard) -> bool:
+        return self._dropped is guard
+
+    def steps(self, state: _check.State) -> _check.Steps:
+        """Return every step possible in a state."""
+        world = World(*state)
+        found: _check.Steps = []
+        self._start(world, found)
+        self._arrive(world, found)
+        self._end(world, found)
+        found.append(('report', self._reported(world)))
+        if world.process < PROCESSES_MAX:
+            found.append(('worker starts again', _restarted(world)))
+        return found
+
+    def _start(self, world: World, found: _check.Steps) -> None:
+        if world.phase is Phase.WAITING and world.attempt < ATTEMPTS_MAX:
+            attempt = world.attempt + 1
+            start = Start(attempt, world.token, world.known)
+            planned = world._replace(attempt=attempt)
+            found.append(
+                (
+                    'start is sent',
+                    planned._replace(
+                        phase=Phase.SENT, starts=(*world.starts, start)
+                    ),
+                )
+            )
+            found.append(
+                (
+                    'start elsewhere',
+                    planned._replace(
+                        phase=Phase.ELSEWHERE,
+                        repeated=world.repeated or world.noted,
+                    ),
+                )
+            )
+
+    def _arrive(self, world: World, found: _check.Steps) -> None:
+        for start in world.starts:
+            left = tuple(s for s in world.starts if s != start)
+            after = self._begun(world._replace(starts=left), start)
+            found.append(('start arrives, not answered', after))
+            is_newest = start.attempt == after.attempt
+            if is_newest and after.phase is Phase.SENT:
+                if after.run == start.attempt:
+                    found.append(
+                        (
+                            'start arrives, answered',
+                            after._replace(phase=Phase.RUNNING),
+                        )
+                    )
+
+    def _begun(self, world: World, start: Start) -> World:
+        is_refused = start.token < world.seen
+        if is_refused and not self._drops(Guard.FENCE_CHECKED):
+            return world
+        if start.attempt <= world.blocked or world.run:
+            return world
+        return world._replace(
+            seen=max(world.seen, start.token),
+            run=start.attempt,
+            repeated=world.repeated or world.noted,
+        )
+
+    def _end(self, world: World, found: _check.Steps) -> None:
+        if world.run:
+            number = world.count + 1
+            found.append(
+                (
+                    'run is done',
+                    world._replace(
+                        run=0,
+                        blocked=world.run,
+                        count=number,
+                        ends=(*world.ends, (number, world.run)),
+                    ),
+                )
+            )
+        if world.count < OTHERS_MAX:
+            number = world.count + 1
+            found.append(
+                (
+                    'another task is done',
+                    world._replace(
+                        count=number, ends=(*world.ends, (number, 0))
+                    ),
+                )
+            )
+        if world.phase is Phase.ELSEWHERE:
+            found.append(
+                (
+                    'done elsewhere',
+                    world._replace(phase=Phase.DONE, noted=True),
+                )
+            )
+
+    def _reported(self, world: World) -> World:
+        """Take a report of the newest process, and acknowledge its ends."""
+        if world.token < world.seen:
+            return world
+        world = world._replace(seen=max(world.seen, world.token))
+        if world.known != world.process:
+            return self._succeeded(world)
+        read = {a for n, a in world.ends if n > world.processed}
+        forgotten = any(attempt for _, attempt in world.ends)
+        world = world._replace(
+            ends=(),
+            processed=max(world.processed, world.count),
+            noted=world.noted or forgotten,
+        )
+        at_work = world.phase in (Phase.SENT, Phase.RUNNING)
+        if at_work and world.attempt in read:
+            return world._replace(phase=Phase.DONE)
+        if at_work and world.run == world.attempt:
+            return world._replace(phase=Phase.RUNNING)
+        # A start that was meant for a former process is refused by now.
+        may_come = any(
+            s.attempt == world.attempt and s.process == world.known
+            for s in world.starts
+        )
+        if at_work and not may_come:
+            return world._replace(phase=Phase.WAITING)
+        return world
+
+    def _succeeded(self, world: World) -> World:
+        """Begin with a new process: the report tells what is its own."""
+        token, processed = world.token + 1, 0
+        if self._drops(Guard.FENCE_RISES):
+            token = world.token
+        if self._drops(Guard.NUMBERS_CLEARED):
+            processed = world.processed
+        phase = world.phase
+        listed = {a for _, a in world.ends} | {world.run}
+        if phase in (Phase.SENT, Phase.RUNNING):
+            is_kept = world.attempt in listed
+            if self._drops(Guard.LISTED_KEPT):
+                is_kept = False
+            if phase is Phase.SENT and not self._drops(Guard.DOUBT_KEPT):
+                is_kept = True
+            if not is_kept:
+                phase = Phase.WAITING
+        return world._replace(
+            known=world.process,
+            token=token,
+            processed=processed,
+            phase=phase,
+            restarts_seen=world.restarts_seen + 1,
+        )
+
+
+def _restarted(world: World) -> World:
+    """Let the next process start, which knows nothing."""
+    reaching = tuple(
+        start
+        for start in world.starts
+        if start.process == world.process
+        and start.attempt == world.attempt
+        and world.phase is Phase.SENT
+    )
+    return world._replace(
+        process=world.process + 1,
+        seen=0,
+        run=0,
+        blocked=0,
+        ends=(),
+        count=0,
+        starts=reaching,
+    )
+
+
+def runs_once_at_a_time(fields: dict[str, typing.Any]) -> bool:
+    """Hold while the task has no run beside the one elsewhere."""
+    return not (fields['run'] and fields['phase'] is Phase.ELSEWHERE)
+
+
+def runs_no_more_once_done(fields: dict[str, typing.Any]) -> bool:
+    """Hold while no start follows an end that was taken note of."""
+    return not fields['repeated']
+
+
+def waits_for_nothing_else(fields: dict[str, typing.Any]) -> bool:
+    """Hold while a task that is believed to be at work may be.
+
+    It is there or under way, it has ended unread, or the worker has a newer
+    process that the scheduler has not heard.
+    """
+    if fields['phase'] not in (Phase.SENT, Phase.RUNNING):
+        return True
+    if fields['known'] != fields['process']:
+        return True
+    attempt = fields['attempt']
+    return (
+        fields['run'] == attempt
+        or any(a == attempt for _, a in fields['ends'])
+        or any(s.attempt == attempt for s in fields['starts'])
+        or fields['seen'] < fields['token']
+        or fields['phase'] is Phase.SENT
+    )
+
+
+def done_after_restarts(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether the last of all processes has done the task."""
+    return (
+        fields['phase'] is Phase.DONE
+        and fields['restarts_seen'] == PROCESSES_MAX - 1
+        and fields['count'] > 0
+    )
+
+
+def late_start_is_carried_out(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether a process runs a start that was meant for another."""
+    return (
+        fields['process'] > 1
+        and fields['known'] < fields['process']
+        and fields['run'] > 0
+    )
+
+
+GOALS = (done_after_restarts, late_start_is_carried_out)
+
+
+def build(dropped: Guard | None = None) -> minicheck.Protocol:
+    """Return the model, or the mutant without one guard."""
+    return minicheck.Protocol(
+        name='incarnation',
+        candidate=True,
+        fields=World._fields,
+        initial=World(),
+        transitions=Worker(dropped).steps,
+        invariants={
+            'runs_once_at_a_time': runs_once_at_a_time,
+            'runs_no_more_once_done': runs_no_more_once_done,
+            'waits_for_nothing_else': waits_for_nothing_else,
+        },
+    )
