--- a/bench/placement_pass.py
+++ b/bench/placement_pass.py
@@ -15,8 +15,8 @@
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _placer
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import outlier
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
@@ -47,7 +47,7 @@
             )
             context.cell = harness.CELL
             for number in range(worker_count):
-                worker = _roster.WorkerState(
+                worker = _worker.WorkerState(
                     harness.workers.listed_worker(number),
                     _lease.WorkerLease(2.5, 0.0),
                 )
--- a/packages/walnutpoint-model/src/walnutpoint_model/capacities.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/capacities.py
@@ -11,7 +11,7 @@
 import anyio
 
 from walnutpoint_core import amount
-from walnutpoint_model import workers
+from walnutpoint_model import fleet as fleets
 from walnutpoint_scheduler import ports
 
 __all__ = ('Capacities',)
@@ -35,7 +35,7 @@
 
     __slots__ = ('_changes', '_fleet', '_need', 'overruns')
 
-    def __init__(self, fleet: workers.Fleet, need: Need) -> None:
+    def __init__(self, fleet: fleets.Fleet, need: Need) -> None:
         self._fleet = fleet
         self._need = need
         self._changes: collections.defaultdict[str, list[_Change]] = (
--- a/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
@@ -14,10 +14,10 @@
 from walnutpoint_core import errors
 from walnutpoint_core import ports as core_ports
 from walnutpoint_model import advice
+from walnutpoint_model import fleet as fleets
 from walnutpoint_model import network
 from walnutpoint_model import store
 from walnutpoint_model import virtual_time
-from walnutpoint_model import workers
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import process
 from walnutpoint_scheduler import settings
@@ -153,7 +153,7 @@
         self.configured = configured
         self.store = store.MemoryStore(seed)
         self.network = network.Network()
-        self.fleet = workers.Fleet()
+        self.fleet = fleets.Fleet()
         self.advice = advice.AdviceService(terms, granted_share)
         self.timer = virtual_time.LoopTimer()
         self.processes: dict[str, ModelProcess] = {}
--- a/packages/walnutpoint-model/src/walnutpoint_model/crashes.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/crashes.py
@@ -8,6 +8,7 @@
 import dataclasses
 import typing
 
+from walnutpoint_model import fleet as fleets
 from walnutpoint_model import workers
 from walnutpoint_scheduler import ports
 
@@ -51,7 +52,7 @@
 
     def __init__(
         self,
-        fleet: workers.Fleet,
+        fleet: fleets.Fleet,
         length: workers.Length,
         is_crashing: collections.abc.Callable[[ports.TaskName], bool],
         *,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_choice.py
@@ -11,7 +11,7 @@
 from walnutpoint_scheduler import _holding
 from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _release
-from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
@@ -93,7 +93,7 @@
         # First the sound workers near the data, then any.
         self._tier = 0
 
-    def take(self) -> _roster.WorkerState | None:
+    def take(self) -> _worker.WorkerState | None:
         """Return the best worker that has room for one more task."""
         while self._tier < 2:
             for _ in range(len(self._workers)):
@@ -109,7 +109,7 @@
     def _advance(self) -> None:
         self._next = (self._next + 1) % len(self._workers)
 
-    def _suits(self, worker: _roster.WorkerState) -> bool:
+    def _suits(self, worker: _worker.WorkerState) -> bool:
         chooser, step = self._chooser, self._step
         if worker.worker_id == self._avoided:
             return False
@@ -139,7 +139,7 @@
 
     def __init__(
         self,
-        workers: collections.abc.Iterable[_roster.WorkerState],
+        workers: collections.abc.Iterable[_worker.WorkerState],
         health: worker_health.WorkerHealth,
         now_s: float,
         policies: settings.Policies = settings.Policies(),
@@ -154,7 +154,7 @@
         self._is_sorted = False
         self._health = health
         self._now_s = now_s
-        self._ordered: dict[_Order, list[_roster.WorkerState]] = {}
+        self._ordered: dict[_Order, list[_worker.WorkerState]] = {}
         # Room that earlier steps wait for: later ones leave it alone.
         self._holdings = _holding.Holdings(
             _release.Releases(now_s), has_backfill=policies.backfill
@@ -169,7 +169,7 @@
         return len(self._open)
 
     def free(
-        self, worker: _roster.WorkerState, length_s: float = math.inf
+        self, worker: _worker.WorkerState, length_s: float = math.inf
     ) -> amount.Amount:
         """Return the room that is left for what takes some time."""
         return self._holdings.free(worker, length_s)
@@ -195,14 +195,14 @@
 
     def askable(
         self, step: document.Step
-    ) -> collections.abc.Iterator[_roster.WorkerState]:
+    ) -> collections.abc.Iterator[_worker.WorkerState]:
         """Yield the workers that advice may be asked about, freest first."""
         if not self._is_sorted:
-            self._known.sort(key=_roster.by_room)
+            self._known.sort(key=_worker.by_room)
             self._is_sorted = True
         return (w for w in self._known if self.is_able(w, step))
 
-    def able(self, step: document.Step) -> list[_roster.WorkerState]:
+    def able(self, step: document.Step) -> list[_worker.WorkerState]:
         """Return the open workers that could ever run a task of a step."""
         return [w for w in self._open if self.is_able(w, step)]
 
@@ -216,7 +216,7 @@
 
     def fits(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         step: document.Step,
         step_key: str,
         need: amount.Amount,
@@ -231,7 +231,7 @@
             return False
         return self.may_start(worker)
 
-    def may_start(self, worker: _roster.WorkerState) -> bool:
+    def may_start(self, worker: _worker.WorkerState) -> bool:
         """Return whether a worker may take a task now.
 
         Not beside a task that may crash it, nor where its health forbids it.
@@ -242,7 +242,7 @@
             return True
         return self._health.may_try(worker.worker_id, self._now_s)
 
-    def is_suspect(self, worker: _roster.WorkerState) -> bool:
+    def is_suspect(self, worker: _worker.WorkerState) -> bool:
         """Return whether a worker's last tasks have failed."""
         if not self._policies.worker_health:
             return False
@@ -250,7 +250,7 @@
 
     def room_for(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         step: document.Step,
         step_key: str,
         *,
@@ -273,14 +273,14 @@
             count = min(count, max(0, left))
         return count
 
-    def is_slow(self, worker: _roster.WorkerState, *, is_urgent: bool) -> bool:
+    def is_slow(self, worker: _worker.WorkerState, *, is_urgent: bool) -> bool:
         """Return whether a worker's tasks get on slowly."""
         return self._pace is not None and self._pace.is_slow(
             worker.worker_id, self._now_s, is_urgent=is_urgent
         )
 
     def is_preferred(
-        self, worker: _roster.WorkerState, step: document.Step
+        self, worker: _worker.WorkerState, step: document.Step
     ) -> bool:
         """Return whether a worker is sound, and near a step's data."""
         if self.is_suspect(worker):
@@ -299,12 +299,12 @@
         return _Order.FULLEST
 
     def fullest(
-        self, workers: collections.abc.Iterable[_roster.WorkerState]
-    ) -> list[_roster.WorkerState]:
+        self, workers: collections.abc.Iterable[_worker.WorkerState]
+    ) -> list[_worker.WorkerState]:
         """Return workers in the order that leaves whole ones open."""
         return sorted(workers, key=_share, reverse=not self._policies.packing)
 
-    def ordered(self, order: _Order) -> list[_roster.WorkerState]:
+    def ordered(self, order: _Order) -> list[_worker.WorkerState]:
         """Return the open workers in an order, sorted once a pass."""
         workers = self._ordered.get(order)
         if workers is None:
@@ -313,7 +313,7 @@
         return workers
 
     def is_able(
-        self, worker: _roster.WorkerState, step: document.Step
+        self, worker: _worker.WorkerState, step: document.Step
     ) -> bool:
         """Return whether a worker could ever run a task of a step."""
         if not worker.listed.capacity.covers(step.need):
@@ -322,21 +322,21 @@
         return not label or label in worker.listed.labels
 
 
-def _share(worker: _roster.WorkerState) -> float:
+def _share(worker: _worker.WorkerState) -> float:
     """Return the free share of the resource that binds on a worker."""
     return 1.0 - worker.taken.largest_share(worker.listed.capacity)
 
 
-def _fewest_serving(worker: _roster.WorkerState) -> tuple[int, float]:
+def _fewest_serving(worker: _worker.WorkerState) -> tuple[int, float]:
     return len(worker.serving_runs()), -_share(worker)
 
 
-def _fewest_filling(worker: _roster.WorkerState) -> tuple[int, float]:
+def _fewest_filling(worker: _worker.WorkerState) -> tuple[int, float]:
     return sum(r.fills for r in worker.runs.values()), -_share(worker)
 
 
 _KEYS: typing.Final[
-    dict[_Order, collections.abc.Callable[[_roster.WorkerState], typing.Any]]
+    dict[_Order, collections.abc.Callable[[_worker.WorkerState], typing.Any]]
 ] = {
     _Order.FREEST: lambda worker: -_share(worker),
     _Order.FULLEST: _share,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_delay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_delay.py
@@ -10,8 +10,8 @@
 from walnutpoint_scheduler import _advice
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import _holding
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 
 __all__ = (
@@ -109,7 +109,7 @@
 
 
 def _lacking(
-    worker: _roster.WorkerState, step: _state.StepProgress
+    worker: _worker.WorkerState, step: _state.StepProgress
 ) -> Cause | None:
     free, need = worker.free, step.step.need
     if free.accelerators < need.accelerators:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -9,9 +9,10 @@
 from walnutpoint_core import logs
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _incarnation
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _links
-from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 
@@ -128,7 +129,7 @@
         if worker is None or _has_followed(worker, listed):
             self._add(listed)
             return True
-        if _roster.differ(worker.born_ms, listed.born_ms):
+        if _incarnation.differ(worker.born_ms, listed.born_ms):
             return self._announce(worker, listed)
         worker.next_listed = None
         if listed.draining and not worker.listed.draining:
@@ -155,7 +156,7 @@
         return is_news
 
     def _announce(
-        self, worker: _roster.WorkerState, listed: cell.ListedWorker
+        self, worker: _worker.WorkerState, listed: cell.ListedWorker
     ) -> bool:
         """Note the entry of another incarnation, and tell whether it is new.
 
@@ -189,7 +190,7 @@
             if worker is not None:
                 worker.expelled = True
 
-    def _note_absence(self, worker: _roster.WorkerState) -> bool:
+    def _note_absence(self, worker: _worker.WorkerState) -> bool:
         """Note that a worker has no entry, and tell whether it just had."""
         if worker.unlisted_s is not None:
             return False
@@ -204,7 +205,7 @@
 
     def _add(self, listed: cell.ListedWorker) -> None:
         context = self._context
-        worker = _roster.WorkerState(
+        worker = _worker.WorkerState(
             listed,
             _lease.WorkerLease(context.settings.lease_s, context.started_s),
         )
@@ -250,12 +251,12 @@
 
 
 def _has_followed(
-    worker: _roster.WorkerState, listed: cell.ListedWorker
+    worker: _worker.WorkerState, listed: cell.ListedWorker
 ) -> bool:
     """Return whether an entry is of one that follows a lost incarnation."""
     known_ms = worker.incarnation.born_ms
     return (
         worker.gone
-        and _roster.differ(known_ms, listed.born_ms)
+        and _incarnation.differ(known_ms, listed.born_ms)
         and listed.born_ms > known_ms
     )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -8,11 +8,11 @@
 from walnutpoint_core import logs
 from walnutpoint_core import metrics
 from walnutpoint_scheduler import _context
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _stall
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _suspects
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
 
 __all__ = (
@@ -67,7 +67,7 @@
         self.lost = 0
 
     def finish(
-        self, worker: _roster.WorkerState, run: _run.Run, end: ports.End
+        self, worker: _worker.WorkerState, run: _run.Run, end: ports.End
     ) -> None:
         """Apply an end that a worker lists."""
         worker.release(run)
@@ -125,7 +125,7 @@
 
     def bury(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         reason: str,
         spared: collections.abc.Collection[_run.Run] = (),
     ) -> None:
@@ -146,7 +146,7 @@
             self.expire(worker, reason, spared)
 
     async def _expire_later(
-        self, worker: _roster.WorkerState, reason: str, left_s: float
+        self, worker: _worker.WorkerState, reason: str, left_s: float
     ) -> None:
         """Give up the runs of a worker that was lost before this term.
 
@@ -158,7 +158,7 @@
 
     def expire(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         reason: str,
         spared: collections.abc.Collection[_run.Run] = (),
     ) -> None:
@@ -203,7 +203,7 @@
             _LOG.info('worker.doubted', worker=worker_id, reason=reason)
         health.fail_start(worker_id, self._context.timer.now_s())
 
-    def acquit(self, worker: _roster.WorkerState) -> None:
+    def acquit(self, worker: _worker.WorkerState) -> None:
         """Apply that a worker answers whose lease had lapsed."""
         for task in self._context.suspects.acquit(worker):
             if not task.step.job.state.final:
@@ -341,7 +341,7 @@
 
     def _judge(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         run: _run.Run,
         kind: ports.EndKind,
     ) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_gang.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_gang.py
@@ -6,18 +6,18 @@
 import typing
 
 from walnutpoint_scheduler import _choice
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 
 __all__ = ('pick',)
 
-_NOBODY: typing.Final[dict[int, _roster.WorkerState]] = {}
+_NOBODY: typing.Final[dict[int, _worker.WorkerState]] = {}
 
 
 class _Try(typing.NamedTuple):
     """Workers to choose among, and whether doubted ones are left out."""
 
-    workers: list[_roster.WorkerState]
+    workers: list[_worker.WorkerState]
     only_sound: bool
 
 
@@ -27,8 +27,8 @@
     permitted: _choice.Permitted,
     *,
     is_urgent: bool,
-    apart: collections.abc.Mapping[int, _roster.WorkerState] = _NOBODY,
-) -> list[_roster.WorkerState] | None:
+    apart: collections.abc.Mapping[int, _worker.WorkerState] = _NOBODY,
+) -> list[_worker.WorkerState] | None:
     """Return a worker for each member, or None without room for all.
 
     Some members have a worker of their own already, by their index.
@@ -60,7 +60,7 @@
         for worker in chooser.able(step.step)
         if worker.worker_id not in taken
     ]
-    racks: dict[str, list[_roster.WorkerState]] = {}
+    racks: dict[str, list[_worker.WorkerState]] = {}
     for worker in everyone:
         racks.setdefault(worker.listed.rack, []).append(worker)
     groups = []
@@ -81,8 +81,8 @@
     permitted: _choice.Permitted,
     count: int,
     tried: _Try,
-) -> list[_roster.WorkerState] | None:
-    picked: list[_roster.WorkerState] = []
+) -> list[_worker.WorkerState] | None:
+    picked: list[_worker.WorkerState] = []
     # The fullest first: whole workers stay open for those who need them.
     for worker in chooser.fullest(tried.workers):
         if tried.only_sound and (
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_holding.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_holding.py
@@ -10,7 +10,7 @@
 from walnutpoint_core import amount
 from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _release
-from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import document
 
 __all__ = (
@@ -33,7 +33,7 @@
 class Place(typing.NamedTuple):
     """A worker where room is held, and how long it is likely to take."""
 
-    worker: _roster.WorkerState
+    worker: _worker.WorkerState
     wait_s: float
 
 
@@ -57,7 +57,7 @@
         self._held: dict[str, list[_Hold]] = {}
 
     def free(
-        self, worker: _roster.WorkerState, length_s: float = math.inf
+        self, worker: _worker.WorkerState, length_s: float = math.inf
     ) -> amount.Amount:
         """Return the room that nobody with a better place waits for.
 
@@ -73,7 +73,7 @@
 
     def keep(
         self,
-        candidates: collections.abc.Iterable[_roster.WorkerState],
+        candidates: collections.abc.Iterable[_worker.WorkerState],
         step: document.Step,
         step_key: str,
         count: int,
@@ -109,17 +109,17 @@
 
     def _waits(
         self,
-        candidates: collections.abc.Iterable[_roster.WorkerState],
+        candidates: collections.abc.Iterable[_worker.WorkerState],
         step: document.Step,
         step_key: str,
         count: int,
-    ) -> list[tuple[float, int, _roster.WorkerState, int]]:
+    ) -> list[tuple[float, int, _worker.WorkerState, int]]:
         """Return when room comes on each candidate, and for how many tasks.
 
         A worker that has its share of the step has none, however free it is:
         held there, it would be of no use to the tasks that still wait.
         """
-        rows: list[tuple[float, int, _roster.WorkerState, int]] = []
+        rows: list[tuple[float, int, _worker.WorkerState, int]] = []
         ready = 0
         for worker in candidates:
             if ready >= count or (
@@ -140,7 +140,7 @@
         return rows
 
     def _wait_s(
-        self, worker: _roster.WorkerState, step: document.Step
+        self, worker: _worker.WorkerState, step: document.Step
     ) -> float:
         return self._releases.wait_s(worker, self.free(worker), step.need)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_incarnation.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_incarnation.py
@@ -4,7 +4,10 @@
 
 import typing
 
-__all__ = ('Incarnation',)
+__all__ = (
+    'Incarnation',
+    'differ',
+)
 
 
 class Incarnation(typing.NamedTuple):
@@ -17,3 +20,8 @@
     worker_id: str
     # Its start, as Unix time; zero where it is not told.
     born_ms: int = 0
+
+
+def differ(born_ms: int | None, other_ms: int | None) -> bool:
+    """Return whether two starts are known, and not the same."""
+    return bool(born_ms and other_ms) and born_ms != other_ms
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
@@ -6,7 +6,7 @@
 import typing
 
 from walnutpoint_core import amount
-from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import document
 
 __all__ = (
@@ -24,11 +24,11 @@
 # learnt from few answers, and others take room while the answer is awaited.
 _MARGIN: typing.Final = 1.5
 # How many more tasks of a step a worker could take now.
-Room = collections.abc.Callable[[_roster.WorkerState], int]
+Room = collections.abc.Callable[[_worker.WorkerState], int]
 
 
 def choose(
-    candidates: collections.abc.Iterable[_roster.WorkerState],
+    candidates: collections.abc.Iterable[_worker.WorkerState],
     room: Room,
     task_count: int,
     granted_share: float,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -17,9 +17,9 @@
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _record
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
 
@@ -269,7 +269,7 @@
         context = self._context
         worker = context.roster.get(saved.worker_id)
         if worker is None:
-            worker = _roster.WorkerState(
+            worker = _worker.WorkerState(
                 _unlisted(saved.worker_id),
                 _lease.WorkerLease(
                     context.settings.lease_s, context.started_s
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -10,10 +10,10 @@
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _progress
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _succession
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
 
 __all__ = ('WorkerLinks',)
@@ -46,12 +46,12 @@
         self._succession = _succession.Succession(context, ends)
         self.reports = 0
 
-    def open(self, worker: _roster.WorkerState) -> None:
+    def open(self, worker: _worker.WorkerState) -> None:
         """Follow one incarnation of a worker until it is over."""
         worker.is_followed = True
         self._context.spawn(self._keep_following, worker)
 
-    async def look(self, worker: _roster.WorkerState) -> None:
+    async def look(self, worker: _worker.WorkerState) -> None:
         """Ask for one report at once, beside the one that is waited for."""
         context = self._context
         asked_s = context.timer.now_s()
@@ -70,7 +70,7 @@
         if isinstance(reply, ports.Report) and not worker.gone:
             self._take(worker, reply, asked_s)
 
-    async def _keep_following(self, worker: _roster.WorkerState) -> None:
+    async def _keep_following(self, worker: _worker.WorkerState) -> None:
         """Begin again where following a worker fails unforeseen.
 
         A worker that nobody follows loses its lease with all that runs
@@ -88,7 +88,7 @@
                 )
             await self._context.timer.sleep(_RETRY_S)
 
-    async def _follow(self, worker: _roster.WorkerState) -> None:
+    async def _follow(self, worker: _worker.WorkerState) -> None:
         context = self._context
         wait_s = _FIRST_WAIT_S
         failures = 0
@@ -133,7 +133,7 @@
 
     def _take(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         report: ports.Report,
         asked_s: float,
     ) -> asyncio.Future[typing.Any] | None:
@@ -190,7 +190,7 @@
         ]
         return asyncio.gather(*pending)
 
-    def _bury_others(self, worker: _roster.WorkerState) -> None:
+    def _bury_others(self, worker: _worker.WorkerState) -> None:
         """End the other lives at the address of one that has answered.
 
         A worker that crashed comes back under another name and runs
@@ -205,7 +205,7 @@
                 self._ends.bury(other, 'a new life answers there')
 
     def _take_ends(
-        self, worker: _roster.WorkerState, report: ports.Report
+        self, worker: _worker.WorkerState, report: ports.Report
     ) -> dict[str, _state.JobProgress]:
         context = self._context
         touched: dict[str, _state.JobProgress] = {}
@@ -231,7 +231,7 @@
         return touched
 
     def _take_running(
-        self, worker: _roster.WorkerState, report: ports.Report
+        self, worker: _worker.WorkerState, report: ports.Report
     ) -> set[ports.RunName]:
         now_s = self._context.timer.now_s()
         listed: set[ports.RunName] = set()
@@ -271,7 +271,7 @@
             self._ends.trust(run)
 
     def _book_stray(
-        self, worker: _roster.WorkerState, row: ports.RunningTask
+        self, worker: _worker.WorkerState, row: ports.RunningTask
     ) -> _run.Run:
         """Book the room of a run that nobody asked for, and stop it.
 
@@ -295,7 +295,7 @@
 
     def _drop_missing(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         listed: set[ports.RunName],
         asked_s: float,
     ) -> None:
@@ -308,7 +308,7 @@
 
     async def _acknowledge(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         saving: asyncio.Future[typing.Any],
         upto: int,
     ) -> float:
@@ -329,7 +329,7 @@
         return self._context.settings.report_wait_s
 
     def _note_silence(
-        self, worker: _roster.WorkerState, reply: ports.OrderReply
+        self, worker: _worker.WorkerState, reply: ports.OrderReply
     ) -> bool:
         """Learn from a failed call, and tell whether to go on."""
         context = self._context
@@ -356,7 +356,7 @@
             context.spawn(self._expire_later, worker)
         return True
 
-    async def _expire_later(self, worker: _roster.WorkerState) -> None:
+    async def _expire_later(self, worker: _worker.WorkerState) -> None:
         """Give up the runs of a silent worker once its lease has lapsed."""
         context = self._context
         while not worker.answering and not worker.gone:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -9,9 +9,9 @@
 from walnutpoint_core import metrics
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
 
 __all__ = ('OrderDesk',)
@@ -66,7 +66,7 @@
         self._ends = ends
         # Asks a worker for a report at once; set by whoever owns the links.
         self.look: collections.abc.Callable[
-            [_roster.WorkerState], collections.abc.Awaitable[None]
+            [_worker.WorkerState], collections.abc.Awaitable[None]
         ] = _no_look
         self.started = 0
         self.refused = 0
@@ -147,7 +147,7 @@
     def _learn(
         self,
         run: _run.Run,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         reply: ports.OrderReply,
     ) -> None:
         context = self._context
@@ -201,7 +201,7 @@
     def _withdraw_refused(
         self,
         run: _run.Run,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         outcome: ports.OrderOutcome,
     ) -> None:
         context = self._context
@@ -279,5 +279,5 @@
             await context.timer.sleep(_STOP_RETRY_S)
 
 
-async def _no_look(_worker: _roster.WorkerState) -> None:
+async def _no_look(_worker: _worker.WorkerState) -> None:
     """Stand in until the links are connected."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_pacing.py
@@ -7,8 +7,8 @@
 from walnutpoint_core import logs
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
 
 __all__ = (
@@ -45,7 +45,7 @@
         self._context = context
         self._changed_s: dict[str, float] = {}
 
-    def check(self, worker: _roster.WorkerState, now_s: float) -> None:
+    def check(self, worker: _worker.WorkerState, now_s: float) -> None:
         """Compare the tails on one worker with their targets."""
         filling = [
             run
@@ -67,7 +67,7 @@
 
     def _set(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         run: _run.Run,
         percent: int,
         worst: float,
@@ -86,7 +86,7 @@
         self._context.spawn(self._send, worker, run, percent)
 
     async def _send(
-        self, worker: _roster.WorkerState, run: _run.Run, percent: int
+        self, worker: _worker.WorkerState, run: _run.Run, percent: int
     ) -> None:
         context = self._context
         reply = await context.orders.pace(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -8,9 +8,9 @@
 from walnutpoint_core import metrics
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 
@@ -25,7 +25,7 @@
 def plan(
     context: _context.Context,
     task: _state.TaskProgress,
-    worker: _roster.WorkerState,
+    worker: _worker.WorkerState,
     queue: cell.Queue,
     attempt: int,
 ) -> _run.Run:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -10,9 +10,9 @@
 from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _remaining
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 
 __all__ = ('Preemption',)
@@ -36,7 +36,7 @@
 
     __slots__ = ('leaving', 'victims', 'worker')
 
-    def __init__(self, worker: _roster.WorkerState) -> None:
+    def __init__(self, worker: _worker.WorkerState) -> None:
         self.worker = worker
         # The room of what is being stopped there.
         self.leaving = _NOTHING
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
@@ -6,9 +6,9 @@
 
 from walnutpoint_core import logs
 from walnutpoint_scheduler import _context
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
 
 __all__ = ('observe',)
@@ -24,7 +24,7 @@
 
 def observe(
     context: _context.Context,
-    worker: _roster.WorkerState,
+    worker: _worker.WorkerState,
     report: ports.Report,
 ) -> None:
     """Judge a worker's pace by what its tasks have done since a report.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
@@ -8,8 +8,8 @@
 from walnutpoint_scheduler import _blame
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import _context
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 
 __all__ = (
@@ -89,7 +89,7 @@
         chooser: _choice.Chooser,
         row: Waiting,
         permitted: _choice.Permitted,
-    ) -> _roster.WorkerState | None:
+    ) -> _worker.WorkerState | None:
         """Return the worker whose loss would cost least, if one is free."""
         task = row.task
         if not self._room_left(chooser, row.queue.pool):
@@ -109,7 +109,7 @@
         chooser: _choice.Chooser,
         step: _state.StepProgress,
         permitted: _choice.Permitted,
-    ) -> dict[int, _roster.WorkerState]:
+    ) -> dict[int, _worker.WorkerState]:
         """Return a worker of its own for each suspect of a gang, by index.
 
         Empty where there is not enough room: a gang is not kept waiting for
@@ -135,7 +135,7 @@
         chooser: _choice.Chooser,
         step: _state.StepProgress,
         permitted: _choice.Permitted,
-    ) -> list[tuple[_Cost, _roster.WorkerState]]:
+    ) -> list[tuple[_Cost, _worker.WorkerState]]:
         """Return the workers with room, the least costly loss first."""
         rows = [
             (self._cost(worker), worker)
@@ -151,7 +151,7 @@
         )
         return rows
 
-    def _cost(self, worker: _roster.WorkerState) -> _Cost:
+    def _cost(self, worker: _worker.WorkerState) -> _Cost:
         now_s = self._context.timer.now_s()
         sensitive = 0
         unsaved_s = 0.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -9,8 +9,8 @@
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _holding
 from walnutpoint_scheduler import _inquiry
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 
 __all__ = ('Questions',)
@@ -83,7 +83,7 @@
         terms = typing.cast(cell.AdviceTerms, queue.advice)
         advice = self._context.advice
 
-        def room(worker: _roster.WorkerState) -> int:
+        def room(worker: _worker.WorkerState) -> int:
             return chooser.room_for(
                 worker, step.step, step.key, is_urgent=not queue.priority
             )
@@ -181,7 +181,7 @@
             and (not label or label in worker.listed.labels)
         ]
         names = _inquiry.choose(
-            sorted(able, key=_roster.by_room),
+            sorted(able, key=_worker.by_room),
             lambda worker: _inquiry.fit(worker.free, step.step),
             step.step.task_count,
             advice.granted_share(terms),
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_release.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_release.py
@@ -7,8 +7,8 @@
 
 from walnutpoint_core import amount
 from walnutpoint_scheduler import _remaining
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _worker
 
 __all__ = ('Releases',)
 
@@ -27,7 +27,7 @@
 
     def wait_s(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         free: amount.Amount,
         need: amount.Amount,
     ) -> float:
@@ -44,7 +44,7 @@
         return math.inf
 
     def _of(
-        self, worker: _roster.WorkerState
+        self, worker: _worker.WorkerState
     ) -> list[tuple[float, amount.Amount]]:
         rows = self._rows.get(worker.worker_id)
         if rows is None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_succession.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_succession.py
@@ -7,9 +7,10 @@
 from walnutpoint_core import logs
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _incarnation
 from walnutpoint_scheduler import _lease
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
 
 __all__ = ('Succession',)
@@ -28,10 +29,10 @@
 
     def reporter(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         report: ports.Report,
         asked_s: float,
-    ) -> _roster.WorkerState | None:
+    ) -> _worker.WorkerState | None:
         """Return the incarnation that a report is of; None for a former one.
 
         What was asked for after an incarnation had reported can't be of an
@@ -39,7 +40,7 @@
         """
         context = self._context
         is_first = worker.first_report_s is None
-        if _roster.differ(worker.born_ms, report.born_ms):
+        if _incarnation.differ(worker.born_ms, report.born_ms):
             if _is_former(worker, report, asked_s):
                 return None
             return self._succeed(worker, report, asked_s)
@@ -59,10 +60,10 @@
 
     def _succeed(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         report: ports.Report,
         asked_s: float,
-    ) -> _roster.WorkerState:
+    ) -> _worker.WorkerState:
         """Give up what ran on the former incarnation, and return the new one.
 
         A start that had no answer may have been carried out by either. The
@@ -106,12 +107,12 @@
         return successor
 
     def _successor(
-        self, worker: _roster.WorkerState, report: ports.Report
-    ) -> _roster.WorkerState:
+        self, worker: _worker.WorkerState, report: ports.Report
+    ) -> _worker.WorkerState:
         listed = worker.next_listed
         if listed is None or listed.born_ms != report.born_ms:
             listed = worker.listed
-        successor = _roster.WorkerState(
+        successor = _worker.WorkerState(
             listed,
             _lease.WorkerLease(
                 self._context.settings.lease_s, self._context.started_s
@@ -124,8 +125,8 @@
     def _move(
         self,
         run: _run.Run,
-        worker: _roster.WorkerState,
-        successor: _roster.WorkerState,
+        worker: _worker.WorkerState,
+        successor: _worker.WorkerState,
     ) -> None:
         if run.name not in worker.runs:
             return
@@ -136,7 +137,7 @@
         if run.task is not None and run.task.is_suspect:
             self._context.suspects.admit(successor, run)
 
-    def _forget(self, worker: _roster.WorkerState) -> None:
+    def _forget(self, worker: _worker.WorkerState) -> None:
         """Drop what was known of the former incarnation alone."""
         context = self._context
         context.health.forget(worker.worker_id)
@@ -146,7 +147,7 @@
 
 
 def _is_former(
-    worker: _roster.WorkerState, report: ports.Report, asked_s: float
+    worker: _worker.WorkerState, report: ports.Report, asked_s: float
 ) -> bool:
     """Return whether a report is of an incarnation before the known one."""
     first_s = worker.first_report_s
@@ -155,7 +156,7 @@
 
 
 def _kept(
-    worker: _roster.WorkerState, report: ports.Report, asked_s: float
+    worker: _worker.WorkerState, report: ports.Report, asked_s: float
 ) -> list[_run.Run]:
     """Return the runs that are, or may be, the new incarnation's own.
 
@@ -170,7 +171,7 @@
             and run.decisive_from_s is not None
             and run.decisive_from_s > asked_s
         )
-        was_meant = run.restored_s is not None and not _roster.differ(
+        was_meant = run.restored_s is not None and not _incarnation.differ(
             run.born_ms, report.born_ms
         )
         if run.name in listed or is_newer or was_meant:
@@ -179,12 +180,12 @@
 
 
 def _lost_before(
-    worker: _roster.WorkerState, report: ports.Report
+    worker: _worker.WorkerState, report: ports.Report
 ) -> int | None:
     """Return the start of an incarnation whose runs a first report misses."""
     listed = _listed(report)
     for run in worker.runs.values():
-        if _roster.differ(run.born_ms, report.born_ms):
+        if _incarnation.differ(run.born_ms, report.born_ms):
             if run.name not in listed:
                 return run.born_ms
     return None
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -12,6 +12,7 @@
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 
 __all__ = (
     'Suspects',
@@ -64,7 +65,7 @@
         # The suspect that each worker runs apart.
         self._probations: dict[str, _run.Run] = {}
 
-    def blame(self, worker: _roster.WorkerState) -> list[_state.TaskProgress]:
+    def blame(self, worker: _worker.WorkerState) -> list[_state.TaskProgress]:
         """Weigh the loss of a worker, and return the tasks to give up.
 
         Its runs are still booked. A worker that leaves as planned tells
@@ -94,7 +95,7 @@
                 guilty.append(task)
         return guilty
 
-    def acquit(self, worker: _roster.WorkerState) -> list[_state.TaskProgress]:
+    def acquit(self, worker: _worker.WorkerState) -> list[_state.TaskProgress]:
         """Take a worker's loss back: it was cut off, and answers again."""
         acquitted = self._tasks.pop(worker.incarnation, [])
         for task in acquitted:
@@ -142,11 +143,11 @@
         for loss in task.losses:
             self._tasks[loss.incarnation].append(task)
 
-    def lost_with(self, worker: _roster.WorkerState) -> int:
+    def lost_with(self, worker: _worker.WorkerState) -> int:
         """Return how many workers were lost together with one."""
         return len(self._roster.lost_with(worker, _TOGETHER_S))
 
-    def admit(self, worker: _roster.WorkerState, run: _run.Run) -> None:
+    def admit(self, worker: _worker.WorkerState, run: _run.Run) -> None:
         """Let a suspect's run begin, and start nothing else beside it."""
         worker.runs_suspect = True
         self._probations[worker.worker_id] = run
@@ -171,7 +172,7 @@
             count += pool is None or worker.listed.pool == pool
         return count
 
-    def _is_over(self, worker: _roster.WorkerState, run: _run.Run) -> bool:
+    def _is_over(self, worker: _worker.WorkerState, run: _run.Run) -> bool:
         """Return whether a run has ended, or stood its probation."""
         if run.name not in worker.runs:
             return True
@@ -184,7 +185,7 @@
         return stood_s >= min(needed_s, _PROBATION_MAX_S)
 
     def _lost_runs(
-        self, worker: _roster.WorkerState, now_s: float
+        self, worker: _worker.WorkerState, now_s: float
     ) -> list[tuple[_run.Run, _blame.LostRun]]:
         """Return the runs that may have begun, and how old each was."""
         silent_s = now_s if worker.silent_s is None else worker.silent_s
@@ -213,7 +214,7 @@
         return rows
 
     def _shared_rate(
-        self, worker: _roster.WorkerState, job_id: str, span_s: float
+        self, worker: _worker.WorkerState, job_id: str, span_s: float
     ) -> float:
         """Return the rate of a loss that took other workers as well.
 
@@ -257,7 +258,7 @@
 
 
 def _ages_s(
-    worker: _roster.WorkerState, run: _run.Run, silent_s: float
+    worker: _worker.WorkerState, run: _run.Run, silent_s: float
 ) -> tuple[float, float]:
     """Return how old a run was at least and at most when it was lost.
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -25,9 +25,9 @@
 from walnutpoint_scheduler import _placer
 from walnutpoint_scheduler import _pools
 from walnutpoint_scheduler import _retention
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _watch
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import outlier
@@ -210,7 +210,7 @@
         }
 
     def _is_closed(
-        self, context: _context.Context, worker: _roster.WorkerState
+        self, context: _context.Context, worker: _worker.WorkerState
     ) -> bool:
         """Return whether a worker answers and is given nothing now."""
         if not worker.answering or worker.listed.draining:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -11,10 +11,10 @@
 from walnutpoint_scheduler import _pacing
 from walnutpoint_scheduler import _questions
 from walnutpoint_scheduler import _remaining
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _stall
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 
 __all__ = ('Watch',)
 
@@ -74,7 +74,7 @@
             for job in list(self._context.open_jobs.values()):
                 self._prefetch(job, now_s)
 
-    def _check_worker(self, worker: _roster.WorkerState, now_s: float) -> None:
+    def _check_worker(self, worker: _worker.WorkerState, now_s: float) -> None:
         self._want_copies(worker, now_s)
         if not worker.answering:
             self._renew_advice(worker)
@@ -92,7 +92,7 @@
                 self._stop_stalled(run, run.task)
         self._pacer.check(worker, now_s)
 
-    def _renew_advice(self, worker: _roster.WorkerState) -> None:
+    def _renew_advice(self, worker: _worker.WorkerState) -> None:
         """Ask for tickets while the lease of a silent worker runs out.
 
         Its tasks may start elsewhere the moment it has; an answer that is
@@ -106,7 +106,7 @@
             if not context.advice.has_valid(step.key):
                 self._questions.ask_ahead(step, terms)
 
-    def _want_copies(self, worker: _roster.WorkerState, now_s: float) -> None:
+    def _want_copies(self, worker: _worker.WorkerState, now_s: float) -> None:
         """Ask for second runs of what may be lost or takes too long.
 
         Only where the client account allows two runs of a task at a time:
@@ -144,7 +144,7 @@
             worker_id, now_s
         )
 
-    def _leave_slow(self, worker: _roster.WorkerState, now_s: float) -> None:
+    def _leave_slow(self, worker: _worker.WorkerState, now_s: float) -> None:
         """Move urgent tasks that a slow worker would finish late.
 
         Each is moved once: where the whole pool is slow, moving again would
@@ -168,7 +168,7 @@
 
     def _stands_still(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         run: _run.Run,
         task: _state.TaskProgress,
     ) -> bool:
@@ -196,7 +196,7 @@
                 for other in member.runs:
                     self._desk.stop(other, 'a member stands still')
 
-    def _empty(self, worker: _roster.WorkerState, now_s: float) -> None:
+    def _empty(self, worker: _worker.WorkerState, now_s: float) -> None:
         """Move what would end with a leaving worker."""
         leave_s = self._leaving_s.get(worker.worker_id)
         if leave_s is None:
--- a/tests/walnutpoint_scheduler/harness.py
+++ b/tests/walnutpoint_scheduler/harness.py
@@ -13,6 +13,7 @@
 from walnutpoint_core import amount
 from walnutpoint_core import ports as core_ports
 from walnutpoint_model import advice
+from walnutpoint_model import fleet as fleets
 from walnutpoint_model import store
 from walnutpoint_model import virtual_time
 from walnutpoint_model import workers
@@ -91,7 +92,7 @@
 
     def __init__(self, worker_count: int = 4) -> None:
         self.store = store.MemoryStore()
-        self.fleet = workers.Fleet()
+        self.fleet = fleets.Fleet()
         self.advice = advice.AdviceService(
             typing.cast(cell.AdviceTerms, ADVISED.advice), 0.6
         )
--- a/tests/walnutpoint_scheduler/test_directory.py
+++ b/tests/walnutpoint_scheduler/test_directory.py
@@ -11,13 +11,14 @@
 
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_core import errors
+from walnutpoint_model import fleet as fleets
 from walnutpoint_scheduler import ports
 
 PLAYED_S = 20.0
 SIGN_S = 0.06
 
 
-class _Signs(harness.workers.Fleet):
+class _Signs(fleets.Fleet):
     """A fleet whose workers write their entries again and again."""
 
     def __init__(self) -> None:
--- a/tests/walnutpoint_scheduler/test_inquiry.py
+++ b/tests/walnutpoint_scheduler/test_inquiry.py
@@ -10,7 +10,7 @@
 from walnutpoint_model import advice
 from walnutpoint_scheduler import _inquiry
 from walnutpoint_scheduler import _lease
-from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 
 SHARE = 0.35
@@ -20,7 +20,7 @@
     """Return equal workers with some room left."""
     workers = []
     for number in range(count):
-        worker = _roster.WorkerState(
+        worker = _worker.WorkerState(
             harness.workers.listed_worker(number), _lease.WorkerLease(2.5, 0.0)
         )
         worker.free = amount.Amount(free_millicores, 64_000, 0)
--- a/tests/walnutpoint_scheduler/test_large_pass.py
+++ b/tests/walnutpoint_scheduler/test_large_pass.py
@@ -19,6 +19,7 @@
 
 from tests.walnutpoint_scheduler import harness
 from tests.walnutpoint_scheduler import test_wide_steps
+from walnutpoint_model import fleet as fleets
 from walnutpoint_model import virtual_time
 from walnutpoint_scheduler import _choice
 from walnutpoint_scheduler import cell
@@ -40,7 +41,7 @@
 _CELL = cell.Cell(1, (_URGENT_QUEUE, _BATCH_QUEUE), (cell.Pool('pool'),))
 
 
-class _LateFleet(harness.workers.Fleet):
+class _LateFleet(fleets.Fleet):
     """Workers whose first answers are read late."""
 
     def __init__(self) -> None:
@@ -60,7 +61,7 @@
         return await super().renew(worker, order)
 
 
-def _bed(fleet: harness.workers.Fleet | None = None) -> harness.Bed:
+def _bed(fleet: fleets.Fleet | None = None) -> harness.Bed:
     """Return a cell with everything handed in."""
     bed = harness.Bed(0)
     bed.fleet = fleet or bed.fleet
--- a/tests/walnutpoint_scheduler/test_links.py
+++ b/tests/walnutpoint_scheduler/test_links.py
@@ -7,9 +7,10 @@
 import unittest
 
 from tests.walnutpoint_scheduler import harness
+from walnutpoint_model import fleet as fleets
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _links
-from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
@@ -30,7 +31,7 @@
                 settings=settings.SchedulerSettings()
             )
             links = _links.WorkerLinks(context, None, None)
-            worker = _roster.WorkerState(
+            worker = _worker.WorkerState(
                 harness.workers.listed_worker(0),
                 _lease.WorkerLease(2.5, 0.0),
             )
@@ -43,7 +44,7 @@
         harness.play(scene)
 
 
-class _FaultyFleet(harness.workers.Fleet):
+class _FaultyFleet(fleets.Fleet):
     """Fails once, unforeseen, when a worker that runs tasks is asked."""
 
     def __init__(self) -> None:
--- a/tests/walnutpoint_scheduler/test_lost_workers.py
+++ b/tests/walnutpoint_scheduler/test_lost_workers.py
@@ -7,6 +7,7 @@
 import anyio
 
 from tests.walnutpoint_scheduler import harness
+from walnutpoint_model import fleet as fleets
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 
@@ -14,7 +15,7 @@
 BACK_S = 3.0
 
 
-class _HalfOpenFleet(harness.workers.Fleet):
+class _HalfOpenFleet(fleets.Fleet):
     """Open connections to a crashed worker go silent, new ones are refused."""
 
     async def renew(
--- a/tests/walnutpoint_scheduler/test_repeats.py
+++ b/tests/walnutpoint_scheduler/test_repeats.py
@@ -9,6 +9,7 @@
 import anyio
 
 from tests.walnutpoint_scheduler import harness
+from walnutpoint_model import fleet as fleets
 from walnutpoint_scheduler import _placer
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
@@ -16,7 +17,7 @@
 PLAYED_S = 20.0
 
 
-class _Refusing(harness.workers.Fleet):
+class _Refusing(fleets.Fleet):
     """Refuses every start of one job, or leaves it unanswered."""
 
     def __init__(self, outcome: ports.OrderOutcome) -> None:
--- a/tests/walnutpoint_scheduler/test_restarted_workers.py
+++ b/tests/walnutpoint_scheduler/test_restarted_workers.py
@@ -14,6 +14,7 @@
 from walnutpoint_model import capacities
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _roster
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 
@@ -360,7 +361,7 @@
 
     def setUp(self) -> None:
         """Prepare a worker that has answered."""
-        self.worker = _roster.WorkerState(
+        self.worker = _worker.WorkerState(
             dataclasses.replace(harness.workers.listed_worker(0), born_ms=5),
             _lease.WorkerLease(LEASE_S, 0.0),
         )
@@ -388,6 +389,6 @@
             self.worker.listed, born_ms=6
         )
         roster.add(
-            _roster.WorkerState(listed, _lease.WorkerLease(LEASE_S, 0.0))
+            _worker.WorkerState(listed, _lease.WorkerLease(LEASE_S, 0.0))
         )
         self.assertIs(self.worker, roster.holder(run))
--- a/tests/walnutpoint_scheduler/test_slow_workers.py
+++ b/tests/walnutpoint_scheduler/test_slow_workers.py
@@ -18,9 +18,9 @@
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _progress
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import worker_pace
 
@@ -223,7 +223,7 @@
         name = ports.RunName(task.name, 2)
         run = _run.Run(name, 'worker-0', task.step.step.need, 0.0, task)
         run.phase, run.started_s = _run.RunPhase.RUNNING, 100.0 - age_s
-        worker = _roster.WorkerState(
+        worker = _worker.WorkerState(
             workers.listed_worker(0), _lease.WorkerLease(2.5, 0.0)
         )
         worker.book(run)
--- a/tests/walnutpoint_scheduler/test_succession.py
+++ b/tests/walnutpoint_scheduler/test_succession.py
@@ -14,21 +14,21 @@
 from walnutpoint_scheduler import _directory
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _orders
-from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _succession
 from walnutpoint_scheduler import _watch
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
 
 TASKS = 3
 LEASE_MAX_S = 10.0
 
 Check = collections.abc.Callable[
-    [_context.Context, _roster.WorkerState, _succession.Succession], None
+    [_context.Context, _worker.WorkerState, _succession.Succession], None
 ]
 
 
-async def _look(_worker: _roster.WorkerState) -> None:
+async def _look(_worker: _worker.WorkerState) -> None:
     """Ask for no report."""
 
 
@@ -60,7 +60,7 @@
 
     def _report(
         self,
-        worker: _roster.WorkerState,
+        worker: _worker.WorkerState,
         *listed: _run.Run,
         later_ms: int = 1,
     ) -> ports.Report:
@@ -168,7 +168,7 @@
             found = succession.reporter(worker, self._report(worker), now_s)
             before = found.fence(7)
             context.roster.remove('worker-0')
-            again = _roster.WorkerState(found.listed, found.lease)
+            again = _worker.WorkerState(found.listed, found.lease)
             context.roster.add(again)
             self.assertEqual(before, again.fence(7))
             self.assertLess(again.fence(7), again.fence(8))
