--- a/packages/walnutpoint-model/src/walnutpoint_model/crashes.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/crashes.py
@@ -57,14 +57,13 @@
         is_crashing: collections.abc.Callable[[ports.TaskName], bool],
         *,
         crash_s: float = _CRASH_S,
-        back_s: float = _BACK_S,
-        returns: collections.abc.Callable[[], Return] | None = None,
+        returns: collections.abc.Callable[[], Return] = Return,
     ) -> None:
         self._fleet = fleet
         self._length = length
         self._is_crashing = is_crashing
         self._crash_s = crash_s
-        self._returns = returns or (lambda: Return(back_s))
+        self._returns = returns
         # How many workers each crashing task has ended.
         self.crashed_by: collections.Counter[ports.TaskName] = (
             collections.Counter()
--- a/packages/walnutpoint-model/src/walnutpoint_model/worker_faults.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/worker_faults.py
@@ -64,7 +64,7 @@
         self._model = model
         self._random = drawn
         self._restarts = restarts
-        # Apart from the series, as tasks crash workers too.
+        # Drawn apart: a crash by a task must not change the series.
         self._returns = random.Random(  # noqa: S311
             drawn.random() if restarts else 0.0
         )
@@ -106,21 +106,23 @@
 
     async def delay_orders(self, for_s: float) -> None:
         """Let half of the orders to some workers be carried out late."""
-        chosen = self._some()
-        for worker in chosen:
-            worker.late_share = _HALF
-        await anyio.sleep(for_s)
-        for worker in chosen:
-            worker.late_share = 0.0
+        await self._set_share('late_share', for_s)
 
     async def lose_answers(self, for_s: float) -> None:
         """Lose half of the answers to orders of some workers."""
-        chosen = self._some()
+        await self._set_share('loses_answers_share', for_s)
+
+    async def _set_share(self, switch: str, for_s: float) -> None:
+        """Set a share of some workers' orders that a fault meets."""
+        fleet = self._model.fleet.workers
+        count = max(1, int(len(fleet) * _THIRD))
+        names = self._random.sample(sorted(fleet), count)
+        chosen = [fleet[name] for name in names]
         for worker in chosen:
-            worker.loses_answers_share = _HALF
+            setattr(worker, switch, _HALF)
         await anyio.sleep(for_s)
         for worker in chosen:
-            worker.loses_answers_share = 0.0
+            setattr(worker, switch, 0.0)
 
     async def step_clock(self, for_s: float) -> None:
         """Let the workers' time of day jump, and wait."""
@@ -138,11 +140,6 @@
             self._returns.random() < _KEEPS_NAME_SHARE,
         )
 
-    def _some(self) -> list[workers.Worker]:
-        fleet = self._model.fleet.workers
-        names = self._random.sample(sorted(fleet), max(1, len(fleet) // 3))
-        return [fleet[name] for name in names]
-
     async def crash_worker(self, for_s: float) -> None:
         """Crash one worker, and wait."""
         self._crashes.crash(self._any())
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -209,18 +209,6 @@
             ),
         }
 
-    def _is_closed(
-        self, context: _context.Context, worker: _worker.WorkerState
-    ) -> bool:
-        """Return whether a worker answers and is given nothing now."""
-        if not worker.answering or worker.listed.draining:
-            return False
-        return (
-            not worker.open_for_starts
-            or worker.runs_suspect
-            or not context.health.may_start(worker.worker_id)
-        )
-
     def end(self, reason: str) -> None:
         """End the term: nothing more of it is sent or written."""
         if not self.reason:
@@ -359,3 +347,14 @@
                 revision = claim.ok.revision if claim.ok else 0
                 if revision != self.token:
                     self.end(f'the scheduler key has revision {revision}')
+
+
+def _is_closed(context: _context.Context, worker: _worker.WorkerState) -> bool:
+    """Return whether a worker answers and is given nothing new now."""
+    if not worker.answering or worker.listed.draining:
+        return False
+    return (
+        not worker.open_for_starts
+        or worker.runs_suspect
+        or not context.health.may_start(worker.worker_id)
+    )
--- a/specs/_check.py
+++ b/specs/_check.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import enum
 import time
 import typing
 
@@ -18,6 +19,16 @@
 Predicate = Callable[[dict[str, typing.Any]], bool]
 
 
+class Guarded:
+    """Knows which guard a mutant drops; the whole model drops none."""
+
+    def __init__(self, dropped: enum.Enum | None) -> None:
+        self._dropped = dropped
+
+    def _drops(self, guard: enum.Enum) -> bool:
+        return self._dropped is guard
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Case:
     """Name a model to be proved, or a mutant or goal to be refuted."""
--- a/specs/acceptance.py
+++ b/specs/acceptance.py
@@ -84,15 +84,9 @@
 STORED_SAYS = (Try.HEARD_APPLIED, Try.HEARD_KNOWN)
 
 
-class Acceptance:
+class Acceptance(_check.Guarded):
     """Generate the steps of one acceptance, without the dropped guard."""
 
-    def __init__(self, dropped: Guard | None) -> None:
-        self._dropped = dropped
-
-    def _drops(self, guard: Guard) -> bool:
-        return self._dropped is guard
-
     def steps(self, state: _check.State) -> _check.Steps:
         """Return every step possible in a state."""
         world = World(*state)
--- a/specs/crashes.py
+++ b/specs/crashes.py
@@ -84,15 +84,9 @@
     term: int = 1
 
 
-class Crashes:
+class Crashes(_check.Guarded):
     """Generate the steps of a crashing task, without the dropped guard."""
 
-    def __init__(self, dropped: Guard | None) -> None:
-        self._dropped = dropped
-
-    def _drops(self, guard: Guard) -> bool:
-        return self._dropped is guard
-
     def steps(self, state: _check.State) -> _check.Steps:
         """Return every step possible in a state."""
         world = World(*state)
--- a/specs/gang.py
+++ b/specs/gang.py
@@ -106,15 +106,9 @@
     return world._replace(phases=tuple(phases))
 
 
-class Gangs:
+class Gangs(_check.Guarded):
     """Generate the steps of two gangs, without the dropped guard."""
 
-    def __init__(self, dropped: Guard | None) -> None:
-        self._dropped = dropped
-
-    def _drops(self, guard: Guard) -> bool:
-        return self._dropped is guard
-
     def steps(self, state: _check.State) -> _check.Steps:
         """Return every step possible in a state."""
         world = World(*state)
--- a/specs/incarnation.py
+++ b/specs/incarnation.py
@@ -88,15 +88,9 @@
     repeated: bool = False
 
 
-class Worker:
+class Worker(_check.Guarded):
     """Generate the steps of a task on a worker, without the dropped guard."""
 
-    def __init__(self, dropped: Guard | None) -> None:
-        self._dropped = dropped
-
-    def _drops(self, guard: Guard) -> bool:
-        return self._dropped is guard
-
     def steps(self, state: _check.State) -> _check.Steps:
         """Return every step possible in a state."""
         world = World(*state)
--- a/specs/lease.py
+++ b/specs/lease.py
@@ -76,15 +76,9 @@
     found: bool = False
 
 
-class Handover:
+class Handover(_check.Guarded):
     """Generate the steps of one hand-over, without the dropped guard."""
 
-    def __init__(self, dropped: Guard | None) -> None:
-        self._dropped = dropped
-
-    def _drops(self, guard: Guard) -> bool:
-        return self._dropped is guard
-
     def steps(self, state: _check.State) -> _check.Steps:
         """Return every step possible in a state."""
         world = World(*state)
--- a/specs/memory.py
+++ b/specs/memory.py
@@ -129,15 +129,9 @@
     return Memory.NOT_RUN if memory is Memory.QUEUED else memory
 
 
-class Shard:
+class Shard(_check.Guarded):
     """Generate the steps of one key and its shard, without a guard."""
 
-    def __init__(self, dropped: Guard | None) -> None:
-        self._dropped = dropped
-
-    def _drops(self, guard: Guard) -> bool:
-        return self._dropped is guard
-
     def steps(self, state: _check.State) -> _check.Steps:
         """Return every step possible in a state."""
         world = World(*state)
--- a/specs/succession.py
+++ b/specs/succession.py
@@ -83,15 +83,9 @@
     return fence if fence <= 0 else fence - 1
 
 
-class Successions:
+class Successions(_check.Guarded):
     """Generate the steps of two successions, without the dropped guard."""
 
-    def __init__(self, dropped: Guard | None) -> None:
-        self._dropped = dropped
-
-    def _drops(self, guard: Guard) -> bool:
-        return self._dropped is guard
-
     def steps(self, state: _check.State) -> _check.Steps:
         """Return every step possible in a state."""
         world = World(*state)
--- a/specs/term.py
+++ b/specs/term.py
@@ -91,15 +91,9 @@
     broken: bool = False
 
 
-class Term:
+class Term(_check.Guarded):
     """Generate the steps of a change, without the dropped guard."""
 
-    def __init__(self, dropped: Guard | None) -> None:
-        self._dropped = dropped
-
-    def _drops(self, guard: Guard) -> bool:
-        return self._dropped is guard
-
     def steps(self, state: _check.State) -> _check.Steps:
         """Return every step possible in a state."""
         world = World(*state)
--- a/tests/walnutpoint_scheduler/test_crashing_tasks.py
+++ b/tests/walnutpoint_scheduler/test_crashing_tasks.py
@@ -235,7 +235,7 @@
             bed.fleet,
             lambda task: bed.length_s(task),
             lambda _task: False,
-            back_s=0.5,
+            returns=lambda: crashes.Return(0.5),
         )
 
         async def scene() -> None:
