Let a late renewal carry the token that it had, and set tests up once

The test of a lease on the former clock sent a token below any, which is refused by itself; with the former incarnation's it finds a token that does not rise.

--- a/tests/walnutpoint_platform/test_foreign_entries.py
+++ b/tests/walnutpoint_platform/test_foreign_entries.py
@@ -254,14 +254,7 @@
     @_settings
     @hypothesis.given(_bodies(SOUND_REPORT))
     def test_any_report_is_a_reply(self, body: bytes) -> None:
-        orders = _workers.HttpWorkers(
-            typing.cast(web.Client, _Fixed(body)), 0.1, 0.1
-        )
-        listed = cell.ListedWorker(
-            'w1', 'pool', '10.0.0.1:1', 'a', False, document.Step(1).need,
-            (), '',
-        )  # fmt: skip
-        reply = _run(orders.renew(listed, ports.Renewal(1, 0, None, 0.0)))
+        reply = self._renew(body)
         self.assertIsInstance(reply, (ports.Report, ports.OrderReply))
 
     def test_start_that_can_not_be_read_is_no_report(self) -> None:
@@ -282,6 +275,7 @@
                     self.assertEqual(expected, reply.born_ms)
 
     def test_start_that_is_not_told_is_zero(self) -> None:
+        """Guards against refusing the reports of workers that don't tell."""
         report = dict(SOUND_REPORT)
         del report['born']
         self.assertEqual(0, self._renew(_encoded(report)).born_ms)
@@ -302,10 +296,6 @@
         Its answer names what it runs, and a capacity that is negative or no
         number. An answer that names none says nothing of its room.
         """
-        listed = cell.ListedWorker(
-            'w1', 'pool', '10.0.0.1:1', 'a', False, document.Step(1).need,
-            (), '',
-        )  # fmt: skip
         for capacity, expected in (
             ({'cpu': -1}, amount.Amount()),
             ({'cpu': 'all'}, amount.Amount()),
@@ -315,11 +305,7 @@
         ):
             with self.subTest(capacity=capacity):
                 body = _encoded(SOUND_REPORT | {'capacity': capacity})
-                orders = _workers.HttpWorkers(
-                    typing.cast(web.Client, _Fixed(body)), 0.1, 0.1
-                )
-                renewal = ports.Renewal(1, 0, None, 0.0)
-                reply = _run(orders.renew(listed, renewal))
+                reply = self._renew(body)
                 self.assertIsInstance(reply, ports.Report)
                 self.assertTrue(reply.running)
                 self.assertEqual(expected, reply.capacity)
--- a/tests/walnutpoint_scheduler/test_restarted_workers.py
+++ b/tests/walnutpoint_scheduler/test_restarted_workers.py
@@ -332,18 +332,21 @@
                 self._add(seed)
                 self._play(seed, 1.0, is_late=False)
 
-    def test_lease_on_the_former_clock(self) -> None:
-        """Guards against a lease that a late order made longer."""
+    def test_late_renewal_on_the_former_clock_is_refused(self) -> None:
+        """Guards against a lease that a late call made longer."""
         bed = self.bed
         self._add(1)
 
         async def scene() -> None:
-            async with bed.scheduling() as term:
+            async with bed.scheduling():
                 await anyio.sleep(60)
-                until_ms = bed.fleet.workers['worker-0'].clock_ms() + 2500
+                first = bed.fleet.workers['worker-0']
+                late = ports.Renewal(
+                    first.token, 0, first.clock_ms() + 2500, 0.0
+                )
                 second = self._restart(1)
                 await anyio.sleep(0.5)
-                await second.renew(ports.Renewal(term.token, 0, until_ms, 0.0))
+                await second.renew(late)
                 bed.hand_in(self.job)
                 await anyio.sleep(0.5)
                 second.cut = True
@@ -369,6 +372,7 @@
         self.worker.born_ms = 5
 
     def test_entry_of_another_incarnation_closes_a_worker(self) -> None:
+        """Guards against starts by the capacity of another process."""
         self.assertTrue(self.worker.open_for_starts)
         self.worker.born_ms = 6
         self.assertFalse(self.worker.open_for_starts)
@@ -381,6 +385,7 @@
         self.assertEqual(0, self.worker.unconfirmed)
 
     def test_former_incarnation_keeps_its_runs(self) -> None:
+        """Guards against losing runs that are not given up yet."""
         roster = _roster.Roster()
         roster.add(self.worker)
         run = harness.core_run(ports.RunName(ports.TaskName('1', 0, 0, 0), 1))
