--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -204,9 +204,7 @@
             'longest_wait_s': placer.longest_wait_s,
             'suspects_at_work': context.suspects.at_work(),
             'workers_overrun': sum(w.is_overrun for w in workers),
-            'workers_closed': sum(
-                self._is_closed(context, w) for w in workers
-            ),
+            'workers_closed': sum(_is_closed(context, w) for w in workers),
         }
 
     def end(self, reason: str) -> None:
--- a/tests/walnutpoint_scheduler/test_doubted_workers.py
+++ b/tests/walnutpoint_scheduler/test_doubted_workers.py
@@ -52,6 +52,26 @@
         harness.play(scene)
         self.assertEqual([], self.bed.fleet.ledger.violations)
 
+    def test_closed_workers_are_counted(self) -> None:
+        """Guards against a wait beside closed workers that no gauge shows."""
+        counts = []
+
+        async def scene() -> None:
+            async with self.bed.scheduling() as term:
+                await harness.until(
+                    lambda: term.figures().get('workers_answering') == WORKERS
+                )
+                counts.append(term.figures()['workers_closed'])
+                health = term._context.health
+                health.begin('worker-0', self.bed.timer.now_s())
+                health.fail_start('worker-0', self.bed.timer.now_s())
+                worker = term._context.roster.get('worker-1')
+                worker.next_listed = worker.listed
+                counts.append(term.figures()['workers_closed'])
+
+        harness.play(scene)
+        self.assertEqual([0, 2], counts)
+
     def test_gang_starts_beside_tasks_that_last(self) -> None:
         """Guards against closing a worker for as long as a task lasts."""
         self._play(harness.job(3, harness.step(12, gang=True)))
