--- a/specs/incarnation.py
+++ b/specs/incarnation.py
@@ -74,7 +74,7 @@
     run: int = 0
     blocked: int = 0
     ends: tuple[tuple[int, int], ...] = ()
-    count: int = 0
+    numbered: int = 0
     starts: tuple[Start, ...] = ()
     known: int = 1
     token: int = 1
@@ -155,25 +155,25 @@
 
     def _end(self, world: World, found: _check.Steps) -> None:
         if world.run:
-            number = world.count + 1
+            number = world.numbered + 1
             found.append(
                 (
                     'run is done',
                     world._replace(
                         run=0,
                         blocked=world.run,
-                        count=number,
+                        numbered=number,
                         ends=(*world.ends, (number, world.run)),
                     ),
                 )
             )
-        if world.count < OTHERS_MAX:
-            number = world.count + 1
+        if world.numbered < OTHERS_MAX:
+            number = world.numbered + 1
             found.append(
                 (
                     'another task is done',
                     world._replace(
-                        count=number, ends=(*world.ends, (number, 0))
+                        numbered=number, ends=(*world.ends, (number, 0))
                     ),
                 )
             )
@@ -196,7 +196,7 @@
         forgotten = any(attempt for _, attempt in world.ends)
         world = world._replace(
             ends=(),
-            processed=max(world.processed, world.count),
+            processed=max(world.processed, world.numbered),
             noted=world.noted or forgotten,
         )
         at_work = world.phase in (Phase.SENT, Phase.RUNNING)
@@ -254,7 +254,7 @@
         run=0,
         blocked=0,
         ends=(),
-        count=0,
+        numbered=0,
         starts=reaching,
     )
 
@@ -294,7 +294,7 @@
     return (
         fields['phase'] is Phase.DONE
         and fields['restarts_seen'] == PROCESSES_MAX - 1
-        and fields['count'] > 0
+        and fields['numbered'] > 0
     )
 
 
