Let in callers by the key of a client account, and nobody else

A new part of the scheduler, accounts, holds who calls: accounts by name and by the digest of a key. Fields of one name are joined to a list as RFC 9110 has it: the last of two keys was believed before. A job is stored with its account, a final one as well, so that state, cancel and identifier can be checked against it. Sites whose configuration names no accounts stay open.

The tests failed before: nothing knew a key.

--- a/packages/walnutpoint-core/src/walnutpoint_core/amount.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/amount.py
@@ -34,6 +34,15 @@
             self.slots - other.slots,
         )
 
+    def scaled(self, count: int) -> Amount:
+        """Return what some of this amount are together."""
+        return Amount(
+            self.cpu_millicores * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+            self.slots * count,
+        )
+
     def least(self, other: Amount) -> Amount:
         """Return the smaller of each resource."""
         return Amount(
@@ -43,6 +52,15 @@
             min(self.slots, other.slots),
         )
 
+    def most(self, other: Amount) -> Amount:
+        """Return the larger of each resource."""
+        return Amount(
+            max(self.cpu_millicores, other.cpu_millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+            max(self.slots, other.slots),
+        )
+
     def covers(self, need: Amount) -> bool:
         """Tell whether this is enough for a need."""
         return (
--- a/packages/walnutpoint-core/src/walnutpoint_core/errors.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/errors.py
@@ -52,6 +52,7 @@
     NOT_OWNER = 'not_owner'
     NO_ENDPOINTS = 'no_endpoints'
     NO_FREE_SLOT = 'no_free_slot'
+    OTHER_ACCOUNT = 'other_account'
     PEER_ANSWER_LOST = 'peer_answer_lost'
     PEER_UNREACHABLE = 'peer_unreachable'
     QUEUE_FULL = 'queue_full'
@@ -153,6 +154,7 @@
         ErrorKind.NO_FREE_SLOT: _rule(
             _STATUS.SERVICE_UNAVAILABLE, _NOT_RUN, 1.0
         ),
+        ErrorKind.OTHER_ACCOUNT: _rule(_STATUS.FORBIDDEN, _NOT_RUN),
         ErrorKind.PEER_ANSWER_LOST: _rule(_STATUS.BAD_GATEWAY, _UNKNOWN),
         ErrorKind.PEER_UNREACHABLE: _rule(
             _STATUS.SERVICE_UNAVAILABLE, _NOT_RUN, 1.0
--- a/packages/walnutpoint-core/src/walnutpoint_core/web/_server.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/_server.py
@@ -176,7 +176,11 @@
         self._url += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        self._headers[name.decode('latin-1').lower()] = value.decode('latin-1')
+        key, text = name.decode('latin-1').lower(), value.decode('latin-1')
+        if key in self._headers:
+            # RFC 9110, 5.3: fields of one name make up a list.
+            text = f'{self._headers[key]}, {text}'
+        self._headers[key] = text
 
     def on_body(self, body: bytes) -> None:
         self._body_size_bytes += len(body)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -104,7 +104,7 @@
         by_key = {item.key: item for item in stored.records}
         for item in stored.jobs:
             record = by_key.get(_keys.record_key(_keys.job_id(item.key)))
-            if item.value == document.FINAL:
+            if document.is_final(item.value):
                 self._restore_final(_keys.job_id(item.key), record)
                 continue
             job = self._decode(item)
@@ -151,6 +151,7 @@
             'job.seen',
             job=job.job_id,
             queue=job.queue,
+            account=job.account or '-',
             steps=len(job.steps),
             tasks=sum(step.task_count for step in job.steps),
             age_ms=context.now_ms() - job.accepted_ms,
@@ -175,7 +176,7 @@
             is_news = known is not None and not known.cancel_requested
             self.cancel(job_id)
             return is_news
-        if known is not None or item.value == document.FINAL:
+        if known is not None or document.is_final(item.value):
             return False
         job = self._decode(item)
         if job is not None:
@@ -244,14 +245,16 @@
         if item is None:
             return
         context = self._context
-        progress = _state.JobProgress(
-            document.Job(job_id, _LOST_QUEUE, '', ()),
-            cell.Queue(_LOST_QUEUE, '', '', ''),
-            context.started_s,
-        )
-        progress.buried = True
         try:
             record = _record.decode_record(item.value)
+            progress = _state.JobProgress(
+                document.Job(
+                    job_id, _LOST_QUEUE, '', (), account=record.account
+                ),
+                cell.Queue(_LOST_QUEUE, '', '', ''),
+                context.started_s,
+            )
+            progress.buried = True
             _record.apply_record(progress, record, item.revision)
         except _UNREADABLE as error:
             self._faults.note(item, repr(error))
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_journal.py
@@ -219,7 +219,8 @@
                 # shrinks to its name, which still answers a late repeat.
                 puts.append(
                     ports.Put(
-                        _keys.job_key(job.document.job_id), document.FINAL
+                        _keys.job_key(job.document.job_id),
+                        document.encode_final(job.document.account),
                     )
                 )
         return ports.Batch(tuple(guards), tuple(puts))
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
@@ -118,6 +118,8 @@
     state: str | None
     # Why a job failed, where more is to be said than that it did.
     reason: str = ''
+    # The client account that the job belongs to; empty for a public one.
+    account: str = ''
 
 
 class AdviceQuestion(msgspec.Struct, frozen=True):
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -61,6 +61,8 @@
     steps: list[StepRecord]
     # Why the job failed, where its caller is to be told.
     reason: str = ''
+    # The client account that the job belongs to.
+    account: str = ''
 
 
 _ENCODER: typing.Final = msgspec.msgpack.Encoder()
@@ -89,7 +91,14 @@
     """Serialize what a job's record has to say."""
     steps = [] if job.state.final else [_step_record(s) for s in job.steps()]
     return _ENCODER.encode(
-        JobRecord(job.state.value, job.begun, now_ms, steps, job.reason)
+        JobRecord(
+            job.state.value,
+            job.begun,
+            now_ms,
+            steps,
+            job.reason,
+            job.document.account,
+        )
     )
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -169,7 +169,9 @@
             return _messages.StateAnswer(None)
         is_failed = job.saved_state == _state.JobState.FAILED.value
         return _messages.StateAnswer(
-            job.saved_state, job.reason if is_failed else ''
+            job.saved_state,
+            job.reason if is_failed else '',
+            job.document.account,
         )
 
     def rooms(self) -> tuple[_messages.PoolRoom, ...]:
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/accounts/__init__.py
@@ -0,0 +1,21 @@
+"""Client accounts: keys, shares, and what each may have at work."""
+
+from __future__ import annotations
+
+from walnutpoint_scheduler.accounts import _account
+from walnutpoint_scheduler.accounts import _register
+from walnutpoint_scheduler.accounts import _usage
+
+__all__ = (
+    'Account',
+    'Accounts',
+    'Usage',
+    'digest',
+    'faults',
+)
+
+Account = _account.Account
+Accounts = _register.Accounts
+Usage = _usage.Usage
+digest = _account.digest
+faults = _register.faults
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/cell.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/cell.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from walnutpoint_core import amount
+from walnutpoint_scheduler import accounts as client_accounts
 
 __all__ = (
     'AdviceTerms',
@@ -47,6 +48,8 @@
     allowance_s: float = 0.0
     timeout_s: float = 0.0
     advice: AdviceTerms | None = None
+    # Whether callers need no key.
+    is_public: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -68,6 +71,8 @@
     queues: tuple[Queue, ...] = ()
     pools: tuple[Pool, ...] = ()
     body_size_bytes: int = _BODY_SIZE_BYTES
+    # None where callers need no key in any queue.
+    accounts: client_accounts.Accounts | None = None
 
     def queue(self, name: str) -> Queue | None:
         """Return a queue by its name."""
@@ -76,6 +81,10 @@
                 return queue
         return None
 
+    def account(self, name: str) -> client_accounts.Account | None:
+        """Return a client account by its name."""
+        return None if self.accounts is None else self.accounts.get(name)
+
     def queue_at(self, host: str, path: str) -> Queue | None:
         """Return the queue whose prefix is the longest that a path has."""
         found: Queue | None = None
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -12,12 +12,14 @@
 from walnutpoint_scheduler import cell
 
 __all__ = (
-    'FINAL',
     'Job',
     'Step',
     'chain_s',
     'decode_job',
+    'encode_final',
     'encode_job',
+    'is_final',
+    'owner',
     'step_faults',
 )
 
@@ -55,6 +57,13 @@
         millicores = 0 if self.fills else self.cpu_millicores
         return amount.Amount(millicores, self.memory_mb, self.accelerators)
 
+    @functools.cached_property
+    def charge(self) -> amount.Amount:
+        """Return what one task counts for its client account's limit."""
+        return amount.Amount(
+            self.cpu_millicores, self.memory_mb, self.accelerators
+        )
+
     @functools.cached_property
     def expected_s(self) -> float:
         """Return how long a task is likely to run; infinite if it lasts."""
@@ -76,6 +85,8 @@
     interval_ms: int = 0
     # The queue as it was then: it may be removed while the job runs.
     accepted_by: cell.Queue | None = None
+    # The client account whose key came with it; empty in a public queue.
+    account: str = ''
 
     @property
     def lasting(self) -> bool:
@@ -115,8 +126,30 @@
     return _ENCODER.encode(job)
 
 
-# What is stored in place of a final job's document.
-FINAL: typing.Final = b'\x00'
+_FINAL_MARK: typing.Final = b'\x00'
+
+
+def encode_final(account: str) -> bytes:
+    """Return what is stored in place of a final job's document."""
+    return _FINAL_MARK + account.encode()
+
+
+def is_final(value: bytes) -> bool:
+    """Return whether a stored value stands for a final job's document."""
+    return value.startswith(_FINAL_MARK)
+
+
+def owner(value: bytes) -> str:
+    """Return the client account of a stored job, final or not.
+
+    Raise msgspec.DecodeError where the value is no job's.
+    """
+    if not is_final(value):
+        return decode_job(value).account
+    try:
+        return value[len(_FINAL_MARK) :].decode()
+    except UnicodeDecodeError as error:
+        raise msgspec.DecodeError(str(error)) from error
 
 
 def decode_job(value: bytes) -> Job:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
@@ -22,6 +22,7 @@
 from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _term
+from walnutpoint_scheduler import document
 
 __all__ = ('JobStatus',)
 
@@ -62,13 +63,25 @@
         self._faults = entry_faults.EntryFaults('job_status')
 
     async def state(
-        self, job_id: str
+        self, job_id: str, caller: str = ''
     ) -> expression.Result[_messages.StateAnswer | None, errors.Failure]:
         """Return a job's state, or None where there is no such job.
 
-        The scheduler is asked first, which costs a tenth of a store call and
-        saves 280 ms while the store is slow; it tells only what is stored.
+        A client account is told nothing of another's jobs. The scheduler is
+        asked first, which costs a tenth of a store call and saves 280 ms
+        while the store is slow; it tells only what is stored.
         """
+        found = await self._find_state(job_id)
+        if found.is_ok() and found.ok is not None:
+            if found.ok.account not in ('', caller):
+                return expression.Error(
+                    errors.Failure(errors.ErrorKind.OTHER_ACCOUNT)
+                )
+        return found
+
+    async def _find_state(
+        self, job_id: str
+    ) -> expression.Result[_messages.StateAnswer | None, errors.Failure]:
         remembered = await self._remembered_state(job_id)
         if remembered.state is not None:
             return expression.Ok(remembered)
@@ -82,8 +95,7 @@
             if stored.is_ok():
                 if stored.ok is None:
                     return expression.Ok(None)
-                queued = _state.JobState.QUEUED.value
-                return expression.Ok(_messages.StateAnswer(queued))
+                return self._queued_state(stored.ok)
         return expression.Error(
             errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
         )
@@ -107,13 +119,32 @@
         self._counts[queue] = (now_s, count)
         return expression.Ok(count)
 
+    def _queued_state(
+        self, item: ports.StoredValue
+    ) -> expression.Result[_messages.StateAnswer | None, errors.Failure]:
+        """Return the state of a job that has no record yet."""
+        try:
+            account = document.owner(item.value)
+        except msgspec.DecodeError as error:
+            self._faults.note(item, error)
+            return expression.Error(
+                errors.Failure(
+                    errors.ErrorKind.STORE_UNAVAILABLE,
+                    'the job can not be read',
+                )
+            )
+        queued = _state.JobState.QUEUED.value
+        return expression.Ok(_messages.StateAnswer(queued, '', account))
+
     def _recorded_state(
         self, item: ports.StoredValue
     ) -> expression.Result[_messages.StateAnswer | None, errors.Failure]:
         try:
             record = _record.decode_record(item.value)
             return expression.Ok(
-                _messages.StateAnswer(record.state, record.reason)
+                _messages.StateAnswer(
+                    record.state, record.reason, record.account
+                )
             )
         except msgspec.DecodeError as error:
             self._faults.note(item, error)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -153,6 +153,7 @@
             clock,
             lambda: self._term,
             self._spawn,
+            lambda name: self._cell.account(name) if self._cell else None,
         )
         self.job_status = job_status.JobStatus(
             self._store,
@@ -338,6 +339,8 @@
             before=current.version if current else 0,
             queues=len(newest.queues),
             pools=len(newest.pools),
+            accounts=len(newest.accounts) if newest.accounts else 0,
+            keys=newest.accounts.key_count if newest.accounts else 0,
         )
         if self._term is not None:
             self._term.use_cell(newest)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -24,6 +24,7 @@
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import _term
+from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler import document
 
 __all__ = (
@@ -40,6 +41,7 @@
 _DOUBT_MAX_S: typing.Final = 2.5
 # Left of the caller's time for the answer to arrive.
 _ANSWER_S: typing.Final = 0.1
+_NOTHING: typing.Final = amount.Amount()
 _TOO_LARGE: typing.Final = errors.ErrorKind.TOO_LARGE
 _RETRY_S: typing.Final = 0.05
 _PEER_TIMEOUT_S: typing.Final = 0.4
@@ -84,6 +86,7 @@
         return {
             'job': job.job_id,
             'queue': job.queue,
+            'account': job.account or '-',
             'held_s': round(now_s - self._began_s, 3),
             'left_s': round(self.left_s(now_s), 3),
             'chain_s': round(document.chain_s(job.steps), 3),
@@ -96,6 +99,7 @@
     """Stores jobs and cancels, and says what is certain of them."""
 
     __slots__ = (
+        '_account',
         '_held',
         '_leadership',
         '_peers',
@@ -114,7 +118,9 @@
         clock: timer.Timer,
         term: collections.abc.Callable[[], _term.Term | None],
         spawn: collections.abc.Callable[..., None],
+        account: collections.abc.Callable[[str], accounts.Account | None],
     ) -> None:
+        self._account = account
         self._store = store
         self._leadership = leadership
         self._peers = peers
@@ -152,6 +158,21 @@
             for step in job.steps
         )
 
+    def _exceeds_limit(self, job: document.Job) -> bool:
+        """Return whether a step can't start within its account's limit."""
+        account = self._account(job.account)
+        room = None if account is None else account.room(_NOTHING)
+        if room is None:
+            return False
+        return any(
+            not room.covers(
+                step.charge.scaled(step.task_count)
+                if step.gang
+                else step.charge
+            )
+            for step in job.steps
+        )
+
     async def submit(
         self, job: document.Job, deadline_s: float
     ) -> expression.Result[Taken, errors.Failure]:
@@ -166,6 +187,9 @@
         call = _Call(job, self._timer.now_s(), deadline_s)
         if self._is_hopeless(job):
             return self._refuse(call, errors.Failure(_TOO_LARGE))
+        if self._exceeds_limit(job):
+            detail = 'a step needs more at once than its account may have'
+            return self._refuse(call, errors.Failure(_TOO_LARGE, detail))
         key = _keys.job_key(job.job_id)
         batch = ports.Batch(
             (ports.Guard(key, 0),),
@@ -235,15 +259,22 @@
         return expression.Error(failure)
 
     async def cancel(
-        self, job_id: str, deadline_s: float
+        self, job_id: str, caller: str, deadline_s: float
     ) -> expression.Result[bool, errors.Failure]:
-        """Store a cancel; False where there is no such job."""
+        """Store a client account's cancel; False where there is no such job.
+
+        An account can't cancel another's jobs.
+        """
         failure = self._outage()
         left_s = deadline_s - _ANSWER_S - self._timer.now_s()
         with anyio.move_on_after(left_s):
             stored = await self._store.get(_keys.job_key(job_id))
             if stored.is_ok() and stored.ok is None:
                 return expression.Ok(False)
+            if stored.is_ok() and not _may_cancel(stored.ok, caller):
+                other = errors.ErrorKind.OTHER_ACCOUNT
+                _LOG.warning('job.cancel_failed', job=job_id, kind=other.value)
+                return expression.Error(errors.Failure(other))
             if stored.is_ok():
                 cancelled = await self._store_cancel(job_id)
                 if cancelled.is_ok():
@@ -281,8 +312,6 @@
             self._tell_job(job)
             return expression.Ok(Taken.NEW)
         for item in reply.conflicts:
-            if item.value == document.FINAL:
-                continue
             if not _is_same(item, job):
                 return expression.Error(
                     errors.Failure(
@@ -325,12 +354,27 @@
             )
 
 
+def _may_cancel(item: ports.StoredValue, caller: str) -> bool:
+    """Return whether a stored job is a client account's to cancel."""
+    try:
+        return document.owner(item.value) in ('', caller)
+    except msgspec.DecodeError:
+        # Of another writer: nothing runs under the identifier.
+        return True
+
+
 def _is_same(item: ports.StoredValue, job: document.Job) -> bool:
     """Return whether a stored document is the job that was handed in."""
     try:
+        if document.is_final(item.value):
+            return document.owner(item.value) == job.account
         stored = document.decode_job(item.value)
     except msgspec.DecodeError:
         # The identifier is taken by bytes of another writer, of which the
         # scheduler's log tells; this job does not run.
         return False
-    return stored.queue == job.queue and stored.steps == job.steps
+    return (
+        stored.account == job.account
+        and stored.queue == job.queue
+        and stored.steps == job.steps
+    )
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -20,6 +20,8 @@
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _relay
+from walnutpoint_scheduler import accounts
+from walnutpoint_scheduler import document
 from walnutpoint_scheduler import job_status
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import submission
@@ -35,6 +37,7 @@
             _messages.Member('me', '127.0.0.1:1', 'domain-0', 'life')
         )
         peers = _peers.Peers(web.Client())
+        self.accounts = accounts.Accounts(())
         self.relayed = _relay.RelayedStore(self.store, members, peers, clock)
         leadership = _leadership.Leadership(
             self.relayed, members, peers, clock, settings.SchedulerSettings()
@@ -46,6 +49,7 @@
             clock,
             lambda: None,
             lambda *_: None,
+            lambda name: self.accounts.get(name),
         )
         self.job_status = job_status.JobStatus(
             self.relayed, leadership, peers, clock, lambda: None
@@ -361,7 +365,7 @@
             desk = Desk()
             state = await desk.job_status.state('f' * 16)
             self.assertIsNone(state.ok)
-            cancelled = await desk.submissions.cancel('f' * 16, 2000.0)
+            cancelled = await desk.submissions.cancel('f' * 16, '', 2000.0)
             self.assertFalse(cancelled.ok)
 
         harness.play(scene)
@@ -373,7 +377,7 @@
             job_id = harness.job(1).job_id
             state = await desk.job_status.state(job_id)
             self.assertEqual('queued', state.ok.state)
-            cancelled = await desk.submissions.cancel(job_id, 2000.0)
+            cancelled = await desk.submissions.cancel(job_id, '', 2000.0)
             self.assertTrue(cancelled.ok)
             self.assertIn(_keys.cancel_key(job_id), desk.store.items)
 
@@ -390,3 +394,72 @@
             self.assertTrue(state.is_error())
 
         harness.play(scene)
+
+
+class OwnerTest(unittest.TestCase):
+    """Jobs of one client account, and what others are told of them."""
+
+    def test_another_account_can_not_see_or_cancel_a_job(self) -> None:
+        """A job that is stopped, or read, with somebody else's key."""
+
+        async def scene() -> None:
+            desk = Desk()
+            owned = harness.job(1, account='one')
+            await desk.submissions.submit(owned, 2000.0)
+            refused = errors.ErrorKind.OTHER_ACCOUNT
+            for caller in ('two', ''):
+                state = await desk.job_status.state(owned.job_id, caller)
+                self.assertIs(refused, state.error.kind)
+                cancelled = await desk.submissions.cancel(
+                    owned.job_id, caller, 2000.0
+                )
+                self.assertIs(refused, cancelled.error.kind)
+            self.assertNotIn(_keys.cancel_key(owned.job_id), desk.store.items)
+            state = await desk.job_status.state(owned.job_id, 'one')
+            self.assertEqual('queued', state.ok.state)
+
+        harness.play(scene)
+
+    def test_identifier_of_another_account_is_taken(self) -> None:
+        """A caller who is told that its job runs, and it is another's."""
+
+        async def scene() -> None:
+            for final in (False, True):
+                desk = Desk()
+                owned = harness.job(1, account='one')
+                await desk.submissions.submit(owned, 2000.0)
+                if final:
+                    desk.store.put(
+                        _keys.job_key(owned.job_id),
+                        document.encode_final('one'),
+                    )
+                same = await desk.submissions.submit(owned, 2000.0)
+                self.assertTrue(same.is_ok())
+                other = harness.job(1, account='two')
+                answer = await desk.submissions.submit(other, 2000.0)
+                mismatch = errors.ErrorKind.KEY_MISMATCH
+                self.assertIs(mismatch, answer.error.kind)
+
+        harness.play(scene)
+
+    def test_gang_above_its_accounts_limit_is_refused(self) -> None:
+        """A job that is accepted and can never start."""
+
+        async def scene() -> None:
+            desk = Desk()
+            limit = amount.Amount(8000)
+            desk.accounts = accounts.Accounts(
+                (accounts.Account('one', limit=limit),)
+            )
+            for number, step, is_taken in (
+                (1, harness.step(9, gang=True), False),
+                (2, harness.step(8, gang=True), True),
+                (3, harness.step(9), True),
+                (4, harness.step(1, cpu_millicores=8001), False),
+            ):
+                answer = await desk.submissions.submit(
+                    harness.job(number, step, account='one'), 2000.0
+                )
+                self.assertEqual(is_taken, answer.is_ok())
+
+        harness.play(scene)
