Play client accounts in the model, its loads and its soak

Loads have accounts with a part of the jobs, a rate, a limit, and a time at which they send more; worth counts what each account is owed, and the worst tenth of the accounts is told. The soak's draw 4 gives jobs accounts whose limits and keys change through the store; starts are compared with the limits that may be in force from what the workers run, and hosts' keys at the end. Two mutants are found (a limit that binds nothing, a host that keeps its first configuration). Earlier draws keep their fixed configuration, so that their seeds give the same series.

--- a/packages/walnutpoint-model/src/walnutpoint_model/bound.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/bound.py
@@ -48,9 +48,11 @@
     by_chain = sum(
         credit(_shortest_ms(wanted, drawn, job), _objective_ms(drawn, job))
         for job in drawn.jobs.values()
+        if drawn.tenancy.owed[job.job_id]
     )
     fitting = min(_fitting(wanted, drawn, pick) for pick in _RESOURCES)
-    count = len(drawn.jobs)
+    count = sum(drawn.tenancy.owed.values())
+    fitting = min(fitting, count)
     by_room = fitting + _LATE_WORTH * (count - fitting)
     return min(by_chain, by_room) / count
 
--- a/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
@@ -28,6 +28,7 @@
 )
 
 _MS: typing.Final = 1000
+_CONFIGURATION_KEY: typing.Final = 'operators/configuration'
 _AnswerT = typing.TypeVar('_AnswerT')
 _NO_ADVICE: typing.Final = cell.AdviceTerms(0.05, 0.0003, 2.0)
 
@@ -47,37 +48,82 @@
         return expression.Ok(self._cell)
 
 
+class _StoredCells:
+    """Follows the configuration in the store, as one process reaches it."""
+
+    __slots__ = ('_base', '_newest', '_store', '_versions')
+
+    def __init__(
+        self,
+        reached: core_ports.WatchedStore,
+        versions: collections.abc.Mapping[bytes, cell.Cell],
+    ) -> None:
+        self._store = reached
+        self._versions = versions
+        self._base: int | None = None
+        self._newest: cell.Cell | None = None
+
+    async def follow(
+        self, wait_s: float
+    ) -> expression.Result[cell.Cell | None, errors.Failure]:
+        """Return the newest configuration, early where it changes."""
+        if self._base is not None:
+            changes = await self._store.watch(
+                _CONFIGURATION_KEY, self._base, wait_s
+            )
+            if changes.is_ok() and changes.ok is not None:
+                self._take(changes.ok.values)
+                return expression.Ok(self._newest)
+        snapshot = await self._store.read(_CONFIGURATION_KEY)
+        if snapshot.is_error():
+            return expression.Error(snapshot.error)
+        self._take(snapshot.ok.values)
+        self._base = snapshot.ok.revision
+        return expression.Ok(self._newest)
+
+    def _take(
+        self, items: collections.abc.Iterable[core_ports.StoredValue]
+    ) -> None:
+        for item in items:
+            self._base = item.revision
+            self._newest = self._versions[item.value]
+
+
 class _ReachedStore:
     """The store as one process reaches it."""
 
-    __slots__ = ('_store', 'refused')
+    __slots__ = ('_store', 'is_silent', 'refused')
 
     def __init__(self, shared: store.MemoryStore) -> None:
         self._store = shared
         self.refused = False
+        # Whether calls run into their timeouts, and nothing is done.
+        self.is_silent = False
 
     async def get(self, key: str) -> typing.Any:
         """Read one key."""
-        return self._refusal() or await self._store.get(key)
+        return await self._refusal() or await self._store.get(key)
 
     async def read(self, prefix: str) -> typing.Any:
         """Read every key below a prefix."""
-        return self._refusal() or await self._store.read(prefix)
+        return await self._refusal() or await self._store.read(prefix)
 
     async def watch(
         self, prefix: str, after_revision: int, wait_s: float
     ) -> typing.Any:
         """Wait for changes."""
-        return self._refusal() or await self._store.watch(
+        return await self._refusal() or await self._store.watch(
             prefix, after_revision, wait_s
         )
 
     async def commit(self, batch: core_ports.Batch) -> typing.Any:
         """Apply a batch."""
-        return self._refusal() or await self._store.commit(batch)
+        return await self._refusal() or await self._store.commit(batch)
 
-    def _refusal(self) -> typing.Any:
-        if not self.refused:
+    async def _refusal(self) -> typing.Any:
+        if self.is_silent:
+            await anyio.sleep(self._store.timeout_s)
+        elif not self.refused:
             return None
         return expression.Error(
             errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE, 'refused')
@@ -132,6 +178,7 @@
     __slots__ = (
         '_config',
         '_tasks',
+        '_versions',
         'advice',
         'configured',
         'fleet',
@@ -149,8 +196,13 @@
         seed: int = 1,
         terms: cell.AdviceTerms = _NO_ADVICE,
         granted_share: float = 0.7,
+        *,
+        configured_by_store: bool = False,
     ) -> None:
+        """Start with a configuration, which changes only in the store."""
         self.configured = configured
+        # By what stands in the store for each; none where it is fixed.
+        self._versions: dict[bytes, cell.Cell] = {}
         self.store = store.MemoryStore(seed)
         self.network = network.Network()
         self.fleet = fleets.Fleet()
@@ -159,6 +211,20 @@
         self.processes: dict[str, ModelProcess] = {}
         self._tasks = tasks
         self._config = config or settings.SchedulerSettings()
+        if configured_by_store:
+            self.configure(configured)
+
+    def configure(self, configured: cell.Cell) -> None:
+        """Write another version of the configuration, as operators do."""
+        self.configured = configured
+        entry = str(configured.version).encode()
+        self._versions[entry] = configured
+        self.store.put(_CONFIGURATION_KEY, entry)
+
+    def _cells(self, reached: core_ports.WatchedStore) -> typing.Any:
+        if self._versions:
+            return _StoredCells(reached, self._versions)
+        return _FixedCells(self.configured)
 
     def now_ms(self) -> int:
         """Return the time of day."""
@@ -171,7 +237,7 @@
         model.process = process.Process(
             process.Identity(name, address, 'domain-0', ()),
             model.store,
-            lambda _store: _FixedCells(self.configured),
+            self._cells,
             lambda _store: self.fleet,
             self.fleet,
             self.advice,
--- a/packages/walnutpoint-model/src/walnutpoint_model/crash_history.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/crash_history.py
@@ -208,7 +208,7 @@
             await anyio.sleep(_LOOK_S)
             host = next(iter(self._model.processes.values()))
             for job_id in self._began_s.keys() - self._ended.keys():
-                answer = await host.process.job_status.state(job_id)
+                answer = await host.process.job_status.state(job_id, '')
                 if answer.is_error() or answer.ok is None:
                     continue
                 if answer.ok.state in _FINAL:
--- a/packages/walnutpoint-model/src/walnutpoint_model/experiment.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/experiment.py
@@ -6,6 +6,7 @@
 import functools
 import math
 import pathlib
+import statistics
 import typing
 
 import anyio
@@ -14,12 +15,15 @@
 import yaml
 
 from walnutpoint_core import logs
+from walnutpoint_model import account_audit
 from walnutpoint_model import bound
 from walnutpoint_model import cell_model
 from walnutpoint_model import load
 from walnutpoint_model import store
+from walnutpoint_model import tenancy
 from walnutpoint_model import virtual_time
 from walnutpoint_model import workers
+from walnutpoint_scheduler import accounts as client_accounts
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import ports
@@ -38,6 +42,7 @@
 # Between two tries of a caller: some four within its patience.
 _CALLER_PAUSE_S: typing.Final = 0.7
 _POLL_S: typing.Final = 0.02
+_WORST_SHARE: typing.Final = 0.1
 
 
 class Experiment(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -63,6 +68,15 @@
     # The most that any scheduler could have given (bound.upper_bound).
     bound: float
     violations: list[str]
+    # The worth of what each account is owed.
+    by_account: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    @property
+    def worst_accounts(self) -> float:
+        """Return the mean worth of the worst-served tenth of the accounts."""
+        worths = sorted(self.by_account.values())
+        count = math.ceil(len(worths) * _WORST_SHARE)
+        return statistics.mean(worths[:count]) if worths else 1.0
 
 
 def read(path: str) -> Experiment:
@@ -84,6 +98,9 @@
         1,
         tuple(kind.queue() for kind in wanted.classes),
         (cell.Pool('pool'),),
+        accounts=client_accounts.Accounts(
+            each.account() for each in wanted.accounts
+        ),
     )
     async with cell_model.running(
         configured,
@@ -93,10 +110,17 @@
         granted_share=wanted.granted_share,
     ) as model:
         _add_workers(model, wanted, drawn)
+        audit = account_audit.AccountAudit(
+            model.fleet.ledger,
+            drawn.jobs,
+            lambda: [configured.accounts] if configured.accounts else [],
+        )
         while model.scheduler() is None:
             await anyio.sleep(_POLL_S)
         ended = await _drive(model, wanted, drawn)
-        return _outcome(policy, seed, wanted, model, drawn, ended)
+        outcome = _outcome(policy, seed, wanted, model, drawn, ended)
+        outcome.violations += audit.violations
+        return outcome
 
 
 def _add_workers(
@@ -144,6 +168,18 @@
             handed[job.job_id] = model.now_ms()
             tasks.start_soon(hand_in, job, len(handed))
 
+    async def burst(kind: load.JobClass, hot: tenancy.AccountLoad) -> None:
+        """Hand in what an account sends beyond its usual."""
+        usual = drawn.tenancy.part(hot.name) * kind.arrivals_per_s
+        per_s = usual * (hot.hot_factor - 1.0)
+        await anyio.sleep(hot.hot_at_s or 0.0)
+        end_ms = model.now_ms() + hot.hot_s * _MS
+        while per_s and model.now_ms() < end_ms:
+            await anyio.sleep(drawn.pause_s(kind, per_s))
+            job = drawn.draw(kind, model.now_ms(), hot.name)
+            handed[job.job_id] = model.now_ms()
+            tasks.start_soon(hand_in, job, len(handed))
+
     async def hand_in(job: document.Job, number: int) -> None:
         """Try at one process after the other, as long as a caller does."""
         end_ms = job.accepted_ms + wanted.patience_s * _MS
@@ -172,7 +208,9 @@
             for job_id, at_ms in list(handed.items()):
                 if job_id in ended:
                     continue
-                answer = await process.job_status.state(job_id)
+                answer = await process.job_status.state(
+                    job_id, drawn.jobs[job_id].account
+                )
                 if answer.is_error() or answer.ok is None:
                     continue
                 state = answer.ok.state
@@ -184,6 +222,8 @@
         async with anyio.create_task_group() as arrivals:
             for kind in wanted.classes:
                 arrivals.start_soon(arrive, kind)
+                for hot in drawn.tenancy.hot():
+                    arrivals.start_soon(burst, kind, hot)
             if wanted.kill_at_s is not None:
                 arrivals.start_soon(_kill, model, wanted.kill_at_s)
             if wanted.outage_at_s is not None:
@@ -234,7 +274,12 @@
     jobs = dict.fromkeys(names, 0)
     good = dict.fromkeys(names, 0)
     earned = 0.0
+    owed = drawn.tenancy.owed
+    credits: dict[str, list[float]] = {}
     for job_id, kind in drawn.accepted.items():
+        own = credits.setdefault(drawn.jobs[job_id].account, [])
+        if owed[job_id]:
+            own.append(0.0)
         jobs[kind.name] += 1
         took_ms, state = ended.get(job_id, (math.inf, 'open'))
         if state != 'done':
@@ -244,15 +289,22 @@
             drawn.chains_s[job_id] * kind.stretch + kind.allowance_s
         )
         good[kind.name] += took_ms <= objective_ms
-        earned += bound.credit(took_ms, objective_ms)
+        if owed[job_id]:
+            own[-1] = bound.credit(took_ms, objective_ms)
+            earned += own[-1]
     return Outcome(
         policy,
         seed,
-        earned / max(1, len(drawn.accepted)),
+        earned / max(1, sum(owed.values())),
         jobs,
         {name: good[name] / max(1, jobs[name]) for name in names},
         times,
         sum(model.fleet.ledger.starts.values()),
         bound.upper_bound(wanted, drawn),
         list(model.fleet.ledger.violations),
+        {
+            name: statistics.mean(own)
+            for name, own in credits.items()
+            if name and own
+        },
     )
--- a/packages/walnutpoint-model/src/walnutpoint_model/load.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/load.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from walnutpoint_model import tenancy
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import ports
@@ -93,6 +94,8 @@
     failing_workers_share: _Share = 0.0
     # When the process that schedules is killed, if it is.
     kill_at_s: float | None = None
+    # Who hands the jobs in; without any, no job has an account.
+    accounts: tuple[tenancy.AccountLoad, ...] = ()
 
 
 class Load:
@@ -107,6 +110,7 @@
         'began_ms',
         'chains_s',
         'jobs',
+        'tenancy',
     )
 
     def __init__(self, settings: LoadSettings, seed: int) -> None:
@@ -121,13 +125,16 @@
         self.began_ms = 0.0
         # As handed in, with the time of the first try.
         self.jobs: dict[str, document.Job] = {}
+        self.tenancy = tenancy.Tenancy(settings.accounts, seed)
 
-    def pause_s(self, kind: JobClass) -> float:
+    def pause_s(self, kind: JobClass, per_s: float | None = None) -> float:
         """Return the time until the next job of a class."""
-        return self._random.expovariate(kind.arrivals_per_s)
+        return self._random.expovariate(per_s or kind.arrivals_per_s)
 
-    def draw(self, kind: JobClass, now_ms: int) -> document.Job:
-        """Return the next job of a class."""
+    def draw(
+        self, kind: JobClass, now_ms: int, account: str | None = None
+    ) -> document.Job:
+        """Return the next job of a class, of some account unless told."""
         self._number += 1
         job_id = f'{self._number:016x}'
         count = 1 + self._poisson(kind.steps_mean - 1.0)
@@ -162,7 +169,9 @@
             tuple(steps),
             now_ms,
             accepted_by=kind.queue(),
+            account=self.tenancy.draw() if account is None else account,
         )
+        self.tenancy.note(job_id, job.account, now_ms)
         self.jobs[job_id] = job
         return job
 
--- a/packages/walnutpoint-model/src/walnutpoint_model/report.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/report.py
@@ -49,6 +49,9 @@
                 f'{name}: {share:.1%} in objective, median {median:.0f} ms, '
                 f'p99 {tail:.0f} ms'
             )
+        if own[0].by_account:
+            worst = statistics.mean(o.worst_accounts for o in own)
+            parts.append(f'worst tenth of accounts {worst:.3f}')
         violations = sum(len(o.violations) for o in own)
         parts.append(f'{violations} violations')
         rows.append((-statistics.mean(worths), '; '.join(parts)))
--- a/packages/walnutpoint-model/src/walnutpoint_model/soak.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak.py
@@ -9,7 +9,8 @@
 capacity. From the third on they may start again under their names, at once or
 later, often in a row, by a clock that jumps; orders are carried out late or
 not answered; a job that lasts is to be whole at the end, and each worker to
-take a task.
+take a task. From the fourth on jobs belong to client accounts, whose limits
+and keys change; what each has at work is counted on the workers.
 
 A seed and a draw make a series. A kind of fault that is added makes a new
 draw, so that series that failed once can be played again.
@@ -29,6 +30,7 @@
 from walnutpoint_core import amount
 from walnutpoint_core import errors
 from walnutpoint_core import logs
+from walnutpoint_model import account_changes
 from walnutpoint_model import cell_model
 from walnutpoint_model import host_faults
 from walnutpoint_model import seeds
@@ -45,7 +47,7 @@
     'play',
 )
 
-NEWEST_DRAW: typing.Final = 3
+NEWEST_DRAW: typing.Final = 4
 _WORKERS: typing.Final = 6
 # A third that is lost leaves room for all jobs on the others.
 _FAILING_WORKERS: typing.Final = 9
@@ -121,6 +123,11 @@
             self._starts_s.append(model.timer.now_s())
         )
         self._lasts = draw > 2
+        self._accounts = None
+        if draw > 3:
+            self._accounts = account_changes.AccountChanges(
+                model, random.Random(f'{seed} accounts')
+            )
         self._worker_faults: worker_faults.WorkerFaults | None = None
         self._worker_actions: tuple[host_faults.Action, ...] = ()
         if draw > 1:
@@ -139,6 +146,8 @@
             tasks.start_soon(self._hand_in_all, tasks)
             if self._lasts:
                 tasks.start_soon(self._hand_in_lasting)
+            if self._accounts is not None:
+                tasks.start_soon(self._accounts.run, duration_s)
             settle_s = _SETTLE_S
             if self._worker_faults is not None:
                 tasks.start_soon(self._worker_faults.run)
@@ -224,6 +233,8 @@
             self._model.now_ms(),
             accepted_by=_QUEUE,
         )
+        if self._accounts is not None and not steps:
+            job = self._accounts.assign(job)
         host = self._model.processes[names[int(job_id, 16) % len(names)]]
         deadline_s = self._model.timer.now_s() + _PATIENCE_S
         taken = await host.answer(
@@ -247,6 +258,8 @@
         gaps_s = [after - before for before, after in pairs]
         result.longest_gap_s = max(gaps_s, default=0.0)
         result.faults += ledger.violations
+        if self._accounts is not None:
+            result.faults += self._accounts.faults()
         if self._worker_faults is not None:
             result.faults += self._worker_faults.faults()
         if self._lasts:
@@ -266,7 +279,8 @@
             return
         status = self._model.processes[name].process.job_status
         for job_id in sorted(self._accepted):
-            answer = await status.state(job_id)
+            account = self._accounts.owner(job_id) if self._accounts else ''
+            answer = await status.state(job_id, account)
             said = None
             if answer.is_error():
                 said = answer.error.kind.value
@@ -294,7 +308,10 @@
     results: list[Result] = []
 
     async def scene() -> None:
-        async with cell_model.running(_CELL, hosts, seed=seed) as model:
+        configured = account_changes.first(_CELL) if draw > 3 else _CELL
+        async with cell_model.running(
+            configured, hosts, seed=seed, configured_by_store=draw > 3
+        ) as model:
             count = _FAILING_WORKERS if draw > 1 else _WORKERS
             for number in range(count):
                 model.fleet.add(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
@@ -63,7 +63,7 @@
         self._faults = entry_faults.EntryFaults('job_status')
 
     async def state(
-        self, job_id: str, caller: str = ''
+        self, job_id: str, caller: str
     ) -> expression.Result[_messages.StateAnswer | None, errors.Failure]:
         """Return a job's state, or None where there is no such job.
 
--- a/tests/walnutpoint_model/test_soak.py
+++ b/tests/walnutpoint_model/test_soak.py
@@ -9,7 +9,9 @@
 import expression
 
 from walnutpoint_core import logs
+from walnutpoint_model import cell_model
 from walnutpoint_model import soak
+from walnutpoint_scheduler import _limits
 from walnutpoint_scheduler import submission
 
 # Together they have every kind of fault.
@@ -30,6 +32,16 @@
     'step_clock',
 }
 
+_ACCOUNT_SEEDS = (1, 5, 8)
+
+
+def _take_first(cells: typing.Any, items: typing.Any) -> None:
+    """Take the first configuration only."""
+    for item in items:
+        cells._base = item.revision  # noqa: SLF001
+        if cells._newest is None:  # noqa: SLF001
+            cells._newest = cells._versions[item.value]  # noqa: SLF001
+
 
 class SoakTest(unittest.TestCase):
     """What callers were told is true, whatever befell the hosts."""
@@ -69,6 +81,33 @@
                 kinds |= {action.split()[0] for action in result.actions}
         self.assertLessEqual(_WORKER_KINDS | _RESTART_KINDS, kinds)
 
+    def test_promises_are_kept_where_accounts_change(self) -> None:
+        """Limits hold and keys end while limits, keys and hosts change."""
+        for seed in _ACCOUNT_SEEDS:
+            with self.subTest(seed=seed):
+                result = soak.play(seed, draw=4)
+                self.assertEqual([], result.faults)
+                self.assertGreater(result.accepted, 50)
+
+    def test_broken_limit_is_found(self) -> None:
+        """An account that starts whatever it has."""
+        with mock.patch.object(
+            _limits.Limits, 'tasks', autospec=True, return_value=None
+        ):
+            result = soak.play(_ACCOUNT_SEEDS[0], draw=4)
+        self.assertIn('at work before', result.faults[0])
+
+    def test_old_configuration_is_found(self) -> None:
+        """A host that keeps the keys that it had first."""
+        with mock.patch.object(
+            cell_model._StoredCells,  # noqa: SLF001
+            '_take',
+            autospec=True,
+            side_effect=_take_first,
+        ):
+            result = soak.play(_ACCOUNT_SEEDS[0], draw=4)
+        self.assertIn('has version', ' '.join(result.faults))
+
     def test_same_seed_is_the_same_series(self) -> None:
         one, other = (soak.play(3, duration_s=4.0, draw=1) for _ in range(2))
         self.assertEqual(one, other)
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -363,7 +363,7 @@
     def test_unknown_job_has_no_state(self) -> None:
         async def scene() -> None:
             desk = Desk()
-            state = await desk.job_status.state('f' * 16)
+            state = await desk.job_status.state('f' * 16, '')
             self.assertIsNone(state.ok)
             cancelled = await desk.submissions.cancel('f' * 16, '', 2000.0)
             self.assertFalse(cancelled.ok)
@@ -375,7 +375,7 @@
             desk = Desk()
             await desk.submit(1)
             job_id = harness.job(1).job_id
-            state = await desk.job_status.state(job_id)
+            state = await desk.job_status.state(job_id, '')
             self.assertEqual('queued', state.ok.state)
             cancelled = await desk.submissions.cancel(job_id, '', 2000.0)
             self.assertTrue(cancelled.ok)
@@ -390,7 +390,7 @@
             desk = Desk()
             await desk.submit(1)
             desk.store.fault = store.StoreFault.REFUSES
-            state = await desk.job_status.state(harness.job(1).job_id)
+            state = await desk.job_status.state(harness.job(1).job_id, '')
             self.assertTrue(state.is_error())
 
         harness.play(scene)
