Model what counts for an account's limit, and the end of a key

The mutant that takes an unreadable version for none was not refuted at first: its host let nobody in; taken for one without accounts, as it would be, it is.

--- a/specs/_cases.py
+++ b/specs/_cases.py
@@ -13,6 +13,8 @@
 
 from specs import _check
 from specs import acceptance
+from specs import account_key
+from specs import account_limit
 from specs import cancel
 from specs import confirmation
 from specs import crashes
@@ -68,6 +70,18 @@
         incarnation.Guard,
         incarnation.GOALS,
     ),
+    Model(
+        'account limit',
+        account_limit.build,
+        account_limit.Guard,
+        account_limit.GOALS,
+    ),
+    Model(
+        'account key',
+        account_key.build,
+        account_key.Guard,
+        account_key.GOALS,
+    ),
 )
 
 
--- /dev/null
+++ b/specs/account_key.py
@@ -0,0 +1,145 @@
+"""Model the end of a key over hosts that read old configurations.
+
+The first version of a configuration has a key, the second has not, and a third
+can't be read. A host reads the store by itself, or gets a reading through
+another host that may have been taken before. It may be killed and started
+again; then it knows nothing. A caller may use the key at any host.
+
+| guard | code module |
+|---|---|
+| NEWER_ONLY | walnutpoint_scheduler.process (_use_cell) |
+| FIRST_READ | walnutpoint_platform._ingress (_answer) |
+| WRONG_PASSED_OVER | walnutpoint_platform._listings (_take) |
+"""
+
+from __future__ import annotations
+
+import enum
+import typing
+
+import minicheck
+
+from specs import _check
+
+HOSTS = 2
+NONE, WITH_KEY, WITHOUT_KEY, UNREADABLE = range(4)
+
+
+class Guard(enum.Enum):
+    """Name each guard that a mutant drops."""
+
+    NEWER_ONLY = 'a host never goes back to an older version'
+    FIRST_READ = 'a host lets nobody in before it has a configuration'
+    WRONG_PASSED_OVER = 'a version that can not be read changes nothing'
+
+
+class Host(typing.NamedTuple):
+    """Hold a host's version, a reading on its way, and what it answered."""
+
+    version: int = NONE
+    reading: int = NONE
+    # Whether it has refused the key in this life, for it was taken away.
+    refused: bool = False
+    # Whether it let the key in afterwards, or before any configuration.
+    wronged: bool = False
+
+
+class World(typing.NamedTuple):
+    """Hold the store's version and the hosts."""
+
+    stored: int = WITH_KEY
+    hosts: tuple[Host, ...] = (Host(),) * HOSTS
+
+
+class AccountKey(_check.Guarded):
+    """Generate the steps of two hosts, without the dropped guard."""
+
+    def steps(self, state: _check.State) -> _check.Steps:
+        """Return every step possible in a state."""
+        world = World(state[0], tuple(Host(*host) for host in state[1]))
+        found: _check.Steps = []
+        if world.stored < UNREADABLE:
+            newer = world._replace(stored=world.stored + 1)
+            found.append(('operators write', newer))
+        for number, host in enumerate(world.hosts):
+            self._read(world, number, host, found)
+            self._call(world, number, host, found)
+            if host != Host():
+                killed = _with(world, number, Host(wronged=host.wronged))
+                found.append((f'host {number} starts again', killed))
+        return found
+
+    def _read(
+        self, world: World, number: int, host: Host, found: _check.Steps
+    ) -> None:
+        """Take a reading, which may lie for any time, and apply it."""
+        if host.reading == NONE:
+            taken = host._replace(reading=world.stored)
+            found.append((f'host {number} reads', _with(world, number, taken)))
+            return
+        version = host.version
+        wrong = host.reading == UNREADABLE
+        if wrong and self._drops(Guard.WRONG_PASSED_OVER):
+            # Taken for a version that names no accounts.
+            version = UNREADABLE
+        elif not wrong:
+            newest = max(host.version, host.reading)
+            back = self._drops(Guard.NEWER_ONLY)
+            version = host.reading if back else newest
+        applied = host._replace(version=version, reading=NONE)
+        found.append((f'host {number} applies', _with(world, number, applied)))
+        # A second reading overtakes the first, which is applied later.
+        newer = host._replace(version=max(host.version, _sound(world.stored)))
+        found.append((f'host {number} hears', _with(world, number, newer)))
+
+    def _call(
+        self, world: World, number: int, host: Host, found: _check.Steps
+    ) -> None:
+        if host.version == NONE and not self._drops(Guard.FIRST_READ):
+            return
+        lets_in = host.version != WITHOUT_KEY
+        after = host._replace(refused=host.refused or not lets_in)
+        if lets_in and (host.refused or host.version == NONE):
+            after = after._replace(wronged=True)
+        found.append((f'call at host {number}', _with(world, number, after)))
+
+
+def _sound(version: int) -> int:
+    """Return the newest version that can be read."""
+    return min(version, WITHOUT_KEY)
+
+
+def _with(world: World, number: int, host: Host) -> World:
+    hosts = list(world.hosts)
+    hosts[number] = host
+    return world._replace(hosts=tuple(hosts))
+
+
+def end_is_final(fields: dict[str, typing.Any]) -> bool:
+    """Hold while no host lets a key in after it refused it in one life."""
+    return not any(host[3] for host in fields['hosts'])
+
+
+def refused_everywhere(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether every host has refused the key."""
+    return all(host[2] for host in fields['hosts'])
+
+
+def old_reading_after_newer(fields: dict[str, typing.Any]) -> bool:
+    """Tell whether a host that refuses has an old reading on its way."""
+    return any(host[2] and host[1] == WITH_KEY for host in fields['hosts'])
+
+
+GOALS = (refused_everywhere, old_reading_after_newer)
+
+
+def build(dropped: Guard | None = None) -> minicheck.Protocol:
+    """Return the model, or the mutant without one guard."""
+    return minicheck.Protocol(
+        name='account key',
+        candidate=True,
+        fields=World._fields,
+        initial=World(),
+        transitions=AccountKey(dropped).steps,
+        invariants={'end_is_final': end_is_final},
+    )
