Put what an account sends beyond its rate after what others are owed

An account that sends many times its usual took the room of all others: the order knew priority and deadline only. Now a token bucket with the account's weight a second tells which jobs are owed, from their times of acceptance, so that a successor comes to the same result.

Sites without accounts: nothing changes.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -38,6 +38,7 @@
         'advice',
         'cell',
         'copies_wanted',
+        'entitlement',
         'health',
         'jobs',
         'journal',
@@ -81,6 +82,7 @@
         self.copies_wanted: dict[ports.TaskName, _state.TaskProgress] = {}
         self.pace = worker_pace.WorkerPace()
         self.roster = _roster.Roster()
+        self.entitlement = accounts.Entitlement()
         self.suspects = _suspects.Suspects(self.roster, clock)
         self.cell = cell.Cell(0)
         self.journal: _journal.Journal = typing.cast(typing.Any, None)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -102,14 +102,21 @@
     def restore(self, stored: StoredJobs) -> None:
         """Take what an earlier term left."""
         by_key = {item.key: item for item in stored.records}
+        jobs = []
         for item in stored.jobs:
-            record = by_key.get(_keys.record_key(_keys.job_id(item.key)))
             if document.is_final(item.value):
-                self._restore_final(_keys.job_id(item.key), record)
+                job_id = _keys.job_id(item.key)
+                record = by_key.get(_keys.record_key(job_id))
+                self._restore_final(job_id, record)
                 continue
             job = self._decode(item)
             if job is not None:
-                self._restore_soundly(job, record)
+                jobs.append(job)
+        # What an account is owed follows from the order of its jobs.
+        jobs.sort(key=lambda job: job.accepted_ms)
+        for job in jobs:
+            record = by_key.get(_keys.record_key(job.job_id))
+            self._restore_soundly(job, record)
         for item in stored.cancels:
             self.cancel(_keys.job_id(item.key))
 
@@ -152,6 +159,7 @@
             job=job.job_id,
             queue=job.queue,
             account=job.account or '-',
+            owed=progress.is_owed,
             steps=len(job.steps),
             tasks=sum(step.task_count for step in job.steps),
             age_ms=context.now_ms() - job.accepted_ms,
@@ -201,7 +209,13 @@
             queue = job.accepted_by or cell.Queue(
                 job.queue, '', '', _LOST_QUEUE
             )
-        return _state.JobProgress(job, queue, context.timer.now_s())
+        progress = _state.JobProgress(job, queue, context.timer.now_s())
+        account = context.account_of(progress)
+        if account is not None:
+            progress.is_owed = context.entitlement.take(
+                account, job.accepted_ms
+            )
+        return progress
 
     def _restore_soundly(
         self, job: document.Job, record: core_ports.StoredValue | None
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_order.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_order.py
@@ -23,7 +23,7 @@
 class Waiting(typing.NamedTuple):
     """A step with tasks that may start, and its place among the others."""
 
-    rank: tuple[int, int, float, str]
+    rank: tuple[int, bool, int, float, str]
     queue: cell.Queue
     step: _state.StepProgress
 
@@ -33,8 +33,14 @@
     step: _state.StepProgress,
     now_ms: float,
     has_tiers: bool = True,
-) -> tuple[int, int, float, str]:
-    """Return a step's place by what its caller loses by waiting."""
+    has_shares: bool = True,
+) -> tuple[int, bool, int, float, str]:
+    """Return a step's place by what its caller loses by waiting.
+
+    What an account sends beyond its rate comes after what others of the same
+    priority are owed. Behind less urgent work as well, it would find the room
+    that this holds, and leave it idle.
+    """
     job = step.job
     document = job.document
     begin_ms = float(document.accepted_ms)
@@ -50,7 +56,8 @@
         tier = 1
     else:
         tier = 2
-    return queue.priority, tier, deadline_ms, step.key
+    is_beyond = has_shares and not job.is_owed
+    return queue.priority, is_beyond, tier, deadline_ms, step.key
 
 
 def promote(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -99,6 +99,9 @@
             return
         if queue.priority >= self._lowest:
             return
+        if not step.job.is_owed:
+            # Others have no room to lose to what is beyond an account's rate.
+            return
         # Looked up once a pass: many steps may ask.
         key = queue.pool, queue.priority
         if key not in self._sites:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ready.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ready.py
@@ -31,7 +31,7 @@
         """Return every step with tasks that may start, the first first."""
         context = self._context
         now_ms = context.now_ms()
-        has_tiers = context.settings.policies.late_tiers
+        policies = context.settings.policies
         rows = []
         for job in context.open_jobs.values():
             queue = context.queue_of(job)
@@ -40,7 +40,13 @@
             job.unsettled = False
             for step in self._of_job(job, now_ms):
                 job.unsettled = True
-                place = _order.rank(queue, step, now_ms, has_tiers)
+                place = _order.rank(
+                    queue,
+                    step,
+                    now_ms,
+                    policies.late_tiers,
+                    policies.owed_first,
+                )
                 rows.append(_order.Waiting(place, queue, step))
         rows.sort(key=lambda row: row.rank)
         return rows
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -211,6 +211,7 @@
         'cancel_requested',
         'changes',
         'document',
+        'is_owed',
         'notes',
         'occurrences',
         'queue',
@@ -230,6 +231,8 @@
         self.queue = queue
         # As it was last configured.
         self.account: accounts.Account | None = None
+        # Whether it came within its account's rate.
+        self.is_owed = True
         self.seen_s = seen_s
         self.chain_ms = document.chain_s(job.steps) * _MS
         # Whether a step may have become ready since the last pass.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/accounts/__init__.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/accounts/__init__.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 from walnutpoint_scheduler.accounts import _account
+from walnutpoint_scheduler.accounts import _entitlement
 from walnutpoint_scheduler.accounts import _register
 from walnutpoint_scheduler.accounts import _usage
 
 __all__ = (
     'Account',
     'Accounts',
+    'Entitlement',
     'Usage',
     'digest',
     'faults',
@@ -16,6 +18,7 @@
 
 Account = _account.Account
 Accounts = _register.Accounts
+Entitlement = _entitlement.Entitlement
 Usage = _usage.Usage
 digest = _account.digest
 faults = _register.faults
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
@@ -40,6 +40,9 @@
     slow_workers: bool = True
     # Steps that will be late come after those on time.
     late_tiers: bool = True
+    # What an account sends beyond its rate comes after what others of the
+    # same priority are owed.
+    owed_first: bool = True
     # Batch goes to the fullest workers, by the resource that binds.
     packing: bool = True
     # Questions for advice go through all processes.
