Let the first members of a gang wait for the last

Members of a gang end together.

Now a member counts as standing still where another is ahead of it, or where no member gets on. A hanging member is behind the others and is found as before. Ruled out: a longer limit for gangs, which would find a hanging one late.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
@@ -8,6 +8,7 @@
 
 __all__ = (
     'WORKERS_BLAMED',
+    'gang_changed_s',
     'limit_s',
 )
 
@@ -52,3 +53,20 @@
         limit = longest_s * _GATHERING_FACTOR
     patience = max(0, task.stalls - WORKERS_BLAMED + 1)
     return limit * _PATIENCE_FACTOR ** min(patience, _PATIENCE_STEPS_MAX)
+
+
+def gang_changed_s(run: _run.Run) -> float:
+    """Return when a run, or the gang that it waits for, last got on.
+
+    Members end together: the first to have done its part stands still until
+    the last has. One that is behind another waits for nobody.
+    """
+    if run.task is None or not run.task.step.step.gang:
+        return run.percent_changed_s
+    members = [other for task in run.task.step.tasks for other in task.runs]
+    if any(other.percent > run.percent for other in members):
+        return run.percent_changed_s
+    return max(
+        (other.percent_changed_s for other in members),
+        default=run.percent_changed_s,
+    )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -180,7 +180,10 @@
             return False
         if not self._context.settings.policies.stall_stops:
             return False
-        return still_s > _stall.limit_s(run, self._context.settings.stall_s)
+        limit_s = _stall.limit_s(run, self._context.settings.stall_s)
+        if still_s <= limit_s:
+            return False
+        return worker.answered_s - _stall.gang_changed_s(run) > limit_s
 
     def _stop_stalled(self, run: _run.Run, task: _state.TaskProgress) -> None:
         """Run a task elsewhere that makes no progress.
@@ -190,6 +193,14 @@
         """
         self.stalled += 1
         task.stalls += 1
+        _LOG.info(
+            'run.stalled',
+            run=_ends.run_text(run.name),
+            worker=run.worker_id,
+            percent=run.percent,
+            stalls=task.stalls,
+            gang=task.step.step.gang,
+        )
         self._desk.stop(run, _ends.STALLED)
         if task.step.step.gang:
             for member in task.step.tasks:
--- a/tests/walnutpoint_scheduler/test_stall.py
+++ b/tests/walnutpoint_scheduler/test_stall.py
@@ -46,6 +46,42 @@
             self.assertEqual(4 * LONGEST_S, _stall.limit_s(run, LONGEST_S))
 
 
+class GangTest(unittest.TestCase):
+    """Pattern: a gang on workers of unlike speed, which ends as one."""
+
+    def _gang(self, *rows: tuple[float, float]) -> list[_run.Run]:
+        """Return the runs of a gang by their percent and its last change."""
+        document = harness.job(1, harness.step(len(rows), gang=True))
+        job = _state.JobProgress(document, harness.QUEUE, 0.0)
+        runs = []
+        for task, (percent, changed_s) in zip(
+            job.occurrence(0)[0].tasks, rows, strict=True
+        ):
+            name = ports.RunName(task.name, 1)
+            run = _run.Run(name, 'worker', amount.Amount(), 0.0, task)
+            run.percent, run.percent_changed_s = percent, changed_s
+            task.run = run
+            runs.append(run)
+        return runs
+
+    def test_first_to_be_done_waits_for_the_last(self) -> None:
+        """A sound gang that is stopped as its fastest member stands still."""
+        first, last = self._gang((99.0, 5.0), (80.0, 7.0))
+        self.assertEqual(7.0, _stall.gang_changed_s(first))
+        self.assertEqual(7.0, _stall.gang_changed_s(last))
+
+    def test_member_behind_the_others_waits_for_nobody(self) -> None:
+        """A hanging member that hides behind those that get on."""
+        hanging, sound = self._gang((3.0, 1.0), (60.0, 6.0))
+        self.assertEqual(1.0, _stall.gang_changed_s(hanging))
+        self.assertEqual(6.0, _stall.gang_changed_s(sound))
+
+    def test_other_runs_stand_for_themselves(self) -> None:
+        run = run_of(estimate_ms=640)
+        run.percent_changed_s = 2.0
+        self.assertEqual(2.0, _stall.gang_changed_s(run))
+
+
 class HangingWorkerTest(unittest.TestCase):
     """Pattern: tasks of 0.6 s, one worker of eight takes some and hangs."""
 
