--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_load_report.py
@@ -0,0 +1,98 @@
+"""How full each pool is, and what waits there, told from time to time."""
+
+from __future__ import annotations
+
+import collections
+import typing
+
+from walnutpoint_core import amount
+from walnutpoint_core import logs
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _state
+
+__all__ = ('LoadReport',)
+
+_LOG: typing.Final = logs.get_logger('load')
+_PERIOD_S: typing.Final = 2.0
+
+
+class _Pool:
+    """What one pool has, and what of it is taken."""
+
+    __slots__ = ('capacity', 'closed', 'runs', 'taken', 'workers')
+
+    def __init__(self) -> None:
+        self.capacity = amount.Amount()
+        self.taken = amount.Amount()
+        self.workers = 0
+        self.closed = 0
+        self.runs = 0
+
+
+class LoadReport:
+    """Logs a line for each pool, so that a wait can be told from idleness."""
+
+    __slots__ = ('_context',)
+
+    def __init__(self, context: _context.Context) -> None:
+        self._context = context
+
+    async def run(self) -> None:
+        """Report until cancelled."""
+        async for _ in self._context.timer.subscribe(lambda: _PERIOD_S):
+            self._report()
+
+    def _report(self) -> None:
+        waiting = self._waiting()
+        for name, pool in self._pools().items():
+            whole = pool.capacity
+            causes = waiting.get(name, collections.Counter())
+            _LOG.info(
+                'pool.load',
+                pool=name,
+                workers=pool.workers,
+                closed=pool.closed,
+                runs=pool.runs,
+                cpu=_share(pool.taken.cpu_millicores, whole.cpu_millicores),
+                memory=_share(pool.taken.memory_mb, whole.memory_mb),
+                accelerators=_share(
+                    pool.taken.accelerators, whole.accelerators
+                ),
+                waiting=sum(causes.values()),
+                causes=','.join(
+                    f'{cause}={count}' for cause, count in causes.most_common()
+                )
+                or '-',
+            )
+
+    def _pools(self) -> dict[str, _Pool]:
+        pools: dict[str, _Pool] = {}
+        for worker in self._context.roster.workers.values():
+            pool = pools.setdefault(worker.listed.pool, _Pool())
+            pool.workers += 1
+            pool.closed += not worker.open_for_starts
+            pool.runs += len(worker.runs)
+            pool.taken += worker.taken
+            pool.capacity += worker.listed.capacity
+        return pools
+
+    def _waiting(self) -> dict[str, collections.Counter[str]]:
+        """Return by pool how many tasks wait, by what they wait for."""
+        found: dict[str, collections.Counter[str]] = {}
+        for job in self._context.open_jobs.values():
+            pool = self._context.queue_of(job).pool
+            for step in job.steps():
+                if step.ready_s is None or step.done:
+                    continue
+                tasks = sum(
+                    task.state is _state.TaskState.WAITING
+                    for task in step.tasks
+                )
+                if tasks:
+                    causes = found.setdefault(pool, collections.Counter())
+                    causes[step.waits_for or 'pass'] += tasks
+        return found
+
+
+def _share(taken: int, whole: int) -> float:
+    return round(taken / whole, 3) if whole else 0.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -20,6 +20,7 @@
 from walnutpoint_scheduler import _journal
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _links
+from walnutpoint_scheduler import _load_report
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _placer
@@ -278,6 +279,7 @@
         tasks.start_soon(intake.follow, revision)
         tasks.start_soon(_watch.Watch(context, desk).run)
         tasks.start_soon(pools.run)
+        tasks.start_soon(_load_report.LoadReport(context).run)
         tasks.start_soon(self._confirm)
         tasks.start_soon(self._notice_isolation)
         tasks.start_soon(_retention.Retention(context, outside.store).run)
