--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_load_report.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_load_report.py
@@ -14,6 +14,8 @@
 
 _LOG: typing.Final = logs.get_logger('load')
 _PERIOD_S: typing.Final = 2.0
+# Lines of accounts at a time, however many there are.
+_ACCOUNTS_MAX: typing.Final = 20
 
 
 class _Pool:
@@ -30,7 +32,10 @@
 
 
 class LoadReport:
-    """Logs a line for each pool, so that a wait can be told from idleness."""
+    """Logs a line for each pool and the largest accounts.
+
+    A wait for room can be told from idle workers, and from a limit, by them.
+    """
 
     __slots__ = ('_context',)
 
@@ -41,6 +46,7 @@
         """Report until cancelled."""
         async for _ in self._context.timer.subscribe(lambda: _PERIOD_S):
             self._report()
+            self._report_accounts()
 
     def _report(self) -> None:
         waiting = self._waiting()
@@ -65,6 +71,33 @@
                 or '-',
             )
 
+    def _report_accounts(self) -> None:
+        context = self._context
+        usage = context.roster.usage
+        open_jobs: collections.Counter[str] = collections.Counter()
+        beyond: collections.Counter[str] = collections.Counter()
+        for job in context.open_jobs.values():
+            open_jobs[job.document.account] += 1
+            beyond[job.document.account] += not job.is_owed
+        known = list(context.cell.accounts or ())
+        known.sort(key=lambda account: -usage.count(account.name))
+        for account in known[:_ACCOUNTS_MAX]:
+            if not open_jobs[account.name] and not usage.count(account.name):
+                continue
+            taken = usage.taken(account.name)
+            _LOG.info(
+                'account.load',
+                account=account.name,
+                runs=usage.count(account.name),
+                cpu_millicores=taken.cpu_millicores,
+                memory_mb=taken.memory_mb,
+                limit_millicores=account.limit.cpu_millicores,
+                limit_memory_mb=account.limit.memory_mb,
+                weight=account.weight,
+                open=open_jobs[account.name],
+                beyond=beyond[account.name],
+            )
+
     def _pools(self) -> dict[str, _Pool]:
         pools: dict[str, _Pool] = {}
         for worker in self._context.roster.workers.values():
