Put questions for advice in the order in which steps get room

Callers of lasting and urgent work waited for advice behind batch: where more steps ask than the service answers, the first to come was the first to be asked, and what it was told named the room of a second before.

Now a question is put only where a host is free for it, and by rank; and only as many hosts are kept for brief questions as came at a time lately, a quarter at most, all of that quarter where nothing is known.

--- a/packages/walnutpoint-model/src/walnutpoint_model/advice.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/advice.py
@@ -36,6 +36,10 @@
         digest = xxhash.xxh64_intdigest(f'{step}/{worker_id}'.encode())
         return digest / _HASH_RANGE < self._granted_share
 
+    def turns(self, _expected_s: float) -> int | None:
+        """Return that any number of questions may be on their way."""
+        return None
+
     async def ask(
         self, step: str, worker_ids: tuple[str, ...], expected_s: float
     ) -> expression.Result[ports.Advice, errors.Failure]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
@@ -26,6 +26,8 @@
 # A ticket this close to its end may be refused on arrival.
 _TICKET_MARGIN_S: typing.Final = 0.15
 _RETRY_S: typing.Final = 0.1
+# Hosts come and go within seconds, and each look goes over all of them.
+_TURNS_KEPT_S: typing.Final = 0.1
 _NOBODY: typing.Final[frozenset[str]] = frozenset()
 
 
@@ -60,10 +62,12 @@
     __slots__ = (
         '_changed',
         '_granted',
+        '_known_turns',
         '_now_s',
         '_source',
         '_steps',
         '_tasks',
+        '_waiting',
         'calls',
     )
 
@@ -81,6 +85,12 @@
         self._steps: dict[str, _StepAdvice] = {}
         # How many workers were granted of how many named, by the terms.
         self._granted: dict[cell.AdviceTerms, tuple[int, int]] = {}
+        # How many questions may be on their way, and until when that holds.
+        self._known_turns: dict[
+            cell.AdviceTerms, tuple[float, int | None]
+        ] = {}
+        # Questions on their way, of those whose number is limited.
+        self._waiting = 0
         self.calls = 0
 
     def ticket(self, step: str, worker_id: str) -> str | None:
@@ -143,6 +153,23 @@
             not known.asking and self._now_s() >= known.retry_s
         )
 
+    def has_turn(self, terms: cell.AdviceTerms) -> bool:
+        """Return whether a question would be put at once.
+
+        Queued, it would be answered after those that were asked before it,
+        however urgent it is, and name the room that there was then.
+        """
+        turns = self._turns(terms)
+        return turns is None or self._waiting < turns
+
+    def _turns(self, terms: cell.AdviceTerms) -> int | None:
+        now_s = self._now_s()
+        until_s, turns = self._known_turns.get(terms, (0.0, None))
+        if now_s >= until_s:
+            turns = self._source.turns(terms.decide_s)
+            self._known_turns[terms] = now_s + _TURNS_KEPT_S, turns
+        return turns
+
     def spoil(self, step: str, worker_id: str) -> None:
         """Drop a ticket that a worker refused."""
         known = self._steps.get(step)
@@ -171,13 +198,17 @@
         More than one question takes are put at a time; nothing more is asked
         about the step until all are answered.
         """
-        if not self.may_ask(step):
+        if not self.may_ask(step) or not self.has_turn(terms):
             return
         known = self._steps.setdefault(step, _StepAdvice())
         named = [w for w in worker_ids if w not in known.denied]
         for part in _inquiry.parts(named):
             known.asking += 1
-            self._tasks.start_soon(self._ask, step, known, part, terms)
+            is_limited = self._turns(terms) is not None
+            self._waiting += is_limited
+            self._tasks.start_soon(
+                self._ask, step, known, part, terms, is_limited
+            )
 
     async def _ask(
         self,
@@ -185,12 +216,14 @@
         known: _StepAdvice,
         named: tuple[str, ...],
         terms: cell.AdviceTerms,
+        is_limited: bool,
     ) -> None:
         expected_s = terms.decide_s + terms.per_worker_s * len(named)
         self.calls += 1
         asked_s = self._now_s()
         answer = await self._source.ask(step, named, expected_s)
         known.asking -= 1
+        self._waiting -= is_limited
         took_s = self._now_s() - asked_s
         _ADVICE.observe('failed' if answer.is_error() else 'done', took_s)
         if answer.is_error():
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
@@ -6,6 +6,7 @@
 import collections
 import collections.abc
 import contextlib
+import math
 import typing
 
 import expression
@@ -16,6 +17,7 @@
 from walnutpoint_core import web
 from walnutpoint_scheduler import _membership
 from walnutpoint_scheduler import _messages
+from walnutpoint_scheduler import _peak
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
@@ -36,9 +38,13 @@
 _BRIEF_FACTOR: typing.Final = 3.0
 # Workers that a usual question names.
 _NAMED_USUALLY: typing.Final = 10
-# The share of hosts that only brief calls are put through: two of eight
-# answer some 90 of 20 ms a second, and one of them may be away.
+# The most hosts that only brief calls are put through.
 _BRIEF_HOSTS_SHARE: typing.Final = 0.25
+# Kept beyond the most brief calls at a time lately, as one may be away.
+_BRIEF_SPARE: typing.Final = 1.0
+_PEAK_HALF_LIFE_S: typing.Final = 10.0
+# Without a brief call for this long, nothing is known of the next ones.
+_FORGET_BRIEF_S: typing.Final = 2.0
 # How much later than expected an answer through another host may come: the
 # service may still work on what an earlier scheduler asked through it.
 _SLACK_S: typing.Final = 0.8
@@ -91,6 +97,9 @@
     __slots__ = (
         '_advisors',
         '_brief',
+        '_brief_at_s',
+        '_brief_count',
+        '_brief_peak',
         '_brief_s',
         '_is_spread',
         '_long',
@@ -119,6 +128,10 @@
         self._timer = clock
         self._advisors: dict[str, _Advisor] = {}
         self._brief: collections.deque[_Turn] = collections.deque()
+        # Brief questions now, and the most at a time lately.
+        self._brief_count = 0
+        self._brief_peak = _peak.Peak(clock.now_s, _PEAK_HALF_LIFE_S)
+        self._brief_at_s = float('-inf')
         self._short: collections.deque[_Turn] = collections.deque()
         self._long: collections.deque[_Turn] = collections.deque()
 
@@ -155,16 +168,25 @@
         turn: _Turn = asyncio.get_running_loop().create_future()
         queue = self._queue(expected_s)
         queue.append(turn)
+        if queue is self._brief:
+            self._note_brief()
         self._dispatch()
         try:
             yield await turn
         finally:
+            self._brief_count -= queue is self._brief
             if turn in queue:
                 queue.remove(turn)
             if turn.done() and not turn.cancelled():
                 self._advisor(turn.result()).busy = False
             self._dispatch()
 
+    def turns(self, expected_s: float) -> int | None:
+        """Return through how many hosts a question of a length may go."""
+        if expected_s <= self._brief_s():
+            return None
+        return len(self._hosts(is_brief=False)[1])
+
     def _queue(self, expected_s: float) -> collections.deque[_Turn]:
         """Return where a question of some length waits for its turn."""
         if expected_s <= self._brief_s():
@@ -185,13 +207,29 @@
 
     def _choose(self, is_brief: bool) -> _messages.Member | None:
         """Return a free host, or None while a sound one is busy."""
+        now_s = self._timer.now_s()
+        members, sound = self._hosts(is_brief)
+        free = [m for m in sound or members if not self._advisor(m).busy]
+        # The own host saves a hop; one that was heard lately is alive.
+        return min(
+            free,
+            key=lambda m: (
+                m is not self._members.me,
+                not self._members.is_heard(m, now_s),
+            ),
+            default=None,
+        )
+
+    def _hosts(
+        self, is_brief: bool
+    ) -> tuple[list[_messages.Member], list[_messages.Member]]:
+        """Return the hosts for a question, and those that did not fail."""
         if not self._is_spread():
             members = [self._members.me]
         else:
             members = sorted(self._members.all(), key=lambda m: m.name)
         if not is_brief:
-            kept = int(len(members) * _BRIEF_HOSTS_SHARE)
-            members = members[kept:] or members
+            members = members[self._kept(len(members)) :] or members
         now_s = self._timer.now_s()
 
         def failed(member: _messages.Member) -> bool:
@@ -199,17 +237,24 @@
                 return True
             return self._members.is_shunned(member, now_s)
 
-        sound = [member for member in members if not failed(member)]
-        free = [m for m in sound or members if not self._advisor(m).busy]
-        # The own host saves a hop; one that was heard lately is alive.
-        return min(
-            free,
-            key=lambda m: (
-                m is not self._members.me,
-                not self._members.is_heard(m, now_s),
-            ),
-            default=None,
-        )
+        return members, [m for m in members if not failed(m)]
+
+    def _kept(self, host_count: int) -> int:
+        """Return how many hosts are kept for brief questions."""
+        most = int(host_count * _BRIEF_HOSTS_SHARE)
+        if self._timer.now_s() - self._brief_at_s > _FORGET_BRIEF_S:
+            return most
+        return min(most, math.ceil(self._brief_peak.value + _BRIEF_SPARE))
+
+    def _note_brief(self) -> None:
+        """Count a brief question that begins."""
+        now_s = self._timer.now_s()
+        if now_s - self._brief_at_s > _FORGET_BRIEF_S:
+            # How many come at a time is not known yet.
+            self._brief_peak.note(len(self._members.all()))
+        self._brief_at_s = now_s
+        self._brief_count += 1
+        self._brief_peak.note(self._brief_count)
 
     def _advisor(self, member: _messages.Member) -> _Advisor:
         return self._advisors.setdefault(member.name, _Advisor())
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -147,10 +147,11 @@
     def _awaits_advice(self, row: _order.Waiting) -> bool:
         """Return whether a step has asked, and may run nowhere so far."""
         advice, key = self._context.advice, row.step.key
+        queue_advice = row.queue.advice
         return (
-            row.queue.advice is not None
+            queue_advice is not None
             and not advice.granted(key)
-            and not advice.may_ask(key)
+            and not (advice.may_ask(key) and advice.has_turn(queue_advice))
         )
 
     def _chooser(self, queue: cell.Queue) -> _choice.Chooser:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -62,7 +62,8 @@
         now_s = self._context.timer.now_s()
         if queue.advice is None or now_s < step.quiet_until_s:
             return
-        if not self._context.advice.may_ask(step.key):
+        advice = self._context.advice
+        if not advice.may_ask(step.key) or not advice.has_turn(queue.advice):
             return
         names = self._names(chooser, queue, step, missing, places)
         if names:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/ports.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/ports.py
@@ -203,6 +203,12 @@
         The answer is expected after a time, and given up on a little later.
         """
 
+    def turns(self, expected_s: float) -> int | None:
+        """Return how many questions of a length may be on their way.
+
+        None for any number.
+        """
+
 
 class CellSource(typing.Protocol):
     """Where the operators' configuration is read."""
