--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -32,7 +32,7 @@
 _WATCH_S: typing.Final = 10.0
 # Between an answer without news and the next watch. The process that took a
 # job tells the scheduler itself; the watch is for what was not told, and each
-# job changes twice what is watched: 18 calls a second at nine jobs, 6 so.
+# job changes twice what is watched.
 _WATCH_PAUSE_S: typing.Final = 0.1
 _RETRY_S: typing.Final = 0.3
 _MS: typing.Final = 1000.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
@@ -13,9 +13,8 @@
 )
 
 _MS: typing.Final = 1000.0
-# The share of its estimate that a task may stand still. Progress comes in
-# hundredths: on a worker nine times as slow as it should be, one takes 9% of
-# the estimate, and of twice that where the estimate is half of the truth.
+# The share of its estimate that a task may stand still: progress comes in
+# hundredths, which a slow worker takes long for.
 _ESTIMATE_SHARE: typing.Final = 0.75
 # Below this the next report, half a second later at most, decides anyway.
 _SHORTEST_S: typing.Final = 0.45
@@ -35,8 +34,7 @@
     """Return how long a run may report the same progress.
 
     A worker that takes tasks and does not work on them costs each of them
-    this time, and takes more tasks until the first is noticed. For a task of
-    0.64 s, whose objective leaves 0.6 s, 1.3 s mean that its job is late.
+    this time, and takes more tasks until the first is noticed.
     """
     task = run.task
     if task is None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_watch.py
@@ -27,7 +27,7 @@
 # A lasting task is at work after a start-up of less than a second.
 _LASTING_STALL_S: typing.Final = 3.0
 # What still runs this long before a leaving worker goes is stopped, so that
-# its checkpoint is returned: a stop takes at most 0.4 s.
+# its checkpoint is returned.
 _LEAVE_MARGIN_S: typing.Final = 0.9
 # A run counts as a straggler from this much beyond its estimate on, if it
 # still needs the estimate once more: estimates are off by half either way.
@@ -36,8 +36,8 @@
 _AT_WORK: typing.Final = frozenset(
     {_run.RunPhase.ORDERED, _run.RunPhase.RUNNING}
 )
-# What a move costs besides the run's time elsewhere: a stop takes up to 0.4 s,
-# and its end 0.1 s to be seen.
+# What a move costs besides the run's time elsewhere: a stop, and the report of
+# its end.
 _MOVE_S: typing.Final = 0.5
 # Tickets for a next step are asked for when the step before is this much
 # shorter than their validity from its end.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
@@ -54,17 +54,17 @@
 ):
     """Times and limits; a platform's own bounds replace some of them."""
 
-    # Long enough for all processes to lose power, start again and take over
-    # (some 1.8 s), and renewed every report_wait_s; what runs on a dead
-    # worker comes back this much later.
+    # Long enough for all processes to lose power, start again and take over,
+    # and renewed every report_wait_s; what runs on a dead worker comes back
+    # this much later.
     lease_s: _Time = 2.5
     # The longest lease that workers grant; a longer one is cut there.
     lease_max_s: _Time = 10.0
     # How long a worker holds a report back until something ends. Shorter
     # finds stalled tasks and dead workers sooner, at a call each.
     report_wait_s: _Time = 0.5
-    # Beyond the wait: fifty times a round trip between failure domains. A
-    # worker's answer may be lost, and its ends are not seen meanwhile.
+    # Beyond the wait. A worker's answer may be lost, and its ends are not
+    # seen meanwhile.
     report_timeout_s: _Time = 0.15
     # An order is answered within some ms; an unanswered one costs this long.
     order_timeout_s: _Time = 0.15
@@ -76,8 +76,8 @@
     # is reported in hundredths, every report_wait_s at the latest.
     stall_s: _Time = 1.3
     # A step of which nothing has run for this long goes before all others of
-    # its pool, one at a time. It is some three runs of the longest tasks;
-    # shorter, bursts of batch would come before urgent work too often.
+    # its pool, one at a time; shorter, bursts of batch would come before
+    # urgent work too often.
     patience_s: _Time = 12.0
     # The longest that an entry which lapsed in an outage may stay away.
     unlisted_s: _Time = 2.5
@@ -85,12 +85,11 @@
     # signs of life, less the time until a change of it is heard.
     entry_trusted_s: _Time = 4.2
     # Between two probes of the scheduler by another process, and the wait for
-    # each answer, a hundred round trips: with two missed in a row a frozen
-    # scheduler is noticed within half a second.
+    # each answer. Two missed in a row tell of a frozen scheduler.
     probe_period_s: _Time = 0.12
     probe_timeout_s: _Time = 0.2
     # The longest wait for a change of the operators' configuration before it
-    # is asked for again. A watch that hears nothing costs this, its timeout
-    # and a reading: 1.8 s, while a change must hold within 2 s.
+    # is asked for again. A change must hold in time also where a watch hears
+    # nothing of it, which costs this, a timeout and a reading.
     cell_period_s: _Time = 0.9
     policies: Policies = Policies()
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -46,14 +46,10 @@
 _RETRY_S: typing.Final = 0.05
 _PEER_TIMEOUT_S: typing.Final = 0.4
 # How long a call is held near the end of an outage before it is refused: this
-# share of the time that its caller still waits, some 1 s of 3 s at first. The
-# caller comes back after a third of the rest, so that half of the callers are
-# here whenever the outage ends, and the others come 0.3 s later in the mean.
-# Refused at once they come 0.4 s later in the mean, and 1 s at first (worked
-# out from when callers came back).
+# share of the time that its caller still waits. The caller comes back after as
+# long again, so that half of the callers are here whenever the outage ends.
 _HELD_SHARE: typing.Final = 1 / 3
-# Calls held at a time, to bound their memory: one of eight hosts gets
-# some five a second in a burst, one of a hundred less than one.
+# Calls held at a time, to bound their memory.
 _HELD_MAX: typing.Final = 64
 
 
