Ask whether a job can still end in time, not only its next step

The order put jobs that will be late after the others, and looked at the next step alone: the first of three counted as in time while the third no longer could, took the room, and made the next job late in turn.

Now the estimated time from a step to its job's end counts.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -217,6 +217,7 @@
         'queue',
         'reason',
         'record_revision',
+        'rests_ms',
         'saved_changes',
         'saved_state',
         'seen_s',
@@ -235,6 +236,10 @@
         self.is_owed = True
         self.seen_s = seen_s
         self.chain_ms = document.chain_s(job.steps) * _MS
+        # From the begin of each step to the end of the job, as estimated.
+        self.rests_ms = tuple(
+            rest_s * _MS for rest_s in document.rests_s(job.steps)
+        )
         # Whether a step may have become ready since the last pass.
         self.unsettled = True
         self.state = JobState.QUEUED
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -20,6 +20,7 @@
     'encode_job',
     'is_final',
     'owner',
+    'rests_s',
     'step_faults',
 )
 
@@ -108,6 +109,16 @@
         return self.first_due_ms + occurrence * self.interval_ms
 
 
+def rests_s(steps: tuple[Step, ...]) -> tuple[float, ...]:
+    """Return, from the begin of each step, the estimated time to the end."""
+    rests = [0.0] * len(steps)
+    for number in reversed(range(len(steps))):
+        rests[number] += steps[number].estimate_ms / _MS
+        for earlier in steps[number].after:
+            rests[earlier] = max(rests[earlier], rests[number])
+    return tuple(rests)
+
+
 def chain_s(steps: tuple[Step, ...]) -> float:
     """Return the estimated time of the longest chain of steps."""
     ends: list[float] = []
