Keep room for the least urgent steps only where they hold a ticket

Audits of shifted were late beside a third of idle processor: a batch step that waits keeps room on every worker where it is granted, and where its ticket has lapsed the room stands idle for the second of the next answer, which no more urgent step needs. Now the least urgent steps keep room where their ticket is valid; others of them that have one start there. Gangs, which need all of their room at once, and more urgent steps keep it as before.

The test failed before (2.6 s of waiting, now none).

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_delay.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_delay.py
@@ -81,6 +81,8 @@
 ) -> Cause:
     """Return why no room could be held for a step."""
     granted = None if queue.advice is None else advice.granted(step.key)
+    if granted and not step.step.gang and not advice.has_valid(step.key):
+        return Cause.TICKET
     if chooser.has_able(step.step, granted):
         return Cause.SPREAD if step.step.gang else Cause.SET_ASIDE
     if granted is not None and not advice.may_ask(step.key):
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -38,6 +38,7 @@
         '_context',
         '_desk',
         '_limits',
+        '_lowest',
         '_preemption',
         '_quarantine',
         '_questions',
@@ -58,6 +59,8 @@
         self._quarantine = _quarantine.Quarantine(context)
         self._questions = _questions.Questions(context)
         self._ready = _ready.ReadySteps(context)
+        # The number of the least urgent priority that any queue has.
+        self._lowest = 0
         self.passes = 0
         # The longest that a step waits now which some worker may run.
         self.longest_wait_s = 0.0
@@ -74,6 +77,8 @@
         self._preemption.begin()
         self._quarantine.begin()
         self._choosers.clear()
+        queues = self._context.cell.queues
+        self._lowest = max((q.priority for q in queues), default=0)
         rows = self._ready.rows()
         self._limits.begin(rows)
         self.longest_wait_s = self._ready.longest_wait_s(rows)
@@ -341,6 +346,21 @@
             runs.append(run)
         self._desk.launch(step.job, runs)
 
+    def _holding_workers(
+        self, queue: cell.Queue, step: _state.StepProgress
+    ) -> _choice.Permitted:
+        """Return on which workers room is kept for a step; None for all.
+
+        Kept without a ticket, room stands idle for the time of an answer.
+        That is worth it only where less urgent work would take it.
+        """
+        advice = self._context.advice
+        if queue.advice is None:
+            return None
+        if step.step.gang or queue.priority < self._lowest:
+            return advice.granted(step.key)
+        return advice.valid(step.key)
+
     def _wait(
         self,
         chooser: _choice.Chooser,
@@ -355,7 +375,7 @@
             step.step,
             step.key,
             missing,
-            None if queue.advice is None else advice.granted(step.key),
+            self._holding_workers(queue, step),
         )
         self._questions.ask(chooser, queue, step, missing, places)
         cause = _delay.find(chooser, advice, queue, step, places)
