--- a/bench/placement_pass.py
+++ b/bench/placement_pass.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import statistics
 import time
 import typing
@@ -10,6 +11,7 @@
 import anyio
 
 from tests.walnutpoint_scheduler import harness
+from walnutpoint_core import amount
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _lease
@@ -17,12 +19,17 @@
 from walnutpoint_scheduler import _placer
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
+from walnutpoint_scheduler import accounts
+from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import outlier
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
 
-SIZES = ((24, 20), (176, 60), (900, 200))
+SIZES = ((24, 20), (176, 60), (450, 120), (900, 200))
 REPEATS = 15
+ACCOUNTS = (0, 20, 230)
+# Binds no account, so that the same is placed.
+LIMIT = amount.Amount(10**9, 10**9)
 
 
 class _NoDesk(_orders.OrderDesk):
@@ -30,7 +37,21 @@
         """Order nothing."""
 
 
-async def measure(worker_count: int, step_count: int) -> None:
+def _cell(account_count: int) -> cell.Cell:
+    if not account_count:
+        return harness.CELL
+    return dataclasses.replace(
+        harness.CELL,
+        accounts=accounts.Accounts(
+            accounts.Account(f'account-{number}', limit=LIMIT)
+            for number in range(account_count)
+        ),
+    )
+
+
+async def measure(
+    worker_count: int, step_count: int, account_count: int
+) -> None:
     """Print the time of a pass that places half of what waits."""
     async with anyio.create_task_group() as tasks:
         bed = harness.Bed(0)
@@ -45,7 +66,7 @@
                 tasks,
                 worker_health.WorkerHealth(outlier.OutlierDetector(3, 1, 8)),
             )
-            context.cell = harness.CELL
+            context.cell = _cell(account_count)
             for number in range(worker_count):
                 worker = _worker.WorkerState(
                     harness.workers.listed_worker(number),
@@ -58,7 +79,11 @@
                 wide = harness.step(
                     10, cpu_millicores=worker_count * 3200 // step_count
                 )
-                job = harness.job(number, wide)
+                job = harness.job(
+                    number,
+                    wide,
+                    account=f'account-{number % max(1, account_count)}',
+                )
                 progress = _state.JobProgress(job, harness.QUEUE, 0.0)
                 context.open_jobs[job.job_id] = progress
             desk = _NoDesk(context, _ends.EndDesk(context))
@@ -70,7 +95,8 @@
                 len(worker.runs) for worker in context.roster.workers.values()
             )
         print(
-            f'{worker_count} workers, {step_count} steps of 10 tasks: '
+            f'{worker_count} workers, {step_count} steps of 10 tasks, '
+            f'{account_count} accounts: '
             f'{placed} placed, median '
             f'{statistics.median(took_ms):.1f} ms, longest '
             f'{max(took_ms):.1f} ms'
@@ -80,7 +106,8 @@
 def main() -> None:
     """Measure each size."""
     for worker_count, step_count in SIZES:
-        asyncio.run(measure(worker_count, step_count))
+        for account_count in ACCOUNTS:
+            asyncio.run(measure(worker_count, step_count, account_count))
 
 
 if __name__ == '__main__':
