--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_commands.py
@@ -11,6 +11,7 @@
 
 from absl import flags
 
+from walnutpoint_cli import _command_accounts
 from walnutpoint_cli import _command_config
 from walnutpoint_cli import _command_course
 from walnutpoint_cli import _command_document
@@ -42,6 +43,7 @@
 
 _REQUEST: typing.Final = 'request'
 _MODEL: typing.Final = 'model'
+_ACCOUNTS: typing.Final = 'accounts'
 _WAITS: typing.Final = 'waits'
 _LOSSES: typing.Final = 'losses'
 _EXPLAIN: typing.Final = _command_view.View.EXPLAIN.value
@@ -58,6 +60,8 @@
         )
     if name == _MODEL:
         return _model(words)
+    if name == _ACCOUNTS:
+        return _of_logs(name, _command_accounts.execute, words)
     if name == _WAITS:
         return _of_logs(name, _command_waits.execute, words)
     if name == _LOSSES:
@@ -215,6 +219,7 @@
     _MODEL,
     _WAITS,
     _LOSSES,
+    _ACCOUNTS,
     *_VIEWS,
     *_DOCUMENT_COMMANDS,
 )
--- a/packages/walnutpoint-cli/src/walnutpoint_cli/main.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/main.py
@@ -10,6 +10,8 @@
   explain ID  show what happened to the request with this id
   explain ID FILE...  rebuild a job's course from log files of several hosts;
               - reads standard input
+  accounts FILE...  show from log files what client accounts had, and who
+              was refused for a key; --output json, --plot FILE
   waits FILE...  show from log files why each queue waited, what was refused
               and what work was lost; --output json, --plot FILE
   losses FILE...  show from log files which jobs came late or never, where the
