Pass what is above an account's whole limit, not gangs only

Found by reading: a limit that falls below what one task needs left that task first in its account's line, where it kept the limit for itself and all other work of the account waiting, for as long as the limit stayed. Only gangs were passed in that case. The test failed before.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_limits.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_limits.py
@@ -75,9 +75,9 @@
         """Keep what is left of an account's limit for a step that waits.
 
         A gang needs its room at once: smaller work passes it until it has
-        waited for too long.
+        waited for too long. What is above the whole limit is passed for good.
         """
-        if not step.step.gang:
+        if not step.step.gang and self._may_ever_start(step):
             self._keep(step)
 
     def _keep(self, step: _state.StepProgress) -> None:
--- a/tests/walnutpoint_scheduler/test_account_limits.py
+++ b/tests/walnutpoint_scheduler/test_account_limits.py
@@ -225,6 +225,26 @@
 
         harness.play(scene)
 
+    def test_task_above_a_lowered_limit_is_passed(self) -> None:
+        """An account whose small work waits for what can never start."""
+
+        async def scene() -> None:
+            played = _Scene()
+            lowered = accounts.Account(
+                'limited', weight=10.0, limit=amount.Amount(2000)
+            )
+            played.cells[:] = [_cell(1, lowered)]
+            large = played.hand_in(1, harness.step(1, cpu_millicores=4000))
+            small = played.hand_in(2, harness.step(2))
+            async with played.scheduling():
+                await harness.until(
+                    lambda: played.bed.state(small) == 'done', 5.0
+                )
+            self.assertEqual('queued', played.bed.state(large))
+            self.assertEqual([], played.audit.violations)
+
+        harness.play(scene)
+
     def test_job_goes_on_under_the_limit_of_a_removed_account(self) -> None:
         """A job lost, or let loose, as its account leaves."""
 
