--- a/tests/walnutpoint_platform/test_keys.py
+++ b/tests/walnutpoint_platform/test_keys.py
@@ -301,7 +301,7 @@
         ):
             with (
                 self.subTest(wrong=wrong),
-                mock.patch.object(entry_faults, '_LOG', autospec=True) as log,
+                mock.patch.object(entry_faults, '_LOG', spec=['error']) as log,
             ):
                 read = self._follow(
                     CONFIGURATION,
