Put long questions for advice also while no other host is sound

Found by reading the diff: the count of hosts that a question may go through left out those that failed lately, and was zero where all others did. The questions themselves fall back to whichever host there is; none was put for up to two seconds after a blow that took all hosts but one. The test failed before (0 turns).

Beside it: the least urgent priority is worked out in one place, and the limits of the soak's accounts have names.

--- a/packages/walnutpoint-model/src/walnutpoint_model/account_changes.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/account_changes.py
@@ -27,12 +27,17 @@
 # it, and what was planned under the one before is under way.
 _APPLIED_S: typing.Final = 3.0
 _LIMIT_CORES: typing.Final = (2, 12)
+# Limits by account, in cores; zero: none.
+_FIRST_CORES: typing.Final = (8, 3, 0)
+# At the end all jobs are to be done soon.
+_LAST_CORES: typing.Final = (8, 8, 0)
+_MILLICORES: typing.Final = 1000
 
 
 def first(configured: cell.Cell) -> cell.Cell:
     """Return a configuration with accounts, of which two have limits."""
     return dataclasses.replace(
-        configured, accounts=_accounts((8, 3, 0), (1, 1, 1))
+        configured, accounts=_accounts(_FIRST_CORES, (1, 1, 1))
     )
 
 
@@ -44,7 +49,7 @@
         accounts.Account(
             name,
             frozenset((accounts.digest(_key(name, number)),)),
-            limit=amount.Amount(limit * 1000),
+            limit=amount.Amount(limit * _MILLICORES),
         )
         for name, limit, number in zip(_NAMES, cores, keys, strict=True)
     )
@@ -107,7 +112,7 @@
             renewed = self._random.choice(_NAMES)
             self._keys[renewed] += 1
             self._write(cores)
-        self._write((8, 8, 0))
+        self._write(_LAST_CORES)
 
     def _write(self, cores: tuple[int, ...]) -> None:
         before = self._model.configured
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
@@ -185,7 +185,8 @@
         """Return through how many hosts a question of a length may go."""
         if expected_s <= self._brief_s():
             return None
-        return len(self._hosts(is_brief=False)[1])
+        members, sound = self._hosts(is_brief=False)
+        return len(sound or members)
 
     def _queue(self, expected_s: float) -> collections.deque[_Turn]:
         """Return where a question of some length waits for its turn."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -77,8 +77,7 @@
         self._preemption.begin()
         self._quarantine.begin()
         self._choosers.clear()
-        queues = self._context.cell.queues
-        self._lowest = max((q.priority for q in queues), default=0)
+        self._lowest = self._context.cell.lowest_priority
         rows = self._ready.rows()
         self._limits.begin(rows)
         self.longest_wait_s = self._ready.longest_wait_s(rows)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -82,8 +82,7 @@
         self._sites.clear()
         if now_s - self._round_s >= _ROUND_S:
             self._left = _VICTIMS_MAX
-            queues = self._context.cell.queues
-            self._lowest = max((q.priority for q in queues), default=0)
+            self._lowest = self._context.cell.lowest_priority
 
     def make_room(
         self,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/cell.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/cell.py
@@ -81,6 +81,11 @@
                 return queue
         return None
 
+    @property
+    def lowest_priority(self) -> int:
+        """Return the number of the least urgent priority of any queue."""
+        return max((queue.priority for queue in self.queues), default=0)
+
     def account(self, name: str) -> client_accounts.Account | None:
         """Return a client account by its name."""
         return None if self.accounts is None else self.accounts.get(name)
--- a/tests/walnutpoint_scheduler/test_busy_advice.py
+++ b/tests/walnutpoint_scheduler/test_busy_advice.py
@@ -89,28 +89,29 @@
         harness.play(scene)
 
 
+def _advisors_of(hosts: int) -> _advisors.Advisors:
+    member = _messages.Member('host-00', 'host-00:1', 'domain', 'life')
+    members = _membership.Membership(member)
+    for number in range(1, hosts):
+        name = f'host-{number:02}'
+        members.add(_messages.Member(name, f'{name}:1', 'domain', 'life'))
+    return _advisors.Advisors(
+        typing.cast(typing.Any, _Own()),
+        members,
+        typing.cast(typing.Any, _Through()),
+        virtual_time.LoopTimer(),
+        brief_s=lambda: 0.2,
+    )
+
+
 class KeptHostsTest(unittest.TestCase):
     """How many hosts long questions leave to brief ones."""
 
-    def _advisors(self, hosts: int) -> _advisors.Advisors:
-        member = _messages.Member('host-00', 'host-00:1', 'domain', 'life')
-        members = _membership.Membership(member)
-        for number in range(1, hosts):
-            name = f'host-{number:02}'
-            members.add(_messages.Member(name, f'{name}:1', 'domain', 'life'))
-        return _advisors.Advisors(
-            typing.cast(typing.Any, _Own()),
-            members,
-            typing.cast(typing.Any, _Through()),
-            virtual_time.LoopTimer(),
-            brief_s=lambda: 0.2,
-        )
-
     def test_hosts_are_kept_by_what_comes_at_a_time(self) -> None:
         """A quarter of forty hosts that wait for two questions a second."""
 
         async def scene() -> None:
-            advisors = self._advisors(40)
+            advisors = _advisors_of(40)
             self.assertEqual(30, advisors.turns(1.0))
             for _ in range(120):
                 await advisors.ask('step', ('worker',), 0.06)
@@ -128,7 +129,7 @@
         """A new term's first burst that meets long questions everywhere."""
 
         async def scene() -> None:
-            advisors = self._advisors(40)
+            advisors = _advisors_of(40)
             await advisors.ask('step', ('worker',), 0.06)
             await anyio.sleep(30.0)
             self.assertEqual(30, advisors.turns(1.0))
@@ -136,6 +137,24 @@
         harness.play(scene)
 
 
+class LostHostsTest(unittest.TestCase):
+    """Long questions while no other host is sound."""
+
+    def test_some_host_is_asked_through_all_the_same(self) -> None:
+        """A scheduler that asks nothing until the other hosts are back."""
+
+        async def scene() -> None:
+            advisors = _advisors_of(8)
+            now_s = advisors._timer.now_s()  # noqa: SLF001
+            for number in range(1, 8):
+                advisors._members.shun(  # noqa: SLF001
+                    f'host-{number:02}:1', now_s
+                )
+            self.assertGreater(advisors.turns(1.0) or 0, 0)
+
+        harness.play(scene)
+
+
 class _Own:
     """Answers after the time that a question takes."""
 
