Never lose a stop signal during the imports

Cause: the handler for the time of the imports raised SystemExit. An exception that a signal raises within a finalizer, a weak reference's callback (the import system has one for each module's lock) or the garbage collector is dropped by the interpreter, and the process runs on.

--- a/tests/walnutpoint_platform/test_processes.py
+++ b/tests/walnutpoint_platform/test_processes.py
@@ -172,6 +172,29 @@
             (0, 'SIG_IGN'), (ended.returncode, ended.stdout.strip())
         )
 
+    def test_stop_during_the_start_is_never_lost(self) -> None:
+        """A process told to stop while it imports runs on until it is killed.
+
+        An exception that a signal raises within a finalizer is dropped.
+        """
+        with tempfile.TemporaryDirectory() as folder:
+            pathlib.Path(folder, 'uvloop.py').write_text(
+                'import signal\n'
+                'class Finalized:\n'
+                '    def __del__(self):\n'
+                '        signal.raise_signal(signal.SIGTERM)\n'
+                'Finalized()\n'
+                'print("runs on")\n'
+            )
+            ended = subprocess.run(
+                [sys.executable, '-m', 'walnutpoint_platform', '--check'],
+                env=os.environ | {'PYTHONPATH': folder},
+                capture_output=True,
+                text=True,
+                check=False,
+            )
+        self.assertEqual((0, ''), (ended.returncode, ended.stdout))
+
     def test_bad_jobs_are_refused_at_once(self) -> None:
         """A caller hears what is wrong, and nothing is stored."""
         front = self.site.front(0)
--- /dev/null
+++ b/tests/walnutpoint_platform/test_site.py
@@ -0,0 +1,24 @@
+"""Sites of real processes that are started side by side."""
+
+from __future__ import annotations
+
+import unittest
+from unittest import mock
+
+from walnutpoint_standins import site
+
+
+class PortsTest(unittest.TestCase):
+    """Processes of one site find their ports free."""
+
+    def test_rows_of_ports_never_overlap_in_part(self) -> None:
+        """Two sites started at once would open the same ports.
+
+        The sign that holds a row is its last port, which the other row
+        would not have.
+        """
+        offsets = set()
+        for process_id in range(97):
+            with mock.patch('os.getpid', return_value=process_id):
+                offsets.add(site.free_ports(site.PORTS) % site.PORTS)
+        self.assertEqual({0}, offsets)
