Let hand-overs of key memory end before a joiner changes the table

Callers were told key_blind for keys minted or chosen a moment before, without any fault, on a busy machine (test_teams_may_choose_the_same_key, listed).

Two causes, by the logs: - A process that is no member proposed a table while shards moved among the members (entry-2 proposed 0.7 s after a table that entry-0 had only adopted 0.27 s before): shards moved on before their heir had them, nobody released them to the third, and it opened them blind by the fence. A member waits for its own hand-overs; a process outside sees none. Eight are on their way at a time now.

Each has a test that failed before. Ruled out: a false suspicion of a member (none is in the logs).

--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_handover.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_handover.py
@@ -21,6 +21,9 @@
 _RETRY_S: typing.Final = 0.2
 _ATTEMPTS: typing.Final = 10
 _REPORT_PERIOD_S: typing.Final = 0.1
+# Memories of shards on their way at a time. All have to arrive before the
+# successor's fence ends, by which it opens without them.
+_MEMORIES_AT_ONCE: typing.Final = 8
 
 _LOG = logs.get_logger(__name__)
 
@@ -105,14 +108,28 @@
         epochs: dict[str, int],
     ) -> bool:
         try:
-            for asset in epochs:
-                await self._listener.hand_over(
-                    asset, placed.table.epoch(asset), successor
-                )
+            limit = anyio.CapacityLimiter(_MEMORIES_AT_ONCE)
+            async with anyio.create_task_group() as tasks:
+                for asset in epochs:
+                    tasks.start_soon(
+                        self._hand_over, placed, successor, asset, limit
+                    )
             return await self._send(placed, successor, epochs)
         finally:
             self._releasing -= 1
 
+    async def _hand_over(
+        self,
+        placed: _table.PlacedTable,
+        successor: _table.Member,
+        asset: str,
+        limit: anyio.CapacityLimiter,
+    ) -> None:
+        async with limit:
+            await self._listener.hand_over(
+                asset, placed.table.epoch(asset), successor
+            )
+
     async def _send(
         self,
         placed: _table.PlacedTable,
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_service.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/ownership/_service.py
@@ -27,6 +27,8 @@
 __all__ = ('OwnershipService',)
 
 _HANDOVER_S: typing.Final = 1.0
+# How long a process that is no member leaves a change to those that live.
+_OUTSIDE_S: typing.Final = 5.0
 
 _LOG = logs.get_logger(__name__)
 
@@ -348,6 +350,16 @@
             self._succession.pending() or not self._handover.is_released()
         )
 
+    def _leaves_to_members(
+        self, proposal: _proposer.Proposal, now_s: float
+    ) -> bool:
+        """Tell whether a process outside waits for the members' proposal."""
+        # It does not see the hand-overs among the members, and would move
+        # assets on before they have ended.
+        if self._placed is None or self.is_member() or proposal.answered:
+            return False
+        return now_s < self._adopted_at_s + _OUTSIDE_S
+
     async def _propose(self) -> None:
         now_s = self._timer.now_s()
         if await self._proposer.challenge(now_s):
@@ -356,7 +368,7 @@
         if not self._succession.is_settled() or self._is_changing(now_s):
             return
         proposal = self._proposer.proposal(self._placed, now_s)
-        if proposal is None:
+        if proposal is None or self._leaves_to_members(proposal, now_s):
             return
         reply = await self._control.propose(
             proposal.table, proposal.current_revision, proposal.answered
--- a/tests/walnutpoint_entry/ownership/test_handover.py
+++ b/tests/walnutpoint_entry/ownership/test_handover.py
@@ -5,6 +5,7 @@
 import unittest
 
 import anyio
+import anyio.lowlevel
 
 from tests.walnutpoint_entry import manual_timer
 from tests.walnutpoint_entry.ownership import fakes
@@ -82,3 +83,33 @@
         self.assertIn((['shard-0'], True), seen)
         self.assertIn('a', [assets[0] for assets, _ in seen])
         self.assertEqual(2, len(seen))
+
+    async def test_slow_answers_delay_a_release_once(self) -> None:
+        """Shards open without their memory where it comes after the fence.
+
+        On a busy machine each memory's answer takes long.
+        """
+        listener, sender = _SlowListener(), fakes.Sender()
+        shards = [f'shard-{number}' for number in range(8)]
+        await _hand_over(listener, sender, *shards)
+        self.assertEqual(8, listener.at_once_max)
+        self.assertEqual(8, len(sender.sent[0]))
+
+
+class _SlowListener(fakes.Listener):
+    """Sends each memory in many steps."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.at_once_max = 0
+        self._at_once = 0
+
+    async def hand_over(
+        self, asset: str, epoch: int, successor: ownership.Member
+    ) -> None:
+        self._at_once += 1
+        self.at_once_max = max(self.at_once_max, self._at_once)
+        for _ in range(20):
+            await anyio.lowlevel.checkpoint()
+        self._at_once -= 1
+        await super().hand_over(asset, epoch, successor)
--- a/tests/walnutpoint_entry/ownership/test_service.py
+++ b/tests/walnutpoint_entry/ownership/test_service.py
@@ -210,6 +210,28 @@
             await service.poll()
             self.assertGreater(service.table_revision, revision)
 
+    async def test_process_outside_leaves_changes_to_living_members(
+        self,
+    ) -> None:
+        """Key memory is lost where an outsider cuts a hand-over short.
+
+        It does not see the hand-overs of the members.
+        """
+        async with self._service(1) as member:
+            await self._join(member, samples.member(2))
+            async with self._service(3) as outsider:
+                for _ in range(12):
+                    for number in (1, 2):
+                        outsider.observe_question(
+                            samples.state(
+                                samples.member(number),
+                                table_revision=member.table_revision,
+                            )
+                        )
+                    await outsider.poll()
+                    self.timer.advance(0.1)
+                self.assertFalse(outsider.is_member())
+
     async def test_release_of_an_active_asset_lowers_its_slots(self) -> None:
         async with self._service() as service:
             await service.poll()
