--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advisors.py
@@ -32,9 +32,8 @@
 # several times their own length.
 _SHORT_S: typing.Final = 0.25
 # A call is brief that takes at most this many times as long as a usual one of
-# the queue that is answered fastest: those of one queue differ by half, by how
-# many workers are named; those of an urgent queue (some 20 or 60 ms) and a
-# batch queue (some 200 or 600 ms) by ten.
+# the queue that is answered fastest: more than calls of one queue differ by
+# the workers that they name, and less than urgent and batch queues differ.
 _BRIEF_FACTOR: typing.Final = 3.0
 # Workers that a usual question names.
 _NAMED_USUALLY: typing.Final = 10
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -26,9 +26,9 @@
 # large list takes 15 kB/s of the scheduler's link.
 _READ_S: typing.Final = 2.0
 _READ_EACH_S: typing.Final = 0.02
-# Between an answer without news and the next watch: each worker writes its
-# entry every 1.5 s, 17 answers a second with 25 of them. A worker that drains
-# may be given work for 2 s.
+# Between an answer without news and the next watch: most writes of entries
+# are signs of life. A worker that drains has to be noticed before it may no
+# longer be given work.
 _WATCH_PAUSE_S: typing.Final = 0.25
 # A life that is over, holds nothing and is not listed is forgotten then.
 _FORGET_S: typing.Final = 30.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -31,8 +31,8 @@
     'job', 'Time from accepting a job to its end, by final state.'
 )
 _MS: typing.Final = 1000.0
-# A failure within this part of a run's estimate speaks against its worker: for
-# the shortest tasks that is 0.14 s, three times what failing workers take.
+# A failure within this part of a run's estimate speaks against its worker: one
+# that fails all it starts does so at once, a task at any time of its run.
 _EARLY_SHARE: typing.Final = 0.2
 # A lasting task that ran for this long had begun well.
 _SETTLED_S: typing.Final = 5.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_handover.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_handover.py
@@ -53,8 +53,7 @@
         """Let another process claim the key while this one works on.
 
         It loses only the time of its own reading. With a release first the
-        cell would also wait for that commit, the watches and the claim:
-        1.3 s while a store call takes 280 ms, against 0.3 s.
+        cell would also wait for that commit, the watches and the claim.
         """
         self._leadership.leaving = True
         successors = self._strongest()[:_SUCCESSORS]
@@ -66,8 +65,7 @@
         A scheduler whose host the store turns away would go on through
         peers: each commit takes a hop more, and as no watch can, all jobs
         and workers are read again and again. A much weaker host would not do
-        better: one with a quarter of the core and a tenth of the link had
-        not read a thousand jobs after 1.2 s.
+        better: it takes longer to read all jobs.
         """
         least = self._members.me.strength * _LEAST_STRENGTH
         able = [m for m in self._strongest() if m.strength >= least]
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -32,7 +32,7 @@
 _SUSPICIONS: typing.Final = metrics.Counter(
     'suspicions', 'Tries to replace the scheduler by reason.'
 )
-# Between the tries of two candidates: a commit of some 4 ms and a reading.
+# Between the tries of two candidates: a commit and a reading.
 _RANK_DELAY_S: typing.Final = 0.04
 _RANK_DELAY_MAX_S: typing.Final = 0.6
 # A weak host leaves this much more time to others, also while it does not
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_outages.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_outages.py
@@ -11,9 +11,8 @@
     'is_young',
 )
 
-# When to come back in an outage, which lasts some 2 to 5 s and is over within
-# a second where it has lasted long. Callers give up after four repeats, the
-# first of which came 1.05 s after the refusal, told 1 s or 2 s alike.
+# When to come back in an outage. Callers have few repeats: those of a young
+# outage are told to come later, one that has lasted is likely to end soon.
 _YOUNG_OUTAGE_S: typing.Final = 3.0
 _RETRY_YOUNG_S: typing.Final = 2.0
 _RETRY_OLD_S: typing.Final = 1.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_own_calls.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_own_calls.py
@@ -20,10 +20,10 @@
 )
 
 # An own call without an answer for this many usual ones is put through a peer
-# as well: its timeout is 0.45 to 0.9 s, of some 0.9 s that a short job has to
-# spare. Calls twice as late as that are rare while the store is well.
+# as well: its timeout is most of what a short job has to spare. Calls as late
+# as that are rare while the store is well.
 _LATE_FACTOR: typing.Final = 2.0
-# Longer than a call while the store is slow, some 280 ms.
+# Longer than a call while the store is slow.
 SLOW_CALL_S: typing.Final = 0.35
 _AnswerT = typing.TypeVar('_AnswerT')
 Call = collections.abc.Callable[
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_probe_rhythm.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_probe_rhythm.py
@@ -12,7 +12,7 @@
 # for each host some hundred a second at most.
 _EACH_S: typing.Final = 0.01
 # Hosts that start together would probe together for ever, and notice a killed
-# scheduler after up to 0.97 s where there are 97 of them. Each probes somewhat
+# scheduler only after a whole period. Each probes somewhat
 # sooner or later than others, by its name: after two rounds their probes are
 # spread over the whole period.
 _LEAST: typing.Final = 0.75
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
@@ -16,9 +16,9 @@
 _LOG: typing.Final = logs.get_logger('links')
 _MS: typing.Final = 1000.0
 _WHOLE: typing.Final = 100.0
-# A task that resumes stands still while its state is read back, some 0.25 to
-# 0.6 s, and is reported half a second later at most. Counted, each run that
-# was stopped for urgent work made its next worker look slow.
+# A task that resumes stands still while its state is read back, and is
+# reported up to one report later. Counted, each run that was stopped for
+# urgent work would make its next worker look slow.
 _RESUME_S: typing.Final = 1.2
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_store_peers.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_store_peers.py
@@ -23,8 +23,8 @@
 _REFUSALS_MAX: typing.Final = 6
 _TIMEOUT_S: typing.Final = 0.7
 # A peer that the store gave no answer to, and that does not know yet, answers
-# only after its own timeout of 0.45 s. Another is asked beside it once a usual
-# answer (two hops and a call of 4 ms) is long overdue.
+# only after its own timeout. Another is asked beside it once a usual answer is
+# long overdue.
 _STAGGER_S: typing.Final = 0.08
 # With a third of the hosts cut off, one operation in 80 finds these all cut.
 _AT_ONCE_MAX: typing.Final = 4
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -22,7 +22,7 @@
 _LOG: typing.Final = logs.get_logger('suspects')
 # Workers that fall silent within this time of each other are one loss: a
 # refused connection is seen within some ms, and a lost power within a report's
-# wait of 0.5 s, half of it in the mean.
+# wait.
 _TOGETHER_S: typing.Final = 0.25
 # How long a suspect has to run well before others may start beside it: half
 # as long again as it ever took to lose a worker, within these bounds.
@@ -30,7 +30,7 @@
 _PROBATION_MIN_S: typing.Final = 0.3
 _PROBATION_MAX_S: typing.Final = 3.0
 # The pause before a suspect's third start, doubled with each further one: its
-# neighbours get a worker back in some 3 s.
+# neighbours get a worker back meanwhile.
 _BACKOFF_S: typing.Final = 0.5
 _BACKOFF_MAX_S: typing.Final = 4.0
 # A lasting task that ran this long on a worker is not what crashed it.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspicion.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspicion.py
@@ -19,7 +19,7 @@
 _MISSES: typing.Final = 2
 # A new scheduler reads jobs and asks workers first, and is not judged yet.
 _GRACE_S: typing.Final = 0.8
-# The store may be slow for everyone: 70 times its usual 4 ms.
+# The store may be slow for everyone.
 _STORE_AGE_S: typing.Final = 1.5
 _OWN_STORE_AGE_S: typing.Final = 0.7
 # Each change of the scheduler within this time doubles what it takes.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_health.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_health.py
@@ -124,10 +124,10 @@
     ) -> None:
         """Learn that a task failed on a worker, early in its run or not.
 
-        A worker that fails all it starts does so within some 0.05 s. A task
-        that fails by its own fault does so at any time of its run, as one in
-        twenty does: taken for its worker's, each would leave that with one
-        task at a time until it ends. Several in a row count all the same.
+        A worker that fails all it starts does so at once. A task that fails
+        by its own fault does so at any time of its run: taken for its
+        worker's, each would leave that with one task at a time until it ends.
+        Several in a row count all the same.
         """
         if is_counted:
             self.withdraw(worker)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
@@ -24,10 +24,8 @@
 _LEAST_PACE: typing.Final = 0.01
 # Estimates of so many jobs are not all off in the same way.
 _JOBS_MIN: typing.Final = 2
-# How long a worker counts as slow without a newer sign. The users' workers are
-# slow for some 6 s; tried by urgent tasks after 2.5 s, an empty slow worker
-# drew four of them at a time, and more lists were late than without any of
-# this (7 of 76 against 4, test_slow_workers).
+# How long a worker counts as slow without a newer sign. Shorter, urgent tasks
+# would try it while it still is, several at a time as it is empty.
 _KEPT_S: typing.Final = 8.0
 # When batch, which has time, may try it: its progress tells for all.
 _TRIED_AFTER_S: typing.Final = 2.0
--- a/tests/walnutpoint_platform/test_site.py
+++ b/tests/walnutpoint_platform/test_site.py
@@ -19,6 +19,7 @@
         """
         offsets = set()
         for process_id in range(97):
-            with mock.patch('os.getpid', return_value=process_id):
+            with mock.patch('os.getpid', autospec=True) as getpid:
+                getpid.return_value = process_id
                 offsets.add(site.free_ports(site.PORTS) % site.PORTS)
         self.assertEqual({0}, offsets)
