Ask about more workers where a step has to wait

A step knew of the 24 workers that its first question named, some 8 granted of 176, and learned of others only where these had room at that moment.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_inquiry.py
@@ -20,6 +20,9 @@
 # Named even where fewer would do, as some fail or fill up meanwhile: within
 # the 30 that the objective of a job allows for each step.
 _NAMED_MIN: typing.Final = 24
+# Named where too few have room: the step waits anyway, and each further worker
+# that it may run on is a place where room may come first.
+NAMED_WAITING: typing.Final = 50
 # The room that is asked for against the room that is needed: shares are
 # learnt from few answers, and others take room while the answer is awaited.
 _MARGIN: typing.Final = 1.5
@@ -44,19 +47,21 @@
     """
     names: list[str] = []
     full: list[str] = []
+    wanted = task_count * _MARGIN
     expected = 0.0
     for worker in candidates:
-        enough = expected >= task_count * _MARGIN
+        enough = expected >= wanted
         if len(names) >= (_NAMED_MIN if enough else names_max):
             break
         count = room(worker)
         if count:
             names.append(worker.worker_id)
             expected += count * granted_share
-        elif len(full) < _NAMED_MIN:
+        elif len(full) < NAMED_WAITING:
             full.append(worker.worker_id)
     if not only_with_room:
-        names += full[: max(0, _NAMED_MIN - len(names))]
+        least = _NAMED_MIN if expected >= wanted else NAMED_WAITING
+        names += full[: max(0, least - len(names))]
     return names
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections.abc
+import itertools
 import typing
 
 from walnutpoint_scheduler import _choice
@@ -124,8 +125,30 @@
                 )
             self._refreshed += bool(renewed and not names)
             names += renewed
+            if renewed and not step.step.gang:
+                names += self._further(chooser, step, len(names))
         return names
 
+    def _further(
+        self,
+        chooser: _choice.Chooser,
+        step: _state.StepProgress,
+        named: int,
+    ) -> list[str]:
+        """Return workers that a step which waits is not known to run on.
+
+        A question takes little longer for them, and the more workers may run
+        a step, the sooner one of them has room.
+        """
+        advice = self._context.advice
+        unknown = (
+            worker.worker_id
+            for worker in chooser.askable(step.step)
+            if advice.permits(step.key, worker.worker_id) is None
+        )
+        count = max(0, _inquiry.NAMED_WAITING - named)
+        return list(itertools.islice(unknown, count))
+
     def _lapsing(
         self,
         step: _state.StepProgress,
