--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_questions.py
@@ -158,10 +158,9 @@
         """Return the workers whose room comes soon, and the ticket is over.
 
         Asked for only once the room is there, a ticket leaves a whole worker
-        idle for the time of an answer. A
-        gang has all of its places at one time, and is asked about in one
-        question: renewed in turn, its first tickets would be over before the
-        last are there.
+        idle for the time of an answer. A gang has all of its places at one
+        time, and is asked about in one question: renewed in turn, its first
+        tickets would be over before the last are there.
         """
         if not self._context.settings.policies.ticket_renewal:
             return []
