--- a/tests/walnutpoint_entry/ownership/test_handover.py
+++ b/tests/walnutpoint_entry/ownership/test_handover.py
@@ -85,10 +85,7 @@
         self.assertEqual(2, len(seen))
 
     async def test_slow_answers_delay_a_release_once(self) -> None:
-        """Shards open without their memory where it comes after the fence.
-
-        On a busy machine each memory's answer takes long.
-        """
+        """Shards open without their memory where it comes after the fence."""
         listener, sender = _SlowListener(), fakes.Sender()
         shards = [f'shard-{number}' for number in range(8)]
         await _hand_over(listener, sender, *shards)
--- a/tests/walnutpoint_entry/ownership/test_service.py
+++ b/tests/walnutpoint_entry/ownership/test_service.py
@@ -213,10 +213,7 @@
     async def test_process_outside_leaves_changes_to_living_members(
         self,
     ) -> None:
-        """Key memory is lost where an outsider cuts a hand-over short.
-
-        It does not see the hand-overs of the members.
-        """
+        """Key memory is lost where an outsider cuts a hand-over short."""
         async with self._service(1) as member:
             await self._join(member, samples.member(2))
             async with self._service(3) as outsider:
--- a/tests/walnutpoint_entry/tasks/test_http.py
+++ b/tests/walnutpoint_entry/tasks/test_http.py
@@ -18,7 +18,7 @@
 from tests.walnutpoint_entry.tasks import fake
 
 _TIMES = tasks.LeaseTimes(
-    lease_s=4.5,
+    lease_s=1.5,
     renew_period_s=0.5,
     retry_s=0.2,
     margin_s=0.5,
--- a/tests/walnutpoint_platform/test_processes.py
+++ b/tests/walnutpoint_platform/test_processes.py
@@ -152,48 +152,42 @@
         Its imports take a tenth of a second. A signal in that time found no
         handler, and ended it as a crash does; a hangup ended it too.
         """
-        with tempfile.TemporaryDirectory() as folder:
-            # Stands in for a library, and tells what holds when it is
-            # imported.
-            pathlib.Path(folder, 'uvloop.py').write_text(
-                'import signal\n'
-                'print(signal.getsignal(signal.SIGHUP).name)\n'
-                'signal.raise_signal(signal.SIGHUP)\n'
-                'signal.raise_signal(signal.SIGTERM)\n'
-            )
-            ended = subprocess.run(
-                [sys.executable, '-m', 'walnutpoint_platform'],
-                env=os.environ | {'PYTHONPATH': folder},
-                capture_output=True,
-                text=True,
-                check=False,
-            )
+        ended = self._start_with(
+            'import signal\n'
+            'print(signal.getsignal(signal.SIGHUP).name)\n'
+            'signal.raise_signal(signal.SIGHUP)\n'
+            'signal.raise_signal(signal.SIGTERM)\n'
+        )
         self.assertEqual(
             (0, 'SIG_IGN'), (ended.returncode, ended.stdout.strip())
         )
 
     def test_stop_during_the_start_is_never_lost(self) -> None:
-        """A process told to stop while it imports runs on until it is killed.
+        """A stop that comes within a finalizer leaves the process running."""
+        ended = self._start_with(
+            'import signal\n'
+            'class Finalized:\n'
+            '    def __del__(self):\n'
+            '        signal.raise_signal(signal.SIGTERM)\n'
+            'Finalized()\n'
+            'print("runs on")\n',
+            '--check',
+        )
+        self.assertEqual((0, ''), (ended.returncode, ended.stdout))
 
-        An exception that a signal raises within a finalizer is dropped.
-        """
+    def _start_with(
+        self, library: str, *arguments: str
+    ) -> subprocess.CompletedProcess[str]:
+        """Start a process that imports a text in place of a library."""
         with tempfile.TemporaryDirectory() as folder:
-            pathlib.Path(folder, 'uvloop.py').write_text(
-                'import signal\n'
-                'class Finalized:\n'
-                '    def __del__(self):\n'
-                '        signal.raise_signal(signal.SIGTERM)\n'
-                'Finalized()\n'
-                'print("runs on")\n'
-            )
-            ended = subprocess.run(
-                [sys.executable, '-m', 'walnutpoint_platform', '--check'],
+            pathlib.Path(folder, 'uvloop.py').write_text(library)
+            return subprocess.run(
+                [sys.executable, '-m', 'walnutpoint_platform', *arguments],
                 env=os.environ | {'PYTHONPATH': folder},
                 capture_output=True,
                 text=True,
                 check=False,
             )
-        self.assertEqual((0, ''), (ended.returncode, ended.stdout))
 
     def test_bad_jobs_are_refused_at_once(self) -> None:
         """A caller hears what is wrong, and nothing is stored."""
--- a/tests/walnutpoint_platform/test_site.py
+++ b/tests/walnutpoint_platform/test_site.py
@@ -12,11 +12,7 @@
     """Processes of one site find their ports free."""
 
     def test_rows_of_ports_never_overlap_in_part(self) -> None:
-        """Two sites started at once would open the same ports.
-
-        The sign that holds a row is its last port, which the other row
-        would not have.
-        """
+        """Two sites that are started at once open the same ports."""
         offsets = set()
         for process_id in range(97):
             with mock.patch('os.getpid', autospec=True) as getpid:
