Do not send results of withdrawn requests to the next home of a key

Callers saw: during a planned stop, requests with keys end at their deadline with 503 key_undecided (peer_answer_lost), and so does each repeat until the key has expired (409 key_expired). Cause: a home that loses a shard withdraws the requests of it that have not started, so that their senders repeat them at the next home. When the withdrawn request left the dispatcher, on_finished() sent its failure to the next home as the key's result, before the sender's repeat (0.1 s later) came there: the repeat was answered with the withdrawal itself, which senders take for "ask again". A unit test of the same order of events gets Replayed(peer_answer_lost, 'the home of the key moved') from the next home, Admitted with the change. Ruled out: a lost hand-over (no keys_not_sent, every release was taken, no shard_blind in that cluster), a late takeover (shards active after 0.1 s). Change: a request that never started has no result for the next home.

--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_shards.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_shards.py
@@ -151,6 +151,10 @@
 
     def on_finished(self, entry: keys.InFlightKey) -> None:
         """Send the next home the result of a key handed over in flight."""
+        if not entry.started:
+            # Withdrawn when the shard closed, so that the next home may
+            # start the sender's repeat.
+            return
         next_home = self._next_homes.get(entry.shard)
         if next_home is None or self._memory.is_open(entry.shard):
             return
--- a/tests/walnutpoint_entry/routing/test_shards.py
+++ b/tests/walnutpoint_entry/routing/test_shards.py
@@ -135,3 +135,21 @@
         self.assertTrue(self.first.shards.is_idle())
         self.next.shards.receive(self.first.links.batches[-1])
         self.assertEqual(keys.Replayed(_DONE), self.next.begin('running'))
+
+    async def test_withdrawn_request_may_start_at_the_next_home(self) -> None:
+        """A shard moves while a request waits for a slot.
+
+        The old home withdraws the request, and its sender repeats it at the
+        next home. A late result from the old home would refuse that repeat.
+        """
+        entry = self.first.begin('waiting').entry
+        await self._hand_over()
+        self._receive()
+        self.first.memory.finish(
+            entry, fakes.failed(errors.ErrorKind.NOT_CONFIRMED), 0.0
+        )
+        self.first.shards.on_finished(entry)
+        await samples.settle()
+        for batch in self.first.links.batches:
+            self.next.shards.receive(batch)
+        self.assertIsInstance(self.next.begin('waiting'), keys.Admitted)
