Keep idle client connections open, and announce their end in a stop

Cause: the HTTP server closed a connection after 5 s of idleness, the default of hypercorn, and httpx reuses one for 5 s. Between the server's timer and the close lie some iterations of its loop; a request that arrives there is dropped and the connection reset. Found beside it: a stopping server closes a connection right after a response without "Connection: close", so that the client's next request gets no answer. Change: limits.idle_connection_s, 120 s, above the limits of load balancers and clients; "Connection: close" on each response from the stop signal on.

--- a/packages/walnutpoint-core/src/walnutpoint_core/settings/_schema.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/settings/_schema.py
@@ -129,6 +129,9 @@
         int, msgspec.Meta(ge=1024, le=16_777_216)
     ] = 1_048_576
     requests_in_progress: _Count = 4000
+    # Above the idle limits of load balancers and client libraries: whoever
+    # closes an idle connection first may cut a request on its way.
+    idle_connection_s: _LongTime = 120.0
     log_level: typing.Literal['debug', 'info', 'warning', 'error'] = 'info'
 
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_daemon.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_daemon.py
@@ -10,8 +10,6 @@
 import anyio
 import anyio.abc
 import grpc.aio
-import hypercorn.asyncio
-import hypercorn.config
 import starlette.types
 
 from walnutpoint_core import logs
@@ -20,6 +18,7 @@
 from walnutpoint_entry import callers
 from walnutpoint_entry import configuration
 from walnutpoint_entry import console
+from walnutpoint_entry.daemon import _http_server
 from walnutpoint_entry.daemon import _jobs
 from walnutpoint_entry.daemon import _parts
 from walnutpoint_entry.daemon import _surfaces
@@ -181,17 +180,12 @@
         address: str,
         stopped: anyio.Event,
     ) -> None:
-        config = hypercorn.config.Config()
-        config.bind = [address]
-        config.include_server_header = False
-        config.include_date_header = False
-        config.graceful_timeout = (
-            self._components.settings.requests.deadline_max_s
-        )
-        config.accesslog = None
-        config.errorlog = None
-        await hypercorn.asyncio.serve(
-            app, config, shutdown_trigger=self._shutdown_requested.wait
+        await _http_server.serve(
+            app,
+            address,
+            self._components.settings,
+            self._caller_handler.is_stopping,
+            self._shutdown_requested.wait,
         )
         stopped.set()
 
