--- a/tools/verdict.py
+++ b/tools/verdict.py
@@ -1,7 +1,7 @@
 """Summarize a CI run: count passed and failed tests and checks.
 
 Usage: python tools/verdict.py --junit FILE --test-exit N
-       [--known-red FILE] [--part NAME=EXIT ...]
+       [--known-red FILE] [--tests DIRECTORY] [--part NAME=EXIT ...]
 
 The last line is "N passed, N failed"; the exit code is 1 on any failure.
 It only uses the standard library, so that it runs without installation.
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import argparse
+import ast
 import collections.abc
 import dataclasses
 import pathlib
@@ -21,24 +22,29 @@
     'KnownRed',
     'TestRun',
     'Verdict',
+    'defined_tests',
     'evaluate',
     'main',
     'read_junit',
     'read_known_red',
 )
 
-KNOWN_RED_MAX: typing.Final = 3
+_KNOWN_RED_FIELDS: typing.Final = 'test | command and seed | seen | issue'
 _FAILURE_TAGS: typing.Final = ('error', 'failure')
 _UNEXPECTED: typing.Final = 'test passes unexpectedly'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KnownRed:
-    """A test that may fail, the cause, and the issue that tracks it."""
+    """A test that may fail, how to repeat it, and the issue number."""
 
     test: str
-    cause: str
-    issue: str
+    command: str
+    seen: str
+    issue: int
+
+    def __str__(self) -> str:
+        return f'{self.test} | {self.command} | {self.seen} | {self.issue}'
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -95,19 +101,43 @@
     known_reds = []
     for line in filter(None, map(str.strip, text.splitlines())):
         parts = [part.strip() for part in line.split('|')]
-        if len(parts) != 3 or not all(parts):
-            raise ValueError(f'not "test | cause | issue": {line}')
-        known_reds.append(KnownRed(*parts))
-    if len(known_reds) > KNOWN_RED_MAX:
-        raise ValueError(f'{len(known_reds)} lines, at most {KNOWN_RED_MAX}')
+        if len(parts) != 4 or not all(parts) or not parts[3].isdecimal():
+            raise ValueError(f'not "{_KNOWN_RED_FIELDS}": {line}')
+        known_reds.append(KnownRed(*parts[:3], int(parts[3])))
     return tuple(known_reds)
 
 
+def defined_tests(directory: pathlib.Path) -> frozenset[str]:
+    """Return the full names of all test functions in a package."""
+    names: set[str] = set()
+    for path in directory.rglob('test_*.py'):
+        module = path.relative_to(directory.parent).with_suffix('')
+        tree = ast.parse(path.read_text('utf-8'), str(path))
+        names.update(_test_names(tree, '.'.join(module.parts)))
+    return frozenset(names)
+
+
+def _test_names(node: ast.AST, prefix: str) -> collections.abc.Iterator[str]:
+    for child in ast.iter_child_nodes(node):
+        if not isinstance(
+            child, ast.ClassDef | ast.FunctionDef | ast.AsyncFunctionDef
+        ):
+            yield from _test_names(child, prefix)
+            continue
+        name = f'{prefix}.{child.name}'
+        if not isinstance(child, ast.ClassDef) and child.name.startswith(
+            'test_'
+        ):
+            yield name
+        yield from _test_names(child, name)
+
+
 def evaluate(
     run: TestRun,
     test_exit: int,
     known_reds: collections.abc.Sequence[KnownRed] = (),
     parts: collections.abc.Mapping[str, int] | None = None,
+    defined: frozenset[str] = frozenset(),
 ) -> Verdict:
     """Return the verdict on the tests and the other parts of a run."""
     verdict = Verdict()
@@ -117,6 +147,8 @@
         else:
             verdict.passed += 1
     _add_test_results(verdict, run, known_reds)
+    for name in sorted(defined - run.passed - run.failed - run.skipped):
+        verdict.fail(f'test {name} is defined but did not run')
     if not run.passed and not run.failed:
         verdict.fail('tests: no test ran')
     elif test_exit and not run.failed:
@@ -139,9 +171,7 @@
     verdict.notes += [f'SKIPPED test {name}' for name in sorted(run.skipped)]
     for entry in known_reds:
         if entry.test in run.failed:
-            verdict.notes.append(
-                f'KNOWN RED {entry.test} | {entry.cause} | {entry.issue}'
-            )
+            verdict.notes.append(f'KNOWN RED {entry}')
         elif entry.test in run.passed:
             verdict.notes.append(
                 f'PASSES NOW, take off the list: {entry.test}'
@@ -168,7 +198,10 @@
         faults.append(f'{options.known_red.name}: {error}')
     parts = dict(part.rsplit('=', 1) for part in options.part)
     codes = {name: int(code) for name, code in parts.items()}
-    verdict = evaluate(run, options.test_exit, known_reds, codes)
+    defined: frozenset[str] = frozenset()
+    if options.tests is not None:
+        defined = defined_tests(options.tests)
+    verdict = evaluate(run, options.test_exit, known_reds, codes, defined)
     for text in faults:
         verdict.fail(text)
     print(*verdict.notes, sep='\n', end='\n' if verdict.notes else '')
@@ -185,6 +218,7 @@
     parser.add_argument(
         '--known-red', type=pathlib.Path, default='KNOWN-RED.txt'
     )
+    parser.add_argument('--tests', type=pathlib.Path)
     parser.add_argument('--part', action='append', default=[])
     return parser.parse_args(arguments)
 
