--- a/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_connection.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_connection.py
@@ -37,6 +37,8 @@
         '_next_call',
         '_poll',
         '_reader',
+        '_received_at_s',
+        '_received_size_bytes',
         '_result',
         '_size_max_bytes',
         '_timer',
@@ -62,6 +64,9 @@
         self._result: asyncio.Future[_call.CallResult] | None = None
         self._next_call: asyncio.Future[_call.PendingCall | None] | None = None
         self._written_at_s = 0.0
+        # Of the answer in progress.
+        self._received_size_bytes = 0
+        self._received_at_s = 0.0
 
     @property
     def is_reusable(self) -> bool:
@@ -108,6 +113,7 @@
         self._transport.write(encoded.ok.data)
         pending_call.is_written = True
         self._written_at_s = self._timer.now_s()
+        self._received_size_bytes = 0
         self._result = result
         timeout = self._loop.call_later(remaining_s, self._on_timeout)
         try:
@@ -188,6 +194,8 @@
         if self._result.done():
             self._is_reusable = False
             return
+        self._received_size_bytes += len(data)
+        self._received_at_s = self._timer.now_s()
         answer = self._reader.receive(data)
         if answer is None:
             return
@@ -234,7 +242,15 @@
     def _on_timeout(self) -> None:
         # On a reused connection, an answer after the timeout would be read
         # as that of the next call.
-        self._finish(_failed(_KIND.ANSWER_LATE, 'no whole answer in time'))
+        now_s = self._timer.now_s()
+        detail = f'no answer {now_s - self._written_at_s:.3f} s after the send'
+        if self._received_size_bytes:
+            detail = (
+                f'no whole answer {now_s - self._written_at_s:.3f} s after '
+                f'the send; {self._received_size_bytes} bytes received, the '
+                f'last {now_s - self._received_at_s:.3f} s ago'
+            )
+        self._finish(_failed(_KIND.ANSWER_LATE, detail))
 
     def _finish(self, result: _call.CallResult) -> None:
         self._is_reusable = False
--- a/tests/walnutpoint_entry/endpoints/test_client.py
+++ b/tests/walnutpoint_entry/endpoints/test_client.py
@@ -250,6 +250,26 @@
             self.assertEqual(b'next', result.ok.body)
             self.assertEqual(2, endpoint.connections)
 
+    async def test_late_answer_is_told_from_a_silent_endpoint(self) -> None:
+        """A slow transfer and a silent endpoint are reported alike."""
+
+        async def script(reader, writer):
+            request = await scripted.read_request(reader)
+            if request.endswith(b'half'):
+                writer.write(scripted.answer(b'half')[:-2])
+            await scripted.read_request(reader)
+
+        async with scripted.Endpoint(script) as endpoint:
+            for body, expected in (
+                (b'half', ' bytes received, the last 0.'),
+                (b'none', 'no answer 0.'),
+            ):
+                late = await self.client.call(
+                    scripted.call(endpoint.address, body, timeout_s=0.1)
+                )
+                self.assertEqual(_KIND.ANSWER_LATE, late.error.kind)
+                self.assertIn(expected, late.error.detail)
+
     async def test_surplus_answer_is_not_read_by_next_call(self) -> None:
         """An endpoint sends two answers to one request.
 
