Await the answer to a keyed request beyond its deadline, for its repeats

Cause: a repeat gets the result of the first attempt under its key. That one ended with answer_late at its own deadline of 1 s, its connection was reset and the answer dropped, however much of it had come; the key then had this result for as long as it is remembered, so that no repeat could get the answer of a request that had run. Ruled out: a timer that fires early (0.954 to 1.002 s after the send), a silent endpoint, a lost connection. Change: the request runs on in a task of its own, and its answer is awaited for as long again as the caller's deadline, at a peer too. The first caller gets its 504 at the deadline as before, a repeat joins the request that still runs. A request that never started still ends as not-run. Result: new tests of the router, and of processes with an answer at 1.5 s for a deadline of 1 s, placed here and at a peer: the second fails on ('done' != 'unknown').

--- a/packages/walnutpoint-core/src/walnutpoint_core/model.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/model.py
@@ -56,6 +56,8 @@
     deadline_at_s: float
     idempotent: bool
     key: str | None = None
+    # How long after the deadline its answer is awaited for repeats.
+    late_answer_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/callers/_parser.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/callers/_parser.py
@@ -92,6 +92,11 @@
             idempotent=key is None
             and (declared_idempotent or http.method in _IDEMPOTENT_METHODS),
             key=key,
+            late_answer_s=(
+                0.0
+                if key is None
+                else _late_answer_s(deadline_s, requests.deadline_max_s)
+            ),
         )
     )
 
@@ -109,6 +114,11 @@
     return deadline_s
 
 
+def _late_answer_s(deadline_s: float, deadline_max_s: float) -> float:
+    # Bounds how long a silent endpoint keeps the slot of a short request.
+    return min(deadline_s, deadline_max_s - deadline_s)
+
+
 async def _read_body(
     http: starlette.requests.Request, size_max_bytes: int
 ) -> bytes | None:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_parts.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_parts.py
@@ -149,6 +149,7 @@
             self.key_memory,
             self.shards,
             ownership.shard_names(shards),
+            self.request_tracker,
         )
         self.peer_handler.set_dependencies(
             self.ownership, self.dispatcher, self.router, self.shards
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_progress.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_progress.py
@@ -6,8 +6,12 @@
 import collections.abc
 import typing
 
+from walnutpoint_core import logs
+
 __all__ = ('RequestTracker',)
 
+_LOG = logs.get_logger(__name__)
+
 _T = typing.TypeVar('_T')
 
 
@@ -33,3 +37,16 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return await asyncio.shield(task)
+
+    def start(
+        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        """Run a part of a request that may outlast it."""
+        task = asyncio.ensure_future(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._on_done)
+
+    def _on_done(self, task: asyncio.Task[None]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            _LOG.error('request_failed', error=repr(task.exception()))
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_call.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_call.py
@@ -24,7 +24,8 @@
 class EndpointCall:
     """One request to one endpoint; the guard is checked before the write.
 
-    The timeout covers the connection setup and the whole answer.
+    The timeout covers the connection setup and the whole answer, which is
+    awaited for late_answer_s longer.
     """
 
     address: str
@@ -33,6 +34,7 @@
     guard: collections.abc.Callable[[], bool]
     timeout_s: float
     connections_max: int = CONNECTIONS_MAX
+    late_answer_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -52,6 +54,7 @@
         '_result_future',
         'guard',
         'is_written',
+        'late_answer_s',
         'message',
         'single_use',
         'timeout_at_s',
@@ -63,11 +66,13 @@
         guard: collections.abc.Callable[[], bool],
         timeout_at_s: float,
         *,
+        late_answer_s: float = 0.0,
         single_use: bool = False,
     ) -> None:
         self.message = message
         self.guard = guard
         self.timeout_at_s = timeout_at_s
+        self.late_answer_s = late_answer_s
         self.single_use = single_use
         self.is_written = False
         self._result_future: asyncio.Future[CallResult] = (
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_client.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_client.py
@@ -58,6 +58,7 @@
             _message.from_request(call.address, call.request, call.epoch),
             call.guard,
             self._timer.now_s() + call.timeout_s,
+            late_answer_s=call.late_answer_s,
         )
         return await pool.call(pending_call)
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_connection.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/endpoints/_connection.py
@@ -115,7 +115,9 @@
         self._written_at_s = self._timer.now_s()
         self._received_size_bytes = 0
         self._result = result
-        timeout = self._loop.call_later(remaining_s, self._on_timeout)
+        timeout = self._loop.call_later(
+            remaining_s + pending_call.late_answer_s, self._on_timeout
+        )
         try:
             return await result
         finally:
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_codec.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_codec.py
@@ -84,6 +84,7 @@
         waited_s=now_s - request.received_at_s,
         idempotent=request.idempotent,
         key=request.key or '',
+        late_answer_s=request.late_answer_s,
     )
 
 
@@ -103,6 +104,7 @@
         deadline_at_s=now_s + message.remaining_s,
         idempotent=message.idempotent,
         key=message.key or None,
+        late_answer_s=message.late_answer_s,
     )
 
 
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_link.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/peers/_link.py
@@ -133,7 +133,9 @@
         self, request: model.Request
     ) -> expression.Result[model.Answer, errors.Failure]:
         """Ask the peer to place a request on an endpoint that it owns."""
-        return await self._send_request(request, 'Place')
+        return await self._send_request(
+            request, 'Place', request.late_answer_s
+        )
 
     async def serve(
         self, request: model.Request
@@ -242,14 +244,16 @@
             await channel.close()
 
     async def _send_request(
-        self, request: model.Request, method: str
+        self, request: model.Request, method: str, late_answer_s: float = 0.0
     ) -> expression.Result[model.Answer, errors.Failure]:
         if not self._is_responsive:
             return _unreachable(self._member)
         now_s = self._timer.now_s()
         call = getattr(self._stub, method)(
             _codec.encode_request(request, now_s),
-            timeout=request.deadline_at_s - now_s + _CALL_GRACE_S,
+            timeout=(
+                request.deadline_at_s - now_s + late_answer_s + _CALL_GRACE_S
+            ),
             metadata=self._metadata,
         )
         reply = await self._await_call(call)
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_dispatcher.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_dispatcher.py
@@ -262,6 +262,7 @@
                     guard=lambda: self._try_start(state, endpoint),
                     timeout_s=self._attempt_timeout_s(state, now_s),
                     connections_max=self._fleet.connections_max(endpoint),
+                    late_answer_s=request.late_answer_s,
                 )
             )
             failure = call_result.error if call_result.is_error() else None
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_router.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_router.py
@@ -24,6 +24,8 @@
 __all__ = ('Router',)
 
 _RETRY_INTERVAL_S: typing.Final = 0.1
+# For the outcome of a request whose last attempt ends at its deadline.
+_SETTLE_S: typing.Final = 0.05
 _KIND = errors.ErrorKind
 # The home did not accept the request, or it recognizes the repeat.
 _HOME_RETRY_KINDS: typing.Final = frozenset(
@@ -39,6 +41,15 @@
 ]
 
 
+class RunTracker(typing.Protocol):
+    """Keeps this process from stopping while work runs."""
+
+    def start(
+        self, work: collections.abc.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        """Run work that may outlast the caller's wait."""
+
+
 class Router:
     """Serve requests without a key here and keyed ones at their homes."""
 
@@ -48,6 +59,7 @@
         '_memory',
         '_minter',
         '_ownership',
+        '_run_tracker',
         '_shard_names',
         '_shards',
         '_timer',
@@ -63,6 +75,7 @@
         memory: keys.KeyMemory,
         shards: _shards.KeyShards,
         shard_names: collections.abc.Sequence[str],
+        run_tracker: RunTracker,
     ) -> None:
         self._timer = timer
         self._ownership = owner
@@ -72,6 +85,7 @@
         self._memory = memory
         self._shards = shards
         self._shard_names = shard_names
+        self._run_tracker = run_tracker
 
     def mint_key(self) -> expression.Result[str, errors.Failure]:
         """Return a new idempotency key, of a shard owned here if any."""
@@ -125,7 +139,8 @@
             return admission.result
         if isinstance(admission, keys.Joined):
             return await self._join(admission.entry, request)
-        return await self._run(admission.entry, asset, request)
+        self._run_tracker.start(self._run(admission.entry, asset, request))
+        return await self._await_first(admission.entry, request)
 
     async def _send_to_home(
         self, asset: str, request: model.Request
@@ -149,7 +164,8 @@
 
     async def _run(
         self, entry: keys.InFlightKey, asset: str, request: model.Request
-    ) -> _ServeResult:
+    ) -> None:
+        """Run a request, until after its deadline if its answer is late."""
         start_guard = _start_guard.KeyGuard(
             entry, lambda: self._ownership.may_act(asset)
         )
@@ -163,23 +179,35 @@
                 entry, _final_result(result), self._timer.now_s()
             )
             self._shards.on_finished(entry)
-        assert entry.result is not None
-        return entry.result
+
+    async def _await_first(
+        self, entry: keys.InFlightKey, request: model.Request
+    ) -> _ServeResult:
+        """Wait for the result of the request that was admitted."""
+        await self._await_result(entry, request, _SETTLE_S)
+        if entry.result is None and not entry.started:
+            # Its last attempt ends at the deadline too; not-run is certain.
+            await entry.finished.wait()
+        return _result_at_deadline(entry)
 
     async def _join(
         self, entry: keys.InFlightKey, request: model.Request
     ) -> _ServeResult:
         try:
-            remaining_s = request.deadline_at_s - self._timer.now_s()
-            with anyio.move_on_after(remaining_s):
-                await entry.finished.wait()
+            await self._await_result(entry, request)
         finally:
             entry.remove_waiter()
-        if entry.result is None:
-            return expression.Error(
-                errors.Failure(_KIND.ANSWER_LATE, 'the first one still runs')
-            )
-        return entry.result
+        return _result_at_deadline(entry)
+
+    async def _await_result(
+        self,
+        entry: keys.InFlightKey,
+        request: model.Request,
+        grace_s: float = 0.0,
+    ) -> None:
+        remaining_s = request.deadline_at_s - self._timer.now_s() + grace_s
+        with anyio.move_on_after(remaining_s):
+            await entry.finished.wait()
 
     def _select_mint_shard(self) -> int:
         owned_shards = [
@@ -198,6 +226,16 @@
     return dataclasses.replace(request, key=f'{request.team}:{request.key}')
 
 
+def _result_at_deadline(entry: keys.InFlightKey) -> _ServeResult:
+    if entry.result is not None:
+        return entry.result
+    return expression.Error(
+        errors.Failure(
+            _KIND.ANSWER_LATE, 'still runs; a repeat may get its answer'
+        )
+    )
+
+
 def _final_result(result: _ServeResult) -> _ServeResult:
     """Return the result to store for a key, with no kind that is retried."""
     # A peer to which the home sent the request may have failed. If the home
--- a/tests/faults/test_single_faults.py
+++ b/tests/faults/test_single_faults.py
@@ -320,6 +320,31 @@
 
         _run_scenario(scenario)
 
+    def test_repeat_gets_an_answer_that_came_late(self) -> None:
+        """A repeat gets the timeout of an earlier request under its key.
+
+        The worker answers after the deadline of the first request, which
+        one process places itself and the other one at its peer.
+        """
+
+        async def scenario(
+            cluster: clusters.Cluster, load: loads.Load
+        ) -> None:
+            for entry in range(2):
+                key = await load.mint(entry)
+                tag = f'late-{entry}'
+                first = await load.send(
+                    _KIND.MINTED, entry, tag, key=key, run_s=1.5, deadline_s=1
+                )
+                self.assertEqual('answer_late', first.error, str(first))
+                repeat = await load.send(
+                    _KIND.MINTED, entry, tag, key=key, run_s=1.5
+                )
+                self.assertEqual('done', repeat.outcome, str(repeat))
+                self.assertEqual(1, cluster.worker.tags[tag])
+
+        _run_scenario(scenario, entries=2, endpoints=1)
+
 
 class BalancerTest(unittest.TestCase):
     """Readiness probe of the load balancer."""
--- a/tests/walnutpoint_entry/routing/test_router.py
+++ b/tests/walnutpoint_entry/routing/test_router.py
@@ -31,6 +31,7 @@
     def __init__(self, *results: typing.Any) -> None:
         self._results = list(results)
         self.unblock: anyio.Event | None = None
+        self.unblock_answer: anyio.Event | None = None
         self.started: list[str] = []
 
     async def serve(
@@ -42,9 +43,21 @@
         if not start_guard.try_start():
             return fakes.failed(_KIND.NOT_CONFIRMED)
         self.started.append(request.request_id)
+        if self.unblock_answer is not None:
+            await self.unblock_answer.wait()
         return self._results.pop(0) if self._results else fakes.SERVED
 
 
+class _RunTracker:
+    """Run work in tasks."""
+
+    def __init__(self) -> None:
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self, work: typing.Any) -> None:
+        self.tasks.append(asyncio.ensure_future(work))
+
+
 class RouterTest(unittest.IsolatedAsyncioTestCase):
     """Member 1 is home of the only shard unless a test changes it."""
 
@@ -71,6 +84,7 @@
             memory,
             self.shards,
             ownership.shard_names(1),
+            _RunTracker(),
         )
         return self.router
 
@@ -119,6 +133,41 @@
         )
         self.assertEqual(1, len(self.dispatcher.started))
 
+    async def test_repeat_gets_an_answer_that_came_late(self) -> None:
+        """A repeat gets the timeout of an earlier request under its key.
+
+        The endpoint answers after the first request's deadline and before
+        that of the repeat.
+        """
+        router = self._make()
+        self.dispatcher.unblock_answer = anyio.Event()
+        first = dataclasses.replace(
+            self.request, deadline_at_s=self.timer.now_s() + 0.05
+        )
+        self._assert_failed(await router.route(first), _KIND.ANSWER_LATE)
+        repeat = asyncio.ensure_future(router.route(self.request))
+        await samples.settle()
+        self.dispatcher.unblock_answer.set()
+        self.assertEqual(fakes.SERVED, await repeat)
+        self.assertEqual(1, len(self.dispatcher.started))
+
+    async def test_not_run_at_the_deadline_is_told_as_such(self) -> None:
+        """A request that never started ends with an unknown outcome.
+
+        The dispatcher gives up at the deadline, just after the wait for its
+        result has ended.
+        """
+        router = self._make()
+        self.dispatcher.unblock = anyio.Event()
+        first = dataclasses.replace(
+            self.request, deadline_at_s=self.timer.now_s()
+        )
+        task = asyncio.ensure_future(router.route(first))
+        await asyncio.sleep(0.1)
+        self.owner.lost.add('shard-0')
+        self.dispatcher.unblock.set()
+        self._assert_failed(await task, _KIND.NOT_CONFIRMED)
+
     async def test_another_request_with_the_same_key(self) -> None:
         router = self._make()
         await router.route(self.request)
