Answer requests that are on their way in when the HTTP server drains

The connection is reset, nothing is handled, and a client with a request that must not run twice can't tell. Cause: start_draining() took a connection for idle while no whole request was in progress, and closing a socket with unread data resets it. Change: a connection is idle only if no request has begun and no data is unread; in_progress counts the others, so that the daemon waits for them within its stop grace. The answer says "Connection: close" as before.

--- a/packages/walnutpoint-core/src/walnutpoint_core/web/_server.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections
 import collections.abc
+import select
 import socket
 import typing
 
@@ -74,6 +75,13 @@
             lambda: _Connection(self), host, int(port), backlog=_BACKLOG
         )
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the host and port that the server listens on."""
+        assert self._listener is not None
+        host, port = self._listener.sockets[0].getsockname()[:2]
+        return host, port
+
     def start_draining(self) -> None:
         """Close idle connections now, busy ones after their response."""
         self.draining = True
@@ -87,7 +95,7 @@
 
     @property
     def in_progress(self) -> int:
-        """Return how many connections have a request in progress."""
+        """Return how many connections have a request, maybe in part."""
         return sum(not connection.is_idle for connection in self._connections)
 
     def add_connection(self, connection: _Connection) -> None:
@@ -122,7 +130,9 @@
         '_body',
         '_body_size_bytes',
         '_headers',
+        '_is_receiving',
         '_parser',
+        '_poll',
         '_queue',
         '_server',
         '_task',
@@ -138,6 +148,8 @@
         )
         self._task: asyncio.Task[None] | None = None
         self._transport: asyncio.Transport | None = None
+        self._poll = select.poll()
+        self._is_receiving = False
         self._reset()
 
     def _reset(self) -> None:
@@ -148,13 +160,22 @@
 
     @property
     def is_idle(self) -> bool:
-        """Return whether no request is in progress."""
-        return self._task is None
+        """Return whether no request is in progress or on its way in.
+
+        Closing a connection with unread data resets it: the client would
+        get no answer, and not know whether its request was handled.
+        """
+        return (
+            self._task is None
+            and not self._is_receiving
+            and not self._has_unread_data()
+        )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         self._transport = typing.cast(asyncio.Transport, transport)
         sock = transport.get_extra_info('socket')
         if sock is not None:
+            self._poll.register(sock.fileno(), select.POLLIN)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(
                 socket.IPPROTO_TCP, _TCP_USER_TIMEOUT, _USER_TIMEOUT_MS
@@ -172,6 +193,9 @@
         except httptools.HttpParserError:
             self._reject(400)
 
+    def on_message_begin(self) -> None:
+        self._is_receiving = True
+
     def on_url(self, url: bytes) -> None:
         self._url += url
 
@@ -188,6 +212,7 @@
             self._body.append(body)
 
     def on_message_complete(self) -> None:
+        self._is_receiving = False
         request = _message.Request(
             self._parser.get_method().decode('latin-1'),
             self._url.decode('latin-1'),
@@ -210,6 +235,12 @@
         if self.is_idle and self._transport is not None:
             self._transport.close()
 
+    def _has_unread_data(self) -> bool:
+        transport = self._transport
+        if transport is None or transport.is_closing():
+            return False
+        return bool(self._poll.poll(0))
+
     async def _serve(self) -> None:
         try:
             while self._queue:
