Announce the end of client connections as soon as a process stops

Callers saw: requests without an answer on open connections, while the platform's daemon stops (the fault of the entry's HTTP server, looked for elsewhere). Cause: the daemon closed idle connections 2.3 s after the signal without having said so; a client that sends at that moment gets nothing. Change: each response from the signal on says "Connection: close" and ends its connection, as RFC 9112 section 9.6 asks; a client then opens a new one, which the balancer sends elsewhere. The test of processes fails before (status 0). Left: a client that was silent for all of the 2.3 s and sends while its connection is closed.

--- a/packages/walnutpoint-core/src/walnutpoint_core/web/_server.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/web/_server.py
@@ -43,7 +43,7 @@
         '_handler',
         '_listener',
         '_socket',
-        'draining',
+        'announces_close',
     )
 
     def __init__(
@@ -60,7 +60,7 @@
         self._body_size_bytes = body_size_bytes
         self._connections: set[_Connection] = set()
         self._listener: asyncio.Server | None = None
-        self.draining = False
+        self.announces_close = False
 
     async def start(self) -> None:
         """Start accepting connections."""
@@ -82,9 +82,17 @@
         host, port = self._listener.sockets[0].getsockname()[:2]
         return host, port
 
+    def announce_close(self) -> None:
+        """End each connection with its next response, and say so in it.
+
+        Started some time before draining, it leaves few connections whose
+        client may be sending a request while they are closed.
+        """
+        self.announces_close = True
+
     def start_draining(self) -> None:
         """Close idle connections now, busy ones after their response."""
-        self.draining = True
+        self.announce_close()
         for connection in list(self._connections):
             connection.close_if_idle()
 
@@ -248,7 +256,7 @@
                 response = await self._server.answer(request)
                 if self._transport is None:
                     return
-                close = self._server.draining or not keep_alive
+                close = self._server.announces_close or not keep_alive
                 self._transport.write(
                     _message.response_bytes(response, close=close)
                 )
--- a/tests/walnutpoint_core/web/test_server.py
+++ b/tests/walnutpoint_core/web/test_server.py
@@ -52,6 +52,16 @@
         self._drain()
         self.assertEqual(b'', await self._read())
 
+    async def test_announced_close_ends_connections_by_an_answer(self) -> None:
+        """A client sends a request while the server closes its connection.
+
+        Clients can't tell whether that request was handled, so the server
+        ends connections by announcement as long as it can.
+        """
+        self.server.announce_close()
+        self.writer.write(_HEAD + _BODY)
+        await self._assert_answered_and_closed()
+
     async def test_half_received_request_is_answered(self) -> None:
         """A stop resets a connection on which half of a request came."""
         self.writer.write(_HEAD)
--- a/tests/walnutpoint_platform/test_processes.py
+++ b/tests/walnutpoint_platform/test_processes.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
+import http.client
 import os
 import pathlib
 import signal
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 import unittest
 
@@ -136,6 +138,27 @@
         ids += self._submit(50, 4)
         self._wait_done(ids)
 
+    def test_planned_stop_tells_clients_to_close_connections(self) -> None:
+        """Guards against closing a connection that a client may use.
+
+        A request that is sent while the server closes its connection gets
+        no answer. Each connection ends with a response that says so.
+        """
+        port = self.site.front(0)
+        path = f'/urgent/{1:016x}'
+        connections: list[dict[int, http.client.HTTPConnection]] = [
+            {} for _ in range(20)
+        ]
+        for kept in connections:
+            self.site.call(port, 'GET', path, kept=kept)
+        stop = threading.Thread(target=self.site.terminate, args=(0,))
+        stop.start()
+        while any(connections):
+            for kept in filter(None, connections):
+                status, _ = self.site.call(port, 'GET', path, kept=kept)
+                self.assertNotEqual(0, status)
+        stop.join()
+
     def test_reload_signal_keeps_processes_running(self) -> None:
         """Guards against SIGHUP ending a process instead of reloading."""
         ids = self._submit(1, 2)
