Send late results of keys until they arrive, and pass them on

Found while tracing key_undecided (peer_answer_lost): the former home of a key sends the result of a request that still ran when its shard moved. It did so once, without looking at the reply and without a log line, and the receiver kept it even if the shard had moved on. In both cases the home of the key answers each repeat with "in flight at the former home" until the deadline, for as long as the key is valid. Change: up to ten attempts as for releases, then a warning; a receiver that has handed the shard on (a later epoch) passes the result on. Result: both unit tests fail before (4 != 2 messages; Replayed != peer_answer_lost) and pass.

--- a/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_shards.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/routing/_shards.py
@@ -5,6 +5,7 @@
 import asyncio
 import collections.abc
 import dataclasses
+import typing
 
 from walnutpoint_core import logs
 from walnutpoint_core import settings as settings_module
@@ -16,6 +17,9 @@
 
 __all__ = ('KeyShards',)
 
+_LATE_RESULT_RETRY_S: typing.Final = 0.2
+_LATE_RESULT_ATTEMPTS: typing.Final = 10
+
 _LOG = logs.get_logger(__name__)
 
 
@@ -140,6 +144,7 @@
             )
             if imported.is_error():
                 return False
+            self._forward(shard, batch)
         if batch.is_last:
             self._received[shard] = _ReceivedMemory(
                 batch.epoch,
@@ -158,9 +163,8 @@
         next_home = self._next_homes.get(entry.shard)
         if next_home is None or self._memory.is_open(entry.shard):
             return
-        task = asyncio.ensure_future(self._send_late_result(entry, next_home))
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
+        for records in keys.encode_records((entry.to_record(),)):
+            self._start_sending(entry.shard, records, next_home)
 
     def is_idle(self) -> bool:
         """Return whether no late result is being sent."""
@@ -171,15 +175,35 @@
         async for now_s in ticks:
             self._memory.expire(now_s)
 
+    def _forward(self, shard: int, batch: messages.KeyBatch) -> None:
+        """Pass on a late result of a shard that has moved on from here."""
+        next_home = self._next_homes.get(shard)
+        if next_home is not None and batch.epoch < next_home.epoch:
+            self._start_sending(shard, batch.records, next_home)
+
+    def _start_sending(
+        self, shard: int, records: bytes, next_home: _NextHome
+    ) -> None:
+        task = asyncio.ensure_future(
+            self._send_late_result(shard, records, next_home)
+        )
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
     async def _send_late_result(
-        self, entry: keys.InFlightKey, next_home: _NextHome
+        self, shard: int, records: bytes, next_home: _NextHome
     ) -> None:
-        for records in keys.encode_records((entry.to_record(),)):
-            await self._links.send_keys(
-                next_home.member,
-                messages.KeyBatch(
-                    asset=next_home.asset,
-                    epoch=next_home.epoch,
-                    records=records,
-                ),
-            )
+        batch = messages.KeyBatch(
+            asset=next_home.asset, epoch=next_home.epoch, records=records
+        )
+        for _ in range(_LATE_RESULT_ATTEMPTS):
+            if await self._links.send_keys(next_home.member, batch):
+                return
+            await self._timer.sleep(_LATE_RESULT_RETRY_S)
+        # Repeats get an unknown outcome until the key is forgotten.
+        _LOG.warning(
+            'late_result_not_sent',
+            shard=shard,
+            epoch=next_home.epoch,
+            successor=next_home.member.name,
+        )
--- a/tests/walnutpoint_entry/routing/fakes.py
+++ b/tests/walnutpoint_entry/routing/fakes.py
@@ -118,6 +118,8 @@
         self._links = links
         self.batches: list[messages.KeyBatch] = []
         self.accepts_keys = True
+        # Calls to lose before keys are accepted.
+        self.lost_key_calls = 0
 
     def find(self, member: ownership.Member) -> Link | None:
         return self._links.get(member.name.replace('-', '_'))
@@ -129,6 +131,9 @@
         self, successor: ownership.Member, batch: messages.KeyBatch
     ) -> bool:
         self.batches.append(batch)
+        if self.lost_key_calls:
+            self.lost_key_calls -= 1
+            return False
         return self.accepts_keys
 
 
--- a/tests/walnutpoint_entry/routing/test_shards.py
+++ b/tests/walnutpoint_entry/routing/test_shards.py
@@ -153,3 +153,48 @@
         for batch in self.first.links.batches:
             self.next.shards.receive(batch)
         self.assertIsInstance(self.next.begin('waiting'), keys.Admitted)
+
+    async def test_late_result_is_sent_until_it_is_accepted(self) -> None:
+        """The only message with the result of a key is lost.
+
+        The next home would answer repeats with an unknown outcome for as
+        long as the key is valid.
+        """
+        entry = self.first.begin('running').entry
+        entry.start()
+        await self._hand_over()
+        sent = len(self.first.links.batches)
+        self.first.links.lost_key_calls = 2
+        self.first.memory.finish(entry, _DONE, self.timer.now_s())
+        self.first.shards.on_finished(entry)
+        await samples.settle()
+        self.assertEqual(sent + 3, len(self.first.links.batches))
+        self.assertTrue(self.first.shards.is_idle())
+
+    async def test_late_result_follows_a_shard_that_moved_on(self) -> None:
+        """A shard moves twice while a request runs at its first home.
+
+        The first home sends the result to the second one, which is no
+        longer the home of the key.
+        """
+        entry = self.first.begin('running').entry
+        entry.start()
+        await self._hand_over()
+        self._receive()
+        self.next.shards.on_lost(
+            ownership.LostAsset(_SHARD, 2, samples.member(3))
+        )
+        await self.next.shards.hand_over(_SHARD, 3, samples.member(3))
+        third = _Home(self.timer)
+        for batch in self.next.links.batches:
+            third.shards.receive(batch)
+        third.shards.on_acquired(
+            fakes.acquired_asset(_SHARD, 0, False, epoch=3)
+        )
+        self.first.memory.finish(entry, _DONE, self.timer.now_s())
+        self.first.shards.on_finished(entry)
+        await samples.settle()
+        self.next.shards.receive(self.first.links.batches[-1])
+        await samples.settle()
+        third.shards.receive(self.next.links.batches[-1])
+        self.assertEqual(keys.Replayed(_DONE), third.begin('running'))
