--- a/tests/faults/test_connections.py
+++ b/tests/faults/test_connections.py
@@ -9,6 +9,8 @@
 import unittest
 
 from tests.faults import cluster as clusters
+from tests.faults import load as loads
+from tests.faults import scenarios
 
 _CALLER_PORT: typing.Final = 8080
 _CLIENTS: typing.Final = 30
@@ -96,7 +98,9 @@
         A request that is sent at that moment gets no answer.
         """
 
-        async def scenario(cluster: clusters.Cluster) -> None:
+        async def scenario(
+            cluster: clusters.Cluster, load: loads.Load
+        ) -> None:
             connection = await _Connection.open(cluster.entries[0].host)
             self.assertEqual(200, await connection.exchange())
             await asyncio.sleep(_IDLE_S)
@@ -104,7 +108,7 @@
             self.assertEqual(200, await connection.exchange())
             await connection.close()
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
     def test_stop_answers_requests_on_open_connections(self) -> None:
         """A stopping server closes a connection that it had not announced.
@@ -112,7 +116,9 @@
         The client's next request, sent right after an answer, gets none.
         """
 
-        async def scenario(cluster: clusters.Cluster) -> None:
+        async def scenario(
+            cluster: clusters.Cluster, load: loads.Load
+        ) -> None:
             entry = cluster.entries[0]
             clients = [
                 _Client(await _Connection.open(entry.host))
@@ -128,18 +134,4 @@
                 self.assertEqual('', client.fault)
                 self.assertGreater(client.answers, 0)
 
-        _run_scenario(scenario)
-
-
-def _run_scenario(
-    scenario: typing.Callable[
-        [clusters.Cluster], typing.Coroutine[typing.Any, typing.Any, None]
-    ],
-) -> None:
-    """Run a scenario on a new cluster."""
-
-    async def run() -> None:
-        async with clusters.Cluster(clusters.ClusterSizes()) as cluster:
-            await scenario(cluster)
-
-    asyncio.run(run())
+        scenarios.run(scenario)
--- a/tests/faults/test_single_faults.py
+++ b/tests/faults/test_single_faults.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import collections.abc
 import signal
 import time
 import typing
@@ -13,26 +12,12 @@
 
 from tests.faults import cluster as clusters
 from tests.faults import load as loads
+from tests.faults import scenarios
 
 _KIND = loads.Kind
 # 1.5 times the product's goal, for runs on a loaded machine.
 _TAKEOVER_MAX_S: typing.Final = 1.5 * 2.7
 
-_Scenario: typing.TypeAlias = collections.abc.Callable[
-    [clusters.Cluster, loads.Load], collections.abc.Awaitable[None]
-]
-
-
-def _run_scenario(scenario: _Scenario, **sizes: int) -> None:
-    """Run a scenario on a new cluster."""
-
-    async def run() -> None:
-        async with clusters.Cluster(clusters.ClusterSizes(**sizes)) as cluster:
-            async with loads.Load(cluster, 'scene') as load:
-                await scenario(cluster, load)
-
-    asyncio.run(run())
-
 
 class AnswerTest(unittest.TestCase):
     """Replies to clients are correct."""
@@ -60,7 +45,7 @@
             self.assertEqual(1, cluster.worker.tags['lost'])
             self.assertEqual('unknown', reply.outcome, str(reply))
 
-        _run_scenario(scenario, entries=1, endpoints=1, slots=1)
+        scenarios.run(scenario, entries=1, endpoints=1, slots=1)
 
     def test_request_without_endpoints_is_refused_at_once(self) -> None:
         """A request waits until its deadline though no host is listed.
@@ -75,7 +60,7 @@
             self.assertEqual('no_endpoints', reply.error, str(reply))
             self.assertLess(reply.elapsed_s, 1.5)
 
-        _run_scenario(scenario, endpoints=0)
+        scenarios.run(scenario, endpoints=0)
 
     def test_teams_may_choose_the_same_key(self) -> None:
         """A client gets the answer to a request of another team.
@@ -98,7 +83,7 @@
                 self.assertEqual('done', reply.outcome, str(reply))
                 self.assertTrue(reply.is_own_answer)
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
 
 class StopTest(unittest.TestCase):
@@ -125,7 +110,7 @@
                 reply = await load.send(_KIND.PLAIN, index, f'new-{index}')
                 self.assertEqual('done', reply.outcome, str(reply))
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
     def test_idle_connections_do_not_delay_a_stop(self) -> None:
         """A stop waits for an idle client connection.
@@ -146,7 +131,7 @@
             self.assertEqual(b'', await reader.read())
             writer.close()
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
     def test_second_signal_stops_at_once(self) -> None:
         """A second SIGTERM waits for a running request."""
@@ -169,7 +154,7 @@
             await call
             self.assertEqual([], cluster.tracebacks())
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
 
 class OwnerTest(unittest.TestCase):
@@ -192,7 +177,7 @@
             elapsed_s = time.monotonic() - start_s
             self.assertLess(elapsed_s, _TAKEOVER_MAX_S)
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
     def test_new_keys_work_after_a_kill(self) -> None:
         """New keys are refused, or old ones accepted, after a kill.
@@ -219,7 +204,7 @@
                 )
                 self.assertEqual('done', reply.outcome, str(reply))
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
     def test_short_pause_of_a_peer_interrupts_no_call(self) -> None:
         """A short pause of a peer interrupts the requests spilled to it.
@@ -245,7 +230,7 @@
                 reply = await call
                 self.assertEqual('done', reply.outcome, str(reply))
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
     def test_leaving_endpoint_gets_nothing_new(self) -> None:
         """A request starts on an endpoint that is listed as leaving."""
@@ -266,7 +251,7 @@
             self.assertEqual(runs, stats.runs)
             self.assertGreater(load.outcomes()['done'], 50)
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
     def test_paused_owner_that_resumes_writes_nothing(self) -> None:
         """A resumed owner uses endpoints that it has lost.
@@ -293,7 +278,7 @@
                 # The worker saw no epoch decrease.
                 self.assertEqual(0, endpoint.stats.fenced)
 
-        _run_scenario(scenario, check_epochs=True)
+        scenarios.run(scenario, check_epochs=True)
 
 
 class HomeTest(unittest.TestCase):
@@ -318,7 +303,7 @@
             self.assertEqual('unknown', reply.outcome, str(reply))
             self.assertLess(reply.elapsed_s, 2.0 + loads.GRACE_S)
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
 
     def test_repeat_gets_an_answer_that_came_late(self) -> None:
         """A repeat gets the timeout of an earlier request under its key.
@@ -343,7 +328,7 @@
                 self.assertEqual('done', repeat.outcome, str(repeat))
                 self.assertEqual(1, cluster.worker.tags[tag])
 
-        _run_scenario(scenario, entries=2, endpoints=1)
+        scenarios.run(scenario, entries=2, endpoints=1)
 
 
 class BalancerTest(unittest.TestCase):
@@ -371,4 +356,4 @@
             self.assertEqual('done', (await call).outcome)
             self.assertEqual(0, await entry.wait_stopped())
 
-        _run_scenario(scenario)
+        scenarios.run(scenario)
