Count a request that outlasts its caller's wait once

cause: found by reading: a keyed request at its home counted twice in in_progress and against limits.requests_in_progress, as its run is a task of its own since its answer is awaited beyond the deadline change: runs are kept apart from requests; a stop waits for both

--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_daemon.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_daemon.py
@@ -238,7 +238,9 @@
 
     def _is_drained(self) -> bool:
         components = self._components
-        if len(components.request_tracker) or not components.shards.is_idle():
+        if not components.request_tracker.is_idle:
+            return False
+        if not components.shards.is_idle():
             return False
         ownership = components.ownership
         return not ownership.has_successors() or ownership.is_handed_over()
--- a/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_progress.py
+++ b/packages/walnutpoint-entry/src/walnutpoint_entry/daemon/_progress.py
@@ -18,15 +18,21 @@
 class RequestTracker:
     """Run requests to completion and count them."""
 
-    __slots__ = ('_tasks',)
+    __slots__ = ('_runs', '_tasks')
 
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._runs: set[asyncio.Task[None]] = set()
 
     def __len__(self) -> int:
         """Return how many requests are in progress."""
         return len(self._tasks)
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is open, not even beyond its deadline."""
+        return not self._tasks and not self._runs
+
     async def run_to_completion(
         self, work: collections.abc.Coroutine[typing.Any, typing.Any, _T]
     ) -> _T:
@@ -43,10 +49,10 @@
     ) -> None:
         """Run a part of a request that may outlast it."""
         task = asyncio.ensure_future(work)
-        self._tasks.add(task)
+        self._runs.add(task)
         task.add_done_callback(self._on_done)
 
     def _on_done(self, task: asyncio.Task[None]) -> None:
-        self._tasks.discard(task)
+        self._runs.discard(task)
         if not task.cancelled() and task.exception() is not None:
             _LOG.error('request_failed', error=repr(task.exception()))
