Agree on the interfaces of the parts for uneven load

Run times are read through estimates.RunTimes, declared times by default, and overload.demand_of says what a job still needs of its pool. Nothing uses either yet.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -16,6 +16,7 @@
 from walnutpoint_scheduler import _suspects
 from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import estimates
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
@@ -48,6 +49,7 @@
         'orders',
         'pace',
         'roster',
+        'run_times',
         'settings',
         'started_s',
         'suspects',
@@ -81,6 +83,7 @@
         # Tasks whose run may be lost and that may run speculatively.
         self.copies_wanted: dict[ports.TaskName, _state.TaskProgress] = {}
         self.pace = worker_pace.WorkerPace()
+        self.run_times: estimates.RunTimes = estimates.DeclaredRunTimes()
         self.roster = _roster.Roster()
         self.entitlement = accounts.Entitlement()
         self.suspects = _suspects.Suspects(self.roster, clock)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -220,6 +220,7 @@
             address=listed.address,
             pool=listed.pool,
             rack=listed.rack,
+            labels=','.join(listed.labels) or '-',
             cpu_millicores=listed.capacity.cpu_millicores,
             draining=listed.draining,
             born_ms=listed.born_ms,
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_demand.py
@@ -0,0 +1,76 @@
+"""What one job still demands of its pool."""
+
+from __future__ import annotations
+
+import dataclasses
+import typing
+
+from walnutpoint_core import resources
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import estimates
+
+__all__ = (
+    'JobDemand',
+    'demand_of',
+)
+
+_MS_PER_S: typing.Final = 1000.0
+# A job that ends within this many times its objective still has some value.
+_USEFUL_FACTOR: typing.Final = 3.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class JobDemand:
+    """The remaining work of a job and the times that its caller waits for."""
+
+    job_id: str
+    account: str
+    priority: int
+    # Whether it was accepted within its account's rate.
+    is_owed: bool
+    # Whether any of its tasks has started.
+    is_begun: bool
+    accepted_ms: float
+    # End of the objective, and of the time within which a late end is useful.
+    deadline_ms: float
+    useful_until_ms: float
+    # Time from now to its end if nothing else ran.
+    chain_s: float
+    # Time for which it would occupy the whole pool, by the scarcest resource.
+    work_pool_s: float
+
+
+def demand_of(
+    job: _state.JobProgress,
+    queue: cell.Queue,
+    pool_capacity: resources.Resources,
+    run_times: estimates.RunTimes,
+) -> JobDemand:
+    """Return what a job without occurrences or lasting steps demands."""
+    document = job.document
+    ends_s: list[float] = []
+    work_pool_s = 0.0
+    for step in job.occurrence(0):
+        task_s = 0.0
+        if not step.done:
+            task_s = run_times.task_s(queue.name, step.key, step.step)
+            left = len(step.tasks) - step.done_count
+            share = step.step.need.dominant_share(pool_capacity)
+            work_pool_s += left * task_s * share
+        start_s = max((ends_s[n] for n in step.step.after), default=0.0)
+        ends_s.append(start_s + task_s)
+    objective_ms = job.chain_ms * queue.stretch + queue.allowance_s * _MS_PER_S
+    accepted_ms = float(document.accepted_ms)
+    return JobDemand(
+        document.job_id,
+        document.account,
+        queue.priority,
+        job.is_owed,
+        job.begun,
+        accepted_ms,
+        accepted_ms + objective_ms,
+        accepted_ms + _USEFUL_FACTOR * objective_ms,
+        max(ends_s, default=0.0),
+        work_pool_s,
+    )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/settings.py
@@ -46,6 +46,18 @@
     packing: bool = True
     # Spread the requests for advice over all processes.
     advice_spreading: bool = True
+    # Estimate run times and worker speeds from observed runs.
+    observed_run_times: bool = True
+    # Place urgent tasks where they end soonest, if worker speeds differ.
+    placement_by_end: bool = True
+    # Limit advice requests to the steps that capacity will come free for.
+    advice_working_set: bool = True
+    # In an overload, serve the largest set of jobs that can end in time.
+    served_set: bool = True
+    # Share a full pool between client accounts by weight.
+    fair_shares: bool = True
+    # Refuse jobs that can't end while their result is useful.
+    hopeless_refusal: bool = True
 
 
 class SchedulerSettings(
