Learn run times and worker speeds from observed runs

Cause: declared run times are off by up to 1.9, and on the brokers' cell one worker in three is permanently slower by 1.9, which only its label shows. The scheduler took all workers for equal and declared times for right.

Change: estimates.ObservedRunTimes models the logarithm of a run's time over its declared time as the error of its queue and step, plus its worker's slowdown, plus a residual. A worker's mean of clipped residuals is pulled towards that of the workers with the same labels, and these towards the pool.

--- a/packages/walnutpoint-core/src/walnutpoint_core/metrics.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/metrics.py
@@ -12,6 +12,7 @@
 __all__ = (
     'Counter',
     'Latency',
+    'Ratio',
     'render',
 )
 
@@ -33,6 +34,21 @@
     10.0,
     math.inf,
 )
+# From a tenth to ten times of what was expected.
+_RATIO_BUCKETS: typing.Final = (
+    0.1,
+    0.25,
+    0.5,
+    0.7,
+    0.85,
+    1.0,
+    1.2,
+    1.5,
+    2.0,
+    4.0,
+    10.0,
+    math.inf,
+)
 _registry = aioprometheus.Registry()
 _gauge_registry = aioprometheus.Registry()
 _gauges: dict[str, aioprometheus.Gauge] = {}
@@ -71,6 +87,24 @@
         self._collector.observe({'kind': kind}, float(duration_s))
 
 
+class Ratio:
+    """Collects ratios of actual to expected values by kind."""
+
+    __slots__ = ('_collector',)
+
+    def __init__(self, name: str, description: str) -> None:
+        self._collector = aioprometheus.Histogram(
+            f'{_PREFIX}{name}_ratio',
+            description,
+            registry=_registry,
+            buckets=_RATIO_BUCKETS,
+        )
+
+    def observe(self, kind: str, ratio: float) -> None:
+        """Record one ratio."""
+        self._collector.observe({'kind': kind}, float(ratio))
+
+
 def render(
     gauge_values: collections.abc.Mapping[str, float],
 ) -> tuple[bytes, dict[str, str]]:
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_disturbance.py
@@ -0,0 +1,54 @@
+"""The probability that a worker is slow now, by the pace of its tasks.
+
+A low pace has two causes: a worker that is disturbed for seconds, and a task
+that is much larger than the others of its step. Running the latter again on
+another worker gains nothing.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import math
+import typing
+
+__all__ = ('probability',)
+
+# The share of busy workers that are disturbed, among those with a slow task.
+_PRIOR: typing.Final = 0.05
+# A disturbed worker has a fifth of its pace, with this spread.
+_DISTURBED_LOG: typing.Final = math.log(5.0)
+_DISTURBED_SPREAD: typing.Final = 0.6
+# Spread of the tasks of a step, and of the large ones, which are seven times
+# as large as the others.
+_TASK_SPREAD: typing.Final = 0.5
+_LARGE_FACTOR: typing.Final = 7.0
+_LARGE_LOG: typing.Final = math.log(_LARGE_FACTOR)
+# No single task decides alone.
+_RATIO_MAX: typing.Final = 60.0
+
+
+def probability(
+    paces: collections.abc.Iterable[float], large_share: float
+) -> float:
+    """Return the probability that a worker with these paces is disturbed.
+
+    Paces are relative to those of the same steps on healthy workers. Large
+    tasks run for longer, so that more of the running ones are large.
+    """
+    running = large_share * _LARGE_FACTOR
+    running /= running + 1.0 - large_share
+    odds = _PRIOR / (1.0 - _PRIOR)
+    for pace in paces:
+        slowness = -math.log(max(pace, 0.01))
+        healthy = (1.0 - running) * _density(
+            slowness, 0.0, _TASK_SPREAD
+        ) + running * _density(slowness, _LARGE_LOG, _TASK_SPREAD)
+        disturbed = _density(slowness, _DISTURBED_LOG, _DISTURBED_SPREAD)
+        ratio = disturbed / max(healthy, 1e-9)
+        odds *= min(_RATIO_MAX, max(1.0 / _RATIO_MAX, ratio))
+    return odds / (1.0 + odds)
+
+
+def _density(value: float, center: float, spread: float) -> float:
+    deviation = (value - center) / spread
+    return math.exp(-deviation * deviation / 2.0) / spread
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_observed.py
@@ -0,0 +1,157 @@
+"""Run times and worker speeds learned from observed runs."""
+
+from __future__ import annotations
+
+import collections
+import math
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import document
+from walnutpoint_scheduler.estimates import _sizes
+from walnutpoint_scheduler.estimates import _speeds
+
+__all__ = ('ObservedRunTimes',)
+
+_LOG: typing.Final = logs.get_logger('estimates')
+# Levels change slowly; one update takes some ms at 900 workers.
+_REFRESH_PERIOD_S: typing.Final = 0.5
+_LOG_PERIOD_S: typing.Final = 2.0
+# Most groups named in a log line.
+_GROUPS_LOGGED_MAX: typing.Final = 6
+
+
+class ObservedRunTimes:
+    """Estimates run times from the declared times and observed runs.
+
+    The logarithm of a run's time over its declared time is modelled as the
+    error of its queue and step, plus the logarithm of its worker's slowdown,
+    plus a residual. Each run updates both with the other held fixed.
+    """
+
+    __slots__ = (
+        '_has_changed',
+        '_logged_s',
+        '_pool_of_queue',
+        '_pools',
+        '_refreshed_s',
+        '_sizes',
+        '_slowdowns',
+    )
+
+    def __init__(self) -> None:
+        self._pools: collections.defaultdict[str, _speeds.PoolSpeeds] = (
+            collections.defaultdict(_speeds.PoolSpeeds)
+        )
+        self._sizes = _sizes.TaskSizes()
+        # The pool in which a queue's runs were observed last.
+        self._pool_of_queue: dict[str, str] = {}
+        # By worker, as read by every pass.
+        self._slowdowns: dict[str, float] = {}
+        self._refreshed_s = -math.inf
+        self._logged_s: dict[str, float] = {}
+        self._has_changed = False
+
+    def task_s(self, queue: str, step_key: str, step: document.Step) -> float:
+        """Return the expected run time of a task on a usual worker."""
+        declared_s = step.expected_s
+        center = self._sizes.center(queue, step_key)
+        if center is None or declared_s == math.inf:
+            return declared_s
+        pool = self._pool_of_queue.get(queue)
+        usual = self._pools[pool].usual if pool is not None else 0.0
+        return declared_s * _sizes.factor(center + usual)
+
+    def slowdown(self, worker: cell.ListedWorker) -> float:
+        """Return the run time on a worker over that on a usual worker."""
+        slowdown = self._slowdowns.get(worker.worker_id)
+        if slowdown is None:
+            pool = self._pools[worker.pool]
+            slowdown = pool.slowdown(pool.worker(worker))
+            self._slowdowns[worker.worker_id] = slowdown
+        return slowdown
+
+    def slowdown_of(self, worker_id: str) -> float:
+        """Return the slowdown of a worker that was seen before, or 1."""
+        return self._slowdowns.get(worker_id, 1.0)
+
+    def is_mixed(self, pool: str) -> bool:
+        """Return whether the speeds of a pool's workers differ materially."""
+        speeds = self._pools.get(pool)
+        return speeds is not None and speeds.is_mixed
+
+    def large_share(self, pool: str) -> float:
+        """Return the share of a pool's tasks much larger than their step's."""
+        return self._pools[pool].large_share
+
+    def forget(self, worker_id: str) -> None:
+        """Read a worker's labels again: its incarnation has changed."""
+        self._slowdowns.pop(worker_id, None)
+
+    def observe(
+        self,
+        worker: cell.ListedWorker,
+        queue: str,
+        step_key: str,
+        declared_s: float,
+        run_s: float,
+        now_s: float,
+        *,
+        is_slow: bool = False,
+    ) -> None:
+        """Record the run time of one task, ended or predicted.
+
+        is_slow tells that the worker is much slower than usual for now.
+        """
+        if declared_s <= 0.0 or run_s <= 0.0:
+            return
+        pool = self._pools[worker.pool]
+        speed = pool.worker(worker)
+        if not speed.admits(now_s, is_slow=is_slow):
+            self._has_changed = True
+            return
+        ratio = math.log(run_s / declared_s)
+        center = self._sizes.center(queue, step_key)
+        if center is not None:
+            pool.add(speed, ratio - center, now_s)
+        self._sizes.add(queue, step_key, ratio - speed.level)
+        self._pool_of_queue[queue] = worker.pool
+        self._has_changed = True
+
+    def refresh(self, now_s: float) -> None:
+        """Update the estimates from the runs observed since, if due."""
+        if now_s - self._refreshed_s < _REFRESH_PERIOD_S:
+            return
+        self._refreshed_s = now_s
+        if not self._has_changed:
+            return
+        self._has_changed = False
+        self._sizes.refresh()
+        for name, pool in self._pools.items():
+            pool.refresh()
+            for worker_id, speed in pool.workers.items():
+                self._slowdowns[worker_id] = pool.slowdown(speed)
+            if now_s - self._logged_s.get(name, -math.inf) >= _LOG_PERIOD_S:
+                self._logged_s[name] = now_s
+                self._log(name, pool)
+
+    def _log(self, name: str, pool: _speeds.PoolSpeeds) -> None:
+        groups = sorted(pool.groups.items(), key=lambda item: -item[1].runs)
+        _LOG.info(
+            'run_times.updated',
+            pool=name,
+            mixed=pool.is_mixed,
+            workers=len(pool.workers),
+            runs=pool.runs,
+            groups=','.join(
+                f'{"+".join(labels) or "-"}='
+                f'{math.exp(group.level - pool.usual):.2f}/{group.workers}'
+                for labels, group in groups[:_GROUPS_LOGGED_MAX]
+            ),
+            queues=','.join(
+                f'{queue}={math.exp(level + pool.usual):.2f}'
+                for queue, (level, _) in self._sizes.levels().items()
+                if self._pool_of_queue.get(queue) == name
+            ),
+        )
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_statistics.py
@@ -0,0 +1,95 @@
+"""Robust statistics of small samples."""
+
+from __future__ import annotations
+
+import collections.abc
+import itertools
+import math
+import statistics
+import typing
+
+__all__ = (
+    'Split',
+    'clipped_mean',
+    'shrink',
+    'split',
+    'weighted_median',
+)
+
+# A deviation of this many standard errors is no longer taken for chance.
+_SIGNIFICANT: typing.Final = 2.5
+
+
+class Split(typing.NamedTuple):
+    """The two groups into which sorted values fall apart best."""
+
+    # The number of values in the lower group.
+    lower_count: int
+    lower: float
+    upper: float
+
+
+def weighted_median(
+    pairs: collections.abc.Iterable[tuple[float, float]],
+) -> float:
+    """Return the median of (value, weight) pairs, or 0 for none."""
+    ordered = sorted(pairs)
+    half = sum(weight for _, weight in ordered) / 2.0
+    total = 0.0
+    for value, weight in ordered:
+        total += weight
+        if total >= half:
+            return value
+    return 0.0
+
+
+def clipped_mean(
+    values: collections.abc.Collection[float], prior: float, clip: float
+) -> float:
+    """Return the mean of values, with outliers pulled to the clip.
+
+    The clip surrounds the median of the values and two more at the prior, so
+    that a single value can't move it.
+    """
+    center = statistics.median((*values, prior, prior))
+    low, high = center - clip, center + clip
+    return sum(min(max(v, low), high) for v in values) / len(values)
+
+
+def shrink(
+    mean: float,
+    count: float,
+    prior: float,
+    *,
+    prior_count: float,
+    spread: float,
+) -> float:
+    """Return a mean pulled towards its prior, which counts as some values.
+
+    The prior counts less the more significantly the mean differs from it: a
+    deviation beyond chance is a property of its subject.
+    """
+    if count <= 0.0:
+        return prior
+    deviation = mean - prior
+    deviations = abs(deviation) * math.sqrt(count) / spread / _SIGNIFICANT
+    prior_count /= max(1.0, deviations * deviations)
+    return prior + deviation * count / (count + prior_count)
+
+
+def split(ordered: collections.abc.Sequence[float]) -> Split | None:
+    """Split sorted values where the variance between the groups is largest."""
+    count = len(ordered)
+    if count < 2:
+        return None
+    total = math.fsum(ordered)
+    best, best_variance = None, 0.0
+    for lower_count, lower_sum in enumerate(
+        itertools.accumulate(ordered[:-1]), start=1
+    ):
+        lower = lower_sum / lower_count
+        upper = (total - lower_sum) / (count - lower_count)
+        variance = lower_count * (count - lower_count) * (upper - lower) ** 2
+        if variance > best_variance:
+            best, best_variance = Split(lower_count, lower, upper), variance
+    return best
