Move runs only where they are expected to end sooner

Change: the term observes run times (policy observed_run_times). Reports give each run a rate by its worker's clock, from which remaining times follow. Paces are relative to the slowdown expected of the worker, and a slow worker is as usual again above 0.55, not 0.4. A run is moved or copied if its worker is probably disturbed, by a drop of the run's own pace or by the paces of the other runs beside it, and if the run is then expected to end sooner on the best open worker with room and a ticket. The share of large tasks is learned.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -14,6 +14,7 @@
 from walnutpoint_scheduler import _roster
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _suspects
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import estimates
@@ -44,6 +45,7 @@
         'jobs',
         'journal',
         'now_ms',
+        'observed',
         'on_deposed',
         'open_jobs',
         'orders',
@@ -84,6 +86,8 @@
         self.copies_wanted: dict[ports.TaskName, _state.TaskProgress] = {}
         self.pace = worker_pace.WorkerPace()
         self.run_times: estimates.RunTimes = estimates.DeclaredRunTimes()
+        # Where run times are observed, the same object as run_times.
+        self.observed: estimates.ObservedRunTimes | None = None
         self.roster = _roster.Roster()
         self.entitlement = accounts.Entitlement()
         self.suspects = _suspects.Suspects(self.roster, clock)
@@ -95,6 +99,25 @@
         )
         self.wake: collections.abc.Callable[[], None] = lambda: None
 
+    def observe_run_times(self) -> None:
+        """Estimate run times from observed runs from now on."""
+        self.run_times = self.observed = estimates.ObservedRunTimes()
+        self.pace.expected_slowdown = self.observed.slowdown_of
+
+    def forget_speed(self, worker_id: str) -> None:
+        """Forget the pace of a worker whose incarnation has ended."""
+        self.pace.forget(worker_id)
+        if self.observed is not None:
+            self.observed.forget(worker_id)
+
+    def expected_s(
+        self, step: _state.StepProgress, worker: _worker.WorkerState
+    ) -> float:
+        """Return the expected run time of a step's task on a worker."""
+        queue = self.queue_of(step.job).name
+        task_s = self.run_times.task_s(queue, step.key, step.step)
+        return task_s * self.run_times.slowdown(worker.listed)
+
     def spawn(
         self,
         work: collections.abc.Callable[..., collections.abc.Awaitable[object]],
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -253,7 +253,7 @@
             if worker.gone and not worker.runs:
                 context.roster.remove(worker.worker_id)
                 context.health.forget(worker.worker_id)
-                context.pace.forget(worker.worker_id)
+                context.forget_speed(worker.worker_id)
 
 
 def _is_successor(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -8,6 +8,7 @@
 from walnutpoint_core import logs
 from walnutpoint_core import metrics
 from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _remaining
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _stall
 from walnutpoint_scheduler import _state
@@ -361,7 +362,7 @@
             run_s = 0.0 if run.started_s is None else now_s - run.started_s
             estimate_s = 0.0
             if run.task is not None:
-                estimate_s = run.task.step.step.estimate_ms / _MS_PER_S
+                estimate_s = _remaining.expected_s(run, run.task)
             health.record_failure(
                 name,
                 job_id,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -11,6 +11,7 @@
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _progress
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _run_samples
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import _worker_restart
@@ -182,6 +183,7 @@
         affected = self._apply_ends(worker, report)
         listed = self._apply_running(worker, report)
         _progress.observe(context, worker, report)
+        _run_samples.observe(context, worker, report)
         self._withdraw_missing(worker, listed, requested_s)
         if not report.ends:
             return None
@@ -219,6 +221,7 @@
             worker.processed = end.number
             run = worker.runs.get(end.run)
             if run is not None:
+                _run_samples.observe_end(context, worker, run, end, report)
                 self._ends.apply_end(worker, run, end)
             else:
                 # Stored by an earlier term, or already withdrawn.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -174,6 +174,7 @@
                 resumes = run.task is not None and run.task.checkpoint
                 if reply.clock_ms is not None and not resumes:
                     run.pace_sample = reply.clock_ms, 0.0
+                    run.rate.begin(reply.clock_ms)
             return
         if outcome is ports.OrderOutcome.FENCED:
             context.on_deposed(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -44,6 +44,8 @@
     if queue.advice is not None:
         ticket = context.advice.ticket(task.step.key, worker.worker_id)
         run.ticket = ticket or ''
+    if context.observed is not None:
+        run.expected_s = context.expected_s(task.step, worker)
     task.run = run
     task.state = _state.TaskState.ACTIVE
     worker.book(run)
@@ -63,6 +65,7 @@
         worker=worker.worker_id,
         free_millicores=worker.free.cpu_millicores,
         waited_s=round(waited_s, 3),
+        slowdown=round(context.run_times.slowdown(worker.listed), 2),
         token=context.token,
     )
     return run
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
@@ -10,8 +10,13 @@
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
+from walnutpoint_scheduler import worker_pace
 
-__all__ = ('observe',)
+__all__ = (
+    'depends_on_worker',
+    'is_restored',
+    'observe',
+)
 
 _LOG: typing.Final = logs.get_logger('links')
 _MS_PER_S: typing.Final = 1000.0
@@ -32,11 +37,13 @@
     Uses the worker's clock, as a busy scheduler reads reports late.
     """
     relative_paces = []
+    now_s = context.timer.now_s()
+    slowdown = context.pace.expected_slowdown(worker.worker_id)
     for reported in report.running:
         run = worker.runs.get(reported.run)
         if run is None or run.task is None:
             continue
-        if not _reflects_worker(run, context.timer.now_s()):
+        if not (depends_on_worker(run) and is_restored(run, now_s)):
             run.pace_sample = None
             continue
         before, run.pace_sample = (
@@ -56,10 +63,16 @@
             (reported.progress_percent - percent) / _FULL_PERCENT * expected_s
         )
         job_id = reported.run.task.job_id
-        relative_paces.append(
-            context.pace.observe(job_id, step.key, done_s / span_s)
+        is_observed = run.expected_s is not None
+        relative = context.pace.observe(
+            job_id,
+            step.key,
+            done_s / span_s * slowdown,
+            reported.run if is_observed else None,
         )
-    now_s = context.timer.now_s()
+        if is_observed:
+            _note(context, worker, run, relative, done_s / span_s, now_s)
+        relative_paces.append(relative)
     was_slow = context.pace.is_slow(worker.worker_id, now_s)
     context.pace.update(worker.worker_id, relative_paces, now_s)
     is_slow = context.pace.is_slow(worker.worker_id, now_s)
@@ -71,6 +84,7 @@
             f'{relative.pace:.2f}' for relative in relative_paces
         ),
         'jobs': len({relative.job for relative in relative_paces}),
+        'slowdown': round(slowdown, 2),
         'token': context.token,
     }
     if is_slow:
@@ -79,7 +93,24 @@
         _LOG.info('worker.as_usual', **fields)
 
 
-def _reflects_worker(run: _run.Run, now_s: float) -> bool:
+def _note(
+    context: _context.Context,
+    worker: _worker.WorkerState,
+    run: _run.Run,
+    relative: worker_pace.RelativePace,
+    declared_pace: float,
+    now_s: float,
+) -> None:
+    """Keep a run's pace relative to its step, or else to expectation."""
+    task = typing.cast(_state.TaskProgress, run.task)
+    declared_s = task.step.step.expected_s
+    pace = relative.pace
+    if not relative.has_peers and declared_s > 0.0:
+        pace = declared_pace * (run.expected_s or declared_s) / declared_s
+    context.pace.note(worker.worker_id, run.name, pace, now_s)
+
+
+def depends_on_worker(run: _run.Run) -> bool:
     """Return whether a run's progress depends on its worker alone."""
     task = typing.cast(_state.TaskProgress, run.task)
     step = task.step.step
@@ -87,8 +118,12 @@
         return False
     if run.phase is not _run.RunPhase.RUNNING:
         return False
-    if step.gang and run.progress_percent <= 0.0:
-        # Not all members may have started yet.
-        return False
+    # Not all members of a gang may have started yet.
+    return not step.gang or run.progress_percent > 0.0
+
+
+def is_restored(run: _run.Run, now_s: float) -> bool:
+    """Return whether a run has read any checkpoint that it resumes from."""
+    task = typing.cast(_state.TaskProgress, run.task)
     age_s = 0.0 if run.started_s is None else now_s - run.started_s
     return age_s > _RESUME_S or not task.checkpoint
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
@@ -6,6 +6,7 @@
 import typing
 
 from walnutpoint_core import resources
+from walnutpoint_scheduler import _run_rate
 from walnutpoint_scheduler import ports
 
 if typing.TYPE_CHECKING:
@@ -37,6 +38,7 @@
         'age_at_restore_s',
         'born_ms',
         'charge',
+        'expected_s',
         'fills',
         'is_pace_uncertain',
         'is_trial',
@@ -50,6 +52,7 @@
         'planned_ms',
         'progress_changed_s',
         'progress_percent',
+        'rate',
         'reported_from_s',
         'restored_s',
         'started_s',
@@ -94,6 +97,10 @@
         self.progress_changed_s = planned_s
         # Worker clock in ms and progress from which its pace is measured.
         self.pace_sample: tuple[int, float] | None = None
+        # Expected run time on its worker; None for the declared time.
+        self.expected_s: float | None = None
+        # How fast it progresses; unknown unless run times are observed.
+        self.rate = _run_rate.RunRate()
         self.load = 0.0
         self.pace_percent = 100
         # Whether the worker may use another pace: an order had no answer, or
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
@@ -8,6 +8,7 @@
 from walnutpoint_scheduler import _advice_requests
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
+from walnutpoint_scheduler import _moves
 from walnutpoint_scheduler import _orders
 from walnutpoint_scheduler import _pacing
 from walnutpoint_scheduler import _remaining
@@ -50,6 +51,7 @@
         '_advice_requests',
         '_context',
         '_drain_ends_s',
+        '_moves',
         '_pacer',
         '_sender',
         'stalled_count',
@@ -62,6 +64,7 @@
         self._sender = sender
         self._pacer = _pacing.Pacer(context)
         self._advice_requests = _advice_requests.AdviceRequests(context)
+        self._moves = _moves.Moves(context, self._advice_requests)
         self._drain_ends_s: dict[str, float] = {}
         self.stalled_count = 0
 
@@ -135,6 +138,8 @@
         self, run: _run.Run, task: _state.TaskProgress, now_s: float
     ) -> bool:
         """Return whether a run would end sooner on another worker."""
+        if self._context.observed is not None:
+            return self._is_worth_moving(run, task, now_s)
         usual_pace = self._context.pace.usual_pace(task.step.key)
         return _is_straggler(run, task, now_s, usual_pace) or (
             self._is_slow(run.worker_id, now_s)
@@ -142,6 +147,29 @@
             > task.step.step.expected_s + _MOVE_COST_S
         )
 
+    def _is_worth_moving(
+        self, run: _run.Run, task: _state.TaskProgress, now_s: float
+    ) -> bool:
+        """Return whether a late run is expected to end sooner elsewhere."""
+        is_slow = self._is_slow(run.worker_id, now_s)
+        if not is_slow and not _exceeds_expectation(run, task, now_s):
+            return False
+        move = self._moves.consider(run, task, now_s)
+        if move is None or not move.gains:
+            return False
+        _LOG.info(
+            'run.outpaced',
+            run=_ends.run_text(run.name),
+            worker=run.worker_id,
+            percent=run.progress_percent,
+            remaining_s=round(move.remaining_s, 2),
+            elsewhere_s=round(move.elsewhere_s, 2),
+            probability=round(move.probability, 2),
+            factor=round(move.factor, 2),
+            slowdown_elsewhere=round(move.slowdown_elsewhere, 2),
+        )
+        return True
+
     def _is_slow(self, worker_id: str, now_s: float) -> bool:
         context = self._context
         return context.settings.policies.slow_workers and context.pace.is_slow(
@@ -253,7 +281,10 @@
                 if not step.step.after:
                     continue
                 before = [steps[n] for n in step.step.after]
-                remaining_s = max(_remaining.step_s(s, now_s) for s in before)
+                remaining_s = max(
+                    _remaining.step_s(s, now_s, context.run_times)
+                    for s in before
+                )
                 if remaining_s > terms.valid_s - _PREFETCH_MARGIN_S:
                     continue
                 if context.advice.has_valid_ticket(step.key):
@@ -261,6 +292,17 @@
                 self._advice_requests.request_ahead(step, terms)
 
 
+def _exceeds_expectation(
+    run: _run.Run, task: _state.TaskProgress, now_s: float
+) -> bool:
+    """Return whether a run takes longer than expected on its worker."""
+    if run.started_s is None:
+        return False
+    expected_s = _remaining.expected_s(run, task)
+    limit_s = expected_s * _STRAGGLER_FACTOR + _STRAGGLER_MARGIN_S
+    return now_s - run.started_s >= limit_s
+
+
 def _is_straggler(
     run: _run.Run,
     task: _state.TaskProgress,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_stall.py
@@ -4,6 +4,7 @@
 
 import typing
 
+from walnutpoint_scheduler import _remaining
 from walnutpoint_scheduler import _run
 
 __all__ = (
@@ -12,7 +13,6 @@
     'limit_s',
 )
 
-_MS_PER_S: typing.Final = 1000.0
 # Share of its estimate that a task may make no progress for: progress is
 # reported in hundredths, and each takes long on a slow worker.
 _ESTIMATE_SHARE: typing.Final = 0.75
@@ -43,7 +43,7 @@
     limit = stall_s
     if not task.checkpoint:
         # A task that resumes makes no progress while it restores its state.
-        estimate_share_s = step.estimate_ms / _MS_PER_S * _ESTIMATE_SHARE
+        estimate_share_s = _remaining.expected_s(run, task) * _ESTIMATE_SHARE
         limit = min(stall_s, max(_LIMIT_MIN_S, estimate_share_s))
     if step.fills:
         limit = stall_s * _FILLING_FACTOR
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -234,6 +234,8 @@
                 )
             ),
         )
+        if config.policies.observed_run_times:
+            context.observe_run_times()
         context.cell = first
         context.on_deposed = self.end
         context.wake = self._wake_event.set
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_restart.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_restart.py
@@ -142,7 +142,7 @@
         context = self._context
         context.health.forget(worker.worker_id)
         context.health.watch(worker.worker_id)
-        context.pace.forget(worker.worker_id)
+        context.forget_speed(worker.worker_id)
         context.advice.drop_worker(worker.worker_id)
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections.abc
 import statistics
 import typing
 
@@ -17,6 +18,9 @@
 # other tasks of the same step. User estimates are off by a factor of up to
 # 1.9, so a healthy worker shows 0.5 or more, a badly disturbed one 0.2.
 _SLOW_SHARE: typing.Final = 0.4
+# A slow worker is as usual again above this share. With a single threshold, a
+# worker at 0.41 of the others' pace changed its state with every report.
+_USUAL_SHARE: typing.Final = 0.55
 # A step's own pace is used from this many of its tasks on.
 _PEERS_MIN: typing.Final = 3
 # A slower task can't be distinguished from a stalled one.
@@ -28,6 +32,9 @@
 _SLOW_KEPT_S: typing.Final = 8.0
 # When batch tasks, which can wait, may try it and update its pace.
 _BATCH_RETRY_AFTER_S: typing.Final = 2.0
+# The paces of runs that have ended are kept for this long: a run that has
+# been slow from its start is compared with those that ran beside it.
+_RECENT_S: typing.Final = 4.0
 # Bounds of the stored paces, per step and in total.
 _STEP_PACES_MAX: typing.Final = 32
 _STEPS_MAX: typing.Final = 4096
@@ -50,24 +57,52 @@
     only one worker in fifteen was slow.
     """
 
-    __slots__ = ('_slow_until_s', '_step_paces')
+    __slots__ = (
+        '_recent_paces',
+        '_slow_until_s',
+        '_step_paces',
+        'expected_slowdown',
+    )
 
     def __init__(self) -> None:
         self._slow_until_s: dict[str, float] = {}
-        self._step_paces: dict[str, list[float]] = {}
+        # Newest last, by run where it is known.
+        self._step_paces: dict[str, dict[typing.Hashable, float]] = {}
+        # The latest relative pace of each recent run of a worker, and when.
+        self._recent_paces: dict[
+            str, dict[typing.Hashable, tuple[float, float]]
+        ] = {}
+        # How much slower than a usual worker one is expected to be; paces are
+        # relative to that.
+        self.expected_slowdown: collections.abc.Callable[[str], float] = (
+            _as_usual
+        )
 
     def is_long_enough(self, span_s: float) -> bool:
         """Return whether progress over a time span is significant."""
         return span_s >= _SPAN_MIN_S
 
-    def observe(self, job: str, step_key: str, pace: float) -> RelativePace:
+    def observe(
+        self,
+        job: str,
+        step_key: str,
+        pace: float,
+        run: typing.Hashable | None = None,
+    ) -> RelativePace:
         """Record a task's pace, and return it relative to the usual one.
 
-        The pace is 1 for a task that takes as long as estimated.
+        The pace is 1 for a task that takes as long as estimated. A known run
+        counts once in its step: the last slow task of a step would otherwise
+        soon be the usual one.
         """
         usual = self.usual_pace(step_key)
-        paces = self._step_paces.pop(step_key, [])
-        self._step_paces[step_key] = [*paces, pace][-_STEP_PACES_MAX:]
+        paces = self._step_paces.pop(step_key, {})
+        key = object() if run is None else run
+        paces.pop(key, None)
+        paces[key] = pace
+        if len(paces) > _STEP_PACES_MAX:
+            del paces[next(iter(paces))]
+        self._step_paces[step_key] = paces
         while len(self._step_paces) > _STEPS_MAX:
             del self._step_paces[next(iter(self._step_paces))]
         if usual is None:
@@ -76,10 +111,10 @@
 
     def usual_pace(self, step_key: str) -> float | None:
         """Return the median pace of a step, or None for too few tasks."""
-        paces = self._step_paces.get(step_key, ())
+        paces = self._step_paces.get(step_key, {})
         if len(paces) < _PEERS_MIN:
             return None
-        return max(statistics.median(paces), _PACE_MIN)
+        return max(statistics.median(paces.values()), _PACE_MIN)
 
     def update(
         self,
@@ -97,14 +132,39 @@
             s.has_peers for s in relative_paces
         ):
             return
-        if (
-            statistics.median(relative.pace for relative in relative_paces)
-            < _SLOW_SHARE
-        ):
+        pace = statistics.median(s.pace for s in relative_paces)
+        is_slow = self.is_slow(worker, now_s)
+        if pace < (_USUAL_SHARE if is_slow else _SLOW_SHARE):
             self._slow_until_s[worker] = now_s + _SLOW_KEPT_S
         else:
             self._slow_until_s.pop(worker, None)
 
+    def note(
+        self,
+        worker: str,
+        run: typing.Hashable,
+        relative_pace: float,
+        now_s: float,
+    ) -> None:
+        """Keep a run's relative pace as evidence for the worker's others."""
+        paces = self._recent_paces.setdefault(worker, {})
+        paces[run] = now_s, relative_pace
+        for other, (at_s, _) in list(paces.items()):
+            if now_s - at_s > _RECENT_S:
+                del paces[other]
+
+    def paces_of_others(
+        self, worker: str, run: typing.Hashable, since_s: float
+    ) -> list[float]:
+        """Return the latest relative pace since a time of each other run."""
+        return [
+            max(pace, _PACE_MIN)
+            for other, (at_s, pace) in self._recent_paces.get(
+                worker, {}
+            ).items()
+            if other != run and at_s >= since_s
+        ]
+
     def is_slow(
         self, worker: str, now_s: float, *, is_urgent: bool = True
     ) -> bool:
@@ -116,4 +176,10 @@
 
     def forget(self, worker: str) -> None:
         """Remove a worker."""
+        self._recent_paces.pop(worker, None)
         self._slow_until_s.pop(worker, None)
+
+
+def _as_usual(_worker: str) -> float:
+    """Return the slowdown of a usual worker."""
+    return 1.0
