Weigh large tasks when a worker is found to be slow

Cause: with tasks of a tail, the few that keep running on a worker are often large ones. Their low pace marked healthy workers as slow: urgent work avoided them, and their runs did not count as evidence of their speed.

Change: where run times are observed, a worker is slow for now if that is more probable than large tasks, given the pace of each of its tasks and the pool's learned share of large ones; one that is slow already has a higher prior. Without observed run times the rule is unchanged.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -103,6 +103,7 @@
         """Estimate run times from observed runs from now on."""
         self.run_times = self.observed = estimates.ObservedRunTimes()
         self.pace.expected_slowdown = self.observed.slowdown_of
+        self.pace.large_share = self.observed.large_share
 
     def forget_speed(self, worker_id: str) -> None:
         """Forget the pace of a worker whose incarnation has ended."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
@@ -37,6 +37,7 @@
     Uses the worker's clock, as a busy scheduler reads reports late.
     """
     relative_paces = []
+    paces_here: list[float] = []
     now_s = context.timer.now_s()
     slowdown = context.pace.expected_slowdown(worker.worker_id)
     for reported in report.running:
@@ -71,10 +72,16 @@
             reported.run if is_observed else None,
         )
         if is_observed:
-            _note(context, worker, run, relative, done_s / span_s, now_s)
+            pace = _pace_here(run, relative, done_s / span_s)
+            context.pace.note(worker.worker_id, run.name, pace, now_s)
+            paces_here.append(pace)
         relative_paces.append(relative)
     was_slow = context.pace.is_slow(worker.worker_id, now_s)
-    context.pace.update(worker.worker_id, relative_paces, now_s)
+    if context.pace.large_share is None:
+        context.pace.update(worker.worker_id, relative_paces, now_s)
+    else:
+        share = context.pace.large_share(worker.listed.pool)
+        context.pace.update_likely(worker.worker_id, paces_here, share, now_s)
     is_slow = context.pace.is_slow(worker.worker_id, now_s)
     if is_slow == was_slow:
         return
@@ -93,21 +100,15 @@
         _LOG.info('worker.as_usual', **fields)
 
 
-def _note(
-    context: _context.Context,
-    worker: _worker.WorkerState,
-    run: _run.Run,
-    relative: worker_pace.RelativePace,
-    declared_pace: float,
-    now_s: float,
-) -> None:
-    """Keep a run's pace relative to its step, or else to expectation."""
+def _pace_here(
+    run: _run.Run, relative: worker_pace.RelativePace, declared_pace: float
+) -> float:
+    """Return a run's pace relative to its step, or else to expectation."""
     task = typing.cast(_state.TaskProgress, run.task)
     declared_s = task.step.step.expected_s
-    pace = relative.pace
-    if not relative.has_peers and declared_s > 0.0:
-        pace = declared_pace * (run.expected_s or declared_s) / declared_s
-    context.pace.note(worker.worker_id, run.name, pace, now_s)
+    if relative.has_peers or declared_s <= 0.0:
+        return relative.pace
+    return declared_pace * (run.expected_s or declared_s) / declared_s
 
 
 def depends_on_worker(run: _run.Run) -> bool:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_disturbance.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_disturbance.py
@@ -13,8 +13,10 @@
 
 __all__ = ('probability',)
 
-# The share of busy workers that are disturbed, among those with a slow task.
+# The probability before a worker's tasks are looked at: one worker in fifteen
+# is disturbed at a time, and one that was found disturbed may still be.
 _PRIOR: typing.Final = 0.05
+_PRIOR_DISTURBED: typing.Final = 0.5
 # A disturbed worker has a fifth of its pace, with this spread.
 _DISTURBED_LOG: typing.Final = math.log(5.0)
 _DISTURBED_SPREAD: typing.Final = 0.6
@@ -28,7 +30,10 @@
 
 
 def probability(
-    paces: collections.abc.Iterable[float], large_share: float
+    paces: collections.abc.Iterable[float],
+    large_share: float,
+    *,
+    was_disturbed: bool = False,
 ) -> float:
     """Return the probability that a worker with these paces is disturbed.
 
@@ -37,7 +42,8 @@
     """
     running = large_share * _LARGE_FACTOR
     running /= running + 1.0 - large_share
-    odds = _PRIOR / (1.0 - _PRIOR)
+    prior = _PRIOR_DISTURBED if was_disturbed else _PRIOR
+    odds = prior / (1.0 - prior)
     for pace in paces:
         slowness = -math.log(max(pace, 0.01))
         healthy = (1.0 - running) * _density(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_statistics.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_statistics.py
@@ -17,7 +17,9 @@
 )
 
 # A deviation of this many standard errors is no longer taken for chance.
-_SIGNIFICANT: typing.Final = 2.5
+_SIGNIFICANT: typing.Final = 3.0
+# The median of this many values is no outlier, where these are few in thirty.
+_VALUES_MIN: typing.Final = 8
 
 
 class Split(typing.NamedTuple):
@@ -48,10 +50,11 @@
 ) -> float:
     """Return the mean of values, with outliers pulled to the clip.
 
-    The clip surrounds the median of the values and two more at the prior, so
-    that a single value can't move it.
+    The clip surrounds the median of the values. Few values are joined by two
+    at the prior, as their median may be an outlier itself.
     """
-    center = statistics.median((*values, prior, prior))
+    few = () if len(values) >= _VALUES_MIN else (prior, prior)
+    center = statistics.median((*values, *few))
     low, high = center - clip, center + clip
     return sum(min(max(v, low), high) for v in values) / len(values)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
@@ -6,6 +6,8 @@
 import statistics
 import typing
 
+from walnutpoint_scheduler import estimates
+
 __all__ = (
     'RelativePace',
     'WorkerPace',
@@ -32,6 +34,8 @@
 _SLOW_KEPT_S: typing.Final = 8.0
 # When batch tasks, which can wait, may try it and update its pace.
 _BATCH_RETRY_AFTER_S: typing.Final = 2.0
+# A worker is slow if that is more likely than large tasks.
+_PROBABILITY_MIN: typing.Final = 0.5
 # The paces of runs that have ended are kept for this long: a run that has
 # been slow from its start is compared with those that ran beside it.
 _RECENT_S: typing.Final = 4.0
@@ -62,6 +66,7 @@
         '_slow_until_s',
         '_step_paces',
         'expected_slowdown',
+        'large_share',
     )
 
     def __init__(self) -> None:
@@ -77,6 +82,8 @@
         self.expected_slowdown: collections.abc.Callable[[str], float] = (
             _as_usual
         )
+        # The share of large tasks by pool; None where it is not observed.
+        self.large_share: collections.abc.Callable[[str], float] | None = None
 
     def is_long_enough(self, span_s: float) -> bool:
         """Return whether progress over a time span is significant."""
@@ -165,6 +172,27 @@
             if other != run and at_s >= since_s
         ]
 
+    def update_likely(
+        self,
+        worker: str,
+        paces: typing.Sequence[float],
+        large_share: float,
+        now_s: float,
+    ) -> None:
+        """Update whether a worker is slow where large tasks are known of.
+
+        paces are those of all its tasks that show one.
+        """
+        if not paces:
+            return
+        probability = estimates.probability_disturbed(
+            paces, large_share, was_disturbed=self.is_slow(worker, now_s)
+        )
+        if probability >= _PROBABILITY_MIN:
+            self._slow_until_s[worker] = now_s + _SLOW_KEPT_S
+        else:
+            self._slow_until_s.pop(worker, None)
+
     def is_slow(
         self, worker: str, now_s: float, *, is_urgent: bool = True
     ) -> bool:
