Place tasks by their expected end in pools of mixed speeds

Cause: a third of a pool's workers may run tasks 1.9 times as long. Urgent tasks were spread by free capacity alone, so that 0.28 of them started on slow workers and missed an objective of 1.5 times their chain.

Change: the workers of a pool whose speeds differ are divided into groups of similar slowdown. Urgent work and work without slack uses quick groups first, and a slower one only if it ends in time there, has waited for as long as it would lose there, or is permitted nowhere else. Work with slack fills slower groups first. Preemption, reservations, gangs and advice requests follow the same choice. Candidates and the creation of selectors move to modules of their own.

--- a/bench/placement_pass.py
+++ b/bench/placement_pass.py
@@ -21,6 +21,7 @@
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import estimates
 from walnutpoint_scheduler import outlier
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
@@ -32,6 +33,18 @@
 LIMIT = resources.Resources(10**9, 10**9)
 
 
+class _Mixed(estimates.DeclaredRunTimes):
+    """Declared run times, with every third worker 1.9 times as slow."""
+
+    def slowdown(self, worker: cell.ListedWorker) -> float:
+        """Return the slowdown by the number of the worker."""
+        return 1.0 if int(worker.worker_id.split('-')[-1]) % 3 else 1.9
+
+    def is_mixed(self, pool: str) -> bool:
+        """Return that the pool's workers differ in speed."""
+        return True
+
+
 class _NoOrders(_orders.OrderSender):
     def launch(self, job: typing.Any, runs: typing.Any) -> None:
         """Send no orders."""
@@ -50,7 +63,10 @@
 
 
 async def measure(
-    worker_count: int, step_count: int, account_count: int
+    worker_count: int,
+    step_count: int,
+    account_count: int,
+    run_times: estimates.RunTimes,
 ) -> None:
     """Print the time of a pass that places half of the waiting tasks."""
     async with anyio.create_task_group() as tasks:
@@ -67,6 +83,7 @@
                 worker_health.WorkerHealth(outlier.OutlierDetector(3, 1, 8)),
             )
             context.cell = _cell(account_count)
+            context.run_times = run_times
             for number in range(worker_count):
                 worker = _worker.WorkerState(
                     harness.workers.listed_worker(number),
@@ -96,7 +113,7 @@
             )
         print(
             f'{worker_count} workers, {step_count} steps of 10 tasks, '
-            f'{account_count} accounts: '
+            f'{account_count} accounts, {type(run_times).__name__}: '
             f'{placed} placed, median '
             f'{statistics.median(elapsed_ms):.1f} ms, longest '
             f'{max(elapsed_ms):.1f} ms'
@@ -107,7 +124,10 @@
     """Measure each size."""
     for worker_count, step_count in SIZES:
         for account_count in ACCOUNTS:
-            asyncio.run(measure(worker_count, step_count, account_count))
+            for run_times in (estimates.DeclaredRunTimes(), _Mixed()):
+                asyncio.run(
+                    measure(worker_count, step_count, account_count, run_times)
+                )
 
 
 if __name__ == '__main__':
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
@@ -100,7 +100,7 @@
         granted_ids = advice.granted(step.key)
         granted = [
             worker
-            for worker in selector.advice_candidates(step.step)
+            for worker in selector.advice_candidates(step.step, step.key)
             if worker.worker_id in granted_ids
         ]
         remaining = missing
@@ -114,7 +114,9 @@
             targets = _advice_targets.select(
                 (
                     worker
-                    for worker in selector.advice_candidates(step.step)
+                    for worker in selector.advice_candidates(
+                        step.step, step.key
+                    )
                     if advice.permits(step.key, worker.worker_id) is None
                 ),
                 task_capacity,
@@ -150,7 +152,7 @@
         advice = self._context.advice
         unknown = (
             worker.worker_id
-            for worker in selector.advice_candidates(step.step)
+            for worker in selector.advice_candidates(step.step, step.key)
             if advice.permits(step.key, worker.worker_id) is None
         )
         count = max(0, _advice_targets.WAITING_TARGETS_MAX - target_count)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_gang.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_gang.py
@@ -8,6 +8,7 @@
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import _worker_selector
+from walnutpoint_scheduler import document
 
 __all__ = ('pick',)
 
@@ -60,19 +61,30 @@
         for worker in selector.feasible(step.step)
         if worker.worker_id not in excluded
     ]
+    candidate_sets = [
+        _CandidateSet(group, True)
+        for workers in selector.gang_groups(all_workers, step.key)
+        for group in _rack_groups(step.step, workers)
+    ]
+    if is_starved:
+        candidate_sets.append(_CandidateSet(all_workers, False))
+    return candidate_sets
+
+
+def _rack_groups(
+    step: document.Step, workers: list[_worker.WorkerState]
+) -> list[list[_worker.WorkerState]]:
+    """Return workers by how well their racks suit a gang, then all."""
     racks: dict[str, list[_worker.WorkerState]] = {}
-    for worker in all_workers:
+    for worker in workers:
         racks.setdefault(worker.listed.rack, []).append(worker)
     groups = []
-    if step.step.rack_affinity in racks:
-        groups.append(racks[step.step.rack_affinity])
-    if step.step.same_rack:
+    if step.rack_affinity in racks:
+        groups.append(racks[step.rack_affinity])
+    if step.same_rack:
         groups += sorted(racks.values(), key=len, reverse=True)
-    groups.append(all_workers)
-    candidate_sets = [_CandidateSet(group, True) for group in groups]
-    if is_starved:
-        candidate_sets.append(_CandidateSet(all_workers, False))
-    return candidate_sets
+    groups.append(workers)
+    return groups
 
 
 def _pick(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -6,6 +6,7 @@
 
 from walnutpoint_core import logs
 from walnutpoint_scheduler import _advice_requests
+from walnutpoint_scheduler import _candidates
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _gang
 from walnutpoint_scheduler import _limits
@@ -16,6 +17,7 @@
 from walnutpoint_scheduler import _quarantine
 from walnutpoint_scheduler import _ready
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _selectors
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _wait_cause
 from walnutpoint_scheduler import _worker_selector
@@ -52,8 +54,7 @@
     ) -> None:
         self._context = context
         self._sender = sender
-        # By pool, for one pass.
-        self._selectors: dict[str, _worker_selector.WorkerSelector] = {}
+        self._selectors = _selectors.PassSelectors(context)
         self._limits = _limits.AccountLimits(context)
         self._preemption = _preemption.Preemption(context, sender)
         self._quarantine = _quarantine.Quarantine(context)
@@ -131,6 +132,7 @@
             )
             return
         selector = self._selector(queued.queue)
+        self._choose_groups(selector, queued.queue, queued.step)
         if queued.step.step.gang:
             self._place_gang(selector, queued.queue, queued.step)
         else:
@@ -171,19 +173,17 @@
 
     def _selector(self, queue: cell.Queue) -> _worker_selector.WorkerSelector:
         """Return this pass's selector for a queue's pool."""
-        selector = self._selectors.get(queue.pool)
-        if selector is None:
-            context = self._context
-            selector = self._selectors[queue.pool] = (
-                _worker_selector.WorkerSelector(
-                    context.roster.in_pool(queue.pool),
-                    context.health,
-                    context.timer.now_s(),
-                    context.settings.policies,
-                    context.pace,
-                )
-            )
-        return selector
+        return self._selectors.of_queue(queue)
+
+    def _choose_groups(
+        self,
+        selector: _worker_selector.WorkerSelector,
+        queue: cell.Queue,
+        step: _state.StepProgress,
+    ) -> None:
+        """Choose the speed groups for a step by the workers granted to it."""
+        permitted = self._reservable_workers(queue, step)
+        selector.choose_groups(queue, step, permitted)
 
     def _may_start(self, queued: _placement_order.QueuedStep) -> bool:
         """Return whether an open worker may run a step."""
@@ -224,7 +224,12 @@
                 break
             runs.append(
                 _planning.plan(
-                    self._context, task, worker, queue, task.attempt + 1
+                    self._context,
+                    task,
+                    worker,
+                    queue,
+                    task.attempt + 1,
+                    selector,
                 )
             )
         if runs:
@@ -240,9 +245,9 @@
         queue: cell.Queue,
         step: _state.StepProgress,
         excluded: str = '',
-    ) -> _worker_selector.Candidates:
+    ) -> _candidates.Candidates:
         """Return the workers with capacity and any ticket needed."""
-        return _worker_selector.Candidates(
+        return _candidates.Candidates(
             selector,
             step.step,
             step.key,
@@ -260,10 +265,11 @@
         step: _state.StepProgress,
     ) -> float:
         """Return the share of the workers that a step may run on."""
+        share = selector.usable_share(step.key)
         if queue.advice is None:
-            return 1.0
+            return share
         granted = len(self._context.advice.granted(step.key))
-        return min(1.0, granted / max(1, selector.open_count))
+        return min(1.0, granted / max(1, selector.open_count)) * share
 
     def _permitted_workers(
         self, queue: cell.Queue, step: _state.StepProgress
@@ -286,6 +292,7 @@
                 continue
             queue = context.queue_of(job)
             selector = self._selector(queue)
+            self._choose_groups(selector, queue, task.step)
             worker = self._candidates(
                 selector, queue, task.step, run.worker_id
             ).next_fit()
@@ -293,7 +300,7 @@
                 self._advice_requests.request(selector, queue, task.step, 1)
                 continue
             copy = _planning.plan(
-                self._context, task, worker, queue, task.attempt + 1
+                self._context, task, worker, queue, task.attempt + 1, selector
             )
             task.run, task.copy = run, copy
             self._sender.launch(job, [copy])
@@ -317,7 +324,12 @@
                 continue
             attempt = suspect.task.attempt + 1
             run = _planning.plan(
-                self._context, suspect.task, worker, suspect.queue, attempt
+                self._context,
+                suspect.task,
+                worker,
+                suspect.queue,
+                attempt,
+                selector,
             )
             self._context.suspects.isolate(worker, run)
             self._sender.launch(step.job, [run])
@@ -358,7 +370,9 @@
         runs = []
         for task, worker in zip(step.tasks, picked, strict=True):
             task.checkpoint = checkpoint
-            run = _planning.plan(self._context, task, worker, queue, attempt)
+            run = _planning.plan(
+                self._context, task, worker, queue, attempt, selector
+            )
             if task.is_suspect:
                 self._context.suspects.isolate(worker, run)
             runs.append(run)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -11,6 +11,7 @@
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
+from walnutpoint_scheduler import _worker_selector
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import ports
 
@@ -28,6 +29,7 @@
     worker: _worker.WorkerState,
     queue: cell.Queue,
     attempt: int,
+    selector: _worker_selector.WorkerSelector,
 ) -> _run.Run:
     """Book resources for a task's next run, with any ticket needed."""
     now_s = context.timer.now_s()
@@ -63,6 +65,8 @@
         worker=worker.worker_id,
         free_millicores=worker.free.cpu_millicores,
         waited_s=round(waited_s, 3),
+        slowdown=round(context.run_times.slowdown(worker.listed), 2),
         token=context.token,
+        **selector.decision(worker, task.step.key),
     )
     return run
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -115,7 +115,10 @@
             and selector.is_feasible(candidate.worker, step.step)
             and selector.may_start(candidate.worker)
             and not selector.is_slow(candidate.worker, is_urgent=True)
+            and selector.may_use(candidate.worker, step.key)
         ]
+        # Stable, so that the order is unchanged where all are equally quick.
+        candidates.sort(key=lambda c: selector.group_of(c.worker))
         for candidate in candidates:
             expected_free = (
                 selector.unreserved(candidate.worker) + candidate.releasing
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_selector.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_selector.py
@@ -4,6 +4,7 @@
 
 import collections.abc
 import enum
+import itertools
 import math
 import typing
 
@@ -11,23 +12,29 @@
 from walnutpoint_scheduler import _advice_targets
 from walnutpoint_scheduler import _release
 from walnutpoint_scheduler import _reservations
+from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
+from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
+from walnutpoint_scheduler import placement
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
 from walnutpoint_scheduler import worker_pace
 
 __all__ = (
-    'Candidates',
     'PermittedWorkers',
+    'Segments',
+    'WorkerOrder',
     'WorkerSelector',
 )
 
 # The workers that a step may run on; None for all.
 PermittedWorkers = collections.abc.Set[str] | None
+# Lists of workers, each of which is used up before the next.
+Segments = list[list[_worker.WorkerState]]
 
 
-class _WorkerOrder(enum.Enum):
+class WorkerOrder(enum.Enum):
     """The order in which workers are considered."""
 
     # Spreads urgent tasks, so that a failing worker affects few of them.
@@ -38,101 +45,28 @@
     FEWEST_SERVING = 'fewest serving'
     FEWEST_FILLING = 'fewest filling'
 
-
-class Candidates:
-    """Yields the workers with capacity for a step's tasks, best first.
-
-    Workers are sorted once per pass and each is checked again against its
-    current free capacity: sorting after each task would take most of a pass.
-    """
-
-    __slots__ = (
-        '_allows_slow',
-        '_excluded',
-        '_is_spread',
-        '_need',
-        '_next',
-        '_priority',
-        '_selector',
-        '_step',
-        '_step_key',
-        '_tier',
-        '_workers',
-    )
-
-    def __init__(
-        self,
-        selector: WorkerSelector,
-        step: document.Step,
-        step_key: str,
-        priority: int,
-        permitted: PermittedWorkers,
-        *,
-        excluded: str = '',
-        allows_slow: bool = True,
-    ) -> None:
-        self._selector = selector
-        self._excluded = excluded
-        self._allows_slow = allows_slow
-        self._step = step
-        self._need = step.need
-        self._step_key = step_key
-        self._priority = priority
-        order = selector.order_for(step, priority)
-        self._is_spread = order is not _WorkerOrder.FULLEST
-        # Rules out most workers of a full cell at a tenth of the cost of the
-        # full check; safe, as free capacity only shrinks during a pass.
-        self._workers = [
-            worker
-            for worker in selector.in_order(order)
-            if worker.free.cpu_millicores >= step.need.cpu_millicores
-            and (permitted is None or worker.worker_id in permitted)
-        ]
-        self._next = 0
-        # 0: only healthy workers near the data; 1: any worker.
-        self._tier = 0
-
-    def next_fit(self) -> _worker.WorkerState | None:
-        """Return the best worker that fits one more task."""
-        while self._tier < 2:
-            for _ in range(len(self._workers)):
-                worker = self._workers[self._next]
-                if self._is_eligible(worker):
-                    if self._is_spread:
-                        self._advance()
-                    return worker
-                self._advance()
-            self._tier += 1
-        return None
-
-    def _advance(self) -> None:
-        self._next = (self._next + 1) % len(self._workers)
-
-    def _is_eligible(self, worker: _worker.WorkerState) -> bool:
-        selector, step = self._selector, self._step
-        if worker.worker_id == self._excluded:
-            return False
-        if not selector.fits(worker, step, self._step_key, self._need):
-            return False
-        if selector.is_slow(worker, is_urgent=not self._priority):
-            # A run here takes several times the wait for another worker.
-            return self._tier > 0 and self._allows_slow
-        return self._tier > 0 or selector.is_preferred(worker, step)
+    @property
+    def is_spread(self) -> bool:
+        """Return whether tasks of a step go to different workers."""
+        return self is not WorkerOrder.FULLEST
 
 
 class WorkerSelector:
     """Filters and sorts the workers of a pool during one pass."""
 
     __slots__ = (
+        '_by_group',
         '_by_order',
+        '_by_preference',
+        '_choices',
         '_expected_open',
         '_health',
-        '_is_sorted',
         '_now_s',
         '_open',
         '_pace',
         '_policies',
         '_reservations',
+        '_speeds',
         'blocked_weight',
     )
 
@@ -143,17 +77,25 @@
         now_s: float,
         policies: settings.Policies = settings.Policies(),
         pace: worker_pace.WorkerPace | None = None,
+        speeds: placement.PoolSpeeds | None = None,
     ) -> None:
         self._policies = policies
+        # None while all workers count as equally quick.
+        self._speeds = speeds
+        # By step, in this pass.
+        self._choices: dict[str, placement.GroupChoice | None] = {}
         self._pace = pace if policies.slow_workers else None
         expected_open = [w for w in workers if w.may_accept_starts]
         self._open = [w for w in expected_open if w.accepts_starts]
         self._expected_open = expected_open
-        # Sorted by free processor time when advice is first requested.
-        self._is_sorted = False
         self._health = health
         self._now_s = now_s
-        self._by_order: dict[_WorkerOrder, list[_worker.WorkerState]] = {}
+        self._by_order: dict[WorkerOrder, list[_worker.WorkerState]] = {}
+        self._by_group: dict[WorkerOrder, Segments] = {}
+        # Sorted when advice is first requested in an order of groups.
+        self._by_preference: dict[
+            tuple[int, ...], list[_worker.WorkerState]
+        ] = {}
         # Capacity that later steps may not take from earlier ones.
         self._reservations = _reservations.Reservations(
             _release.Releases(now_s), allows_backfill=policies.backfill
@@ -173,6 +115,104 @@
         """Return the free capacity for a task of some duration."""
         return self._reservations.unreserved(worker, duration_s)
 
+    def choose_groups(
+        self,
+        queue: cell.Queue,
+        step: _state.StepProgress,
+        permitted: PermittedWorkers,
+    ) -> None:
+        """Choose the speed groups that a step may use in this pass."""
+        speeds = self._speeds
+        if speeds is None or step.key in self._choices:
+            return
+        usable = [
+            number
+            for number, workers in enumerate(
+                self._grouped(WorkerOrder.FREEST, speeds)
+            )
+            if self._has_feasible(workers, step.step, permitted)
+        ]
+        self._choices[step.key] = speeds.choose(queue, step, usable)
+
+    def decision(
+        self, worker: _worker.WorkerState, step_key: str
+    ) -> dict[str, object]:
+        """Return what a step's start on a worker was decided by, to log."""
+        choice = self._choices.get(step_key)
+        if self._speeds is None or choice is None:
+            return {}
+        slowdown = self._speeds.slowdown_of(worker)
+        return {
+            'group': self._speeds.group_of(worker),
+            'groups': len(self._speeds.groups.slowdowns),
+            'slack_s': round(choice.slack_s(slowdown), 2),
+        }
+
+    def group_of(self, worker: _worker.WorkerState) -> int:
+        """Return the speed group of a worker, 0 for the quickest."""
+        return 0 if self._speeds is None else self._speeds.group_of(worker)
+
+    def may_use(self, worker: _worker.WorkerState, step_key: str) -> bool:
+        """Return whether a step may use the speed group of a worker."""
+        choice = self._choices.get(step_key)
+        return choice is None or self.group_of(worker) in choice.groups
+
+    def _run_s(
+        self, worker: _worker.WorkerState, step: document.Step, step_key: str
+    ) -> float:
+        """Return the expected run time of a step's task on a worker."""
+        choice = self._choices.get(step_key)
+        if choice is None or self._speeds is None:
+            return step.expected_s
+        return choice.task_s * self._speeds.slowdown_of(worker)
+
+    def gang_groups(
+        self, workers: list[_worker.WorkerState], step_key: str
+    ) -> Segments:
+        """Return the workers to try in turn for all members of a gang.
+
+        Each speed group that it may use, then all of these together: the
+        members end together, and those on quick workers would wait.
+        """
+        choice = self._choices.get(step_key)
+        if choice is None:
+            return [workers]
+        usable = [w for w in workers if self.group_of(w) in choice.groups]
+        return [
+            *(
+                [w for w in usable if self.group_of(w) == number]
+                for number in choice.groups
+            ),
+            usable,
+        ]
+
+    def usable_share(self, step_key: str) -> float:
+        """Return the share of the open workers in a step's groups."""
+        if self._choices.get(step_key) is None:
+            return 1.0
+        segments = self.segments(WorkerOrder.FREEST, step_key)
+        return sum(map(len, segments)) / max(1, self.open_count)
+
+    def segments(self, order: WorkerOrder, step_key: str) -> Segments:
+        """Return the open workers that a step may use, by speed group."""
+        choice = self._choices.get(step_key)
+        if choice is None or self._speeds is None:
+            return [self.in_order(order)]
+        grouped = self._grouped(order, self._speeds)
+        return [grouped[number] for number in choice.groups]
+
+    def _grouped(
+        self, order: WorkerOrder, speeds: placement.PoolSpeeds
+    ) -> Segments:
+        """Return the open workers of each group, sorted once per pass."""
+        grouped = self._by_group.get(order)
+        if grouped is None:
+            grouped = [[] for _ in speeds.groups.slowdowns]
+            for worker in self.in_order(order):
+                grouped[speeds.group_of(worker)].append(worker)
+            self._by_group[order] = grouped
+        return grouped
+
     def reserve(
         self,
         step: document.Step,
@@ -180,12 +220,16 @@
         count: int,
         permitted: PermittedWorkers,
     ) -> list[_reservations.ReservedWorker]:
-        """Reserve the capacity that comes free first for waiting tasks."""
+        """Reserve the capacity that comes free first for waiting tasks.
+
+        Only in the groups that the step may use, in their order.
+        """
         if not self._policies.holding:
             return []
+        segments = self.segments(WorkerOrder.FREEST, step_key)
         candidates = (
             worker
-            for worker in self.in_order(_WorkerOrder.FREEST)
+            for worker in itertools.chain.from_iterable(segments)
             if (permitted is None or worker.worker_id in permitted)
             and self.is_feasible(worker, step)
             and self.may_start(worker)
@@ -193,13 +237,23 @@
         return self._reservations.reserve(candidates, step, step_key, count)
 
     def advice_candidates(
-        self, step: document.Step
+        self, step: document.Step, step_key: str = ''
     ) -> collections.abc.Iterator[_worker.WorkerState]:
-        """Yield the workers to request advice about, freest first."""
-        if not self._is_sorted:
-            self._expected_open.sort(key=_worker.by_free_cpu)
-            self._is_sorted = True
-        return (w for w in self._expected_open if self.is_feasible(w, step))
+        """Yield the workers to request advice about.
+
+        The groups that the step prefers come first, and the freest workers
+        within each.
+        """
+        choice = self._choices.get(step_key)
+        preference = () if choice is None else choice.preference
+        workers = self._by_preference.get(preference)
+        if workers is None:
+            workers = sorted(self._expected_open, key=_worker.by_free_cpu)
+            if preference:
+                ranks = {group: n for n, group in enumerate(preference)}
+                workers.sort(key=lambda worker: ranks[self.group_of(worker)])
+            self._by_preference[preference] = workers
+        return (w for w in workers if self.is_feasible(w, step))
 
     def feasible(self, step: document.Step) -> list[_worker.WorkerState]:
         """Return the open workers that can run a step when empty."""
@@ -209,10 +263,18 @@
         self, step: document.Step, permitted: PermittedWorkers
     ) -> bool:
         """Return whether a permitted open worker can run it when empty."""
+        return self._has_feasible(self._open, step, permitted)
+
+    def _has_feasible(
+        self,
+        workers: collections.abc.Iterable[_worker.WorkerState],
+        step: document.Step,
+        permitted: PermittedWorkers,
+    ) -> bool:
         return any(
             (permitted is None or worker.worker_id in permitted)
             and self.is_feasible(worker, step)
-            for worker in self._open
+            for worker in workers
         )
 
     def fits(
@@ -223,7 +285,8 @@
         need: resources.Resources,
     ) -> bool:
         """Return whether one task of a step fits on a worker now."""
-        if not self.unreserved(worker, step.expected_s).covers(need):
+        duration_s = self._run_s(worker, step, step_key)
+        if not self.unreserved(worker, duration_s).covers(need):
             return False
         if not self.is_feasible(worker, step):
             return False
@@ -265,10 +328,12 @@
         """
         if not self.may_start(worker):
             return 0
+        if not self.may_use(worker, step_key):
+            return 0
         if is_urgent and self.is_slow(worker, is_urgent=True):
             return 0
         count = _advice_targets.tasks_that_fit(
-            self.unreserved(worker, step.expected_s), step
+            self.unreserved(worker, self._run_s(worker, step, step_key)), step
         )
         if step.per_worker_max:
             remaining = step.per_worker_max - worker.step_counts[step_key]
@@ -290,15 +355,15 @@
         near = step.rack_affinity
         return not near or worker.listed.rack == near
 
-    def order_for(self, step: document.Step, priority: int) -> _WorkerOrder:
+    def order_for(self, step: document.Step, priority: int) -> WorkerOrder:
         """Return the order in which a step considers workers."""
         if step.fills:
-            return _WorkerOrder.FEWEST_SERVING
+            return WorkerOrder.FEWEST_SERVING
         if step.lasting:
-            return _WorkerOrder.FEWEST_FILLING
+            return WorkerOrder.FEWEST_FILLING
         if priority == 0 or not self._policies.packing:
-            return _WorkerOrder.FREEST
-        return _WorkerOrder.FULLEST
+            return WorkerOrder.FREEST
+        return WorkerOrder.FULLEST
 
     def in_packing_order(
         self, workers: collections.abc.Iterable[_worker.WorkerState]
@@ -308,7 +373,7 @@
             workers, key=_free_share, reverse=not self._policies.packing
         )
 
-    def in_order(self, order: _WorkerOrder) -> list[_worker.WorkerState]:
+    def in_order(self, order: WorkerOrder) -> list[_worker.WorkerState]:
         """Return the open workers in an order, sorted once per pass."""
         workers = self._by_order.get(order)
         if workers is None:
@@ -341,12 +406,12 @@
 
 _SORT_KEYS: typing.Final[
     dict[
-        _WorkerOrder,
+        WorkerOrder,
         collections.abc.Callable[[_worker.WorkerState], typing.Any],
     ]
 ] = {
-    _WorkerOrder.FREEST: lambda worker: -_free_share(worker),
-    _WorkerOrder.FULLEST: _free_share,
-    _WorkerOrder.FEWEST_SERVING: _fewest_serving,
-    _WorkerOrder.FEWEST_FILLING: _fewest_filling,
+    WorkerOrder.FREEST: lambda worker: -_free_share(worker),
+    WorkerOrder.FULLEST: _free_share,
+    WorkerOrder.FEWEST_SERVING: _fewest_serving,
+    WorkerOrder.FEWEST_FILLING: _fewest_filling,
 }
--- /dev/null
+++ b/tests/walnutpoint_scheduler/placement/test_choice.py
@@ -0,0 +1,67 @@
+"""The speed groups that a step may use."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from walnutpoint_scheduler import placement
+
+GROUPS = placement.SpeedGroups((1.0, 1.9), (1.4,))
+
+
+def _choose(
+    permitted: tuple[int, ...] = (0, 1), **fields: float
+) -> tuple[int, ...]:
+    """Return the groups for a step of tasks of 1 s, the largest of 2 s."""
+    values = {
+        'is_urgent': True,
+        'task_s': 1.0,
+        'largest_s': 2.0,
+        'in_time_s': 3.0,
+        'useful_s': 9.0,
+        'waited_s': 0.0,
+    }
+    outlook = placement.Outlook(**(values | fields))  # type: ignore[arg-type]
+    return placement.choose(outlook, GROUPS, permitted).groups
+
+
+class GroupsTest(unittest.TestCase):
+    """Workers are divided only where their speeds differ materially."""
+
+    def test_scattered_estimates_form_two_groups(self) -> None:
+        """Guards against groups made of the noise of the estimates."""
+        values = random.Random(2)  # noqa: S311
+        usual = [values.lognormvariate(0.0, 0.1) for _ in range(120)]
+        slow = [1.9 * values.lognormvariate(0.0, 0.1) for _ in range(56)]
+        groups = placement.find_groups([*usual, *slow])
+        self.assertEqual(2, len(groups.slowdowns))
+        self.assertAlmostEqual(1.9, groups.slowdowns[1], delta=0.15)
+        self.assertEqual(0, groups.number_of(1.0))
+        self.assertEqual(1, groups.number_of(5.0))
+        self.assertEqual(1, len(placement.find_groups(usual).slowdowns))
+        self.assertEqual((1.0,), placement.find_groups([]).slowdowns)
+
+
+class ChoiceTest(unittest.TestCase):
+    """When a slower worker may be taken, and when it is taken first."""
+
+    def test_urgent_task_avoids_slow_workers(self) -> None:
+        """Guards against late jobs while a quick worker comes free soon."""
+        self.assertEqual((0,), _choose())
+        # It ends in time there, has waited for as long as it would lose
+        # there, or may run nowhere else.
+        self.assertEqual((0, 1), _choose(in_time_s=4.0))
+        self.assertEqual((0, 1), _choose(waited_s=0.9))
+        self.assertEqual((1,), _choose(permitted=(1,)))
+
+    def test_late_job_takes_no_quick_worker_from_others(self) -> None:
+        """Guards against quick workers held for a job that is late anyway."""
+        self.assertEqual((0, 1), _choose(in_time_s=1.0))
+        self.assertEqual((0,), _choose(in_time_s=1.0, useful_s=3.0))
+
+    def test_work_with_slack_goes_to_slow_workers_first(self) -> None:
+        """Guards against batch on quick workers when a burst comes."""
+        self.assertEqual((1, 0), _choose(is_urgent=False, in_time_s=4.0))
+        self.assertEqual((0,), _choose(is_urgent=False))
+        self.assertEqual((0, 1), _choose(is_urgent=False, waited_s=1.0))
