Choose speed groups once per step, and for groups not granted yet

Cause: a step whose granted workers were all quick requested no advice about slower ones, however long it had waited. Run times by group were computed for each task, and groups also for steps that a pass does not try.

Change: the rule covers all groups of the pool; run times and slack by group are kept with the choice, and steps behind too many others choose none.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -182,6 +182,10 @@
         step: _state.StepProgress,
     ) -> None:
         """Choose the speed groups for a step by the workers granted to it."""
+        is_behind = selector.blocked_weight >= _BLOCKED_WEIGHT_MAX
+        if is_behind and queue.advice is None and not step.step.gang:
+            # Nothing is placed or requested for it in this pass.
+            return
         permitted = self._reservable_workers(queue, step)
         selector.choose_groups(queue, step, permitted)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -105,6 +105,10 @@
         key = queue.pool, queue.priority
         if key not in self._candidates:
             self._candidates[key] = self._find_candidates(queue)
+            # Stable, so that nothing changes where all are equally quick.
+            self._candidates[key].sort(
+                key=lambda candidate: selector.group_of(candidate.worker)
+            )
         permitted = None
         if queue.advice is not None:
             permitted = self._context.advice.with_valid_ticket(step.key)
@@ -117,8 +121,6 @@
             and not selector.is_slow(candidate.worker, is_urgent=True)
             and selector.may_use(candidate.worker, step.key)
         ]
-        # Stable, so that the order is unchanged where all are equally quick.
-        candidates.sort(key=lambda c: selector.group_of(c.worker))
         for candidate in candidates:
             expected_free = (
                 selector.unreserved(candidate.worker) + candidate.releasing
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_selector.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_selector.py
@@ -141,11 +141,11 @@
         choice = self._choices.get(step_key)
         if self._speeds is None or choice is None:
             return {}
-        slowdown = self._speeds.slowdown_of(worker)
+        number = self._speeds.group_of(worker)
         return {
-            'group': self._speeds.group_of(worker),
-            'groups': len(self._speeds.groups.slowdowns),
-            'slack_s': round(choice.slack_s(slowdown), 2),
+            'group': number,
+            'groups': len(choice.preference),
+            'slack_s': choice.slack_s[number],
         }
 
     def group_of(self, worker: _worker.WorkerState) -> int:
@@ -164,7 +164,7 @@
         choice = self._choices.get(step_key)
         if choice is None or self._speeds is None:
             return step.expected_s
-        return choice.task_s * self._speeds.slowdown_of(worker)
+        return choice.run_s[self._speeds.group_of(worker)]
 
     def gang_groups(
         self, workers: list[_worker.WorkerState], step_key: str
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_choice.py
@@ -28,15 +28,10 @@
     preference: tuple[int, ...]
     # Whether work with slack leaves the quick workers to others.
     is_slow_first: bool
-    # Time left until the step must end, and its largest task's run time.
-    left_s: float
-    largest_s: float
-    # The expected run time of a task on a usual worker.
-    task_s: float
-
-    def slack_s(self, slowdown: float) -> float:
-        """Return the time left after the last task's end on a worker."""
-        return self.left_s - self.largest_s * slowdown
+    # By group: the expected run time of a task, and the time left after the
+    # expected end of the step's last task.
+    run_s: tuple[float, ...]
+    slack_s: tuple[float, ...]
 
 
 def choose(
@@ -46,11 +41,13 @@
 ) -> GroupChoice:
     """Return the groups that a step may use, each used up before the next.
 
-    permitted are the numbers of the groups in which it may run at all.
+    permitted are the numbers of the groups in which it may run at all. Others
+    are chosen by the same rule, so that advice is requested about them.
     """
     slowdowns = groups.slowdowns
-    numbers = sorted(permitted) or list(range(len(slowdowns)))
-    quickest = slowdowns[numbers[0]]
+    numbers = range(len(slowdowns))
+    quickest_number = min(permitted, default=0)
+    quickest = slowdowns[quickest_number]
     left_s = outlook.left_s(quickest)
     in_time = [
         number
@@ -62,7 +59,8 @@
     may_use = [
         number
         for number in numbers
-        if number in in_time
+        if number <= quickest_number
+        or number in in_time
         or outlook.waited_s >= outlook.task_s * (slowdowns[number] - quickest)
     ]
     is_slow_first = not outlook.is_urgent and len(in_time) > 1
@@ -73,7 +71,9 @@
         tuple(may_use),
         tuple(may_use + others),
         is_slow_first,
-        left_s,
-        outlook.largest_s,
-        outlook.task_s,
+        tuple(outlook.task_s * slowdown for slowdown in slowdowns),
+        tuple(
+            round(left_s - outlook.largest_s * slowdown, 2)
+            for slowdown in slowdowns
+        ),
     )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_pool_speeds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_pool_speeds.py
@@ -62,10 +62,6 @@
             self._group_by_worker[worker.worker_id] = number
         return number
 
-    def slowdown_of(self, worker: _worker.WorkerState) -> float:
-        """Return the mean slowdown of a worker's group."""
-        return self.groups.slowdowns[self.group_of(worker)]
-
     def choose(
         self,
         queue: cell.Queue,
