Serve the largest set of jobs that can end in time in an overload

In order of deadline, a pool that is too small serves every job for a while and lets each reach its deadline with part of its work done.

For each pool and priority the scheduler now computes, four times a second, which open jobs can end in time within the capacity that more urgent and lasting work leaves. The job that takes most of the pool leaves first, begun jobs last. The rest follows by least remaining work, useless jobs at the end. While the queue drains in half of the time that its jobs can wait, the order is that of deadlines as before.

The policy served_set disables it.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placement_order.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placement_order.py
@@ -7,6 +7,7 @@
 
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import overload
 
 __all__ = (
     'QueuedStep',
@@ -34,14 +35,19 @@
     now_ms: float,
     late_tiers: bool = True,
     owed_first: bool = True,
+    standing: overload.Standing | None = None,
 ) -> tuple[int, bool, int, float, str]:
     """Return a step's rank by what its caller loses by waiting.
 
     Jobs beyond their account's rate follow the others of the same priority.
     They stay ahead of less urgent work, whose reservations would otherwise
-    leave capacity idle.
+    leave capacity idle. In an overload, a job's standing replaces the tiers.
     """
     job = step.job
+    is_over_rate = owed_first and not job.is_owed
+    if standing is not None:
+        tier, order, _ = standing
+        return queue.priority, is_over_rate, tier, order, step.key
     document = job.document
     start_ms = float(document.accepted_ms)
     if document.occurrence_count:
@@ -56,7 +62,6 @@
         tier = 1
     else:
         tier = 2
-    is_over_rate = owed_first and not job.is_owed
     return queue.priority, is_over_rate, tier, deadline_ms, step.key
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ready.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ready.py
@@ -32,6 +32,7 @@
         context = self._context
         now_ms = context.now_ms()
         policies = context.settings.policies
+        self._compute_overload(now_ms)
         queued_steps = []
         for job in context.open_jobs.values():
             queue = context.queue_of(job)
@@ -41,6 +42,7 @@
             ):
                 continue
             job.may_have_ready_steps = False
+            standing = context.overload.standing(job.document.job_id)
             for step in self._ready_in_job(job, now_ms):
                 job.may_have_ready_steps = True
                 rank = _placement_order.rank(
@@ -49,6 +51,7 @@
                     now_ms,
                     policies.late_tiers,
                     policies.owed_first,
+                    standing,
                 )
                 queued_steps.append(
                     _placement_order.QueuedStep(rank, queue, step)
@@ -56,6 +59,22 @@
         queued_steps.sort(key=lambda queued: queued.rank)
         return queued_steps
 
+    def _compute_overload(self, now_ms: float) -> None:
+        """Compute which jobs are served, if that is due."""
+        context = self._context
+        policies = context.settings.policies
+        now_s = context.timer.now_s()
+        if policies.served_set and context.overload.is_due(now_s):
+            context.overload.compute(
+                list(context.open_jobs.values()),
+                context.roster.workers.values(),
+                context.queue_of,
+                context.run_times,
+                now_s,
+                now_ms,
+                policies.owed_first,
+            )
+
     def promoted(
         self,
         queued_steps: collections.abc.Sequence[_placement_order.QueuedStep],
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_demand.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_demand.py
@@ -6,6 +6,7 @@
 import typing
 
 from walnutpoint_core import resources
+from walnutpoint_scheduler import _remaining
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import estimates
@@ -39,6 +40,13 @@
     chain_s: float
     # Time for which it would occupy the whole pool, by the scarcest resource.
     work_pool_s: float
+    # The part of that work that runs now.
+    running_pool_s: float = 0.0
+
+    @property
+    def waiting_pool_s(self) -> float:
+        """Return the part of the work that has to wait for capacity."""
+        return self.work_pool_s - self.running_pool_s
 
 
 def demand_of(
@@ -46,20 +54,27 @@
     queue: cell.Queue,
     pool_capacity: resources.Resources,
     run_times: estimates.RunTimes,
+    now_s: float | None = None,
 ) -> JobDemand:
-    """Return what a job without occurrences or lasting steps demands."""
+    """Return what a job without occurrences or lasting steps demands.
+
+    Of running tasks only the remaining time counts, if the time is given.
+    """
     document = job.document
     ends_s: list[float] = []
-    work_pool_s = 0.0
+    work_pool_s, running_pool_s = 0.0, 0.0
     for step in job.occurrence(0):
-        task_s = 0.0
+        longest_s = 0.0
         if not step.done:
             task_s = run_times.task_s(queue.name, step.key, step.step)
-            left = len(step.tasks) - step.done_count
+            longest_s, waiting_s, running_s = _left_in_step(
+                step, task_s, now_s
+            )
             share = step.step.need.dominant_share(pool_capacity)
-            work_pool_s += left * task_s * share
+            work_pool_s += (waiting_s + running_s) * share
+            running_pool_s += running_s * share
         start_s = max((ends_s[n] for n in step.step.after), default=0.0)
-        ends_s.append(start_s + task_s)
+        ends_s.append(start_s + longest_s)
     objective_ms = job.chain_ms * queue.stretch + queue.allowance_s * _MS_PER_S
     accepted_ms = float(document.accepted_ms)
     return JobDemand(
@@ -73,4 +88,28 @@
         accepted_ms + _USEFUL_FACTOR * objective_ms,
         max(ends_s, default=0.0),
         work_pool_s,
+        running_pool_s,
     )
+
+
+def _left_in_step(
+    step: _state.StepProgress, task_s: float, now_s: float | None
+) -> tuple[float, float, float]:
+    """Return the remaining time of the longest task, and the sums.
+
+    The sums are of the waiting and of the running tasks.
+    """
+    unfinished = len(step.tasks) - step.done_count
+    if now_s is None or not step.job.begun:
+        return task_s, unfinished * task_s, 0.0
+    longest_s, running_s = 0.0, 0.0
+    for task in step.tasks:
+        run = task.run
+        if run is not None and task.state is not _state.TaskState.DONE:
+            left_s = _remaining.run_s(run, task, now_s)
+            longest_s = max(longest_s, left_s)
+            running_s += left_s
+            unfinished -= 1
+    if unfinished:
+        longest_s = max(longest_s, task_s)
+    return longest_s, unfinished * task_s, running_s
--- /dev/null
+++ b/tests/walnutpoint_scheduler/overload/test_overload.py
@@ -0,0 +1,137 @@
+"""The order of waiting steps in an overload, and outside of one."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+import anyio
+
+from tests.walnutpoint_scheduler import harness
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _lease
+from walnutpoint_scheduler import _placement_order
+from walnutpoint_scheduler import _ready
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
+from walnutpoint_scheduler import outlier
+from walnutpoint_scheduler import overload
+from walnutpoint_scheduler import settings
+from walnutpoint_scheduler import worker_health
+
+WORKERS = 4
+SMALL = 2
+LARGE = 400
+TASK_MS = 2000
+
+
+class _Pool:
+    """A pool with waiting jobs whose order is computed once."""
+
+    def __init__(self, tasks: typing.Any, **policies: bool) -> None:
+        bed = harness.Testbed(0)
+        self.context = _context.Context(
+            1,
+            settings.SchedulerSettings(policies=settings.Policies(**policies)),
+            bed.timer,
+            bed.now_ms,
+            bed.fleet,
+            tasks,
+            worker_health.WorkerHealth(outlier.OutlierDetector(3, 1, 8)),
+        )
+        self.context.cell = harness.CELL
+        for number in range(WORKERS):
+            worker = _worker.WorkerState(
+                harness.workers.listed_worker(number),
+                _lease.WorkerLease(2.5, 0.0),
+            )
+            worker.answering = True
+            self.context.roster.add(worker)
+
+    def add(self, number: int, tasks: int, is_owed: bool = True) -> None:
+        """Add a batch job that has not begun."""
+        step = harness.step(tasks, estimate_ms=TASK_MS)
+        accepted_ms = self.context.now_ms() + number
+        job = harness.job(
+            number, step, queue=harness.BATCH, accepted_ms=accepted_ms
+        )
+        progress = _state.JobProgress(job, harness.BATCH, 0.0)
+        progress.is_owed = is_owed
+        self.context.open_jobs[job.job_id] = progress
+
+    def order(self) -> list[int]:
+        """Return the numbers of the jobs in placement order."""
+        queued = _ready.ReadySteps(self.context).queued_steps()
+        return [int(each.step.job.document.job_id, 16) for each in queued]
+
+    def order_of_today(self) -> list[int]:
+        """Return the order by tiers and deadlines."""
+        ranks = [
+            _placement_order.rank(
+                harness.BATCH, job.occurrence(0)[0], self.context.now_ms()
+            )
+            for job in self.context.open_jobs.values()
+        ]
+        return [int(rank[-1].split('.')[0], 16) for rank in sorted(ranks)]
+
+
+def _run(scenario: typing.Callable[[typing.Any], None]) -> None:
+    async def main() -> None:
+        async with anyio.create_task_group() as tasks:
+            scenario(tasks)
+
+    harness.run_virtual(main)
+
+
+class OrderTest(unittest.TestCase):
+    """The order in which waiting steps are placed."""
+
+    def test_order_is_that_of_today_while_all_jobs_fit(self) -> None:
+        """Guards against a changed order on a pool that is large enough."""
+
+        def scenario(tasks: typing.Any) -> None:
+            pool = _Pool(tasks)
+            for number in (2, 3, 1):
+                pool.add(number, SMALL)
+            self.assertEqual(pool.order_of_today(), pool.order())
+
+        _run(scenario)
+
+    def test_order_is_that_of_today_without_the_policy(self) -> None:
+        """Guards against an effect of the policy that can't be disabled."""
+
+        def scenario(tasks: typing.Any) -> None:
+            pool = _Pool(tasks, served_set=False)
+            pool.add(1, LARGE)
+            for number in range(2, 6):
+                pool.add(number, SMALL)
+            self.assertEqual(pool.order_of_today(), pool.order())
+
+        _run(scenario)
+
+    def test_large_job_goes_after_those_that_end_in_time(self) -> None:
+        """Guards against a full pool that serves the oldest job only."""
+
+        def scenario(tasks: typing.Any) -> None:
+            pool = _Pool(tasks)
+            pool.add(1, LARGE)
+            for number in range(2, 6):
+                pool.add(number, SMALL)
+            self.assertEqual([2, 3, 4, 5, 1], pool.order())
+            standing = pool.context.overload.standing(f'{1:016x}')
+            assert standing is not None
+            self.assertIs(overload.Place.DROPPED, standing.place)
+
+        _run(scenario)
+
+    def test_jobs_beyond_their_rate_follow_all_owed_ones(self) -> None:
+        """Guards against small jobs beyond a rate before large owed ones."""
+
+        def scenario(tasks: typing.Any) -> None:
+            pool = _Pool(tasks)
+            pool.add(1, LARGE)
+            pool.add(2, SMALL, is_owed=False)
+            pool.add(3, SMALL)
+            self.assertEqual([3, 1, 2], pool.order())
+
+        _run(scenario)
