Keep a margin for the longest tasks in the served set

A set that is filled up to the deadline by mean run times fails by its longest tasks, and serves begun large jobs before small ones.

A job is now in the set only if twice its remaining chain fits, limited by its objective, and the rest follows by remaining work, begun or not.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
@@ -38,22 +38,18 @@
     """Where a job stands in an overload."""
 
     SERVED = 'served'
-    # Left out of the set, and begun or not.
-    DROPPED_BEGUN = 'dropped-begun'
+    # Left out of the set.
     DROPPED = 'dropped'
-    # Late by its own chain, and begun or not.
-    LATE_BEGUN = 'late-begun'
+    # Late by its own chain.
     LATE = 'late'
     USELESS = 'useless'
 
 
 _TIER_BY_PLACE: typing.Final = {
     Place.SERVED: 0,
-    Place.DROPPED_BEGUN: 1,
-    Place.LATE_BEGUN: 1,
-    Place.DROPPED: 2,
-    Place.LATE: 2,
-    Place.USELESS: 3,
+    Place.DROPPED: 1,
+    Place.LATE: 1,
+    Place.USELESS: 2,
 }
 
 
@@ -254,15 +250,17 @@
 def _standings(
     selection: _served_set.Selection,
 ) -> collections.abc.Iterator[tuple[str, Standing]]:
-    """Return the standing of each job of an overloaded pool."""
+    """Return the standing of each job of an overloaded pool.
+
+    Outside the set, the least remaining work goes first. Begun jobs have no
+    precedence beyond that, as it would serve large jobs first.
+    """
     for demand in selection.served:
         yield _standing(demand, Place.SERVED, demand.deadline_ms)
     for demand in selection.dropped:
-        place = Place.DROPPED_BEGUN if demand.is_begun else Place.DROPPED
-        yield _standing(demand, place, demand.work_pool_s)
+        yield _standing(demand, Place.DROPPED, demand.work_pool_s)
     for demand in selection.late:
-        place = Place.LATE_BEGUN if demand.is_begun else Place.LATE
-        yield _standing(demand, place, demand.work_pool_s)
+        yield _standing(demand, Place.LATE, demand.work_pool_s)
     for demand in selection.useless:
         yield _standing(demand, Place.USELESS, demand.work_pool_s)
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_served_set.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_served_set.py
@@ -22,12 +22,12 @@
 )
 
 _MS_PER_S: typing.Final = 1000.0
-# Part of the remaining chain that is kept as a margin, since the longest task
-# of a wide step runs for a multiple of the mean, and declared times are off.
-_CHAIN_MARGIN: typing.Final = 0.5
+# Part of the remaining chain that is kept as a margin: the longest of twenty
+# tasks of usual spread runs for twice the mean, and declared times are off.
+_CHAIN_MARGIN: typing.Final = 1.0
 # Most of the time that an objective permits a job to wait which that margin
 # may take; otherwise no job with a tight objective could wait at all.
-_SLACK_MARGIN: typing.Final = 0.4
+_SLACK_MARGIN: typing.Final = 0.7
 # A queue that drains within this part of the time that its jobs can wait is
 # no overload: what is late in it is late for other reasons, such as a lost
 # worker.
