--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -18,6 +18,7 @@
 from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import estimates
+from walnutpoint_scheduler import overload
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
@@ -49,6 +50,7 @@
         'on_deposed',
         'open_jobs',
         'orders',
+        'overload',
         'pace',
         'roster',
         'run_times',
@@ -88,6 +90,7 @@
         self.run_times: estimates.RunTimes = estimates.DeclaredRunTimes()
         # Where run times are observed, the same object as run_times.
         self.observed: estimates.ObservedRunTimes | None = None
+        self.overload = overload.Overload()
         self.roster = _roster.Roster()
         self.entitlement = accounts.Entitlement()
         self.suspects = _suspects.Suspects(self.roster, clock)
