Limit advice requests to the steps that capacity comes free for

While more steps wait than hosts can request at a time, requests were made for the wrong workers: renewals only for workers with a reservation, which needs a valid ticket, and first requests of late steps took the hosts.

Now only the first steps request, as many as the capacity that comes free within a ticket's life calls for, divided by the granted share, within what the hosts can keep tickets for. A renewal names all granted workers that will have room; a first request as many as a wide step needs. Only steps that the expected capacity suffices for reserve it.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
@@ -28,6 +28,12 @@
 _RETRY_BACKOFF_S: typing.Final = 0.1
 # Hosts change within seconds, and each check scans all of them.
 _LIMIT_CACHE_S: typing.Final = 0.1
+# Weight of the latest answer in the observed slowness of the service: some
+# thirty answers are outstanding at a time, and a round of them decides.
+_SLOWNESS_WEIGHT: typing.Final = 0.1
+# While nothing answers, each time-out makes the next request wait longer; a
+# service that is back must not meet requests that wait for seconds.
+_SLOWNESS_MAX: typing.Final = 2.5
 _NO_WORKERS: typing.Final[frozenset[str]] = frozenset()
 
 
@@ -61,14 +67,16 @@
 
     __slots__ = (
         '_grant_counts',
-        '_limited_in_flight',
         '_now_s',
         '_on_change',
         '_request_limits',
+        '_slowness',
         '_source',
         '_steps',
         '_tasks',
         'calls',
+        'is_scarce',
+        'limited_in_flight',
     )
 
     def __init__(
@@ -89,9 +97,13 @@
         self._request_limits: dict[
             cell.AdviceTerms, tuple[float, int | None]
         ] = {}
+        # Time of an answer over its stated time, by the terms.
+        self._slowness: dict[cell.AdviceTerms, float] = {}
         # Requests in flight that count against a limit.
-        self._limited_in_flight = 0
+        self.limited_in_flight = 0
         self.calls = 0
+        # Whether more steps wait than hosts can request at a time.
+        self.is_scarce = False
 
     def ticket(self, step: str, worker_id: str) -> str | None:
         """Return a worker's ticket for a step if it is valid now."""
@@ -152,6 +164,22 @@
         prior = _PRIOR_SHARE * _PRIOR_WEIGHT
         return (granted + prior) / (total + _PRIOR_WEIGHT)
 
+    def answer_s(self, terms: cell.AdviceTerms, name_count: int) -> float:
+        """Return how long an answer takes, as observed recently."""
+        stated_s = terms.decide_s + terms.per_worker_s * name_count
+        return self._slowness.get(terms, 1.0) * stated_s
+
+    def _observe_slowness(
+        self, terms: cell.AdviceTerms, ratio: float, *, is_answered: bool
+    ) -> None:
+        """Count an answer, or a time-out; refusals say nothing."""
+        if not is_answered and ratio < 1.0:
+            return
+        ratio = min(max(1.0, ratio), _SLOWNESS_MAX)
+        slowness = self._slowness.get(terms, 1.0)
+        slowness += (ratio - slowness) * _SLOWNESS_WEIGHT
+        self._slowness[terms] = slowness
+
     def may_request(self, step: str) -> bool:
         """Return whether a step has no request in flight or backoff."""
         step_advice = self._steps.get(step)
@@ -165,10 +193,11 @@
         A queued one is answered after earlier ones however urgent it is, and
         names the workers that had capacity when it was queued.
         """
-        limit = self._request_limit(terms)
-        return limit is None or self._limited_in_flight < limit
+        limit = self.request_limit(terms)
+        return limit is None or self.limited_in_flight < limit
 
-    def _request_limit(self, terms: cell.AdviceTerms) -> int | None:
+    def request_limit(self, terms: cell.AdviceTerms) -> int | None:
+        """Return how many requests may be in flight; None for any."""
         now_s = self._now_s()
         until_s, limit = self._request_limits.get(terms, (0.0, None))
         if now_s >= until_s:
@@ -210,8 +239,8 @@
         targets = [w for w in worker_ids if w not in step_advice.denied]
         for batch in _advice_targets.batches(targets):
             step_advice.pending += 1
-            is_limited = self._request_limit(terms) is not None
-            self._limited_in_flight += is_limited
+            is_limited = self.request_limit(terms) is not None
+            self.limited_in_flight += is_limited
             self._tasks.start_soon(
                 self._request, step, step_advice, batch, terms, is_limited
             )
@@ -224,16 +253,25 @@
         terms: cell.AdviceTerms,
         is_limited: bool,
     ) -> None:
-        expected_s = terms.decide_s + terms.per_worker_s * len(targets)
+        expected_s = stated_s = terms.decide_s + terms.per_worker_s * len(
+            targets
+        )
+        if is_limited and self.is_scarce:
+            # Sent with the stated time, it would fail while the service is
+            # slow. Brief requests are recognized by their stated time.
+            expected_s = self.answer_s(terms, len(targets))
         self.calls += 1
         requested_s = self._now_s()
         answer = await self._source.request(step, targets, expected_s)
         step_advice.pending -= 1
-        self._limited_in_flight -= is_limited
+        self.limited_in_flight -= is_limited
         elapsed_s = self._now_s() - requested_s
         _ADVICE_DURATION.observe(
             'failed' if answer.is_error() else 'done', elapsed_s
         )
+        self._observe_slowness(
+            terms, elapsed_s / stated_s, is_answered=answer.is_ok()
+        )
         if answer.is_error():
             step_advice.failures += 1
             step_advice.retry_s = self._now_s() + _RETRY_BACKOFF_S * min(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
@@ -8,10 +8,12 @@
 
 from walnutpoint_scheduler import _advice_targets
 from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _placement_order
 from walnutpoint_scheduler import _reservations
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import _worker_selector
+from walnutpoint_scheduler import advice
 from walnutpoint_scheduler import cell
 
 __all__ = ('AdviceRequests',)
@@ -36,10 +38,16 @@
 class AdviceRequests:
     """Requests the tickets that steps need now or soon."""
 
-    __slots__ = ('_context', '_renewing_steps')
+    __slots__ = ('_context', '_planner', '_renewing_steps')
 
-    def __init__(self, context: _context.Context) -> None:
+    def __init__(
+        self,
+        context: _context.Context,
+        planner: advice.RequestPlanner | None = None,
+    ) -> None:
         self._context = context
+        # Makes the requests of waiting steps while requests are scarce.
+        self._planner = planner
         # Steps that did not fit and renewed tickets in this pass.
         self._renewing_steps = 0
 
@@ -64,8 +72,10 @@
         now_s = self._context.timer.now_s()
         if queue.advice is None or now_s < step.advice_not_before_s:
             return
-        advice = self._context.advice
-        if not advice.may_request(step.key) or not advice.has_request_slot(
+        if self._planner is not None and self._planner.decides(step):
+            return
+        cache = self._context.advice
+        if not cache.may_request(step.key) or not cache.has_request_slot(
             queue.advice
         ):
             return
@@ -90,14 +100,14 @@
     ) -> list[str]:
         """Return the workers to request advice about."""
         terms = typing.cast(cell.AdviceTerms, queue.advice)
-        advice = self._context.advice
+        cache = self._context.advice
 
         def task_capacity(worker: _worker.WorkerState) -> int:
             return selector.task_capacity(
                 worker, step.step, step.key, is_urgent=not queue.priority
             )
 
-        granted_ids = advice.granted(step.key)
+        granted_ids = cache.granted(step.key)
         granted = [
             worker
             for worker in selector.advice_candidates(step.step)
@@ -115,18 +125,18 @@
                 (
                     worker
                     for worker in selector.advice_candidates(step.step)
-                    if advice.permits(step.key, worker.worker_id) is None
+                    if cache.permits(step.key, worker.worker_id) is None
                 ),
                 task_capacity,
                 remaining,
-                advice.granted_share(terms),
+                cache.granted_share(terms),
                 _targets_max(step),
                 # If granted ones are full, others help only with capacity.
                 only_with_capacity=bool(granted),
             )
         if targets or self._renewing_steps < _RENEWING_STEPS_MAX:
             renewals = self._expiring(step, terms, reserved_workers)
-            if not renewals and not advice.has_valid_ticket(step.key):
+            if not renewals and not cache.has_valid_ticket(step.key):
                 renewals = _advice_targets.select(
                     granted, task_capacity, missing, 1.0, _targets_max(step)
                 )
@@ -147,11 +157,11 @@
         They add little to the time of the answer, and the more workers may
         run a step, the sooner it fits on one.
         """
-        advice = self._context.advice
+        cache = self._context.advice
         unknown = (
             worker.worker_id
             for worker in selector.advice_candidates(step.step)
-            if advice.permits(step.key, worker.worker_id) is None
+            if cache.permits(step.key, worker.worker_id) is None
         )
         count = max(0, _advice_targets.WAITING_TARGETS_MAX - target_count)
         return list(itertools.islice(unknown, count))
@@ -200,18 +210,36 @@
         now_s = self._context.timer.now_s()
         return step.ready_s is not None and now_s - step.ready_s > _STARVED_S
 
+    def _may_request_ahead(self, step: _state.StepProgress) -> bool:
+        """Return whether a step would be in the working set, if any."""
+        context = self._context
+        cutoff = context.advice_cutoff
+        if cutoff is None:
+            return True
+        policies = context.settings.policies
+        rank = _placement_order.rank(
+            context.queue_of(step.job),
+            step,
+            context.now_ms(),
+            policies.late_tiers,
+            policies.owed_first,
+        )
+        return rank <= cutoff
+
     def request_ahead(
         self, step: _state.StepProgress, terms: cell.AdviceTerms
     ) -> None:
         """Request advice for a step that may start soon."""
-        advice = self._context.advice
+        cache = self._context.advice
+        if not self._may_request_ahead(step):
+            return
         pool = self._context.queue_of(step.job).pool
         label = step.step.required_label
         feasible = [
             worker
             for worker in self._context.roster.in_pool(pool)
             if worker.may_accept_starts
-            and advice.permits(step.key, worker.worker_id) is not False
+            and cache.permits(step.key, worker.worker_id) is not False
             and worker.listed.capacity.covers(step.step.need)
             and (not label or label in worker.listed.labels)
         ]
@@ -221,10 +249,10 @@
                 worker.free, step.step
             ),
             step.step.task_count,
-            advice.granted_share(terms),
+            cache.granted_share(terms),
             _targets_max(step),
         )
-        advice.request(step.key, targets, terms)
+        cache.request(step.key, targets, terms)
 
 
 def _targets_max(step: _state.StepProgress) -> int:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -37,6 +37,7 @@
 
     __slots__ = (
         'advice',
+        'advice_cutoff',
         'cell',
         'copies_wanted',
         'entitlement',
@@ -89,6 +90,8 @@
         self.suspects = _suspects.Suspects(self.roster, clock)
         self.cell = cell.Cell(0)
         self.journal: _journal.Journal = typing.cast(typing.Any, None)
+        # Rank of the last step that may request advice; None for no limit.
+        self.advice_cutoff: tuple[typing.Any, ...] | None = None
         self.advice: _advice.AdviceCache = typing.cast(typing.Any, None)
         self.on_deposed: collections.abc.Callable[[str], None] = (
             _ignore_deposal
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -19,6 +19,7 @@
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _wait_cause
 from walnutpoint_scheduler import _worker_selector
+from walnutpoint_scheduler import advice
 from walnutpoint_scheduler import cell
 
 __all__ = ('Placer',)
@@ -38,6 +39,7 @@
         '_context',
         '_limits',
         '_lowest_priority',
+        '_planner',
         '_preemption',
         '_quarantine',
         '_ready',
@@ -57,7 +59,10 @@
         self._limits = _limits.AccountLimits(context)
         self._preemption = _preemption.Preemption(context, sender)
         self._quarantine = _quarantine.Quarantine(context)
-        self._advice_requests = _advice_requests.AdviceRequests(context)
+        self._planner = advice.RequestPlanner(context)
+        self._advice_requests = _advice_requests.AdviceRequests(
+            context, self._planner
+        )
         self._ready = _ready.ReadySteps(context)
         # The highest number is the least urgent priority.
         self._lowest_priority = 0
@@ -70,6 +75,11 @@
         """Return how many runs were preempted."""
         return self._preemption.stopped
 
+    @property
+    def working_set_size(self) -> int:
+        """Return how many steps may request advice; zero for all."""
+        return self._planner.size
+
     def run(self) -> None:
         """Place every waiting task that fits."""
         self.passes += 1
@@ -80,6 +90,7 @@
         self._lowest_priority = self._context.cell.lowest_priority
         queued_steps = self._ready.queued_steps()
         self._limits.begin(queued_steps)
+        self._planner.begin(queued_steps, self._limits.permits)
         self.longest_wait_s = self._ready.longest_wait_s(queued_steps)
         promoted = self._ready.promoted(queued_steps, self._may_start)
         for queued in promoted:
@@ -87,6 +98,7 @@
         for queued in queued_steps:
             if queued not in promoted:
                 self._place_guarded(queued)
+        self._planner.request(self._selector)
         self._place_copies()
         self._place_suspects()
 
@@ -126,9 +138,10 @@
             # Nothing can be placed, reserved or requested yet: skip the scan
             # of all workers.
             waiting = len(queued.step.waiting())
-            _wait_cause.log(
-                queued.step, queued.queue, _wait_cause.Cause.ADVICE, waiting
-            )
+            cause = _wait_cause.Cause.ADVICE
+            if self._context.advice.granted(queued.step.key):
+                cause = _wait_cause.Cause.TICKET
+            _wait_cause.log(queued.step, queued.queue, cause, waiting)
             return
         selector = self._selector(queued.queue)
         if queued.step.step.gang:
@@ -158,15 +171,18 @@
 
     def _awaits_advice(self, queued: _placement_order.QueuedStep) -> bool:
         """Return whether a step can only wait for requested advice."""
-        advice, key = self._context.advice, queued.step.key
+        cache, key = self._context.advice, queued.step.key
         queue_advice = queued.queue.advice
-        return (
-            queue_advice is not None
-            and not advice.granted(key)
-            and not (
-                advice.may_request(key)
-                and advice.has_request_slot(queue_advice)
+        if queue_advice is None:
+            return False
+        if self._planner.decides(queued.step):
+            # Of the lowest priority, it reserves nothing without a ticket.
+            return not cache.has_valid_ticket(key) and (
+                queued.queue.priority >= self._lowest_priority
+                or not cache.granted(key)
             )
+        return not cache.granted(key) and not (
+            cache.may_request(key) and cache.has_request_slot(queue_advice)
         )
 
     def _selector(self, queue: cell.Queue) -> _worker_selector.WorkerSelector:
@@ -262,7 +278,11 @@
         """Return the share of the workers that a step may run on."""
         if queue.advice is None:
             return 1.0
-        granted = len(self._context.advice.granted(step.key))
+        cache = self._context.advice
+        permitted = cache.granted(step.key)
+        if self._planner.decides(step):
+            permitted = cache.with_valid_ticket(step.key)
+        granted = len(permitted)
         return min(1.0, granted / max(1, selector.open_count))
 
     def _permitted_workers(
@@ -389,6 +409,10 @@
         """Reserve capacity for waiting tasks, with tickets in time for it."""
         advice = self._context.advice
         selector.blocked_weight += self._permitted_share(selector, queue, step)
+        if not self._planner.may_reserve(step):
+            cause = _wait_cause.Cause.RESERVED
+            _wait_cause.log(step, queue, cause, missing)
+            return
         reserved_workers = selector.reserve(
             step.step,
             step.key,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_release.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_release.py
@@ -45,6 +45,17 @@
                 return remaining_s
         return math.inf
 
+    def free_within(
+        self, worker: _worker.WorkerState, within_s: float
+    ) -> resources.Resources:
+        """Return what of a worker is free or comes free within a time."""
+        free = worker.free
+        for remaining_s, released in self._releases(worker):
+            if remaining_s > within_s:
+                break
+            free += released
+        return free
+
     def _releases(
         self, worker: _worker.WorkerState
     ) -> list[tuple[float, resources.Resources]]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -202,6 +202,8 @@
             'starts_refused': sender.refused,
             'starts_unanswered': sender.unanswered,
             'advice_calls': context.advice.calls,
+            'advice_in_flight': context.advice.limited_in_flight,
+            'advice_working_set': placer.working_set_size,
             'passes': placer.passes,
             'longest_wait_s': placer.longest_wait_s,
             'suspects_at_work': context.suspects.isolated_count(),
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_working_set.py
@@ -0,0 +1,87 @@
+"""Chooses which waiting steps may request advice and renew tickets.
+
+The load: some hundred wide steps wait for a full pool, tickets expire within
+seconds, and each host of the system handles one request at a time. If every
+step requests, most tickets expire unused, and the steps that come first lack
+tickets when capacity comes free.
+"""
+
+from __future__ import annotations
+
+import collections.abc
+import dataclasses
+import itertools
+import math
+
+__all__ = (
+    'WaitingStep',
+    'WorkingSet',
+    'choose',
+)
+
+# Enough steps that at most this share of the workers is granted to none.
+_UNGRANTED_SHARE_MAX = 0.02
+# One in so many places is for the steps that have waited longest.
+_PLACES_PER_OVERDUE = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WaitingStep:
+    """A step that needs tickets, in placement order."""
+
+    key: str
+    # What its waiting tasks need, over the capacity of its pool that comes
+    # free within the life of a ticket.
+    demand: float
+    # How long none of its tasks has run.
+    idle_s: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class WorkingSet:
+    """The steps that may request advice, and why there are no more."""
+
+    keys: frozenset[str]
+    # Those that the expected capacity suffices for; the others need tickets
+    # for what these may not use.
+    first_keys: frozenset[str]
+    # How many entered as they had waited for too long.
+    overdue_count: int
+    # Whether the budget of requests ended it rather than capacity.
+    is_limited_by_budget: bool
+
+
+def choose(
+    steps: collections.abc.Sequence[WaitingStep],
+    granted_share: float,
+    places_max: int,
+    overdue_s: float,
+) -> WorkingSet:
+    """Return the first steps that the expected capacity and budget allow.
+
+    A granted share of a third lets each step use a third of the capacity, so
+    that three times as many tasks are needed to use all of it. Steps that
+    have waited for overdue_s get some places whatever their order, the
+    longest waiting first.
+    """
+    share = min(max(granted_share, 0.01), 0.99)
+    least = math.ceil(math.log(_UNGRANTED_SHARE_MAX) / math.log(1.0 - share))
+    places_max = max(1, places_max)
+    demand = 0.0
+    count = 0
+    first_count = 0
+    for step in itertools.islice(steps, places_max):
+        if count >= least and demand * share >= 1.0:
+            break
+        first_count += demand < 1.0
+        demand += step.demand
+        count += 1
+    outside = [step for step in steps[count:] if step.idle_s >= overdue_s]
+    outside.sort(key=lambda step: (-step.idle_s, step.key))
+    overdue = outside[: max(1, count // _PLACES_PER_OVERDUE)]
+    return WorkingSet(
+        frozenset(step.key for step in (*steps[:count], *overdue)),
+        frozenset(step.key for step in (*steps[:first_count], *overdue)),
+        len(overdue),
+        count == places_max < len(steps),
+    )
--- a/tests/walnutpoint_scheduler/advice/load.py
+++ b/tests/walnutpoint_scheduler/advice/load.py
@@ -100,7 +100,7 @@
         self.requests += 1
         with anyio.move_on_after(timeout_s):
             async with self._locks.setdefault(address, asyncio.Lock()):
-                took_s = question.expected_s * self.load.slowness
+                took_s = self._answer_s(question)
                 self.busy_s += took_s
                 await anyio.sleep(took_s)
             return _messages.AdviceReply(
@@ -113,6 +113,14 @@
             )
         return web.NoResponse(True, 'timeout')
 
+    def _answer_s(self, question: _messages.AdviceRequest) -> float:
+        """Return the stated time of an answer, times the slowness."""
+        is_brief = question.expected_s <= _advice_router.brief_limit_s(CELL)
+        queue = URGENT if is_brief else BATCH
+        terms = typing.cast(cell.AdviceTerms, queue.advice)
+        stated_s = terms.decide_s + terms.per_worker_s * len(question.workers)
+        return stated_s * (1.0 if is_brief else self.load.slowness)
+
 
 class _LocalHost:
     """The scheduler's own host, which sends to the same service."""
--- /dev/null
+++ b/tests/walnutpoint_scheduler/advice/test_working_set.py
@@ -0,0 +1,107 @@
+"""Which steps may request advice, and whom they name, without a network."""
+
+from __future__ import annotations
+
+import unittest
+
+from walnutpoint_scheduler.advice import _names
+from walnutpoint_scheduler.advice import _working_set
+
+SHARE = 0.35
+OVERDUE_S = 8.6
+NOW_S = 100.0
+ANSWER_S = 0.9
+
+
+def _steps(
+    count: int, demand: float = 0.1, idle_s: float = 1.0
+) -> list[_working_set.WaitingStep]:
+    return [
+        _working_set.WaitingStep(f'step-{number:03}', demand, idle_s)
+        for number in range(count)
+    ]
+
+
+class ChoiceTest(unittest.TestCase):
+    """The steps that may request advice."""
+
+    def test_set_covers_the_capacity_that_comes_free(self) -> None:
+        """Guards against a set whose granted share leaves capacity idle."""
+        chosen = _working_set.choose(_steps(100), SHARE, 90, OVERDUE_S)
+        self.assertEqual(
+            {f'step-{number:03}' for number in range(29)}, chosen.keys
+        )
+        self.assertFalse(chosen.is_limited_by_budget)
+
+    def test_few_large_steps_leave_no_worker_ungranted(self) -> None:
+        """Guards against workers that no step of a small set may use."""
+        chosen = _working_set.choose(_steps(100, 5.0), SHARE, 90, OVERDUE_S)
+        self.assertLess((1 - SHARE) ** len(chosen.keys), 0.03)
+
+    def test_budget_limits_the_set(self) -> None:
+        """Guards against more steps than the hosts can keep tickets for."""
+        chosen = _working_set.choose(_steps(100), SHARE, 12, OVERDUE_S)
+        self.assertEqual(12, len(chosen.keys))
+        self.assertTrue(chosen.is_limited_by_budget)
+
+    def test_oldest_step_enters_in_time(self) -> None:
+        """Guards against a step that never gets a ticket."""
+        steps = _steps(100)
+        steps[90] = _working_set.WaitingStep('old', 0.1, OVERDUE_S)
+        steps[80] = _working_set.WaitingStep('oldest', 0.1, OVERDUE_S + 1)
+        chosen = _working_set.choose(steps, SHARE, 1, OVERDUE_S)
+        self.assertEqual({'step-000', 'oldest'}, chosen.keys)
+
+
+class _Tickets:
+    """Grants some workers, with tickets that expire at one time."""
+
+    def __init__(self, granted: set[str], denied: set[str], until_s: float):
+        self._granted, self._denied = granted, denied
+        self._until_s = until_s
+
+    def permits(self, _step: str, worker_id: str) -> bool | None:
+        """Return the answer, if known."""
+        if worker_id in self._granted:
+            return True
+        return False if worker_id in self._denied else None
+
+    def is_valid_at(self, _step: str, _worker_id: str, at_s: float) -> bool:
+        """Return whether no ticket has expired."""
+        return at_s < self._until_s
+
+
+def _rooms(*names: str, rivals: int = 5) -> list[_names.Room]:
+    return [_names.Room(name, 0.5, rivals) for name in names]
+
+
+def _chosen(rooms: list[_names.Room], tickets: _Tickets) -> list[str]:
+    count = _names.first_count(20, SHARE)
+    return _names.choose('step', rooms, tickets, NOW_S, ANSWER_S, count)
+
+
+class NamesTest(unittest.TestCase):
+    """The workers that a request names."""
+
+    def test_first_request_of_a_wide_step_names_many(self) -> None:
+        """Guards against one request after the other for a wide step."""
+        rooms = _rooms(*(f'worker-{number}' for number in range(176)))
+        rooms[150] = _names.Room('scarce', 2.0, 0)
+        chosen = _chosen(rooms, _Tickets(set(), set(), 0.0))
+        self.assertEqual(100, len(chosen))
+        self.assertEqual('scarce', chosen[0])
+
+    def test_valid_tickets_are_not_renewed(self) -> None:
+        """Guards against renewals that expire unused."""
+        tickets = _Tickets({'a', 'b'}, set(), NOW_S + 1.5)
+        self.assertEqual([], _chosen(_rooms('a', 'b'), tickets))
+
+    def test_renewal_names_granted_workers_with_room(self) -> None:
+        """Guards against names that can't be used, each of which costs."""
+        tickets = _Tickets({'a', 'b', 'full'}, {'c'}, NOW_S + 0.5)
+        self.assertEqual(['a', 'b'], _chosen(_rooms('a', 'b', 'c'), tickets))
+
+    def test_nothing_is_requested_without_room(self) -> None:
+        """Guards against requests for steps that nothing comes free for."""
+        tickets = _Tickets({'a'}, {'b'}, NOW_S)
+        self.assertEqual([], _chosen(_rooms('b'), tickets))
