--- a/packages/walnutpoint-core/src/walnutpoint_core/errors.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/errors.py
@@ -32,6 +32,7 @@
     ANSWER_FORGOTTEN = 'answer_forgotten'
     ANSWER_LATE = 'answer_late'
     ANSWER_LOST = 'answer_lost'
+    BACKLOG_TOO_LONG = 'backlog_too_long'
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
     DEADLINE_PASSED = 'deadline_passed'
@@ -110,6 +111,9 @@
         ErrorKind.ANSWER_FORGOTTEN: _rule(_STATUS.CONFLICT, _UNKNOWN),
         ErrorKind.ANSWER_LATE: _rule(_STATUS.GATEWAY_TIMEOUT, _UNKNOWN),
         ErrorKind.ANSWER_LOST: _rule(_STATUS.BAD_GATEWAY, _UNKNOWN),
+        ErrorKind.BACKLOG_TOO_LONG: _rule(
+            _STATUS.TOO_MANY_REQUESTS, _NOT_RUN, 1.0
+        ),
         ErrorKind.BAD_REQUEST: _rule(_STATUS.BAD_REQUEST, _NOT_RUN),
         ErrorKind.BODY_TOO_LARGE: _rule(
             _STATUS.REQUEST_ENTITY_TOO_LARGE, _NOT_RUN
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_messages.py
@@ -12,12 +12,14 @@
 __all__ = (
     'AdviceReply',
     'AdviceRequest',
+    'Backlog',
     'Claim',
     'HandoverReply',
     'HandoverRequest',
     'Member',
     'PendingReply',
     'PendingRequest',
+    'PoolBacklog',
     'PoolCapacities',
     'Probe',
     'ProbeReply',
@@ -25,6 +27,7 @@
     'StateRequest',
     'StoreReply',
     'StoreRequest',
+    'WaitingWork',
 )
 
 
@@ -78,6 +81,41 @@
     won: bool
 
 
+class WaitingWork(msgspec.Struct, frozen=True, array_like=True):
+    """Waiting jobs of one size class, and whom they precede."""
+
+    is_owed: bool
+    is_begun: bool
+    size_class: int
+    jobs: int
+    # Time for which the whole pool would work on the waiting tasks.
+    work_pool_ms: int
+
+
+class PoolBacklog(msgspec.Struct, frozen=True, array_like=True):
+    """The waiting work of one priority in one pool."""
+
+    pool: str
+    priority: int
+    # The pool's capacity, by which work is measured.
+    cpu_millicores: int
+    memory_mb: int
+    accelerators: int
+    # Estimated work done per second, in seconds of the whole pool.
+    rate: float
+    work: tuple[WaitingWork, ...]
+
+
+class Backlog(msgspec.Struct, frozen=True):
+    """The work that waits before a job that is accepted now."""
+
+    # Increases with each figure of a term.
+    version: int
+    # Checksums of the names of accounts beyond their rate.
+    accounts_beyond: tuple[int, ...] = ()
+    pools: tuple[PoolBacklog, ...] = ()
+
+
 class ProbeReply(msgspec.Struct, frozen=True):
     """The status of the answering process, and what it knows."""
 
@@ -92,6 +130,11 @@
     members: tuple[Member, ...] = ()
     # From the scheduler only.
     rooms: tuple[PoolCapacities, ...] = ()
+    # An encoded Backlog, from the scheduler only; empty if little work waits.
+    # Encoded separately, so that an unreadable one leaves the probe valid.
+    backlog: bytes = b''
+    # Age of the backlog when the reply was sent.
+    backlog_age_s: float = 0.0
 
 
 class PendingRequest(msgspec.Struct, frozen=True):
--- /dev/null
+++ b/tests/walnutpoint_scheduler/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the refusal of hopeless jobs."""
