Refuse jobs that can't end while their result is useful

Cause: accepted jobs that the backlog makes useless cost their callers the whole wait, and their steps compete for advice. Change: the scheduler measures, while work waits, the rate at which each pool and priority is served, and adds it and the waiting work to its answers to probes. A process that would accept a hopeless job looks it up once, and refuses it with its inputs unless it is a repeat or the store does not tell. Useless steps request no advice while useful ones need it, except the one of each pool that is overdue. A useless step beside a stream of useful ones sends no request in 10 s, and its job of one task is done within 40 s.

--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_command_explain.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_command_explain.py
@@ -11,6 +11,8 @@
 
 __all__ = ('execute',)
 
+_BACKLOG_TOO_LONG: typing.Final = 'backlog_too_long'
+
 
 async def execute(
     job_id: str, files: tuple[str, ...], output: typing.TextIO
@@ -61,3 +63,19 @@
         f'{timeline.decision.source}: {timeline.decision.text()}',
         file=output,
     )
+    if timeline.decision.fields.get('kind') == _BACKLOG_TOO_LONG:
+        print(_backlog_text(timeline.decision), file=output)
+
+
+def _backlog_text(line: _timeline.LogLine) -> str:
+    """Return why a job was refused for the work that waited."""
+    rate = line.number('rate')
+    ahead_s = line.number('ahead_pool_s')
+    return (
+        f'refused for the backlog: {line.number("ahead_jobs"):.0f} jobs of '
+        f'{ahead_s:.1f} s of the pool go first, {rate:.2f} s of which are '
+        f'done per second (measured {line.number("age_s"):.1f} s before); '
+        f'with a chain of {line.number("chain_s"):.1f} s it would end after '
+        f'{line.number("end_s"):.1f} s or later, and is useful for '
+        f'{line.number("useful_s"):.1f} s'
+    )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
@@ -8,10 +8,12 @@
 
 from walnutpoint_scheduler import _advice_targets
 from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _placement_order
 from walnutpoint_scheduler import _reservations
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import _worker_selector
+from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import cell
 
 __all__ = ('AdviceRequests',)
@@ -36,16 +38,34 @@
 class AdviceRequests:
     """Requests the tickets that steps need now or soon."""
 
-    __slots__ = ('_context', '_renewing_steps')
+    __slots__ = ('_context', '_renewing_steps', '_withheld')
 
     def __init__(self, context: _context.Context) -> None:
         self._context = context
         # Steps that did not fit and renewed tickets in this pass.
         self._renewing_steps = 0
+        # Keys of the steps that may not request advice.
+        self._withheld: frozenset[str] = frozenset()
 
-    def begin(self) -> None:
+    def begin(
+        self,
+        queued_steps: collections.abc.Sequence[_placement_order.QueuedStep],
+    ) -> None:
         """Begin a pass."""
         self._renewing_steps = 0
+        context = self._context
+        self._withheld = frozenset()
+        if not context.settings.policies.hopeless_refusal:
+            return
+        contention = admission.AdviceContention(queued_steps, context.now_ms())
+        context.is_advice_contended = contention.is_contended
+        self._withheld = contention.withheld(
+            context.timer.now_s() - context.settings.patience_s
+        )
+
+    def permits(self, step_key: str) -> bool:
+        """Return whether a step may request advice in this pass."""
+        return step_key not in self._withheld
 
     def request(
         self,
@@ -64,6 +84,8 @@
         now_s = self._context.timer.now_s()
         if queue.advice is None or now_s < step.advice_not_before_s:
             return
+        if not self.permits(step.key):
+            return
         advice = self._context.advice
         if not advice.may_request(step.key) or not advice.has_request_slot(
             queue.advice
@@ -204,8 +226,12 @@
         self, step: _state.StepProgress, terms: cell.AdviceTerms
     ) -> None:
         """Request advice for a step that may start soon."""
-        advice = self._context.advice
-        pool = self._context.queue_of(step.job).pool
+        context, advice = self._context, self._context.advice
+        queue = context.queue_of(step.job)
+        if context.is_advice_contended:
+            if admission.is_useless(queue, step, context.now_ms()):
+                return
+        pool = queue.pool
         label = step.step.required_label
         feasible = [
             worker
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -41,6 +41,7 @@
         'copies_wanted',
         'entitlement',
         'health',
+        'is_advice_contended',
         'jobs',
         'journal',
         'now_ms',
@@ -84,6 +85,8 @@
         self.copies_wanted: dict[ports.TaskName, _state.TaskProgress] = {}
         self.pace = worker_pace.WorkerPace()
         self.run_times: estimates.RunTimes = estimates.DeclaredRunTimes()
+        # Whether useful steps need advice, so that useless ones request none.
+        self.is_advice_contended = False
         self.roster = _roster.Roster()
         self.entitlement = accounts.Entitlement()
         self.suspects = _suspects.Suspects(self.roster, clock)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_leadership.py
@@ -77,6 +77,7 @@
         '_store',
         '_timer',
         'is_stopping',
+        'on_backlog',
         'on_capacities',
         'probed_s',
         'scheduler_changes',
@@ -119,6 +120,11 @@
         self.on_capacities: collections.abc.Callable[
             [collections.abc.Iterable[_messages.PoolCapacities]], None
         ] = lambda _pools: None
+        # Called with the token, the backlog of a probe's answer, its age when
+        # sent, and when it was asked for.
+        self.on_backlog: collections.abc.Callable[
+            [int, bytes, float, float], None
+        ] = lambda _token, _encoded, _age_s, _asked_s: None
         # When another process last probed this one.
         self.probed_s = 0.0
 
@@ -227,6 +233,7 @@
         if claim.member.name == self._members.local_member.name:
             # Left by an earlier incarnation, or the reply came late.
             return _failure_detector.Reason.OWN_CLAIM
+        asked_s = self._timer.now_s()
         probe = self._peers.probe(
             claim.member.address,
             _messages.Probe(self._members.local_member.name, self._revision),
@@ -252,6 +259,9 @@
             return _failure_detector.Reason.RESTARTED
         if not answer.schedules or answer.token != self._revision:
             return self._failure_detector.note_idle()
+        self.on_backlog(
+            answer.token, answer.backlog, answer.backlog_age_s, asked_s
+        )
         if answer.store_age_s > _SUSPECT_STORE_AGE_S:
             self._store.note_suspicion()
         store_age_s = self._timer.now_s() - self._store.answered_s
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_service.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_service.py
@@ -114,6 +114,7 @@
             term = None
         heard_s = now_s if term else self._leadership.scheduler_seen_s
         newest = self._cell()
+        backlog, backlog_age_s = term.backlog() if term else (b'', 0.0)
         return _messages.ProbeReply(
             self._local_member.incarnation,
             term is not None,
@@ -123,6 +124,8 @@
             newest.version if newest else 0,
             self._members.all(),
             term.pool_capacities() if term else (),
+            backlog,
+            backlog_age_s,
         )
 
     async def _accept_handover(self, body: bytes) -> object:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -73,12 +73,12 @@
     def run(self) -> None:
         """Place every waiting task that fits."""
         self.passes += 1
-        self._advice_requests.begin()
         self._preemption.begin()
         self._quarantine.begin()
         self._selectors.clear()
         self._lowest_priority = self._context.cell.lowest_priority
         queued_steps = self._ready.queued_steps()
+        self._advice_requests.begin(queued_steps)
         self._limits.begin(queued_steps)
         self.longest_wait_s = self._ready.longest_wait_s(queued_steps)
         promoted = self._ready.promoted(queued_steps, self._may_start)
@@ -164,7 +164,8 @@
             queue_advice is not None
             and not advice.granted(key)
             and not (
-                advice.may_request(key)
+                self._advice_requests.permits(key)
+                and advice.may_request(key)
                 and advice.has_request_slot(queue_advice)
             )
         )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -29,6 +29,7 @@
 from walnutpoint_scheduler import _run_monitor
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
+from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import outlier
@@ -100,6 +101,7 @@
         '_dependencies',
         '_intake',
         '_placer',
+        '_publisher',
         '_scope',
         '_sender',
         '_settings',
@@ -127,6 +129,7 @@
         self._intake: _intake.Intake | None = None
         self._sender: _orders.OrderSender | None = None
         self._placer: _placer.Placer | None = None
+        self._publisher: admission.Publisher | None = None
 
     async def run(self, first: cell.Cell) -> None:
         """Schedule until the term ends."""
@@ -183,6 +186,12 @@
             for pool, capacities in self._context.roster.max_by_pool().items()
         )
 
+    def backlog(self) -> tuple[bytes, float]:
+        """Return the newest backlog as a message, and its age."""
+        if self._publisher is None:
+            return b'', 0.0
+        return self._publisher.encoded, self._publisher.age_s
+
     def figures(self) -> dict[str, float]:
         """Return the term's gauges and counters."""
         context, sender, placer = self._context, self._sender, self._placer
@@ -282,6 +291,9 @@
         tasks.start_soon(_run_monitor.RunMonitor(context, sender).run)
         tasks.start_soon(pools.run)
         tasks.start_soon(_load_report.LoadReport(context).run)
+        if config.policies.hopeless_refusal:
+            self._publisher = admission.Publisher(context)
+            tasks.start_soon(self._publisher.run)
         tasks.start_soon(self._confirm_token)
         tasks.start_soon(self._watch_isolation)
         tasks.start_soon(_retention.Retention(context, dependencies.store).run)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/process.py
@@ -23,6 +23,7 @@
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import _term
+from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import cell as cells
 from walnutpoint_scheduler import job_status
 from walnutpoint_scheduler import ports
@@ -154,6 +155,9 @@
             lambda: self._term,
             self._spawn,
             lambda name: self._cell.account(name) if self._cell else None,
+            admission.AdmissionGate(
+                clock, lambda: self._settings.policies.hopeless_refusal
+            ),
         )
         self.job_status = job_status.JobStatus(
             self._store,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
@@ -23,8 +23,10 @@
 from walnutpoint_scheduler import _outages
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _relay
+from walnutpoint_scheduler import _submit_call
 from walnutpoint_scheduler import _term
 from walnutpoint_scheduler import accounts
+from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import document
 
 __all__ = (
@@ -44,6 +46,9 @@
 _NO_RESOURCES: typing.Final = resources.Resources()
 _TOO_LARGE: typing.Final = errors.ErrorKind.TOO_LARGE
 _RETRY_S: typing.Final = 0.05
+# How long to look up whether a hopeless job is a repeat. A call to a slow
+# store takes 0.3 s; the shortest objectives of a few seconds allow twice that.
+_LOOKUP_MAX_S: typing.Final = 0.4
 _PEER_TIMEOUT_S: typing.Final = 0.4
 # How long a call is held near the end of an outage before it is refused, as a
 # share of the caller's remaining time. The caller retries after as long again,
@@ -60,43 +65,13 @@
     KNOWN = 'known'
 
 
-class _Call:
-    """One submission call with its deadline and log fields."""
-
-    __slots__ = ('_began_s', '_deadline_s', 'job')
-
-    def __init__(
-        self, job: document.Job, began_s: float, deadline_s: float
-    ) -> None:
-        self.job = job
-        self._began_s = began_s
-        self._deadline_s = deadline_s
-
-    def left_s(self, now_s: float) -> float:
-        """Return the time until the caller's deadline."""
-        return self._deadline_s - now_s
-
-    def fields(self, now_s: float) -> dict[str, object]:
-        """Return the log fields that explain a decision on the call."""
-        job, queue = self.job, self.job.objective_queue
-        return {
-            'job': job.job_id,
-            'queue': job.queue,
-            'account': job.account or '-',
-            'held_s': round(now_s - self._began_s, 3),
-            'left_s': round(self.left_s(now_s), 3),
-            'chain_s': round(document.chain_s(job.steps), 3),
-            'stretch': '-' if queue is None else queue.stretch,
-            'allowance_s': '-' if queue is None else queue.allowance_s,
-        }
-
-
 class Submissions:
     """Stores jobs and cancellations, and reports only certain outcomes."""
 
     __slots__ = (
         '_account',
         '_capacities',
+        '_gate',
         '_held',
         '_leadership',
         '_peers',
@@ -115,8 +90,10 @@
         term: collections.abc.Callable[[], _term.Term | None],
         spawn: collections.abc.Callable[..., None],
         account: collections.abc.Callable[[str], accounts.Account | None],
+        gate: admission.AdmissionGate,
     ) -> None:
         self._account = account
+        self._gate = gate
         self._store = store
         self._leadership = leadership
         self._peers = peers
@@ -131,6 +108,7 @@
         # a worker is away for a while.
         self._capacities: dict[str, set[resources.Resources]] = {}
         leadership.on_capacities = self.add_capacities
+        leadership.on_backlog = gate.note
 
     def add_capacities(
         self, pools: collections.abc.Iterable[_messages.PoolCapacities]
@@ -180,7 +158,7 @@
         answer precedes the caller's deadline even while a store call, which
         may take 2 s over all its routes, is pending.
         """
-        call = _Call(job, self._timer.now_s(), deadline_s)
+        call = _submit_call.SubmitCall(job, self._timer.now_s(), deadline_s)
         if self._fits_no_worker(job):
             return self._refuse(call, errors.Failure(_TOO_LARGE))
         if self._exceeds_limit(job):
@@ -193,6 +171,9 @@
         )
         if not await self._is_reachable(call):
             return self._refuse(call, self._outage_failure())
+        refusal = await self._refusal_for_load(call)
+        if refusal is not None:
+            return self._refuse(call, refusal.failure, **refusal.fields)
         left_s = deadline_s - _ANSWER_RESERVE_S - self._timer.now_s()
         reply: ports.CommitReply | None = None
         with anyio.move_on_after(min(left_s, _REPEAT_MAX_S)):
@@ -204,7 +185,7 @@
             return self._refuse(call, errors.Failure(lost))
         return await self._handle_reply(call, reply)
 
-    async def _is_reachable(self, call: _Call) -> bool:
+    async def _is_reachable(self, call: _submit_call.SubmitCall) -> bool:
         """Return whether the store answers now or within a short wait.
 
         While no host reaches the store, no other process can accept the job.
@@ -225,6 +206,28 @@
         finally:
             self._held -= 1
 
+    async def _refusal_for_load(
+        self, call: _submit_call.SubmitCall
+    ) -> admission.Refusal | None:
+        """Return why a job is hopeless, or None to store it.
+
+        A repeat of a stored job is answered by the usual path, which also
+        decides while the store can't tell whether it is one.
+        """
+        term = self._term()
+        if term is not None:
+            now_s = self._timer.now_s()
+            self._gate.note(term.token, *term.backlog(), now_s)
+        refusal = self._gate.refusal(call.job)
+        if refusal is None:
+            return None
+        left_s = call.left_s(self._timer.now_s()) - _ANSWER_RESERVE_S
+        with anyio.move_on_after(min(_LOOKUP_MAX_S, left_s)):
+            stored = await self._store.get(_keys.job_key(call.job.job_id))
+            if stored.is_ok() and stored.ok is None:
+                return refusal
+        return None
+
     async def _store_job(self, batch: ports.Batch) -> ports.CommitReply | None:
         """Return the reply to a write, or None if it certainly failed.
 
@@ -245,7 +248,10 @@
         return _outages.failure(self._store.silent_s)
 
     def _refuse(
-        self, call: _Call, failure: errors.Failure
+        self,
+        call: _submit_call.SubmitCall,
+        failure: errors.Failure,
+        **inputs: object,
     ) -> expression.Result[SubmitOutcome, errors.Failure]:
         _SUBMITTED.add(failure.kind.value)
         _LOG.warning(
@@ -253,6 +259,7 @@
             **call.fields(self._timer.now_s()),
             kind=failure.kind.value,
             detail=failure.detail,
+            **inputs,
         )
         return expression.Error(failure)
 
@@ -300,7 +307,7 @@
         return expression.Error(failure)
 
     async def _handle_reply(
-        self, call: _Call, reply: ports.CommitReply
+        self, call: _submit_call.SubmitCall, reply: ports.CommitReply
     ) -> expression.Result[SubmitOutcome, errors.Failure]:
         job = call.job
         fields = call.fields(self._timer.now_s())
--- a/tests/walnutpoint_cli/test_explain.py
+++ b/tests/walnutpoint_cli/test_explain.py
@@ -96,6 +96,21 @@
         assert line is not None
         self.assertEqual(('host-1', 12.5), (line.source, line.time_s))
 
+    def test_refusal_for_the_backlog_is_explained(self) -> None:
+        """Guards against a refusal that shows no cause."""
+        row = (
+            'timestamp=2026-01-01T10:00:00Z level=warning event=job.refused '
+            'part=submission job=aa kind=backlog_too_long chain_s=7.6 '
+            'ahead_jobs=90 ahead_pool_s=41.2 rate=0.6 age_s=0.4 end_s=68.3 '
+            'useful_s=53.8\n'
+        )
+        output = io.StringIO()
+        with tempfile.TemporaryDirectory() as directory:
+            path = pathlib.Path(directory, 'a.log')
+            path.write_text(row)
+            anyio.run(_command_explain.execute, 'aa', (str(path),), output)
+        self.assertIn('90 jobs of 41.2 s of the pool', output.getvalue())
+
     def test_command_reads_files_and_reports_unknown_jobs(
         self,
     ) -> None:
--- /dev/null
+++ b/tests/walnutpoint_scheduler/admission/test_publisher.py
@@ -0,0 +1,142 @@
+"""A term publishes the work that waits once its service rate is known."""
+
+from __future__ import annotations
+
+import typing
+import unittest
+
+import anyio
+import msgspec
+
+from tests.walnutpoint_scheduler import harness
+from walnutpoint_scheduler import _messages
+from walnutpoint_scheduler import _term
+
+_WORKERS = 4
+_RUN_TIME_S = 1.0
+
+
+def _job(
+    number: int, count: int, now_ms: int, **fields: typing.Any
+) -> typing.Any:
+    step = harness.step(count, cpu_millicores=8000, estimate_ms=1000)
+    return harness.job(number, step, accepted_ms=now_ms, **fields)
+
+
+def _backlog(term: _term.Term) -> _messages.Backlog | None:
+    encoded, _ = term.backlog()
+    if not encoded:
+        return None
+    return msgspec.msgpack.decode(encoded, type=_messages.Backlog)
+
+
+class PublisherTest(unittest.TestCase):
+    """Eight tasks of a second run at a time; far more wait."""
+
+    def _bed(self) -> harness.Testbed:
+        bed = harness.Testbed(_WORKERS)
+        bed.run_time_s = lambda _: _RUN_TIME_S
+        return bed
+
+    def test_backlog_and_rate_are_those_of_the_pool(self) -> None:
+        """Guards against refusals by a wrong rate or amount of work."""
+
+        async def scenario() -> None:
+            bed = self._bed()
+            batch = harness.BATCH
+            async with bed.scheduling() as term:
+                await anyio.sleep(0.5)
+                for number in range(1, 13):
+                    count = 8 if number % 2 else 32
+                    bed.submit(_job(number, count, bed.now_ms(), queue=batch))
+                await anyio.sleep(4.0)
+                self.assertIsNone(_backlog(term))
+                await anyio.sleep(4.0)
+                encoded, age_s = term.backlog()
+                self.assertLess(len(encoded), 1000)
+                self.assertLessEqual(age_s, 0.3)
+                (pool,) = _backlog(term).pools
+                self.assertEqual(('pool', 2), (pool.pool, pool.priority))
+                # A sixth wave of tasks may end within the window of 5 s.
+                self.assertGreaterEqual(pool.rate, 1.0 - 1e-9)
+                self.assertLessEqual(pool.rate, 1.2 + 1e-9)
+                # 240 tasks, of which eight a second have started.
+                waiting_s = sum(row.work_pool_ms for row in pool.work) / 1000
+                self.assertAlmostEqual(30.0 - 8.5, waiting_s, delta=1.5)
+
+        harness.run_virtual(scenario)
+
+    def test_new_term_publishes_only_what_it_has_seen(self) -> None:
+        """Guards against refusals by a rate that was never measured."""
+
+        async def scenario() -> None:
+            bed = self._bed()
+            async with bed.scheduling() as term:
+                await anyio.sleep(0.5)
+                bed.submit(_job(1, 200, bed.now_ms(), queue=harness.BATCH))
+                await harness.until(lambda: _backlog(term) is not None)
+            async with bed.scheduling() as term:
+                await harness.until(lambda: term.ready)
+                self.assertIsNone(_backlog(term))
+                took_s = await harness.until(
+                    lambda: _backlog(term) is not None
+                )
+                self.assertGreater(took_s, 4.0)
+
+        harness.run_virtual(scenario)
+
+    def test_fitting_load_publishes_nothing(self) -> None:
+        """Guards against a rate that demand limits, not the capacity."""
+
+        async def scenario() -> None:
+            bed = self._bed()
+            async with bed.scheduling() as term:
+                for number in range(1, 40):
+                    bed.submit(_job(number, 2, bed.now_ms()))
+                    await anyio.sleep(0.3)
+                    self.assertIsNone(_backlog(term))
+
+        harness.run_virtual(scenario)
+
+
+class UselessStepTest(unittest.TestCase):
+    """Jobs that are useless, beside a stream of useful ones."""
+
+    def _run(self, wait_s: float, **changes: typing.Any) -> tuple[int, str]:
+        """Return the advice requests and state of a useless job."""
+        results: list[tuple[int, str]] = []
+        useless = _job(0x999, 1, 1, queue=harness.ADVISED)
+
+        async def stream(bed: harness.Testbed) -> None:
+            for number in range(1, 200):
+                bed.submit(
+                    _job(number, 8, bed.now_ms(), queue=harness.ADVISED)
+                )
+                await anyio.sleep(1.0)
+
+        async def scenario() -> None:
+            bed = harness.Testbed(_WORKERS)
+            bed.run_time_s = lambda _: _RUN_TIME_S
+            async with bed.scheduling(**changes):
+                async with anyio.create_task_group() as tasks:
+                    tasks.start_soon(stream, bed)
+                    await anyio.sleep(3.0)
+                    bed.submit(useless)
+                    await anyio.sleep(wait_s)
+                    calls = bed.advice.calls[f'{useless.job_id}.0.0']
+                    results.append((calls, bed.state(useless.job_id)))
+                    tasks.cancel_scope.cancel()
+
+        harness.run_virtual(scenario)
+        return results[0]
+
+    def test_useless_step_requests_no_advice_from_useful_ones(self) -> None:
+        """Guards against requests that delay useful work."""
+        calls, _ = self._run(10.0)
+        self.assertEqual(0, calls)
+
+    def test_overdue_useless_step_is_not_starved(self) -> None:
+        """Guards against a job that never ends, as nothing grants it."""
+        calls, state = self._run(40.0)
+        self.assertGreater(calls, 0)
+        self.assertEqual('done', state)
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -21,6 +21,7 @@
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import accounts
+from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler import job_status
 from walnutpoint_scheduler import settings
@@ -38,6 +39,7 @@
         )
         peers = _peers.Peers(web.Client())
         self.accounts = accounts.Accounts(())
+        self.gate = admission.AdmissionGate(clock, lambda: True)
         self.relayed = _relay.RelayedStore(self.store, members, peers, clock)
         leadership = _leadership.Leadership(
             self.relayed, members, peers, clock, settings.SchedulerSettings()
@@ -50,6 +52,7 @@
             lambda: None,
             lambda *_: None,
             lambda name: self.accounts.get(name),
+            self.gate,
         )
         self.job_status = job_status.JobStatus(
             self.relayed, leadership, peers, clock, lambda: None
