--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_publisher.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_publisher.py
@@ -115,6 +115,8 @@
         self, key: _scan.PoolPriority, load: _scan.Load, rate: float
     ) -> _messages.PoolBacklog:
         pool, priority = key
+        context = self._context
+        jobs = load.jobs(context.run_times)
         return _messages.PoolBacklog(
             pool,
             priority,
@@ -122,7 +124,7 @@
             load.capacity.memory_mb,
             load.capacity.accelerators,
             rate,
-            _waiting_work.summarize(load.jobs, self._context.now_ms()),
+            _waiting_work.summarize(jobs, context.now_ms()),
         )
 
     def _accounts_beyond(self) -> tuple[int, ...]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_scan.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_scan.py
@@ -11,6 +11,7 @@
 from walnutpoint_scheduler import _wait_cause
 from walnutpoint_scheduler.admission import _waiting_work
 from walnutpoint_scheduler import cell
+from walnutpoint_scheduler import estimates
 from walnutpoint_scheduler import overload
 
 __all__ = (
@@ -38,8 +39,9 @@
     """The load of one priority in one pool."""
 
     capacity: resources.Resources
-    jobs: list[_waiting_work.WaitingJob] = dataclasses.field(
-        default_factory=list
+    # Jobs with waiting tasks, and the work of these.
+    waiting: list[tuple[_state.JobProgress, cell.Queue, float]] = (
+        dataclasses.field(default_factory=list)
     )
     # Work done since the last scan, in seconds of the whole pool.
     done_pool_s: float = 0.0
@@ -56,6 +58,18 @@
             return 0.0
         return self._weighted_task_s / self.waiting_pool_s
 
+    def jobs(
+        self, run_times: estimates.RunTimes
+    ) -> list[_waiting_work.WaitingJob]:
+        """Return what the jobs with waiting tasks demand."""
+        return [
+            _waiting_work.WaitingJob(
+                overload.demand_of(job, queue, self.capacity, run_times),
+                work_pool_s,
+            )
+            for job, queue, work_pool_s in self.waiting
+        ]
+
     def add_waiting(self, work_pool_s: float, task_s: float) -> None:
         """Add the waiting tasks of one step."""
         self.waiting_pool_s += work_pool_s
@@ -148,10 +162,7 @@
                 load.add_waiting(waiting * task_s * share, task_s)
                 job_waiting_pool_s += waiting * task_s * share
         if job_waiting_pool_s:
-            demand = overload.demand_of(job, queue, load.capacity, run_times)
-            load.jobs.append(
-                _waiting_work.WaitingJob(demand, job_waiting_pool_s)
-            )
+            load.waiting.append((job, queue, job_waiting_pool_s))
 
 
 def _waiting_count(step: _state.StepProgress) -> int:
