--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
@@ -13,6 +13,7 @@
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import _worker_selector
+from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import advice
 from walnutpoint_scheduler import cell
 
@@ -38,7 +39,7 @@
 class AdviceRequests:
     """Requests the tickets that steps need now or soon."""
 
-    __slots__ = ('_context', '_planner', '_renewing_steps')
+    __slots__ = ('_context', '_planner', '_renewing_steps', '_withheld')
 
     def __init__(
         self,
@@ -50,10 +51,28 @@
         self._planner = planner
         # Steps that did not fit and renewed tickets in this pass.
         self._renewing_steps = 0
+        # Keys of the steps that may not request advice.
+        self._withheld: frozenset[str] = frozenset()
 
-    def begin(self) -> None:
+    def begin(
+        self,
+        queued_steps: collections.abc.Sequence[_placement_order.QueuedStep],
+    ) -> None:
         """Begin a pass."""
         self._renewing_steps = 0
+        context = self._context
+        self._withheld = frozenset()
+        if not context.settings.policies.hopeless_refusal:
+            return
+        contention = admission.AdviceContention(queued_steps, context.now_ms())
+        context.is_advice_contended = contention.is_contended
+        self._withheld = contention.withheld(
+            context.timer.now_s() - context.settings.patience_s
+        )
+
+    def permits(self, step_key: str) -> bool:
+        """Return whether a step may request advice in this pass."""
+        return step_key not in self._withheld
 
     def request(
         self,
@@ -72,6 +91,8 @@
         now_s = self._context.timer.now_s()
         if queue.advice is None or now_s < step.advice_not_before_s:
             return
+        if not self.permits(step.key):
+            return
         if self._planner is not None and self._planner.decides(step):
             return
         cache = self._context.advice
@@ -233,10 +254,14 @@
         self, step: _state.StepProgress, terms: cell.AdviceTerms
     ) -> None:
         """Request advice for a step that may start soon."""
-        cache = self._context.advice
+        context, cache = self._context, self._context.advice
         if not self._may_request_ahead(step):
             return
-        pool = self._context.queue_of(step.job).pool
+        queue = context.queue_of(step.job)
+        if context.is_advice_contended:
+            if admission.is_useless(queue, step, context.now_ms()):
+                return
+        pool = queue.pool
         label = step.step.required_label
         feasible = [
             worker
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -44,6 +44,7 @@
         'copies_wanted',
         'entitlement',
         'health',
+        'is_advice_contended',
         'jobs',
         'journal',
         'now_ms',
@@ -92,6 +93,8 @@
         # Where run times are observed, the same object as run_times.
         self.observed: estimates.ObservedRunTimes | None = None
         self.overload = overload.Overload()
+        # Whether useful steps need advice, so that useless ones request none.
+        self.is_advice_contended = False
         self.roster = _roster.Roster()
         self.entitlement = accounts.Entitlement()
         self.suspects = _suspects.Suspects(self.roster, clock)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -84,14 +84,14 @@
     def run(self) -> None:
         """Place every waiting task that fits."""
         self.passes += 1
-        self._advice_requests.begin()
         self._preemption.begin()
         self._quarantine.begin()
         self._selectors.clear()
         self._lowest_priority = self._context.cell.lowest_priority
         queued_steps = self._ready.queued_steps()
+        self._advice_requests.begin(queued_steps)
         self._limits.begin(queued_steps)
-        self._planner.begin(queued_steps, self._limits.permits)
+        self._planner.begin(queued_steps, self._may_request)
         self.longest_wait_s = self._ready.longest_wait_s(queued_steps)
         promoted = self._ready.promoted(queued_steps, self._may_start)
         for queued in promoted:
@@ -184,7 +184,9 @@
                 or not cache.granted(key)
             )
         return not cache.granted(key) and not (
-            cache.may_request(key) and cache.has_request_slot(queue_advice)
+            self._advice_requests.permits(key)
+            and cache.may_request(key)
+            and cache.has_request_slot(queue_advice)
         )
 
     def _selector(self, queue: cell.Queue) -> _worker_selector.WorkerSelector:
@@ -205,6 +207,12 @@
         permitted = self._reservable_workers(queue, step)
         selector.choose_groups(queue, step, permitted)
 
+    def _may_request(self, step: _state.StepProgress) -> bool:
+        """Return whether a step has use for advice now."""
+        return self._limits.permits(step) and self._advice_requests.permits(
+            step.key
+        )
+
     def _may_start(self, queued: _placement_order.QueuedStep) -> bool:
         """Return whether an open worker may run a step."""
         if not self._limits.permits(queued.step):
