Limit advice requests where more waits than an answer's time frees

The first rule, more steps than hosts, left 20 and 36 wide steps to the former requests, which leave as much idle as with 100. Requests now count as scarce while the waiting tasks need more than comes free until an answer arrives and more steps wait than a quarter of the hosts.

An overdue step was in the working set, but last in its order it met no free host. Overdue steps request first. An unforeseen error in the plan is logged, and every step requests for itself in that pass.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_planner.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_planner.py
@@ -25,6 +25,9 @@
 # against the time of an answer.
 _PERIOD_S: typing.Final = 0.1
 _LOG_PERIOD_S: typing.Final = 1.0
+# Fewer waiting steps than this for each host leave hosts idle, however they
+# request: each has a request in flight for at most half of the time.
+_STEPS_PER_HOST: typing.Final = 0.25
 # Workers that a typical request names.
 _TYPICAL_NAMES: typing.Final = 50
 # What an answer and the start take of a ticket's life.
@@ -33,7 +36,7 @@
 # host, and the one after it.
 _OVERDUE_ANSWERS: typing.Final = 4.0
 _NO_SET: typing.Final = _working_set.WorkingSet(
-    frozenset(), frozenset(), 0, False
+    frozenset(), frozenset(), False, frozenset(), False
 )
 
 _Selectors = collections.abc.Callable[
@@ -44,8 +47,9 @@
 class RequestPlanner:
     """Decides which steps request advice while requests are scarce.
 
-    They are while more steps wait than the hosts can serve at a time. Until
-    then every step requests for itself, as AdviceRequests decides.
+    They are while the waiting tasks need more than comes free until an answer
+    arrives. Otherwise every step requests for itself, as AdviceRequests
+    decides.
     """
 
     __slots__ = (
@@ -88,26 +92,47 @@
 
         A step that may not start for its account's limit needs no advice.
         """
-        context = self._context
         self._set_active(False)
-        if not context.settings.policies.advice_working_set:
+        if not self._context.settings.policies.advice_working_set:
             return
-        steps = [q for q in queued_steps if self._is_limited(q.queue)]
+        try:
+            self._begin(queued_steps, may_start)
+        except Exception as error:
+            # Each step requests for itself, as without this planner.
+            self._set_active(False)
+            _LOG.exception('advice.plan_failed', error=repr(error))
+
+    def _begin(
+        self,
+        queued_steps: collections.abc.Iterable[_placement_order.QueuedStep],
+        may_start: collections.abc.Callable[[_state.StepProgress], bool],
+    ) -> None:
+        context = self._context
+        limited = {
+            queue.name
+            for queue in context.cell.queues
+            if self._is_limited(queue)
+        }
+        steps = [q for q in queued_steps if q.queue.name in limited]
         if not steps:
             return
         terms = typing.cast(cell.AdviceTerms, steps[0].queue.advice)
         limit = context.advice.request_limit(terms) or 0
-        if len(steps) <= limit:
+        if len(steps) <= limit * _STEPS_PER_HOST:
             return
         self._steps = [q for q in steps if may_start(q.step)]
-        self._waiting = frozenset(q.step.key for q in self._steps)
-        self._set_active(bool(self._steps))
         now_s = context.timer.now_s()
-        if self.is_active and now_s - self._chosen_s >= _PERIOD_S:
+        if now_s - self._chosen_s >= _PERIOD_S:
             self._chosen_s = now_s
             self._choose(limit, now_s)
-        members = (q for q in self._steps if q.step.key in self._set.keys)
-        context.advice_cutoff = max((q.rank for q in members), default=None)
+        if self._set.is_contested:
+            self._set_active(True)
+            self._waiting = frozenset(q.step.key for q in self._steps)
+            members = self._set.keys - self._set.overdue_keys
+            context.advice_cutoff = max(
+                (q.rank for q in self._steps if q.step.key in members),
+                default=None,
+            )
 
     def _set_active(self, is_active: bool) -> None:
         context = self._context
@@ -147,6 +172,9 @@
         context = self._context
         self._releases = _release.Releases(now_s)
         self._capacities.clear()
+        if not self._steps:
+            self._set = _NO_SET
+            return
         terms = typing.cast(cell.AdviceTerms, self._steps[-1].queue.advice)
         answer_s = self._answer_s(terms)
         places_max = int(limit * (terms.valid_s - _TICKET_MARGIN_S) / answer_s)
@@ -156,8 +184,10 @@
             context.advice.granted_share(terms),
             places_max,
             context.settings.patience_s - _OVERDUE_ANSWERS * answer_s,
+            answer_s / terms.valid_s,
         )
-        if now_s - self._logged_s >= _LOG_PERIOD_S:
+        is_due = now_s - self._logged_s >= _LOG_PERIOD_S
+        if is_due and self._set.is_contested:
             self._logged_s = now_s
             self._log(limit, places_max, terms)
 
@@ -196,7 +226,7 @@
             pool=pool,
             steps=len(self._steps),
             chosen=len(self._set.keys),
-            overdue=self._set.overdue_count,
+            overdue=len(self._set.overdue_keys),
             in_flight=self._context.advice.limited_in_flight,
             hosts=limit,
             places=places_max,
@@ -209,8 +239,17 @@
         """Request what the steps of the set lack, in placement order."""
         if not self.is_active:
             return
+        try:
+            self._request(selector_of)
+        except Exception as error:
+            _LOG.exception('advice.plan_failed', error=repr(error))
+
+    def _request(self, selector_of: _Selectors) -> None:
         advice = self._context.advice
         members = [q for q in self._steps if q.step.key in self._set.keys]
+        # The last of the set, overdue steps would find all hosts occupied.
+        overdue_keys = self._set.overdue_keys
+        members.sort(key=lambda q: q.step.key not in overdue_keys)
         rivals: collections.Counter[str] | None = None
         rooms: dict[object, list[tuple[_worker.WorkerState, float]]] = {}
         now_s = self._context.timer.now_s()
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_working_set.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_working_set.py
@@ -45,8 +45,10 @@
     # Those that the expected capacity suffices for; the others need tickets
     # for what these may not use.
     first_keys: frozenset[str]
-    # How many entered as they had waited for too long.
-    overdue_count: int
+    # Whether more waits than comes free until an answer arrives.
+    is_contested: bool
+    # Those that entered as they had waited for too long.
+    overdue_keys: frozenset[str]
     # Whether the budget of requests ended it rather than capacity.
     is_limited_by_budget: bool
 
@@ -56,13 +58,14 @@
     granted_share: float,
     places_max: int,
     overdue_s: float,
+    answer_share: float,
 ) -> WorkingSet:
     """Return the first steps that the expected capacity and budget allow.
 
     A granted share of a third lets each step use a third of the capacity, so
     that three times as many tasks are needed to use all of it. Steps that
     have waited for overdue_s get some places whatever their order, the
-    longest waiting first.
+    longest waiting first. An answer takes answer_share of a ticket's life.
     """
     share = min(max(granted_share, 0.01), 0.99)
     least = math.ceil(math.log(_UNGRANTED_SHARE_MAX) / math.log(1.0 - share))
@@ -82,6 +85,7 @@
     return WorkingSet(
         frozenset(step.key for step in (*steps[:count], *overdue)),
         frozenset(step.key for step in (*steps[:first_count], *overdue)),
-        len(overdue),
+        demand >= answer_share,
+        frozenset(step.key for step in overdue),
         count == places_max < len(steps),
     )
--- a/tests/walnutpoint_scheduler/advice/load.py
+++ b/tests/walnutpoint_scheduler/advice/load.py
@@ -32,14 +32,16 @@
 from walnutpoint_scheduler import ports
 
 NEED_MILLICORES = 9000
-WORKER_MILLICORES = 32_000
+VALID_S = 2.5
 BATCH = msgspec.structs.replace(
-    harness.BATCH, advice=cell.AdviceTerms(0.49, 0.0071, 2.5)
+    harness.BATCH, advice=cell.AdviceTerms(0.49, 0.0071, VALID_S)
 )
 URGENT = msgspec.structs.replace(
-    harness.QUEUE, advice=cell.AdviceTerms(0.026, 0.0004, 2.5)
+    harness.QUEUE, advice=cell.AdviceTerms(0.026, 0.0004, VALID_S)
 )
 CELL = cell.Cell(1, (URGENT, BATCH), (cell.Pool('pool'),))
+# The number of the job that ranks after all others.
+HOPELESS_JOB = 1
 # A pass at this size and the pause after it, which virtual time lacks.
 _PASS_S = 0.03
 _SAMPLE_S = 0.1
@@ -51,6 +53,8 @@
 
     steps: int = 100
     workers: int = 176
+    # Processor of the workers, in turn.
+    sizes_millicores: tuple[int, ...] = (32_000,)
     hosts: int = 40
     lost: tuple[int, ...] = tuple(range(5, 15))
     lost_at_s: float = 6.0
@@ -62,6 +66,8 @@
     gang_share: float = 0.0
     # Urgent jobs a second.
     urgent_per_s: float = 0.0
+    # Whether one job is so late that it ranks after all others.
+    has_hopeless_job: bool = False
     from_s: float = 3.0
     until_s: float = 12.0
 
@@ -79,6 +85,8 @@
         )
         self._locks: dict[str, asyncio.Lock] = {}
         self.busy_s = 0.0
+        # When each job first requested advice.
+        self.first_request_s: dict[str, float] = {}
         self.requests = 0
 
     async def request(
@@ -90,8 +98,10 @@
         timeout_s: float,
     ) -> _messages.AdviceReply | web.NoResponse:
         """Answer a request that the router sends through another host."""
-        elapsed_s = self._now_s() - self._start_s - self.load.lost_at_s
-        is_lost = 0.0 <= elapsed_s < self.load.lost_s
+        elapsed_s = self._now_s() - self._start_s
+        job_id = question.step.partition('.')[0]
+        self.first_request_s.setdefault(job_id, elapsed_s)
+        is_lost = 0.0 <= elapsed_s - self.load.lost_at_s < self.load.lost_s
         if is_lost and int(address[5:7]) in self.load.lost:
             await anyio.sleep(timeout_s)
             return web.NoResponse(True, 'no answer')
@@ -109,7 +119,7 @@
                     for worker in question.workers
                     if self._rules.permits(question.step, worker)
                 },
-                2.5,
+                VALID_S,
             )
         return web.NoResponse(True, 'timeout')
 
@@ -189,19 +199,26 @@
 
     def share(self, *causes: str) -> float:
         """Return the mean share of the processor idle for some causes."""
-        total = self.load.workers * WORKER_MILLICORES * max(1, self.samples)
-        return sum(self.idle[cause] for cause in causes) / total
+        total = sum(map(self._size, range(self.load.workers)))
+        idle = sum(self.idle[cause] for cause in causes)
+        return idle / (total * max(1, self.samples))
+
+    def _size(self, number: int) -> int:
+        sizes = self.load.sizes_millicores
+        return sizes[number % len(sizes)]
 
     async def _run(self) -> None:
         bed, load = self.bed, self.load
         for number in range(load.workers):
-            bed.add_worker(number, cpu_millicores=WORKER_MILLICORES)
+            bed.add_worker(number, cpu_millicores=self._size(number))
         bed.run_time_s = self._run_time_s
         bed.fleet.ledger.on_start = self._record_start
         self.hosts = _Hosts(load, bed.timer.now_s)
         bed.advice = typing.cast(typing.Any, _router(self.hosts))
         start_s = bed.timer.now_s()
         async with bed.scheduling(CELL, **self._changes) as term:
+            if load.has_hopeless_job:
+                self._submit(-600_000)
             for number in range(load.steps):
                 self._submit(-int(10_000 * (1 - number / load.steps)))
             await anyio.sleep(0.2)
@@ -277,7 +294,9 @@
                 4500 if run.task.job_id in self._urgent_s else NEED_MILLICORES
                 for run in runs
             )
-            slots, rest = divmod(WORKER_MILLICORES - used, NEED_MILLICORES)
+            slots, rest = divmod(
+                worker.listed.capacity.cpu_millicores - used, NEED_MILLICORES
+            )
             free = max(0, worker.free.cpu_millicores // NEED_MILLICORES)
             self.idle['packing'] += rest
             self.idle['in flight'] += (slots - free) * NEED_MILLICORES
--- a/tests/walnutpoint_scheduler/advice/test_load.py
+++ b/tests/walnutpoint_scheduler/advice/test_load.py
@@ -5,6 +5,7 @@
 import unittest
 
 from tests.walnutpoint_scheduler.advice import load as loads
+from tests.walnutpoint_scheduler import harness
 from walnutpoint_scheduler import settings
 
 # The share of the processor that may be idle for work that fits.
@@ -42,6 +43,29 @@
         without = loads.Measurement(load, policies=_OFF).run()
         self.assertLess(_idle(measured), _idle(without) / 2)
 
+    def test_service_that_is_back(self) -> None:
+        """Guards against steps that wait on for answers after an outage."""
+        load = loads.Load(
+            steps=60,
+            workers=88,
+            lost=tuple(range(40)),
+            lost_at_s=3.0,
+            lost_s=2.0,
+            from_s=10.0,
+            until_s=12.0,
+        )
+        self.assertLess(_idle(loads.Measurement(load).run()), IDLE_MAX)
+
+    def test_hopeless_step_enters_in_time(self) -> None:
+        """Guards against a step that never enters the working set."""
+        patience_s = 5.0
+        load = loads.Load(
+            steps=60, workers=60, has_hopeless_job=True, until_s=6.0
+        )
+        measured = loads.Measurement(load, patience_s=patience_s).run()
+        job_id = harness.job(loads.HOPELESS_JOB).job_id
+        self.assertLess(measured.hosts.first_request_s[job_id], patience_s)
+
     def test_urgent_steps_are_not_delayed(self) -> None:
         """Guards against urgent steps that wait for requests of batch."""
         load = loads.Load(
--- a/tests/walnutpoint_scheduler/advice/test_working_set.py
+++ b/tests/walnutpoint_scheduler/advice/test_working_set.py
@@ -22,25 +22,35 @@
     ]
 
 
+def _choose(
+    steps: list[_working_set.WaitingStep], places_max: int
+) -> _working_set.WorkingSet:
+    answer_share = ANSWER_S / 2.5
+    return _working_set.choose(
+        steps, SHARE, places_max, OVERDUE_S, answer_share
+    )
+
+
 class ChoiceTest(unittest.TestCase):
     """The steps that may request advice."""
 
     def test_set_covers_the_capacity_that_comes_free(self) -> None:
         """Guards against a set whose granted share leaves capacity idle."""
-        chosen = _working_set.choose(_steps(100), SHARE, 90, OVERDUE_S)
+        chosen = _choose(_steps(100), 90)
         self.assertEqual(
             {f'step-{number:03}' for number in range(29)}, chosen.keys
         )
         self.assertFalse(chosen.is_limited_by_budget)
+        self.assertTrue(chosen.is_contested)
 
     def test_few_large_steps_leave_no_worker_ungranted(self) -> None:
         """Guards against workers that no step of a small set may use."""
-        chosen = _working_set.choose(_steps(100, 5.0), SHARE, 90, OVERDUE_S)
+        chosen = _choose(_steps(100, 5.0), 90)
         self.assertLess((1 - SHARE) ** len(chosen.keys), 0.03)
 
     def test_budget_limits_the_set(self) -> None:
         """Guards against more steps than the hosts can keep tickets for."""
-        chosen = _working_set.choose(_steps(100), SHARE, 12, OVERDUE_S)
+        chosen = _choose(_steps(100), 12)
         self.assertEqual(12, len(chosen.keys))
         self.assertTrue(chosen.is_limited_by_budget)
 
@@ -49,9 +59,14 @@
         steps = _steps(100)
         steps[90] = _working_set.WaitingStep('old', 0.1, OVERDUE_S)
         steps[80] = _working_set.WaitingStep('oldest', 0.1, OVERDUE_S + 1)
-        chosen = _working_set.choose(steps, SHARE, 1, OVERDUE_S)
+        chosen = _choose(steps, 1)
         self.assertEqual({'step-000', 'oldest'}, chosen.keys)
 
+    def test_few_steps_are_not_contested(self) -> None:
+        """Guards against a set where capacity suffices for all steps."""
+        chosen = _choose(_steps(3), 90)
+        self.assertFalse(chosen.is_contested)
+
 
 class _Tickets:
     """Grants some workers, with tickets that expire at one time."""
