Let the soak of cells have uneven workers and large tasks

Cause: in every series all workers were equally fast and all tasks alike, so that what the scheduler learns from run times was never exercised beside faults.

The bench of placement passes observes run times, as a term does.

--- a/bench/placement_pass.py
+++ b/bench/placement_pass.py
@@ -67,6 +67,7 @@
                 worker_health.WorkerHealth(outlier.OutlierDetector(3, 1, 8)),
             )
             context.cell = _cell(account_count)
+            context.observe_run_times()
             for number in range(worker_count):
                 worker = _worker.WorkerState(
                     harness.workers.listed_worker(number),
--- a/packages/walnutpoint-model/src/walnutpoint_model/soak.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak.py
@@ -10,7 +10,8 @@
 or later, often in a row, with a clock that jumps; orders are executed late or
 not answered; a lasting job must be complete at the end, and each worker accept
 a task. From draw 4 on jobs belong to client accounts, whose limits and keys
-change; each account's usage is checked on the workers.
+change; each account's usage is checked on the workers. From draw 5 on workers
+differ in speed, for good and for seconds, and a few tasks are large.
 
 A seed and a draw determine a series. Each new kind of fault adds a draw, so
 that earlier failures can be reproduced.
@@ -34,6 +35,7 @@
 from walnutpoint_model import cell_model
 from walnutpoint_model import host_faults
 from walnutpoint_model import seed_runner
+from walnutpoint_model import uneven_speeds
 from walnutpoint_model import virtual_time
 from walnutpoint_model import worker_faults
 from walnutpoint_model import workers
@@ -47,7 +49,7 @@
     'simulate',
 )
 
-NEWEST_DRAW: typing.Final = 4
+NEWEST_DRAW: typing.Final = 5
 _WORKERS: typing.Final = 6
 # Two thirds of these have the capacity for all jobs.
 _WORKERS_WITH_FAULTS: typing.Final = 9
@@ -61,6 +63,7 @@
 _WIDE_JOB_ID: typing.Final = f'{0xB0000001:016x}'
 _WIDE_JOB_TIMEOUT_S: typing.Final = 3.0
 _TASK_RUN_TIME_S: typing.Final = 0.5
+_LARGE_FACTOR: typing.Final = 7.0
 _MILLICORES: typing.Final = 1000
 _MEMORY_MB: typing.Final = 100
 _NEED: typing.Final = resources.Resources(_MILLICORES, _MEMORY_MB)
@@ -128,11 +131,20 @@
             self._accounts = account_changes.AccountChanges(
                 model, random.Random(f'{seed} accounts')
             )
+        self._speeds = None
+        if draw > 4:
+            self._speeds = uneven_speeds.UnevenSpeeds(
+                model.fleet, random.Random(f'{seed} speeds')
+            )
         self._worker_faults: worker_faults.WorkerFaults | None = None
         self._worker_actions: tuple[host_faults.Action, ...] = ()
         if draw > 1:
             self._worker_faults = faults = worker_faults.WorkerFaults(
-                model, self._random, _run_time_s, _NEED, has_restarts=draw > 2
+                model,
+                self._random,
+                _run_time_of(draw),
+                _NEED,
+                has_restarts=draw > 2,
             )
             self._worker_actions = faults.actions()
         self._actions = host_faults.HostFaults(
@@ -148,6 +160,8 @@
                 tasks.start_soon(self._submit_lasting_job)
             if self._accounts is not None:
                 tasks.start_soon(self._accounts.run, duration_s)
+            if self._speeds is not None:
+                tasks.start_soon(self._speeds.run, duration_s)
             settle_s = _SETTLING_TIME_S
             if self._worker_faults is not None:
                 tasks.start_soon(self._worker_faults.run)
@@ -308,6 +322,17 @@
     return math.inf if task.job_id == _LASTING_JOB_ID else _TASK_RUN_TIME_S
 
 
+def _uneven_run_time_s(task: ports.TaskName) -> float:
+    run_time_s = _run_time_s(task)
+    if task.job_id != _WIDE_JOB_ID and uneven_speeds.is_large(task):
+        return run_time_s * _LARGE_FACTOR
+    return run_time_s
+
+
+def _run_time_of(draw: int) -> workers.RunTime:
+    return _uneven_run_time_s if draw > 4 else _run_time_s
+
+
 def simulate(
     seed: int,
     hosts: int = _HOSTS,
@@ -327,7 +352,7 @@
             count = _WORKERS_WITH_FAULTS if draw > 1 else _WORKERS
             for number in range(count):
                 model.fleet.add(
-                    workers.listed_worker(number), _run_time_s, number
+                    workers.listed_worker(number), _run_time_of(draw), number
                 )
             soak = _Soak(seed, hosts, model, draw)
             await soak.run(duration_s)
--- a/tests/walnutpoint_model/test_soak.py
+++ b/tests/walnutpoint_model/test_soak.py
@@ -32,6 +32,7 @@
     'step_clock',
 }
 
+_SPEED_SEEDS = (1, 5)
 _ACCOUNT_SEEDS = (1, 5, 8)
 
 
@@ -89,6 +90,14 @@
                 self.assertEqual([], result.violations)
                 self.assertGreater(result.accepted, 50)
 
+    def test_invariants_hold_when_speeds_differ(self) -> None:
+        """Tasks on slow workers, and large ones, run once and end."""
+        for seed in _SPEED_SEEDS:
+            with self.subTest(seed=seed):
+                result = soak.simulate(seed, draw=5)
+                self.assertEqual([], result.violations)
+                self.assertGreater(result.accepted, 50)
+
     def test_exceeded_limit_is_detected(self) -> None:
         """The scheduler ignores the limits of accounts."""
         with mock.patch.object(
