Keep run time estimates over a takeover

Cause: a new scheduler would take a slow third of the workers for usual, and wrong declared times for right, for some seconds after each takeover.

A new term reads it beside its restore, which does not wait for it, and repeats the read while the store fails. A value that is absent, torn or of another format is logged as estimates.restarted, and replaced by the next write.

A worker that no pass has to tell apart costs no record.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_keys.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_keys.py
@@ -9,6 +9,7 @@
 __all__ = (
     'CANCELS',
     'CONTROL',
+    'ESTIMATES',
     'HEARTBEAT',
     'INTAKE',
     'JOBS',
@@ -34,6 +35,7 @@
 CONTROL: typing.Final = 'walnutpoint/control/'
 SCHEDULER: typing.Final = 'walnutpoint/control/scheduler'
 POOLS: typing.Final = 'walnutpoint/pools'
+ESTIMATES: typing.Final = 'walnutpoint/estimates'
 HEARTBEAT: typing.Final = 'walnutpoint/pulse'
 MEMBERS: typing.Final = 'walnutpoint/control/member/'
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_moves.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_moves.py
@@ -22,8 +22,8 @@
 
 # The cost of a move beyond the new run: a stop, and the report of its end.
 _MOVE_COST_S: typing.Final = 0.5
-# Less likely disturbances are not acted on: half of the second runs would gain
-# nothing.
+# Below this the task is taken to be large, and stays: half of the second runs
+# would gain nothing.
 _PROBABILITY_MIN: typing.Final = 0.5
 # The first pace of a run covers this time before it.
 _SETTLED_S: typing.Final = 0.15
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -44,8 +44,11 @@
     if queue.advice is not None:
         ticket = context.advice.ticket(task.step.key, worker.worker_id)
         run.ticket = ticket or ''
+    slowdown = context.run_times.slowdown(worker.listed)
     if context.observed is not None:
-        run.expected_s = context.expected_s(task.step, worker)
+        step = task.step
+        task_s = context.run_times.task_s(queue.name, step.key, step.step)
+        run.expected_s = task_s * slowdown
     task.run = run
     task.state = _state.TaskState.ACTIVE
     worker.book(run)
@@ -65,7 +68,7 @@
         worker=worker.worker_id,
         free_millicores=worker.free.cpu_millicores,
         waited_s=round(waited_s, 3),
-        slowdown=round(context.run_times.slowdown(worker.listed), 2),
+        slowdown=round(slowdown, 2),
         token=context.token,
     )
     return run
--- /dev/null
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_time_store.py
@@ -0,0 +1,95 @@
+"""Carries the run time estimates over a takeover."""
+
+from __future__ import annotations
+
+import typing
+
+from walnutpoint_core import logs
+from walnutpoint_core import ports as core_ports
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _keys
+from walnutpoint_scheduler import estimates
+
+__all__ = ('RunTimeStore',)
+
+_LOG: typing.Final = logs.get_logger('estimates')
+# A lost snapshot costs a successor the last seconds of learning only.
+_WRITE_PERIOD_S: typing.Final = 5.0
+# A successor needs the estimates within its first second.
+_READ_RETRY_S: typing.Final = 0.3
+
+
+class RunTimeStore:
+    """Reads the snapshot of the previous term, then writes its own.
+
+    Nothing waits for it: without a snapshot the estimates start afresh.
+    """
+
+    __slots__ = ('_context', '_observed', '_store')
+
+    def __init__(
+        self,
+        context: _context.Context,
+        observed: estimates.ObservedRunTimes,
+        store: core_ports.WatchableStore,
+    ) -> None:
+        self._context = context
+        self._observed = observed
+        self._store = store
+
+    async def run(self) -> None:
+        """Read once the store answers, then write until cancelled."""
+        while not await self._read():
+            await self._context.timer.sleep(_READ_RETRY_S)
+        async for _ in self._context.timer.subscribe(lambda: _WRITE_PERIOD_S):
+            await self._write()
+
+    async def _read(self) -> bool:
+        """Take the snapshot over, and return whether the store answered."""
+        item = await self._store.get(_keys.ESTIMATES)
+        if item.is_error():
+            return False
+        if item.ok is None:
+            self._log_restart('absent')
+            return True
+        try:
+            workers = self._observed.restore(item.ok.value)
+        except estimates.UnreadableError as error:
+            self._log_restart(str(error))
+            return True
+        _LOG.info(
+            'estimates.restored',
+            workers=workers,
+            size_bytes=len(item.ok.value),
+            revision=item.ok.revision,
+            after_s=self._age_s(),
+            token=self._context.token,
+        )
+        return True
+
+    async def _write(self) -> None:
+        """Write the estimates if they changed materially."""
+        snapshot = self._observed.changed_snapshot()
+        if snapshot is None:
+            return
+        value = estimates.encode_snapshot(snapshot)
+        reply = await self._store.commit(
+            core_ports.Batch(
+                (core_ports.Guard(_keys.SCHEDULER, self._context.token),),
+                (core_ports.Put(_keys.ESTIMATES, value),),
+            )
+        )
+        # After any failure the next period writes newer estimates.
+        if reply.is_ok() and reply.ok.applied:
+            self._observed.mark_stored(snapshot)
+
+    def _log_restart(self, reason: str) -> None:
+        _LOG.info(
+            'estimates.restarted',
+            reason=reason,
+            after_s=self._age_s(),
+            token=self._context.token,
+        )
+
+    def _age_s(self) -> float:
+        return round(self._context.timer.now_s() - self._context.started_s, 3)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -27,6 +27,7 @@
 from walnutpoint_scheduler import _resizing_pools
 from walnutpoint_scheduler import _retention
 from walnutpoint_scheduler import _run_monitor
+from walnutpoint_scheduler import _run_time_store
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import cell
@@ -266,6 +267,12 @@
         self._placer = placer = _placer.Placer(context, sender)
         pools = _resizing_pools.ResizingPools(context, dependencies.store)
 
+        if context.observed is not None:
+            tasks.start_soon(
+                _run_time_store.RunTimeStore(
+                    context, context.observed, dependencies.store
+                ).run
+            )
         revision = await self._restore(intake, directory, pools)
         self.ready = True
         restored_s = dependencies.timer.now_s() - context.started_s
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_observed.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_observed.py
@@ -10,6 +10,7 @@
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler.estimates import _sizes
+from walnutpoint_scheduler.estimates import _snapshot
 from walnutpoint_scheduler.estimates import _speeds
 
 __all__ = ('ObservedRunTimes',)
@@ -38,6 +39,7 @@
         '_refreshed_s',
         '_sizes',
         '_slowdowns',
+        '_stored',
     )
 
     def __init__(self) -> None:
@@ -52,6 +54,8 @@
         self._refreshed_s = -math.inf
         self._logged_s: dict[str, float] = {}
         self._has_changed = False
+        # The snapshot that the store has.
+        self._stored: _snapshot.Snapshot | None = None
 
     def task_s(self, queue: str, step_key: str, step: document.Step) -> float:
         """Return the expected run time of a task on a usual worker."""
@@ -68,6 +72,8 @@
         slowdown = self._slowdowns.get(worker.worker_id)
         if slowdown is None:
             pool = self._pools[worker.pool]
+            if not pool.workers:
+                return 1.0
             slowdown = pool.slowdown(pool.worker(worker))
             self._slowdowns[worker.worker_id] = slowdown
         return slowdown
@@ -130,12 +136,55 @@
         self._sizes.refresh()
         for name, pool in self._pools.items():
             pool.refresh()
-            for worker_id, speed in pool.workers.items():
-                self._slowdowns[worker_id] = pool.slowdown(speed)
+            self._read_slowdowns(pool)
             if now_s - self._logged_s.get(name, -math.inf) >= _LOG_PERIOD_S:
                 self._logged_s[name] = now_s
                 self._log(name, pool)
 
+    def changed_snapshot(self) -> _snapshot.Snapshot | None:
+        """Return the estimates, or None if the store has about the same."""
+        snapshot = _snapshot.Snapshot(
+            _snapshot.FORMAT,
+            {name: pool.snapshot() for name, pool in self._pools.items()},
+            {
+                queue: (name, _snapshot.to_milli(level + usual), weight)
+                for queue, (level, weight) in self._sizes.levels().items()
+                if (name := self._pool_of_queue.get(queue)) is not None
+                for usual in (self._pools[name].usual,)
+            },
+        )
+        is_empty = not any(pool.groups for pool in snapshot.pools.values())
+        if is_empty or not _snapshot.differs(snapshot, self._stored):
+            return None
+        return snapshot
+
+    def mark_stored(self, snapshot: _snapshot.Snapshot) -> None:
+        """Record that the store has a snapshot."""
+        self._stored = snapshot
+
+    def restore(self, value: bytes) -> int:
+        """Take a stored snapshot over, and return its number of workers.
+
+        Raise UnreadableError, with nothing changed, if it can't be used.
+        """
+        snapshot = _snapshot.decode(value)
+        for name, stored in snapshot.pools.items():
+            pool = self._pools[name]
+            pool.restore(stored)
+            self._read_slowdowns(pool)
+        for queue, (name, level, weight) in snapshot.queues.items():
+            self._pool_of_queue.setdefault(queue, name)
+            usual = self._pools[name].usual
+            self._sizes.restore(
+                queue, _snapshot.from_milli(level) - usual, weight
+            )
+        self._stored = snapshot
+        return sum(len(pool.workers) for pool in snapshot.pools.values())
+
+    def _read_slowdowns(self, pool: _speeds.PoolSpeeds) -> None:
+        for worker_id, speed in pool.workers.items():
+            self._slowdowns[worker_id] = pool.slowdown(speed)
+
     def _log(self, name: str, pool: _speeds.PoolSpeeds) -> None:
         groups = sorted(pool.groups.items(), key=lambda item: -item[1].runs)
         _LOG.info(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_speeds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_speeds.py
@@ -7,6 +7,7 @@
 import typing
 
 from walnutpoint_scheduler import cell
+from walnutpoint_scheduler.estimates import _snapshot
 from walnutpoint_scheduler.estimates import _statistics
 
 __all__ = (
@@ -79,10 +80,11 @@
         'mean',
     )
 
-    def __init__(self, listed: cell.ListedWorker, labels: Labels) -> None:
+    def __init__(self, labels: Labels, cpu_millicores: int) -> None:
         self.labels = labels
-        self.address = listed.address
-        self.capacity = max(1, listed.capacity.cpu_millicores)
+        # Empty for a worker known from a snapshot only.
+        self.address = ''
+        self.capacity = max(1, cpu_millicores)
         # Time of observation and value.
         self._runs: collections.deque[tuple[float, float]] = collections.deque(
             maxlen=_RUNS_MAX
@@ -172,16 +174,22 @@
         """Return the record of a worker, created on first use."""
         speed = self.workers.get(listed.worker_id)
         labels = labels_of(listed)
-        if speed is not None and speed.labels == labels:
-            return speed
-        speed = WorkerSpeed(listed, labels)
+        if speed is None or speed.labels != labels:
+            speed = self._add(listed, labels)
+        if not speed.address:
+            speed.address = listed.address
+            self._by_address[listed.address] = speed
+        return speed
+
+    def _add(self, listed: cell.ListedWorker, labels: Labels) -> WorkerSpeed:
+        """Add a worker, with what its predecessor at its address showed."""
+        speed = WorkerSpeed(labels, listed.capacity.cpu_millicores)
         former = self._by_address.get(listed.address)
         if former is not None and former.labels == labels:
             mean, count = former.evidence()
             speed.inherited = mean, min(count, _INHERITED_RUNS_MAX)
         self.workers.pop(listed.worker_id, None)
         self.workers[listed.worker_id] = speed
-        self._by_address[listed.address] = speed
         while len(self.workers) > _WORKERS_MAX:
             oldest = self.workers.pop(next(iter(self.workers)))
             if self._by_address.get(oldest.address) is oldest:
@@ -214,20 +222,62 @@
         speeds = sorted(self.workers.values(), key=lambda s: s.level)
         self._update_usual(speeds)
 
-    def restore(
-        self,
-        groups: dict[Labels, tuple[float, float]],
-        workers: dict[str, tuple[float, float]],
-    ) -> None:
-        """Take estimates from a snapshot, as evidence of limited weight."""
-        self._restored_groups = {
-            labels: (level, min(runs, _RESTORED_GROUP_RUNS_MAX))
-            for labels, (level, runs) in groups.items()
-        }
-        for worker_id, (level, runs) in workers.items():
+    def snapshot(self) -> _snapshot.Pool:
+        """Return the estimates relative to the usual level."""
+        labels = tuple(sorted(self.groups))
+        numbers = {group: number for number, group in enumerate(labels)}
+        workers = {}
+        for worker_id, speed in self.workers.items():
+            mean, count = speed.evidence()
+            if count and speed.labels in numbers:
+                workers[worker_id] = _snapshot.Worker(
+                    numbers[speed.labels],
+                    speed.capacity,
+                    _snapshot.to_milli(mean - self.usual),
+                    int(count),
+                )
+        return _snapshot.Pool(
+            self.is_mixed,
+            self.runs,
+            self.large_runs,
+            labels,
+            tuple(
+                (
+                    _snapshot.to_milli(self.groups[group].level - self.usual),
+                    int(self.groups[group].runs),
+                )
+                for group in labels
+            ),
+            workers,
+        )
+
+    def restore(self, pool: _snapshot.Pool) -> None:
+        """Take estimates from a snapshot, as evidence of limited weight.
+
+        Runs observed before it could be read count as well.
+        """
+        self.is_mixed = pool.is_mixed
+        self.runs += pool.runs
+        self.large_runs += pool.large_runs
+        for labels, (level, runs) in zip(
+            pool.labels, pool.groups, strict=True
+        ):
+            self._restored_groups[labels] = (
+                _snapshot.from_milli(level) + self.usual,
+                min(runs, _RESTORED_GROUP_RUNS_MAX),
+            )
+        for worker_id, worker in pool.workers.items():
+            labels = pool.labels[worker.group]
             speed = self.workers.get(worker_id)
-            if speed is not None and not speed.inherited[1]:
-                speed.inherited = level, min(runs, _RESTORED_RUNS_MAX)
+            if speed is None:
+                speed = WorkerSpeed(labels, worker.cpu_millicores)
+                self.workers[worker_id] = speed
+            if speed.labels == labels:
+                speed.inherited = (
+                    _snapshot.from_milli(worker.level) + self.usual,
+                    min(worker.runs, _RESTORED_RUNS_MAX),
+                )
+        self.refresh()
 
     def _set_level(self, speed: WorkerSpeed) -> None:
         group = self.groups.get(speed.labels)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
@@ -20,9 +20,6 @@
 # other tasks of the same step. User estimates are off by a factor of up to
 # 1.9, so a healthy worker shows 0.5 or more, a badly disturbed one 0.2.
 _SLOW_SHARE: typing.Final = 0.4
-# A slow worker is as usual again above this share. With a single threshold, a
-# worker at 0.41 of the others' pace changed its state with every report.
-_USUAL_SHARE: typing.Final = 0.55
 # A step's own pace is used from this many of its tasks on.
 _PEERS_MIN: typing.Final = 3
 # A slower task can't be distinguished from a stalled one.
@@ -36,9 +33,9 @@
 _BATCH_RETRY_AFTER_S: typing.Final = 2.0
 # A worker is slow if that is more likely than large tasks.
 _PROBABILITY_MIN: typing.Final = 0.5
-# The paces of runs that have ended are kept for this long: a run that has
+# The latest paces of this many runs are kept for each worker: a run that has
 # been slow from its start is compared with those that ran beside it.
-_RECENT_S: typing.Final = 4.0
+_RECENT_RUNS_MAX: typing.Final = 32
 # Bounds of the stored paces, per step and in total.
 _STEP_PACES_MAX: typing.Final = 32
 _STEPS_MAX: typing.Final = 4096
@@ -139,9 +136,10 @@
             s.has_peers for s in relative_paces
         ):
             return
-        pace = statistics.median(s.pace for s in relative_paces)
-        is_slow = self.is_slow(worker, now_s)
-        if pace < (_USUAL_SHARE if is_slow else _SLOW_SHARE):
+        if (
+            statistics.median(relative.pace for relative in relative_paces)
+            < _SLOW_SHARE
+        ):
             self._slow_until_s[worker] = now_s + _SLOW_KEPT_S
         else:
             self._slow_until_s.pop(worker, None)
@@ -155,10 +153,10 @@
     ) -> None:
         """Keep a run's relative pace as evidence for the worker's others."""
         paces = self._recent_paces.setdefault(worker, {})
+        paces.pop(run, None)
         paces[run] = now_s, relative_pace
-        for other, (at_s, _) in list(paces.items()):
-            if now_s - at_s > _RECENT_S:
-                del paces[other]
+        if len(paces) > _RECENT_RUNS_MAX:
+            del paces[next(iter(paces))]
 
     def paces_of_others(
         self, worker: str, run: typing.Hashable, since_s: float
@@ -181,7 +179,9 @@
     ) -> None:
         """Update whether a worker is slow where large tasks are known of.
 
-        paces are those of all its tasks that show one.
+        paces are those of all its tasks that show one. A worker that is slow
+        stays so on less evidence: otherwise one near the threshold would
+        change its state with every report.
         """
         if not paces:
             return
