Require more certainty before a worker counts as slow

Cause: each report of a worker is another chance of a false alarm. With a probability of a half, up to a third of the healthy workers of a cell with large tasks counted as slow, and their runs were left out of the estimates.

Change: a worker becomes slow at a probability of 0.7, and stays so above 0.5.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/worker_pace.py
@@ -31,8 +31,11 @@
 _SLOW_KEPT_S: typing.Final = 8.0
 # When batch tasks, which can wait, may try it and update its pace.
 _BATCH_RETRY_AFTER_S: typing.Final = 2.0
-# A worker is slow if that is more likely than large tasks.
-_PROBABILITY_MIN: typing.Final = 0.5
+# A worker becomes slow above the first probability, and stays so above the
+# second. Each report is another chance of a false alarm: with 0.5 for both, a
+# quarter of the workers of a cell with large tasks counted as slow.
+_ENTER_PROBABILITY: typing.Final = 0.7
+_STAY_PROBABILITY: typing.Final = 0.5
 # The latest paces of this many runs are kept for each worker: a run that has
 # been slow from its start is compared with those that ran beside it.
 _RECENT_RUNS_MAX: typing.Final = 32
@@ -185,10 +188,12 @@
         """
         if not paces:
             return
+        was_slow = self.is_slow(worker, now_s)
         probability = estimates.probability_disturbed(
-            paces, large_share, was_disturbed=self.is_slow(worker, now_s)
+            paces, large_share, was_disturbed=was_slow
         )
-        if probability >= _PROBABILITY_MIN:
+        bound = _STAY_PROBABILITY if was_slow else _ENTER_PROBABILITY
+        if probability >= bound:
             self._slow_until_s[worker] = now_s + _SLOW_KEPT_S
         else:
             self._slow_until_s.pop(worker, None)
