Name workers by the preference of a step, and reserve where it ends soonest

Cause: advice requested ahead named the freest workers, whatever their speed. A reservation went where capacity came free first, though the task might end later there. Backfill compared a reservation with the declared run time, which a slow worker exceeds.

Change: advice requested ahead names the groups in the order that the step prefers; reservations are ordered by the wait plus the extra run time; gangs and backfill use the run time on the worker. placement.StepChoices holds the choices of a pass.

--- a/bench/placement_pass.py
+++ b/bench/placement_pass.py
@@ -36,9 +36,15 @@
 class _Mixed(estimates.DeclaredRunTimes):
     """Declared run times, with every third worker 1.9 times as slow."""
 
+    def __init__(self) -> None:
+        self._slowdowns = {
+            f'worker-{number}': 1.0 if number % 3 else 1.9
+            for number in range(SIZES[-1][0])
+        }
+
     def slowdown(self, worker: cell.ListedWorker) -> float:
-        """Return the slowdown by the number of the worker."""
-        return 1.0 if int(worker.worker_id.split('-')[-1]) % 3 else 1.9
+        """Return the slowdown of a worker."""
+        return self._slowdowns[worker.worker_id]
 
     def is_mixed(self, pool: str) -> bool:
         """Return that the pool's workers differ in speed."""
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
@@ -9,6 +9,7 @@
 from walnutpoint_scheduler import _advice_targets
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _reservations
+from walnutpoint_scheduler import _selectors
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import _worker_selector
@@ -207,7 +208,8 @@
     ) -> None:
         """Request advice for a step that may start soon."""
         advice = self._context.advice
-        pool = self._context.queue_of(step.job).pool
+        queue = self._context.queue_of(step.job)
+        pool = queue.pool
         label = step.step.required_label
         feasible = [
             worker
@@ -217,8 +219,14 @@
             and worker.listed.capacity.covers(step.step.need)
             and (not label or label in worker.listed.labels)
         ]
+        feasible.sort(key=_worker.by_free_cpu)
+        speeds = _selectors.pool_speeds(self._context, pool)
+        if speeds is not None:
+            choice = speeds.choose(queue, step, ())
+            if choice is not None:
+                feasible = speeds.preferred_first(feasible, choice)
         targets = _advice_targets.select(
-            sorted(feasible, key=_worker.by_free_cpu),
+            feasible,
             lambda worker: _advice_targets.tasks_that_fit(
                 worker.free, step.step
             ),
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_candidates.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_candidates.py
@@ -20,10 +20,10 @@
         '_allows_slow',
         '_excluded',
         '_is_spread',
-        '_need',
         '_next',
         '_permitted',
         '_priority',
+        '_run_times_s',
         '_segment',
         '_segments',
         '_selector',
@@ -48,7 +48,6 @@
         self._excluded = excluded
         self._allows_slow = allows_slow
         self._step = step
-        self._need = step.need
         self._step_key = step_key
         self._priority = priority
         self._permitted = permitted
@@ -56,6 +55,7 @@
         self._is_spread = order.is_spread
         # Each speed group is used up before the next.
         self._segments = selector.segments(order, step_key)
+        self._run_times_s = selector.choices.run_times_s(step, step_key)
         self._next = [0] * len(self._segments)
         # Filtered when first used, by the number of the segment.
         self._workers: dict[int, list[_worker.WorkerState]] = {}
@@ -98,7 +98,7 @@
         Rules out most workers of a full cell at a tenth of the cost of the
         full check; safe, as free capacity only shrinks during a pass.
         """
-        permitted, millicores = self._permitted, self._need.cpu_millicores
+        permitted, millicores = self._permitted, self._step.need.cpu_millicores
         return [
             worker
             for worker in self._segments[self._segment]
@@ -110,7 +110,8 @@
         selector, step = self._selector, self._step
         if worker.worker_id == self._excluded:
             return False
-        if not selector.fits(worker, step, self._step_key, self._need):
+        run_s = self._run_times_s[self._segment]
+        if not selector.fits(worker, step, self._step_key, run_s):
             return False
         if selector.is_slow(worker, is_urgent=not self._priority):
             # A run here takes several times the wait for another worker.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -17,6 +17,7 @@
 from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import estimates
+from walnutpoint_scheduler import placement
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
@@ -51,6 +52,7 @@
         'roster',
         'run_times',
         'settings',
+        'speeds',
         'started_s',
         'suspects',
         'tasks',
@@ -84,6 +86,7 @@
         self.copies_wanted: dict[ports.TaskName, _state.TaskProgress] = {}
         self.pace = worker_pace.WorkerPace()
         self.run_times: estimates.RunTimes = estimates.DeclaredRunTimes()
+        self.speeds = placement.SpeedRegister()
         self.roster = _roster.Roster()
         self.entitlement = accounts.Entitlement()
         self.suspects = _suspects.Suspects(self.roster, clock)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_gang.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_gang.py
@@ -63,7 +63,7 @@
     ]
     candidate_sets = [
         _CandidateSet(group, True)
-        for workers in selector.gang_groups(all_workers, step.key)
+        for workers in selector.choices.gang_sets(all_workers, step.key)
         for group in _rack_groups(step.step, workers)
     ]
     if is_starved:
@@ -106,7 +106,8 @@
             continue
         if permitted is not None and worker.worker_id not in permitted:
             continue
-        free = selector.unreserved(worker, step.step.expected_s)
+        run_s = selector.choices.run_s(worker, step.step, step.key)
+        free = selector.unreserved(worker, run_s)
         task_count = free.fit_count(step.step.need)
         if step.step.per_worker_max:
             task_count = min(task_count, step.step.per_worker_max)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -67,6 +67,6 @@
         waited_s=round(waited_s, 3),
         slowdown=round(context.run_times.slowdown(worker.listed), 2),
         token=context.token,
-        **selector.decision(worker, task.step.key),
+        **selector.choices.decision(worker, task.step.key),
     )
     return run
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_preemption.py
@@ -107,7 +107,9 @@
             self._candidates[key] = self._find_candidates(queue)
             # Stable, so that nothing changes where all are equally quick.
             self._candidates[key].sort(
-                key=lambda candidate: selector.group_of(candidate.worker)
+                key=lambda candidate: selector.choices.group_of(
+                    candidate.worker
+                )
             )
         permitted = None
         if queue.advice is not None:
@@ -119,7 +121,7 @@
             and selector.is_feasible(candidate.worker, step.step)
             and selector.may_start(candidate.worker)
             and not selector.is_slow(candidate.worker, is_urgent=True)
-            and selector.may_use(candidate.worker, step.key)
+            and selector.choices.may_use(candidate.worker, step.key)
         ]
         for candidate in candidates:
             expected_free = (
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
@@ -147,7 +147,12 @@
             (self._loss_cost(worker), worker)
             for worker in selector.feasible(step.step)
             if (permitted is None or worker.worker_id in permitted)
-            and selector.fits(worker, step.step, step.key, step.step.need)
+            and selector.fits(
+                worker,
+                step.step,
+                step.key,
+                selector.choices.run_s(worker, step.step, step.key),
+            )
         ]
         candidates.sort(
             key=lambda candidate: (
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_reservations.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_reservations.py
@@ -77,19 +77,27 @@
         step: document.Step,
         step_key: str,
         count: int,
+        extra_s: collections.abc.Callable[[_worker.WorkerState], float],
     ) -> list[ReservedWorker]:
-        """Reserve the capacity that comes free first for waiting tasks.
+        """Reserve the capacity on which waiting tasks end soonest.
 
-        Return each worker once. A gang reserves for all of its members or for
-        none: a partial reservation is useless to it and blocks other steps.
+        extra_s returns how much longer a task runs on a worker than on the
+        quickest. Return each worker once. A gang reserves for all of its
+        members or for none: a partial reservation is useless to it and blocks
+        other steps.
         """
         count = count if step.gang else min(count, _RESERVED_TASKS_MAX)
-        heap = self._waits_by_worker(candidates, step, step_key, count)
+        heap = [
+            (wait_s + extra_s(worker), wait_s, number, worker, remaining)
+            for wait_s, number, worker, remaining in self._waits_by_worker(
+                candidates, step, step_key, count
+            )
+        ]
         heapq.heapify(heap)
         reserved_workers: dict[str, ReservedWorker] = {}
         reserved: list[tuple[str, float]] = []
         while heap and len(reserved) < count:
-            wait_s, number, worker, remaining = heapq.heappop(heap)
+            _, wait_s, number, worker, remaining = heapq.heappop(heap)
             reserved_workers.setdefault(
                 worker.worker_id, ReservedWorker(worker, wait_s)
             )
@@ -97,7 +105,10 @@
             self._add(worker.worker_id, _Reservation(wait_s, step.need))
             next_s = self._wait_s(worker, step)
             if next_s < math.inf and remaining > 1:
-                heapq.heappush(heap, (next_s, number, worker, remaining - 1))
+                end_s = next_s + extra_s(worker)
+                heapq.heappush(
+                    heap, (end_s, next_s, number, worker, remaining - 1)
+                )
         if not step.gang:
             return list(reserved_workers.values())
         self._drop(reserved)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_selectors.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_selectors.py
@@ -7,17 +7,19 @@
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import placement
 
-__all__ = ('PassSelectors',)
+__all__ = (
+    'PassSelectors',
+    'pool_speeds',
+)
 
 
 class PassSelectors:
     """Creates the selector of each pool when a pass first needs it."""
 
-    __slots__ = ('_by_pool', '_context', '_speeds')
+    __slots__ = ('_by_pool', '_context')
 
     def __init__(self, context: _context.Context) -> None:
         self._context = context
-        self._speeds = placement.SpeedRegister()
         self._by_pool: dict[str, _worker_selector.WorkerSelector] = {}
 
     def clear(self) -> None:
@@ -36,20 +38,24 @@
                     context.timer.now_s(),
                     context.settings.policies,
                     context.pace,
-                    self._pool_speeds(queue.pool),
+                    pool_speeds(context, queue.pool),
                 )
             )
         return selector
 
-    def _pool_speeds(self, pool: str) -> placement.PoolSpeeds | None:
-        """Return the speeds of a pool's workers; None if all are alike."""
-        context = self._context
-        if not context.settings.policies.placement_by_end:
-            return None
-        return self._speeds.speeds(
-            pool,
-            context.roster.in_pool(pool),
-            context.run_times,
-            context.timer.now_s(),
-            context.now_ms(),
-        )
+
+def pool_speeds(
+    context: _context.Context, pool: str
+) -> placement.PoolSpeeds | None:
+    """Return the speeds of a pool's workers; None if all are alike."""
+    if not context.settings.policies.placement_by_end:
+        return None
+    if not context.run_times.is_mixed(pool):
+        return None
+    return context.speeds.speeds(
+        pool,
+        list(context.roster.in_pool(pool)),
+        context.run_times,
+        context.timer.now_s(),
+        context.now_ms(),
+    )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_selector.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_selector.py
@@ -58,7 +58,6 @@
         '_by_group',
         '_by_order',
         '_by_preference',
-        '_choices',
         '_expected_open',
         '_health',
         '_now_s',
@@ -66,8 +65,8 @@
         '_pace',
         '_policies',
         '_reservations',
-        '_speeds',
         'blocked_weight',
+        'choices',
     )
 
     def __init__(
@@ -80,10 +79,7 @@
         speeds: placement.PoolSpeeds | None = None,
     ) -> None:
         self._policies = policies
-        # None while all workers count as equally quick.
-        self._speeds = speeds
-        # By step, in this pass.
-        self._choices: dict[str, placement.GroupChoice | None] = {}
+        self.choices = placement.StepChoices(speeds)
         self._pace = pace if policies.slow_workers else None
         expected_open = [w for w in workers if w.may_accept_starts]
         self._open = [w for w in expected_open if w.accepts_starts]
@@ -122,94 +118,36 @@
         permitted: PermittedWorkers,
     ) -> None:
         """Choose the speed groups that a step may use in this pass."""
-        speeds = self._speeds
-        if speeds is None or step.key in self._choices:
-            return
-        usable = [
-            number
-            for number, workers in enumerate(
-                self._grouped(WorkerOrder.FREEST, speeds)
-            )
-            if self._has_feasible(workers, step.step, permitted)
-        ]
-        self._choices[step.key] = speeds.choose(queue, step, usable)
-
-    def decision(
-        self, worker: _worker.WorkerState, step_key: str
-    ) -> dict[str, object]:
-        """Return what a step's start on a worker was decided by, to log."""
-        choice = self._choices.get(step_key)
-        if self._speeds is None or choice is None:
-            return {}
-        number = self._speeds.group_of(worker)
-        return {
-            'group': number,
-            'groups': len(choice.preference),
-            'slack_s': choice.slack_s[number],
-        }
-
-    def group_of(self, worker: _worker.WorkerState) -> int:
-        """Return the speed group of a worker, 0 for the quickest."""
-        return 0 if self._speeds is None else self._speeds.group_of(worker)
-
-    def may_use(self, worker: _worker.WorkerState, step_key: str) -> bool:
-        """Return whether a step may use the speed group of a worker."""
-        choice = self._choices.get(step_key)
-        return choice is None or self.group_of(worker) in choice.groups
-
-    def _run_s(
-        self, worker: _worker.WorkerState, step: document.Step, step_key: str
-    ) -> float:
-        """Return the expected run time of a step's task on a worker."""
-        choice = self._choices.get(step_key)
-        if choice is None or self._speeds is None:
-            return step.expected_s
-        return choice.run_s[self._speeds.group_of(worker)]
-
-    def gang_groups(
-        self, workers: list[_worker.WorkerState], step_key: str
-    ) -> Segments:
-        """Return the workers to try in turn for all members of a gang.
-
-        Each speed group that it may use, then all of these together: the
-        members end together, and those on quick workers would wait.
-        """
-        choice = self._choices.get(step_key)
-        if choice is None:
-            return [workers]
-        usable = [w for w in workers if self.group_of(w) in choice.groups]
-        return [
-            *(
-                [w for w in usable if self.group_of(w) == number]
-                for number in choice.groups
-            ),
-            usable,
-        ]
+        if self.choices.is_open(step.key):
+            usable = [
+                number
+                for number, workers in enumerate(
+                    self._grouped(WorkerOrder.FREEST)
+                )
+                if self._has_feasible(workers, step.step, permitted)
+            ]
+            self.choices.choose(queue, step, usable)
 
     def usable_share(self, step_key: str) -> float:
         """Return the share of the open workers in a step's groups."""
-        if self._choices.get(step_key) is None:
+        if self.choices.get(step_key) is None:
             return 1.0
         segments = self.segments(WorkerOrder.FREEST, step_key)
         return sum(map(len, segments)) / max(1, self.open_count)
 
     def segments(self, order: WorkerOrder, step_key: str) -> Segments:
         """Return the open workers that a step may use, by speed group."""
-        choice = self._choices.get(step_key)
-        if choice is None or self._speeds is None:
+        choice = self.choices.get(step_key)
+        if choice is None:
             return [self.in_order(order)]
-        grouped = self._grouped(order, self._speeds)
+        grouped = self._grouped(order)
         return [grouped[number] for number in choice.groups]
 
-    def _grouped(
-        self, order: WorkerOrder, speeds: placement.PoolSpeeds
-    ) -> Segments:
+    def _grouped(self, order: WorkerOrder) -> Segments:
         """Return the open workers of each group, sorted once per pass."""
         grouped = self._by_group.get(order)
         if grouped is None:
-            grouped = [[] for _ in speeds.groups.slowdowns]
-            for worker in self.in_order(order):
-                grouped[speeds.group_of(worker)].append(worker)
+            grouped = self.choices.grouped(self.in_order(order))
             self._by_group[order] = grouped
         return grouped
 
@@ -220,7 +158,7 @@
         count: int,
         permitted: PermittedWorkers,
     ) -> list[_reservations.ReservedWorker]:
-        """Reserve the capacity that comes free first for waiting tasks.
+        """Reserve the capacity on which waiting tasks end soonest.
 
         Only in the groups that the step may use, in their order.
         """
@@ -234,7 +172,13 @@
             and self.is_feasible(worker, step)
             and self.may_start(worker)
         )
-        return self._reservations.reserve(candidates, step, step_key, count)
+        return self._reservations.reserve(
+            candidates,
+            step,
+            step_key,
+            count,
+            lambda worker: self.choices.extra_s(worker, step_key),
+        )
 
     def advice_candidates(
         self, step: document.Step, step_key: str = ''
@@ -244,14 +188,12 @@
         The groups that the step prefers come first, and the freest workers
         within each.
         """
-        choice = self._choices.get(step_key)
+        choice = self.choices.get(step_key)
         preference = () if choice is None else choice.preference
         workers = self._by_preference.get(preference)
         if workers is None:
-            workers = sorted(self._expected_open, key=_worker.by_free_cpu)
-            if preference:
-                ranks = {group: n for n, group in enumerate(preference)}
-                workers.sort(key=lambda worker: ranks[self.group_of(worker)])
+            by_free_cpu = sorted(self._expected_open, key=_worker.by_free_cpu)
+            workers = self.choices.preferred_first(by_free_cpu, step_key)
             self._by_preference[preference] = workers
         return (w for w in workers if self.is_feasible(w, step))
 
@@ -282,11 +224,13 @@
         worker: _worker.WorkerState,
         step: document.Step,
         step_key: str,
-        need: resources.Resources,
+        run_s: float,
     ) -> bool:
-        """Return whether one task of a step fits on a worker now."""
-        duration_s = self._run_s(worker, step, step_key)
-        if not self.unreserved(worker, duration_s).covers(need):
+        """Return whether one task of a step fits on a worker now.
+
+        run_s is the expected run time there.
+        """
+        if not self.unreserved(worker, run_s).covers(step.need):
             return False
         if not self.is_feasible(worker, step):
             return False
@@ -328,12 +272,15 @@
         """
         if not self.may_start(worker):
             return 0
-        if not self.may_use(worker, step_key):
+        if not self.choices.may_use(worker, step_key):
             return 0
         if is_urgent and self.is_slow(worker, is_urgent=True):
             return 0
         count = _advice_targets.tasks_that_fit(
-            self.unreserved(worker, self._run_s(worker, step, step_key)), step
+            self.unreserved(
+                worker, self.choices.run_s(worker, step, step_key)
+            ),
+            step,
         )
         if step.per_worker_max:
             remaining = step.per_worker_max - worker.step_counts[step_key]
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/__init__.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/__init__.py
@@ -6,6 +6,7 @@
 from walnutpoint_scheduler.placement import _groups
 from walnutpoint_scheduler.placement import _outlook
 from walnutpoint_scheduler.placement import _pool_speeds
+from walnutpoint_scheduler.placement import _step_choices
 
 __all__ = (
     'GroupChoice',
@@ -13,6 +14,7 @@
     'PoolSpeeds',
     'SpeedGroups',
     'SpeedRegister',
+    'StepChoices',
     'choose',
     'find_groups',
     'largest_factor',
@@ -24,6 +26,7 @@
 PoolSpeeds = _pool_speeds.PoolSpeeds
 SpeedGroups = _groups.SpeedGroups
 SpeedRegister = _pool_speeds.SpeedRegister
+StepChoices = _step_choices.StepChoices
 choose = _choice.choose
 find_groups = _groups.find_groups
 largest_factor = _outlook.largest_factor
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_choice.py
@@ -33,6 +33,15 @@
     run_s: tuple[float, ...]
     slack_s: tuple[float, ...]
 
+    def extra_s(self, number: int) -> float:
+        """Return how much longer a task takes than in the quickest group.
+
+        None longer for work with slack, for which any end in time will do.
+        """
+        if self.is_slow_first:
+            return 0.0
+        return self.run_s[number] - self.run_s[min(self.groups)]
+
 
 def choose(
     outlook: _outlook.Outlook,
@@ -72,8 +81,5 @@
         tuple(may_use + others),
         is_slow_first,
         tuple(outlook.task_s * slowdown for slowdown in slowdowns),
-        tuple(
-            round(left_s - outlook.largest_s * slowdown, 2)
-            for slowdown in slowdowns
-        ),
+        tuple(left_s - outlook.largest_s * slowdown for slowdown in slowdowns),
     )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_pool_speeds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_pool_speeds.py
@@ -37,12 +37,14 @@
         '_now_ms',
         '_now_s',
         '_run_times',
+        '_usual',
         'groups',
     )
 
     def __init__(
         self,
         groups: _groups.SpeedGroups,
+        workers: collections.abc.Iterable[_worker.WorkerState],
         run_times: estimates.RunTimes,
         now_s: float,
         now_ms: float,
@@ -51,16 +53,17 @@
         self._run_times = run_times
         self._now_s = now_s
         self._now_ms = now_ms
-        self._group_by_worker: dict[str, int] = {}
+        self._group_by_worker = {
+            worker.worker_id: groups.number_of(
+                run_times.slowdown(worker.listed)
+            )
+            for worker in workers
+        }
+        self._usual = groups.number_of(1.0)
 
     def group_of(self, worker: _worker.WorkerState) -> int:
         """Return the number of a worker's group, 0 for the quickest."""
-        number = self._group_by_worker.get(worker.worker_id)
-        if number is None:
-            slowdown = self._run_times.slowdown(worker.listed)
-            number = self.groups.number_of(slowdown)
-            self._group_by_worker[worker.worker_id] = number
-        return number
+        return self._group_by_worker.get(worker.worker_id, self._usual)
 
     def choose(
         self,
@@ -79,6 +82,15 @@
         )
         return _choice.choose(outlook, self.groups, permitted)
 
+    def preferred_first(
+        self,
+        workers: list[_worker.WorkerState],
+        choice: _choice.GroupChoice,
+    ) -> list[_worker.WorkerState]:
+        """Return workers in the order of groups that a step prefers."""
+        ranks = {number: n for n, number in enumerate(choice.preference)}
+        return sorted(workers, key=lambda worker: ranks[self.group_of(worker)])
+
 
 class SpeedRegister:
     """Finds the speed groups of mixed pools, and logs their changes."""
@@ -93,15 +105,12 @@
     def speeds(
         self,
         pool: str,
-        workers: collections.abc.Iterable[_worker.WorkerState],
+        workers: collections.abc.Sequence[_worker.WorkerState],
         run_times: estimates.RunTimes,
         now_s: float,
         now_ms: float,
     ) -> PoolSpeeds | None:
-        """Return the speeds of a pool, or None if its workers are alike."""
-        if not run_times.is_mixed(pool):
-            self._found.pop(pool, None)
-            return None
+        """Return the speeds of a mixed pool; None if it is one group."""
         found = self._found.get(pool)
         if found is None or now_s - found[0] >= _REFRESH_S:
             groups = _groups.find_groups(
@@ -111,7 +120,7 @@
             self._log(pool, groups, now_s)
         if len(found[1].slowdowns) < 2:
             return None
-        return PoolSpeeds(found[1], run_times, now_s, now_ms)
+        return PoolSpeeds(found[1], workers, run_times, now_s, now_ms)
 
     def _log(
         self, pool: str, groups: _groups.SpeedGroups, now_s: float
--- a/tests/walnutpoint_scheduler/placement/mixed_pool.py
+++ b/tests/walnutpoint_scheduler/placement/mixed_pool.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import collections.abc
-import contextlib
 import random
+import statistics
 import typing
 from unittest import mock
 
@@ -19,6 +19,7 @@
 SLOWDOWN = 1.9
 URGENT_S, BATCH_S = 0.85, 4.0
 TAIL_SHARE, TAIL_FACTOR = 0.03, 7.0
+TICK_S = 0.05
 
 
 class FakeRunTimes(estimates.DeclaredRunTimes):
@@ -57,7 +58,8 @@
         self._sizes_s: dict[ports.TaskName, float] = {}
         self._submitted: dict[str, tuple[float, float]] = {}
         self._ended_s: dict[str, float] = {}
-        self._starts = {True: 0, False: 0}
+        # Whether each urgent task started on a slow worker.
+        self._on_slow: list[bool] = []
         self.bed.run_time_s = self._sizes_s.__getitem__
         self.bed.fleet.ledger.on_start = self._count_start
         for number in range(workers):
@@ -73,11 +75,16 @@
         self.bed.fleet.workers[worker_id].slowdown_factor = slowdown
         self.run_times.slowdowns[worker_id] = slowdown
 
+    def _swap_speeds(self) -> None:
+        for number in range(len(self.run_times.slowdowns)):
+            is_slow = self.run_times.slowdowns[f'worker-{number}'] > 1.0
+            self.set_slowdown(number, 1.0 if is_slow else SLOWDOWN)
+
     def _count_start(self, task: ports.TaskName, worker: str) -> None:
         if task.job_id in self._submitted:
-            self._starts[self.run_times.slowdowns[worker] > 1.0] += 1
+            self._on_slow.append(self.run_times.slowdowns[worker] > 1.0)
 
-    def _submit(self, number: int, queue: cell.Queue, count: int) -> None:
+    def _submit(self, queue: cell.Queue, count: int) -> None:
         usual_s = BATCH_S if queue.priority else URGENT_S
         step = harness.step(
             count,
@@ -85,9 +92,9 @@
             estimate_ms=int(usual_s * 1000),
             checkpoints=bool(queue.priority),
         )
-        job = harness.job(
-            number, step, queue=queue, accepted_ms=self.bed.now_ms()
-        )
+        number = len(self._sizes_s)
+        accepted_ms = self.bed.now_ms()
+        job = harness.job(number, step, queue=queue, accepted_ms=accepted_ms)
         largest_s = 0.0
         for index in range(count):
             size_s = usual_s * self._random.lognormvariate(0.0, 0.5)
@@ -111,25 +118,18 @@
         self, duration_s: float, urgent_s: float, batch_s: float
     ) -> None:
         """Submit jobs at given intervals."""
-        next_s = [0.0, 0.0]
-        elapsed_s = 0.0
-        number = len(self._sizes_s)
-        while elapsed_s < duration_s:
-            number += 1
-            if next_s[0] <= elapsed_s:
-                next_s[0] += urgent_s
-                self._submit(number, harness.QUEUE, 10)
-            elif next_s[1] <= elapsed_s:
-                next_s[1] += batch_s
-                self._submit(number, harness.BATCH, 17)
-            else:
-                await anyio.sleep(0.05)
-                elapsed_s += 0.05
+        for tick in range(round(duration_s / TICK_S)):
+            if not tick % round(urgent_s / TICK_S):
+                self._submit(harness.QUEUE, 10)
+            if not tick % round(batch_s / TICK_S):
+                self._submit(harness.BATCH, 17)
+            await anyio.sleep(TICK_S)
 
     def run(
         self,
         *loads: tuple[float, float, float],
         naive: bool = False,
+        swaps_speeds: bool = False,
         **policies: typing.Any,
     ) -> tuple[float, float]:
         """Return the shares of urgent jobs in time and of slow starts."""
@@ -143,26 +143,21 @@
                 tasks.start_soon(self._record_ends)
                 for load in loads:
                     await self._load(*load)
+                    if swaps_speeds:
+                        self._swap_speeds()
                 await anyio.sleep(12.0)
                 tasks.cancel_scope.cancel()
 
-        with contextlib.ExitStack() as patches:
-            patches.enter_context(
-                mock.patch.object(
-                    estimates, 'DeclaredRunTimes', lambda: self.run_times
-                )
-            )
-            if naive:
-                patches.enter_context(
-                    mock.patch(
-                        'walnutpoint_scheduler.placement._choice.choose',
-                        choose_quick_first,
-                    )
-                )
+        rule = choose_quick_first if naive else placement.choose
+        with (
+            mock.patch.object(
+                estimates, 'DeclaredRunTimes', lambda: self.run_times
+            ),
+            mock.patch(f'{placement.__name__}._choice.choose', rule),
+        ):
             harness.run_virtual(scenario)
         in_time = sum(
             self._ended_s.get(job_id, 1e9) - submitted_s <= objective_s
             for job_id, (submitted_s, objective_s) in self._submitted.items()
         )
-        starts = self._starts[True] + self._starts[False]
-        return in_time / len(self._submitted), self._starts[True] / starts
+        return in_time / len(self._submitted), statistics.mean(self._on_slow)
--- a/tests/walnutpoint_scheduler/placement/test_choice.py
+++ b/tests/walnutpoint_scheduler/placement/test_choice.py
@@ -2,27 +2,22 @@
 
 from __future__ import annotations
 
+import dataclasses
 import random
+import typing
 import unittest
 
 from walnutpoint_scheduler import placement
 
 GROUPS = placement.SpeedGroups((1.0, 1.9), (1.4,))
+OUTLOOK = placement.Outlook(True, 1.0, 2.0, 3.0, 9.0, 0.0)
 
 
 def _choose(
-    permitted: tuple[int, ...] = (0, 1), **fields: float
+    permitted: tuple[int, ...] = (0, 1), **fields: typing.Any
 ) -> tuple[int, ...]:
     """Return the groups for a step of tasks of 1 s, the largest of 2 s."""
-    values = {
-        'is_urgent': True,
-        'task_s': 1.0,
-        'largest_s': 2.0,
-        'in_time_s': 3.0,
-        'useful_s': 9.0,
-        'waited_s': 0.0,
-    }
-    outlook = placement.Outlook(**(values | fields))  # type: ignore[arg-type]
+    outlook = dataclasses.replace(OUTLOOK, **fields)
     return placement.choose(outlook, GROUPS, permitted).groups
 
 
