--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
@@ -10,6 +10,7 @@
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _placement_order
 from walnutpoint_scheduler import _reservations
+from walnutpoint_scheduler import _selectors
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import _worker_selector
@@ -271,8 +272,14 @@
             and worker.listed.capacity.covers(step.step.need)
             and (not label or label in worker.listed.labels)
         ]
+        feasible.sort(key=_worker.by_free_cpu)
+        speeds = _selectors.pool_speeds(self._context, pool)
+        if speeds is not None:
+            choice = speeds.choose(queue, step, ())
+            if choice is not None:
+                feasible = speeds.preferred_first(feasible, choice)
         targets = _advice_targets.select(
-            sorted(feasible, key=_worker.by_free_cpu),
+            feasible,
             lambda worker: _advice_targets.tasks_that_fit(
                 worker.free, step.step
             ),
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -19,6 +19,7 @@
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import estimates
 from walnutpoint_scheduler import overload
+from walnutpoint_scheduler import placement
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_health
@@ -57,6 +58,7 @@
         'roster',
         'run_times',
         'settings',
+        'speeds',
         'started_s',
         'suspects',
         'tasks',
@@ -95,6 +97,7 @@
         self.overload = overload.Overload()
         # Whether useful steps need advice, so that useless ones request none.
         self.is_advice_contended = False
+        self.speeds = placement.SpeedRegister()
         self.roster = _roster.Roster()
         self.entitlement = accounts.Entitlement()
         self.suspects = _suspects.Suspects(self.roster, clock)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -72,6 +72,6 @@
         waited_s=round(waited_s, 3),
         slowdown=round(slowdown, 2),
         token=context.token,
-        **selector.decision(worker, task.step.key),
+        **selector.choices.decision(worker, task.step.key),
     )
     return run
