Share an overloaded pool between accounts and size classes

The served set chose by size alone: an account that sends seven times its usual load delayed the others, and large jobs hardly ended.

A job of the account furthest above its weighted share of use leaves the set first, and outside the set its work counts more. Classes of large jobs that end usefully less than half as often as the rest of their queue go earlier outside the set until they have caught up.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ready.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ready.py
@@ -32,7 +32,7 @@
         context = self._context
         now_ms = context.now_ms()
         policies = context.settings.policies
-        self._compute_overload(now_ms)
+        self._compute_overload()
         queued_steps = []
         for job in context.open_jobs.values():
             queue = context.queue_of(job)
@@ -59,22 +59,13 @@
         queued_steps.sort(key=lambda queued: queued.rank)
         return queued_steps
 
-    def _compute_overload(self, now_ms: float) -> None:
+    def _compute_overload(self) -> None:
         """Compute which jobs are served, if that is due."""
         context = self._context
         policies = context.settings.policies
         now_s = context.timer.now_s()
         if policies.served_set and context.overload.is_due(now_s):
-            context.overload.compute(
-                list(context.open_jobs.values()),
-                context.roster.workers.values(),
-                context.queue_of,
-                context.run_times,
-                now_s,
-                now_ms,
-                policies.owed_first,
-            )
-            context.overload.record_cost(context.timer.now_s() - now_s)
+            context.overload.compute(context)
 
     def promoted(
         self,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/accounts/__init__.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/accounts/__init__.py
@@ -4,6 +4,7 @@
 
 from walnutpoint_scheduler.accounts import _account
 from walnutpoint_scheduler.accounts import _entitlement
+from walnutpoint_scheduler.accounts import _recent_use
 from walnutpoint_scheduler.accounts import _register
 from walnutpoint_scheduler.accounts import _usage
 
@@ -11,6 +12,7 @@
     'Account',
     'Accounts',
     'Entitlement',
+    'RecentUse',
     'Usage',
     'conflicts',
     'digest',
@@ -19,6 +21,7 @@
 Account = _account.Account
 Accounts = _register.Accounts
 Entitlement = _entitlement.Entitlement
+RecentUse = _recent_use.RecentUse
 Usage = _usage.Usage
 digest = _account.digest
 conflicts = _register.conflicts
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_demand.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_demand.py
@@ -15,6 +15,7 @@
     'JobDemand',
     'demand_of',
     'running_share',
+    'whole_pool_s',
 )
 
 _MS_PER_S: typing.Final = 1000.0
@@ -108,6 +109,18 @@
     return share
 
 
+def whole_pool_s(
+    job: _state.JobProgress, pool_capacity: resources.Resources
+) -> float:
+    """Return the declared work of a job, done or not."""
+    return sum(
+        step.task_count
+        * step.expected_s
+        * step.need.dominant_share(pool_capacity)
+        for step in job.document.steps
+    )
+
+
 class _StepRest(typing.NamedTuple):
     """Remaining times of a step's tasks: the longest, and sums."""
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
@@ -1,81 +1,68 @@
-"""Keeps the served sets of a term, and the rank class of each job."""
+"""Keeps the served sets of a term, and the standing of each job."""
 
 from __future__ import annotations
 
 import collections.abc
-import dataclasses
-import enum
 import typing
 
-from walnutpoint_core import logs
 from walnutpoint_scheduler import _state
-from walnutpoint_scheduler import _worker
-from walnutpoint_scheduler import cell
-from walnutpoint_scheduler import estimates
+from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler.overload import _demand
+from walnutpoint_scheduler.overload import _leaving
 from walnutpoint_scheduler.overload import _pool_use
 from walnutpoint_scheduler.overload import _served_set
+from walnutpoint_scheduler.overload import _set_log
+from walnutpoint_scheduler.overload import _size_classes
+from walnutpoint_scheduler.overload import _standing
 
-__all__ = (
-    'Overload',
-    'Place',
-    'Standing',
-)
+if typing.TYPE_CHECKING:
+    from walnutpoint_scheduler import _context
 
-_LOG: typing.Final = logs.get_logger('overload')
-# Time between two computations, and after a job that the last one lacks.
+__all__ = ('Overload',)
+
+# Time between two computations, and in an overload after a job that the last
+# one lacks.
 _PERIOD_S: typing.Final = 0.25
 _NEW_JOB_PERIOD_S: typing.Final = 0.1
 # Most of a processor that the computations may take: on a slow host they are
 # less frequent.
 _COST_SHARE: typing.Final = 0.04
-_LOG_PERIOD_S: typing.Final = 1.0
 # Waiting work that would occupy a whole pool for this long keeps it full.
 _FULL_S: typing.Final = 0.5
 
 
-class Place(enum.Enum):
-    """Where a job stands in an overload."""
-
-    SERVED = 'served'
-    # Left out of the set.
-    DROPPED = 'dropped'
-    # Late by its own chain.
-    LATE = 'late'
-    USELESS = 'useless'
-
-
-_TIER_BY_PLACE: typing.Final = {
-    Place.SERVED: 0,
-    Place.DROPPED: 1,
-    Place.LATE: 1,
-    Place.USELESS: 2,
-}
-
-
-class Standing(typing.NamedTuple):
-    """A job's position among the others of its pool and priority."""
+class _Jobs:
+    """What the open jobs demand and use, at one time."""
 
-    tier: int
-    # Within the tier; the lowest goes first.
-    order: float
-    place: Place
+    __slots__ = ('groups', 'share_by_account', 'share_by_priority', 'weights')
 
+    def __init__(self) -> None:
+        self.groups: dict[_set_log.Group, list[_demand.JobDemand]] = {}
+        # By pool, and by priority or None for lasting work.
+        self.share_by_priority: dict[str, dict[int | None, float]] = {}
+        # By pool and priority, and by account.
+        self.share_by_account: dict[tuple[str, int], dict[str, float]] = {}
+        self.weights: dict[str, float] = {}
+
+    def add_use(self, pool: str, priority: int | None, share: float) -> None:
+        """Add the share of a pool that a job's runs book."""
+        shares = self.share_by_priority.setdefault(pool, {})
+        shares[priority] = shares.get(priority, 0.0) + share
+
+    def add_demand(
+        self, group: _set_log.Group, demand: _demand.JobDemand
+    ) -> None:
+        """Add the demand of a job to its group."""
+        self.groups.setdefault(group, []).append(demand)
+        key = group.pool, group.priority
+        shares = self.share_by_account.setdefault(key, {})
+        shares[demand.account] = (
+            shares.get(demand.account, 0.0) + demand.running_share
+        )
 
-class _Group(typing.NamedTuple):
-    """Jobs that compete for the same share of a pool."""
-
-    pool: str
-    priority: int
-    is_owed: bool
-
-
-@dataclasses.dataclass(slots=True)
-class _GroupLog:
-    """What was logged last about a group."""
-
-    logged_s: float
-    counts: tuple[int, ...]
+    def waiting_pool_s(self, group: _set_log.Group) -> float:
+        """Return the waiting work of a group."""
+        return sum(each.waiting_pool_s for each in self.groups.get(group, ()))
 
 
 class Overload:
@@ -84,12 +71,14 @@
     __slots__ = (
         '_computed_s',
         '_cost_s',
-        '_group_logs',
         '_has_new_job',
         '_known',
+        '_log',
+        '_pool_use',
+        '_recent_use',
+        '_sizes',
         '_standings',
         '_waiting_pool_s',
-        'pool_use',
     )
 
     def __init__(self) -> None:
@@ -97,15 +86,18 @@
         self._cost_s = 0.0
         self._known: frozenset[str] = frozenset()
         self._has_new_job = False
-        self._standings: dict[str, Standing] = {}
-        self._group_logs: dict[_Group, _GroupLog] = {}
+        self._standings: dict[str, _standing.Standing] = {}
+        self._log = _set_log.SetLog()
+        self._sizes = _size_classes.SizeClasses()
+        self._pool_use: dict[str, _pool_use.PoolUse] = {}
+        # By pool and priority.
+        self._recent_use: dict[tuple[str, int], accounts.RecentUse] = {}
         # Waiting work by pool, as computed last.
         self._waiting_pool_s: dict[str, float] = {}
-        self.pool_use: dict[str, _pool_use.PoolUse] = {}
 
-    def standing(self, job_id: str) -> Standing | None:
+    def standing(self, job_id: str) -> _standing.Standing | None:
         """Return a job's standing; None while its pool serves every job."""
-        if job_id not in self._known:
+        if self._standings and job_id not in self._known:
             self._has_new_job = True
         return self._standings.get(job_id)
 
@@ -117,172 +109,131 @@
         period_s = max(period_s, self._cost_s / _COST_SHARE)
         return now_s - self._computed_s >= period_s
 
-    def record_cost(self, cost_s: float) -> None:
-        """Record how long the last computation took."""
-        self._cost_s = cost_s
+    def compute(self, context: _context.Context) -> None:
+        """Compute the served set of each pool and priority."""
+        now_s, now_ms = context.timer.now_s(), context.now_ms()
+        samples = _pool_use.sample_pools(context.roster.workers.values())
+        jobs = self._read_jobs(context, samples, now_s)
+        self._observe(samples, jobs, now_s)
+        self._record_ends(context, now_ms)
+        before, self._standings = self._standings, {}
+        policies = context.settings.policies
+        # Owed jobs first, as they go ahead of the others.
+        for group in sorted(jobs.groups, key=lambda each: not each.is_owed):
+            self._select(jobs, group, policies.fair_shares, now_s, now_ms)
+        _set_log.log_jobs(before, self._standings, self._sizes.served_share)
+        self._known = frozenset(context.open_jobs)
+        self._has_new_job = False
+        self._computed_s = now_s
+        self._cost_s = context.timer.now_s() - now_s
 
-    def compute(
+    def _read_jobs(
         self,
-        jobs: collections.abc.Sequence[_state.JobProgress],
-        workers: collections.abc.Iterable[_worker.WorkerState],
-        queue_of: collections.abc.Callable[[_state.JobProgress], cell.Queue],
-        run_times: estimates.RunTimes,
+        context: _context.Context,
+        samples: collections.abc.Mapping[str, _pool_use.PoolSample],
         now_s: float,
-        now_ms: float,
-        owed_first: bool = True,
-    ) -> None:
-        """Compute the served set of each pool and priority."""
-        samples = _pool_use.sample_pools(workers)
-        groups: dict[_Group, list[_demand.JobDemand]] = {}
-        shares: dict[str, dict[int | None, float]] = {}
-        for job in jobs:
-            queue, document = queue_of(job), job.document
+    ) -> _Jobs:
+        """Return what the open jobs demand and use."""
+        jobs = _Jobs()
+        owed_first = context.settings.policies.owed_first
+        for job in context.open_jobs.values():
+            queue, document = context.queue_of(job), job.document
             sample = samples.get(queue.pool)
             if sample is None:
                 continue
-            priority = None if document.lasting else queue.priority
             if document.lasting or document.occurrence_count:
                 share = _demand.running_share(job, sample.capacity)
-            else:
-                demand = _demand.demand_of(
-                    job, queue, sample.capacity, run_times, now_s
-                )
-                is_owed = job.is_owed or not owed_first
-                group = _Group(queue.pool, queue.priority, is_owed)
-                groups.setdefault(group, []).append(demand)
-                share = demand.running_share
-            pool_shares = shares.setdefault(queue.pool, {})
-            pool_shares[priority] = pool_shares.get(priority, 0.0) + share
-        self._observe(samples, shares, now_s)
-        self._select(groups, now_s, now_ms)
-        self._known = frozenset(job.document.job_id for job in jobs)
-        self._has_new_job = False
-        self._computed_s = now_s
+                priority = None if document.lasting else queue.priority
+                jobs.add_use(queue.pool, priority, share)
+                continue
+            demand = _demand.demand_of(
+                job, queue, sample.capacity, context.run_times, now_s
+            )
+            is_owed = job.is_owed or not owed_first
+            group = _set_log.Group(queue.pool, queue.priority, is_owed)
+            jobs.add_demand(group, demand)
+            jobs.add_use(queue.pool, queue.priority, demand.running_share)
+            account = context.account_of(job)
+            if account is not None:
+                jobs.weights[account.name] = account.weight
+            if not self._sizes.is_open(document.job_id):
+                whole_pool_s = _demand.whole_pool_s(job, sample.capacity)
+                self._sizes.add(queue.name, demand, whole_pool_s)
+        return jobs
 
     def _observe(
         self,
-        samples: dict[str, _pool_use.PoolSample],
-        shares: dict[str, dict[int | None, float]],
+        samples: collections.abc.Mapping[str, _pool_use.PoolSample],
+        jobs: _Jobs,
         now_s: float,
     ) -> None:
-        """Update the average use of each pool."""
+        """Update the averages of what priorities and accounts use."""
         for pool, sample in samples.items():
             is_full = self._waiting_pool_s.get(pool, 0.0) > _FULL_S
-            use = self.pool_use.setdefault(pool, _pool_use.PoolUse())
-            pool_shares = shares.get(pool, {})
-            use.add(sample.booked_share, pool_shares, is_full, now_s)
+            use = self._pool_use.setdefault(pool, _pool_use.PoolUse())
+            shares = jobs.share_by_priority.get(pool, {})
+            use.add(sample.booked_share, shares, is_full, now_s)
+        for key in {*self._recent_use, *jobs.share_by_account}:
+            recent = self._recent_use.setdefault(key, accounts.RecentUse())
+            recent.add(jobs.share_by_account.get(key, {}), now_s)
+        self._waiting_pool_s = {}
+        for group in jobs.groups:
+            waiting_pool_s = self._waiting_pool_s.get(group.pool, 0.0)
+            waiting_pool_s += jobs.waiting_pool_s(group)
+            self._waiting_pool_s[group.pool] = waiting_pool_s
+
+    def _record_ends(self, context: _context.Context, now_ms: float) -> None:
+        """Record which jobs have ended, and compare the size classes."""
+        for job_id in self._sizes.open_ids():
+            if job_id in context.open_jobs:
+                continue
+            job = context.jobs.get(job_id)
+            is_done = job is not None and job.state is _state.JobState.DONE
+            self._sizes.record_end(job_id, is_done, now_ms)
+        self._sizes.update(now_ms)
 
     def _select(
         self,
-        groups: dict[_Group, list[_demand.JobDemand]],
+        jobs: _Jobs,
+        group: _set_log.Group,
+        fair_shares: bool,
         now_s: float,
         now_ms: float,
     ) -> None:
-        """Select the set of each group, and log what has changed."""
-        before = self._standings
-        self._standings = {}
-        self._waiting_pool_s = {}
-        # Owed jobs first, as they go ahead of the others.
-        for group in sorted(groups, key=lambda each: not each.is_owed):
-            demands = groups[group]
+        """Select the set of one group."""
+        use = self._pool_use[group.pool]
+        rate = use.rate(group.priority)
+        ahead_pool_s = 0.0
+        if not group.is_owed:
             owed_group = group._replace(is_owed=True)
-            ahead_pool_s = 0.0
-            if owed_group != group:
-                ahead_pool_s = _waiting_pool_s(groups.get(owed_group, ()))
-            rate = self.pool_use[group.pool].rate(group.priority)
-            selection = _served_set.select(demands, rate, now_ms, ahead_pool_s)
-            self._waiting_pool_s[group.pool] = self._waiting_pool_s.get(
-                group.pool, 0.0
-            ) + _waiting_pool_s(demands)
-            if selection.is_overloaded:
-                self._standings.update(_standings(selection))
-            self._log_group(group, selection, rate, now_s)
-        _log_jobs(before, self._standings)
-
-    def _log_group(
-        self,
-        group: _Group,
-        selection: _served_set.Selection,
-        rate: float,
-        now_s: float,
-    ) -> None:
-        """Log a group's set when it has changed, at most once a second."""
-        counts = (
-            int(selection.is_overloaded),
-            len(selection.served),
-            len(selection.dropped),
-            len(selection.late),
-            len(selection.useless),
-        )
-        last = self._group_logs.get(group)
-        was_overloaded = last is not None and bool(last.counts[0])
-        if not selection.is_overloaded and not was_overloaded:
-            return
-        if last is not None and (
-            now_s - last.logged_s < _LOG_PERIOD_S or last.counts == counts
-        ):
-            return
-        self._group_logs[group] = _GroupLog(now_s, counts)
-        _LOG.info(
-            'overload.set',
-            pool=group.pool,
-            priority=group.priority,
-            owed=group.is_owed,
-            overloaded=selection.is_overloaded,
-            jobs=sum(counts[1:]),
-            served=counts[1],
-            dropped=counts[2],
-            late=counts[3],
-            useless=counts[4],
-            rate=round(rate, 3),
-            utilization=round(self.pool_use[group.pool].utilization, 3),
-            served_drain_s=round(selection.served_drain_s, 2),
-            drain_s=round(selection.drain_s, 2),
-        )
-
-
-def _waiting_pool_s(
-    demands: collections.abc.Iterable[_demand.JobDemand],
-) -> float:
-    return sum(demand.waiting_pool_s for demand in demands)
-
-
-def _standings(
-    selection: _served_set.Selection,
-) -> collections.abc.Iterator[tuple[str, Standing]]:
-    """Return the standing of each job of an overloaded pool.
-
-    Outside the set, the least remaining work goes first. Begun jobs have no
-    precedence beyond that, as it would serve large jobs first.
-    """
-    for demand in selection.served:
-        yield _standing(demand, Place.SERVED, demand.deadline_ms)
-    for demand in selection.dropped:
-        yield _standing(demand, Place.DROPPED, demand.work_pool_s)
-    for demand in selection.late:
-        yield _standing(demand, Place.LATE, demand.work_pool_s)
-    for demand in selection.useless:
-        yield _standing(demand, Place.USELESS, demand.work_pool_s)
-
-
-def _standing(
-    demand: _demand.JobDemand, place: Place, order: float
-) -> tuple[str, Standing]:
-    return demand.job_id, Standing(_TIER_BY_PLACE[place], order, place)
-
-
-def _log_jobs(before: dict[str, Standing], after: dict[str, Standing]) -> None:
-    """Log the jobs that have moved to another place."""
-    for job_id, standing in after.items():
-        former = before.get(job_id)
-        if former is not None and former.place is standing.place:
-            continue
-        if former is None and standing.place is Place.SERVED:
-            continue
-        _LOG.info(
-            'overload.job',
-            job=job_id,
-            place=standing.place.value,
-            former='-' if former is None else former.place.value,
-            order=round(standing.order, 4),
+            ahead_pool_s = jobs.waiting_pool_s(owed_group)
+        levels = self._levels(jobs, group) if fair_shares else None
+        selection = _served_set.select(
+            jobs.groups[group],
+            rate,
+            now_ms,
+            ahead_pool_s,
+            _leaving.Leaving(levels),
         )
+        if selection.is_overloaded:
+            self._standings.update(
+                _standing.standings(
+                    selection, self._sizes.served_share, levels
+                )
+            )
+        self._log.log_set(group, selection, rate, use.utilization, now_s)
+
+    def _levels(
+        self, jobs: _Jobs, group: _set_log.Group
+    ) -> _leaving.ShareLevels:
+        """Return what each account uses and has used of a priority's share."""
+        key = group.pool, group.priority
+        used_pool_s = self._recent_use[key].pool_s()
+        for is_owed in (True, False):
+            demands = jobs.groups.get(group._replace(is_owed=is_owed), ())
+            for demand in demands:
+                used_pool_s[demand.account] = (
+                    used_pool_s.get(demand.account, 0.0)
+                    + demand.running_pool_s
+                )
+        return _leaving.ShareLevels(used_pool_s, jobs.weights)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_served_set.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_served_set.py
@@ -9,15 +9,13 @@
 
 import collections.abc
 import dataclasses
-import heapq
 import typing
 
 from walnutpoint_scheduler.overload import _demand
+from walnutpoint_scheduler.overload import _leaving
 
 __all__ = (
-    'LeaveOrder',
     'Selection',
-    'by_work',
     'select',
 )
 
@@ -34,13 +32,6 @@
 _OVERLOAD_SHARE: typing.Final = 0.5
 
 
-class LeaveOrder(typing.Protocol):
-    """Decides which of several jobs leaves the set first."""
-
-    def __call__(self, demand: _demand.JobDemand) -> tuple[float, ...]:
-        """Return a key that is greatest for the first job to leave."""
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Selection:
     """The jobs of one pool and priority by what can be expected of them."""
@@ -60,36 +51,30 @@
     is_overloaded: bool
 
 
-def by_work(demand: _demand.JobDemand) -> tuple[float, ...]:
-    """Let jobs leave that have not begun, and take most of the pool."""
-    return (float(not demand.is_begun), demand.work_pool_s)
-
-
 def select(
     demands: collections.abc.Collection[_demand.JobDemand],
     rate: float,
     now_ms: float,
     ahead_pool_s: float = 0.0,
-    leave_order: LeaveOrder = by_work,
+    members: _leaving.Leaving | None = None,
 ) -> Selection:
     """Choose as many jobs as can end in time (Moore and Hodgson's rule).
 
     rate is the share of the pool that serves them, and ahead_pool_s the
-    waiting work that goes before all of them.
+    waiting work that goes before all of them. members decides which job
+    leaves first; by default the one that takes most of the pool.
     """
+    members = members or _leaving.Leaving()
     candidates, late, useless = _split(demands, now_ms)
-    # A heap of the jobs in the set, with the first to leave on top.
-    members: list[tuple[tuple[float, ...], str, _demand.JobDemand]] = []
     dropped: set[str] = set()
     waiting_pool_s = ahead_pool_s
     for demand in candidates:
-        key = tuple(-value for value in leave_order(demand))
-        heapq.heappush(members, (key, demand.job_id, demand))
+        members.push(demand)
         waiting_pool_s += demand.waiting_pool_s
         while demand.job_id not in dropped and not _ends_in_time(
             demand, waiting_pool_s / rate, now_ms
         ):
-            leaving = heapq.heappop(members)[-1]
+            leaving = members.pop()
             dropped.add(leaving.job_id)
             waiting_pool_s -= leaving.waiting_pool_s
     all_pool_s = ahead_pool_s + sum(each.waiting_pool_s for each in demands)
