Count begun work ahead of a job only where it is smaller

Cause: begun jobs of any size counted as work ahead, also for small jobs that can be served in time and pass late large ones. Change: begun jobs count if they are smaller than the new one.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_decision.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_decision.py
@@ -124,12 +124,12 @@
     """Return whether waiting jobs are certainly served before a new one.
 
     Jobs within their account's rate precede the others of their priority.
-    Among equals, begun jobs do, and smaller ones even if the new job's size
-    is overestimated.
+    Among equals, smaller ones do. A larger one does not even if it has begun,
+    as long as the new one can be served in time. What is left of a begun job
+    is better known, and precedes an equal one.
     """
     if row.is_owed is not arrival.is_owed:
         return row.is_owed
-    size_min_s = arrival.work_pool_s / _ESTIMATE_ERROR
-    return (
-        row.is_begun or _size_class.upper_bound_s(row.size_class) <= size_min_s
-    )
+    error = 1.0 if row.is_begun else _ESTIMATE_ERROR
+    size_max_s = arrival.work_pool_s / error
+    return _size_class.upper_bound_s(row.size_class) <= size_max_s
