--- a/bench/placement_pass.py
+++ b/bench/placement_pass.py
@@ -121,7 +121,8 @@
             )
         print(
             f'{worker_count} workers, {step_count} steps of 10 tasks, '
-            f'{account_count} accounts, {"mixed" if run_times else "equal"} speeds: '
+            f'{account_count} accounts, '
+            f'{"mixed" if run_times else "equal"} speeds: '
             f'{placed} placed, median '
             f'{statistics.median(elapsed_ms):.1f} ms, longest '
             f'{max(elapsed_ms):.1f} ms'
