Place by deadline if the served sets can't be computed

An unexpected fault there failed the whole pass, and every later one at the same job. It is now logged as overload.failed, the state is dropped, and the order is that of deadlines until the next attempt after 10 s. With broken estimates the order in test_overload is that of today.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
@@ -5,6 +5,7 @@
 import collections.abc
 import typing
 
+from walnutpoint_core import logs
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler.overload import _demand
@@ -20,6 +21,8 @@
 
 __all__ = ('Overload',)
 
+_LOG: typing.Final = logs.get_logger('overload')
+
 # Time between two computations, and in an overload after a job that the last
 # one lacks.
 _PERIOD_S: typing.Final = 0.25
@@ -27,6 +30,8 @@
 # Most of a processor that the computations may take: on a slow host they are
 # less frequent.
 _COST_SHARE: typing.Final = 0.04
+# Bounds how often a lasting fault logs a traceback.
+_RETRY_S: typing.Final = 10.0
 # Waiting work that would occupy a whole pool for this long keeps it full.
 _FULL_S: typing.Final = 0.5
 
@@ -82,7 +87,12 @@
     )
 
     def __init__(self) -> None:
+        # May lie in the future, after a fault.
         self._computed_s: float | None = None
+        self._forget()
+
+    def _forget(self) -> None:
+        """Start afresh, without any job in a set."""
         self._cost_s = 0.0
         self._known: frozenset[str] = frozenset()
         self._has_new_job = False
@@ -110,7 +120,19 @@
         return now_s - self._computed_s >= period_s
 
     def compute(self, context: _context.Context) -> None:
-        """Compute the served set of each pool and priority."""
+        """Compute the served set of each pool and priority.
+
+        After an unexpected fault, steps are placed in order of deadline until
+        the next attempt: no pass may fail for the sake of an order.
+        """
+        try:
+            self._compute(context)
+        except Exception as error:
+            _LOG.exception('overload.failed', error=repr(error))
+            self._forget()
+            self._computed_s = context.timer.now_s() + _RETRY_S
+
+    def _compute(self, context: _context.Context) -> None:
         now_s, now_ms = context.timer.now_s(), context.now_ms()
         samples = _pool_use.sample_pools(context.roster.workers.values())
         jobs = self._read_jobs(context, samples, now_s)
--- a/tests/walnutpoint_scheduler/overload/test_overload.py
+++ b/tests/walnutpoint_scheduler/overload/test_overload.py
@@ -124,6 +124,18 @@
 
         _run(scenario)
 
+    def test_fault_leaves_the_order_of_today(self) -> None:
+        """Guards against passes that all fail at one estimate."""
+
+        def scenario(tasks: typing.Any) -> None:
+            pool = _Pool(tasks)
+            pool.context.run_times = typing.cast(typing.Any, None)
+            pool.add(1, LARGE)
+            pool.add(2, SMALL)
+            self.assertEqual(pool.order_of_today(), pool.order())
+
+        _run(scenario)
+
     def test_jobs_beyond_their_rate_follow_all_owed_ones(self) -> None:
         """Guards against small jobs beyond a rate before large owed ones."""
 
