Test that a drop of a run's rate shows with the next report

A run whose worker becomes slow makes little progress until the next report. Its rate is bounded by that progress after 0.4 s, so that the drop is not found only after four more percent; no test covered this rule.

--- a/tests/walnutpoint_scheduler/estimates/test_moves.py
+++ b/tests/walnutpoint_scheduler/estimates/test_moves.py
@@ -14,6 +14,7 @@
 import anyio
 
 from tests.walnutpoint_scheduler import harness
+from walnutpoint_scheduler import _run_rate
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import worker_pace
@@ -163,3 +164,16 @@
         pace.note('a', 'other', 0.2, 10.0)
         self.assertEqual([0.2], pace.paces_of_others('a', 'large', 9.5))
         self.assertEqual([1.0, 0.2], pace.paces_of_others('a', 'large', 8.0))
+
+
+class RunRateTest(unittest.TestCase):
+    """The rate of a run whose worker becomes slow."""
+
+    def test_drop_shows_with_the_next_report(self) -> None:
+        """Guards against a drop that shows only after some more percent."""
+        rate = _run_rate.RunRate()
+        rate.begin(1000)
+        rate.update(1500, 20.0, 0.5)
+        self.assertEqual(2.0, rate.remaining_s(0.5))
+        rate.update(2000, 21.0, 1.0)
+        self.assertGreater(rate.remaining_s(1.0) or 0.0, 15.0)
