--- a/tests/walnutpoint_scheduler/placement/test_mixed_pool.py
+++ b/tests/walnutpoint_scheduler/placement/test_mixed_pool.py
@@ -81,7 +81,9 @@
         )
 
         async def scenario() -> None:
-            async with bed.scheduling():
+            # The speeds are given, not observed.
+            policies = harness.settings.Policies(observed_run_times=False)
+            async with bed.scheduling(policies=policies):
                 bed.submit(batch)
                 await anyio.sleep(2.0)
                 quick = {worker for _, worker in starts}
