Renew the tickets of gangs in the working set like those of others

Gangs reserved capacity on all granted workers and requested tickets only when it was about to be complete, so that it was idle until the answer. Now a gang asks about all workers at once, keeps its tickets valid and reserves only where it has one. A step with fewer granted workers than tasks asks about others without waiting for a renewal, and workers at its limit don't count.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -176,11 +176,8 @@
         if queue_advice is None:
             return False
         if self._planner.decides(queued.step):
-            # Of the lowest priority, it reserves nothing without a ticket.
-            return not cache.has_valid_ticket(key) and (
-                queued.queue.priority >= self._lowest_priority
-                or not cache.granted(key)
-            )
+            # It reserves nothing without a ticket.
+            return not cache.has_valid_ticket(key)
         return not cache.granted(key) and not (
             cache.may_request(key) and cache.has_request_slot(queue_advice)
         )
@@ -395,6 +392,8 @@
         advice = self._context.advice
         if queue.advice is None:
             return None
+        if self._planner.decides(step):
+            return advice.with_valid_ticket(step.key)
         if step.step.gang or queue.priority < self._lowest_priority:
             return advice.granted(step.key)
         return advice.with_valid_ticket(step.key)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_planner.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_planner.py
@@ -152,12 +152,9 @@
     def decides(self, step: _state.StepProgress) -> bool:
         """Return whether a step requests only as this planner decides.
 
-        A gang of the set requests for itself, as it needs all of its tickets
-        at the same time. So do copies and suspects, whose step may not wait.
+        Copies and suspects, whose step may not wait, request for themselves.
         """
-        if not self.is_active or step.key not in self._waiting:
-            return False
-        return not step.step.gang or step.key not in self._set.keys
+        return self.is_active and step.key in self._waiting
 
     def may_reserve(self, step: _state.StepProgress) -> bool:
         """Return whether capacity is reserved for a step that does not fit.
@@ -258,7 +255,7 @@
             terms = typing.cast(cell.AdviceTerms, queue.advice)
             if not advice.has_request_slot(terms):
                 return
-            if step.step.gang or now_s < step.advice_not_before_s:
+            if now_s < step.advice_not_before_s:
                 continue
             if not advice.may_request(step.key) or not step.waiting():
                 continue
@@ -299,16 +296,16 @@
         cache = self._context.advice
         return _names.choose(
             step.key,
+            step.step,
+            cache.granted_share(terms),
             (
                 _names.Room(w.worker_id, wait_s, rivals[w.worker_id])
                 for w, wait_s in rooms[key]
+                if not _is_at_limit(w, step)
             ),
             cache,
             self._context.timer.now_s(),
             self._answer_s(terms),
-            _names.first_count(
-                len(step.waiting()), cache.granted_share(terms)
-            ),
         )
 
     def _rooms(
@@ -333,3 +330,11 @@
     def _answer_s(self, terms: cell.AdviceTerms) -> float:
         """Return the time of a typical answer."""
         return self._context.advice.answer_s(terms, _TYPICAL_NAMES)
+
+
+def _is_at_limit(
+    worker: _worker.WorkerState, step: _state.StepProgress
+) -> bool:
+    """Return whether a worker may take no more tasks of a spread step."""
+    limit = step.step.per_worker_max
+    return bool(limit) and worker.step_counts[step.key] >= limit
--- a/tests/walnutpoint_scheduler/advice/test_working_set.py
+++ b/tests/walnutpoint_scheduler/advice/test_working_set.py
@@ -6,6 +6,7 @@
 
 from walnutpoint_scheduler.advice import _names
 from walnutpoint_scheduler.advice import _working_set
+from walnutpoint_scheduler import document
 
 SHARE = 0.35
 OVERDUE_S = 8.6
@@ -91,8 +92,8 @@
 
 
 def _chosen(rooms: list[_names.Room], tickets: _Tickets) -> list[str]:
-    count = _names.first_count(20, SHARE)
-    return _names.choose('step', rooms, tickets, NOW_S, ANSWER_S, count)
+    step = document.Step(20)
+    return _names.choose('key', step, SHARE, rooms, tickets, NOW_S, ANSWER_S)
 
 
 class NamesTest(unittest.TestCase):
@@ -116,6 +117,11 @@
         tickets = _Tickets({'a', 'b', 'full'}, {'c'}, NOW_S + 0.5)
         self.assertEqual(['a', 'b'], _chosen(_rooms('a', 'b', 'c'), tickets))
 
+    def test_too_few_granted_workers(self) -> None:
+        """Guards against a wide step that keeps to the few it was granted."""
+        tickets = _Tickets({'a', 'b'}, {'c'}, NOW_S + 1.5)
+        self.assertEqual(['d'], _chosen(_rooms('a', 'b', 'c', 'd'), tickets))
+
     def test_nothing_is_requested_without_room(self) -> None:
         """Guards against requests for steps that nothing comes free for."""
         tickets = _Tickets({'a'}, {'b'}, NOW_S)
