--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_planner.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_planner.py
@@ -108,12 +108,10 @@
         may_start: collections.abc.Callable[[_state.StepProgress], bool],
     ) -> None:
         context = self._context
-        limited = {
-            queue.name
-            for queue in context.cell.queues
-            if self._is_limited(queue)
-        }
-        steps = [q for q in queued_steps if q.queue.name in limited]
+        advised = [q for q in queued_steps if q.queue.advice is not None]
+        queues = {q.queue.name: q.queue for q in advised}
+        limited = {n for n, queue in queues.items() if self._is_limited(queue)}
+        steps = [q for q in advised if q.queue.name in limited]
         if not steps:
             return
         terms = typing.cast(cell.AdviceTerms, steps[0].queue.advice)
