Name accounts beyond their rate by what is owed now

An account counted as beyond its rate by its newest open job. If it had handed in two jobs at once and waited until its next job was owed, that job was still refused as one beyond the rate. With the policy owed_first off, rows and accounts were told apart although the order is not.

The publisher asks Entitlement whether it would deny a job now, by a query that consumes nothing. With owed_first off it names no account and counts all rows as owed.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/accounts/_entitlement.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/accounts/_entitlement.py
@@ -28,14 +28,26 @@
 
     def consume(self, account: _account.Account, accepted_ms: int) -> bool:
         """Count a job and return whether it is within the rate."""
-        depth = max(1.0, account.weight * _BURST_S)
-        remaining, refilled_ms = self._buckets.get(
-            account.name, (depth, accepted_ms)
-        )
-        elapsed_s = max(0, accepted_ms - refilled_ms) / _MS_PER_S
-        remaining = min(depth, remaining + elapsed_s * account.weight)
+        remaining, refilled_ms = self._bucket(account, accepted_ms)
         is_owed = remaining >= 1.0
         if is_owed:
             remaining -= 1.0
-        self._buckets[account.name] = remaining, max(refilled_ms, accepted_ms)
+        self._buckets[account.name] = remaining, refilled_ms
         return is_owed
+
+    def would_deny(self, account: _account.Account, now_ms: int) -> bool:
+        """Return whether a job would be beyond the rate, without a count."""
+        remaining, _ = self._bucket(account, now_ms)
+        return remaining < 1.0
+
+    def _bucket(
+        self, account: _account.Account, now_ms: int
+    ) -> tuple[float, int]:
+        """Return the jobs within the rate at a time, and its last refill."""
+        depth = max(1.0, account.weight * _BURST_S)
+        remaining, refilled_ms = self._buckets.get(
+            account.name, (depth, now_ms)
+        )
+        elapsed_s = max(0, now_ms - refilled_ms) / _MS_PER_S
+        remaining = min(depth, remaining + elapsed_s * account.weight)
+        return remaining, max(refilled_ms, now_ms)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_publisher.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_publisher.py
@@ -124,20 +124,27 @@
             load.capacity.memory_mb,
             load.capacity.accelerators,
             rate,
-            _waiting_work.summarize(jobs, context.now_ms()),
+            _waiting_work.summarize(
+                jobs, context.now_ms(), context.settings.policies.owed_first
+            ),
         )
 
     def _accounts_beyond(self) -> tuple[int, ...]:
-        """Return the accounts whose newest open job is beyond their rate."""
-        newest: dict[str, tuple[int, bool]] = {}
-        for job in self._context.open_jobs.values():
-            known = newest.get(job.document.account)
-            if known is None or known[0] <= job.document.accepted_ms:
-                newest[job.document.account] = (
-                    job.document.accepted_ms,
-                    job.is_owed,
-                )
-        beyond = [name for name, (_, is_owed) in newest.items() if not is_owed]
+        """Return the accounts of which a job now would be beyond the rate."""
+        context = self._context
+        if not context.settings.policies.owed_first:
+            return ()
+        now_ms = context.now_ms()
+        known = {}
+        for job in context.open_jobs.values():
+            account = context.account_of(job)
+            if account is not None:
+                known[account.name] = account
+        beyond = [
+            name
+            for name, account in known.items()
+            if context.entitlement.would_deny(account, now_ms)
+        ]
         return tuple(checksum(name) for name in beyond[:_ACCOUNTS_MAX])
 
     def _log(self, pools: list[_messages.PoolBacklog]) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_waiting_work.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_waiting_work.py
@@ -35,16 +35,21 @@
 
 
 def summarize(
-    jobs: collections.abc.Iterable[WaitingJob], now_ms: float
+    jobs: collections.abc.Iterable[WaitingJob],
+    now_ms: float,
+    owed_first: bool = True,
 ) -> tuple[_messages.WaitingWork, ...]:
-    """Return the work of the jobs that can still end usefully."""
+    """Return the work of the jobs that can still end usefully.
+
+    Unless owed work goes first, all of it counts as owed.
+    """
     work: dict[_Group, collections.Counter[int]] = {}
     counts: dict[_Group, collections.Counter[int]] = {}
     for job in jobs:
         demand = job.demand
         if now_ms + demand.chain_s * _MS_PER_S > demand.useful_until_ms:
             continue
-        group = demand.is_owed, demand.is_begun
+        group = demand.is_owed or not owed_first, demand.is_begun
         number = _size_class.size_class(demand.work_pool_s)
         work_ms = round(job.waiting_pool_s * _MS_PER_S)
         work.setdefault(group, collections.Counter())[number] += work_ms
--- a/tests/walnutpoint_scheduler/accounts/test_entitlement.py
+++ b/tests/walnutpoint_scheduler/accounts/test_entitlement.py
@@ -36,6 +36,15 @@
         self.assertEqual(5, sum(owed))
         self.assertTrue(owed[0])
 
+    def test_query_counts_no_job(self) -> None:
+        """Guards against a query that changes which jobs are owed."""
+        slow = accounts.Account('slow', weight=0.2)
+        entitlement = accounts.Entitlement()
+        for at_ms, is_owed in ((0, True), (4900, False), (5000, True)):
+            self.assertIs(not is_owed, entitlement.would_deny(slow, at_ms))
+            self.assertIs(not is_owed, entitlement.would_deny(slow, at_ms))
+            self.assertIs(is_owed, entitlement.consume(slow, at_ms))
+
     def test_clock_that_steps_back_grants_nothing(self) -> None:
         """Guards against a rate granted twice if hosts' clocks differ."""
         entitlement = accounts.Entitlement()
--- a/tests/walnutpoint_scheduler/admission/test_publisher.py
+++ b/tests/walnutpoint_scheduler/admission/test_publisher.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 import unittest
+import zlib
 
 import anyio
 import msgspec
@@ -11,6 +13,8 @@
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _term
+from walnutpoint_scheduler import accounts
+from walnutpoint_scheduler import settings
 
 _WORKERS = 4
 _RUN_TIME_S = 1.0
@@ -81,6 +85,48 @@
         harness.run_virtual(scenario)
 
 
+class AccountsBeyondTest(unittest.TestCase):
+    """An account whose rate allows a job every 20 s hands in two at once."""
+
+    def _backlogs(self, **changes: typing.Any) -> list[_messages.Backlog]:
+        """Return the figures at 8 s and at 24 s."""
+        account = accounts.Account('slow', weight=0.05)
+        config = dataclasses.replace(
+            harness.CELL, accounts=accounts.Accounts((account,))
+        )
+        backlogs = []
+
+        async def scenario() -> None:
+            bed = _bed()
+            async with bed.scheduling(config, **changes) as term:
+                for number in (1, 2):
+                    fields = {'queue': harness.BATCH, 'account': 'slow'}
+                    bed.submit(_job(number, 200, bed.now_ms(), **fields))
+                for wait_s in (8.0, 16.0):
+                    await anyio.sleep(wait_s)
+                    backlogs.append(_backlog(term))
+
+        harness.run_virtual(scenario)
+        return backlogs
+
+    def test_account_is_beyond_only_until_its_next_job_is_owed(self) -> None:
+        """Guards against refusing owed jobs as beyond the account's rate."""
+        early, late = self._backlogs()
+        self.assertEqual((zlib.crc32(b'slow'),), early.accounts_beyond)
+        (pool,) = early.pools
+        self.assertEqual({True, False}, {row.is_owed for row in pool.work})
+        self.assertEqual((), late.accounts_beyond)
+        self.assertTrue(late.pools)
+
+    def test_nothing_is_beyond_a_rate_without_that_order(self) -> None:
+        """Guards against a forecast by an order that is not in force."""
+        policies = settings.Policies(owed_first=False)
+        early, _ = self._backlogs(policies=policies)
+        self.assertEqual((), early.accounts_beyond)
+        (pool,) = early.pools
+        self.assertEqual({True}, {row.is_owed for row in pool.work})
+
+
 class UselessStepTest(unittest.TestCase):
     """Jobs that are useless, beside a stream of useful ones."""
 
