Count all priorities' use in the rate of waiting work

A burst of urgent work lowered the observed rate of batch work. If it held most of the pool when the backlog began, the only rate observed was what was left, and some seconds of work looked like a hopeless wait. The threshold for waiting work was scaled by the share in use, so that a small fraction of a second could be enough.

The rate is now at least the share of the pool used while work waits by all work that ends, whatever its priority; lasting work is left out. The waiting work is compared with a whole second.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_scan.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_scan.py
@@ -39,14 +39,16 @@
     """The load of one priority in one pool."""
 
     capacity: resources.Resources
+    # Share of the pool that running tasks of any priority use, except lasting
+    # ones. More urgent work only counts while it runs, so that a burst of it
+    # does not appear as a low capacity.
+    used_share: float
     # Jobs with waiting tasks, and the work of these.
     waiting: list[tuple[_state.JobProgress, cell.Queue, float]] = (
         dataclasses.field(default_factory=list)
     )
     # Work done since the last scan, in seconds of the whole pool.
     done_pool_s: float = 0.0
-    # Share of the pool that its running tasks use.
-    used_share: float = 0.0
     waiting_pool_s: float = 0.0
     # Product of waiting work and the run time of its tasks.
     _weighted_task_s: float = 0.0
@@ -91,6 +93,7 @@
         """Return the current load by pool and priority."""
         context = self._context
         capacities = self._capacities()
+        used_shares = self._used_shares(capacities)
         loads: dict[PoolPriority, Load] = {}
         tracked = self._tracked
         current = {
@@ -104,7 +107,8 @@
             if capacity is None:
                 continue
             load = loads.setdefault(
-                (queue.pool, queue.priority), Load(capacity)
+                (queue.pool, queue.priority),
+                Load(capacity, used_shares[queue.pool]),
             )
             self._add_done(load, queue, job)
             if job_id in current:
@@ -125,6 +129,21 @@
                 capacities[pool] = capacity + worker.listed.capacity
         return capacities
 
+    def _used_shares(
+        self, capacities: dict[str, resources.Resources]
+    ) -> dict[str, float]:
+        """Return the share of each pool used by work that will end."""
+        shares = dict.fromkeys(capacities, 0.0)
+        for worker in self._context.roster.workers.values():
+            capacity = capacities.get(worker.listed.pool)
+            if capacity is None:
+                continue
+            for run in worker.runs.values():
+                if run.task is None or not run.task.step.job.document.lasting:
+                    share = run.need.dominant_share(capacity)
+                    shares[worker.listed.pool] += share
+        return shares
+
     def _add_done(
         self, load: Load, queue: cell.Queue, job: _state.JobProgress
     ) -> None:
@@ -142,7 +161,7 @@
     def _add_open(
         self, load: Load, queue: cell.Queue, job: _state.JobProgress
     ) -> None:
-        """Add the running and waiting tasks of an open job."""
+        """Add the waiting tasks of an open job."""
         run_times = self._context.run_times
         job_waiting_pool_s = 0.0
         steps = job.occurrence(0)
@@ -154,9 +173,7 @@
             if step.done:
                 continue
             waiting = _waiting_count(step)
-            running = len(step.tasks) - step.done_count - waiting
             share = step.step.need.dominant_share(load.capacity)
-            load.used_share += running * share
             if waiting and is_competing:
                 task_s = run_times.task_s(queue.name, step.key, step.step)
                 load.add_waiting(waiting * task_s * share, task_s)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_service_rate.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_service_rate.py
@@ -13,7 +13,7 @@
 _WINDOW_S: typing.Final = 5.0
 # A rate reached this recently may be reached again.
 _PEAK_S: typing.Final = 30.0
-# Less waiting work does not keep the pool busy between two samples.
+# Less work of the whole pool does not keep it busy between two samples.
 _WAITING_MIN_S: typing.Final = 1.0
 # The rate is known after this many times the run time of a task: before, few
 # tasks have ended although all run.
@@ -24,7 +24,8 @@
     """Measures work done while work waits, so that demand is no limit.
 
     In favor of new jobs it is the highest recent rate, and at least the share
-    of the pool in use.
+    of the pool that work of all priorities has used meanwhile: more urgent
+    work that arrives later does not count either.
     """
 
     __slots__ = ('_rates', '_samples', '_saturated_since_s', '_task_s')
@@ -49,7 +50,7 @@
         task_s: float,
     ) -> None:
         """Record the work done since the last sample, and the load."""
-        if waiting_pool_s <= _WAITING_MIN_S * used_share:
+        if waiting_pool_s <= _WAITING_MIN_S:
             self._saturated_since_s = None
             self._samples.clear()
             self._rates.clear()
--- a/tests/walnutpoint_scheduler/admission/test_publisher.py
+++ b/tests/walnutpoint_scheduler/admission/test_publisher.py
@@ -14,6 +14,7 @@
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _term
 from walnutpoint_scheduler import accounts
+from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import settings
 
 _WORKERS = 4
@@ -71,6 +72,50 @@
 
         harness.run_virtual(scenario)
 
+    def test_burst_of_urgent_work_refuses_nobody(self) -> None:
+        """Guards against a rate that more urgent work has lowered."""
+
+        async def scenario() -> None:
+            bed = _bed()
+            bed.run_time_s = lambda task: (
+                9.0 if task.job_id == f'{0x100:016x}' else _RUN_TIME_S
+            )
+            gate = admission.AdmissionGate(bed.timer, lambda: True)
+            async with bed.scheduling() as term:
+                bed.submit(_job(0x100, 7, bed.now_ms()))
+                await anyio.sleep(0.5)
+                for number in range(1, 17):
+                    job = _job(number, 4, bed.now_ms(), queue=harness.BATCH)
+                    bed.submit(job)
+                await anyio.sleep(8.0)
+                gate.note(1, *term.backlog(), bed.timer.now_s())
+                (pool,) = _backlog(term).pools
+                self.assertGreaterEqual(pool.rate, 1.0 - 1e-9)
+                large = _job(0x200, 40, bed.now_ms(), queue=harness.BATCH)
+                self.assertIsNone(gate.refusal(large))
+
+        harness.run_virtual(scenario)
+
+    def test_lasting_work_leaves_the_rest_of_the_pool(self) -> None:
+        """Guards against a rate that counts capacity that is never free."""
+
+        async def scenario() -> None:
+            bed = _bed()
+            bed.run_time_s = lambda task: (
+                99.0 if task.job_id == f'{0x100:016x}' else _RUN_TIME_S
+            )
+            lasting = harness.step(4, cpu_millicores=8000, lasting=True)
+            async with bed.scheduling() as term:
+                bed.submit(harness.job(0x100, lasting))
+                await anyio.sleep(0.5)
+                bed.submit(_job(1, 200, bed.now_ms(), queue=harness.BATCH))
+                await anyio.sleep(8.0)
+                (pool,) = _backlog(term).pools
+                self.assertGreaterEqual(pool.rate, 0.5 - 1e-9)
+                self.assertLessEqual(pool.rate, 0.6 + 1e-9)
+
+        harness.run_virtual(scenario)
+
     def test_fitting_load_publishes_nothing(self) -> None:
         """Guards against a rate that demand limits, not the capacity."""
 
