--- a/tests/walnutpoint_scheduler/admission/test_publisher.py
+++ b/tests/walnutpoint_scheduler/admission/test_publisher.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import dataclasses
 import typing
 import unittest
+import zlib
 
 import anyio
 import msgspec
@@ -11,6 +13,9 @@
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _term
+from walnutpoint_scheduler import accounts
+from walnutpoint_scheduler import admission
+from walnutpoint_scheduler import settings
 
 _WORKERS = 4
 _RUN_TIME_S = 1.0
@@ -67,6 +72,50 @@
 
         harness.run_virtual(scenario)
 
+    def test_burst_of_urgent_work_refuses_nobody(self) -> None:
+        """Guards against a rate that more urgent work has lowered."""
+
+        async def scenario() -> None:
+            bed = _bed()
+            bed.run_time_s = lambda task: (
+                9.0 if task.job_id == f'{0x100:016x}' else _RUN_TIME_S
+            )
+            gate = admission.AdmissionGate(bed.timer, lambda: True)
+            async with bed.scheduling() as term:
+                bed.submit(_job(0x100, 7, bed.now_ms()))
+                await anyio.sleep(0.5)
+                for number in range(1, 17):
+                    job = _job(number, 4, bed.now_ms(), queue=harness.BATCH)
+                    bed.submit(job)
+                await anyio.sleep(8.0)
+                gate.note(1, *term.backlog(), bed.timer.now_s())
+                (pool,) = _backlog(term).pools
+                self.assertGreaterEqual(pool.rate, 1.0 - 1e-9)
+                large = _job(0x200, 40, bed.now_ms(), queue=harness.BATCH)
+                self.assertIsNone(gate.refusal(large))
+
+        harness.run_virtual(scenario)
+
+    def test_lasting_work_leaves_the_rest_of_the_pool(self) -> None:
+        """Guards against a rate that counts capacity that is never free."""
+
+        async def scenario() -> None:
+            bed = _bed()
+            bed.run_time_s = lambda task: (
+                99.0 if task.job_id == f'{0x100:016x}' else _RUN_TIME_S
+            )
+            lasting = harness.step(4, cpu_millicores=8000, lasting=True)
+            async with bed.scheduling() as term:
+                bed.submit(harness.job(0x100, lasting))
+                await anyio.sleep(0.5)
+                bed.submit(_job(1, 200, bed.now_ms(), queue=harness.BATCH))
+                await anyio.sleep(8.0)
+                (pool,) = _backlog(term).pools
+                self.assertGreaterEqual(pool.rate, 0.5 - 1e-9)
+                self.assertLessEqual(pool.rate, 0.6 + 1e-9)
+
+        harness.run_virtual(scenario)
+
     def test_fitting_load_publishes_nothing(self) -> None:
         """Guards against a rate that demand limits, not the capacity."""
 
@@ -81,6 +130,48 @@
         harness.run_virtual(scenario)
 
 
+class AccountsBeyondTest(unittest.TestCase):
+    """An account whose rate allows a job every 20 s hands in two at once."""
+
+    def _backlogs(self, **changes: typing.Any) -> list[_messages.Backlog]:
+        """Return the figures at 8 s and at 24 s."""
+        account = accounts.Account('slow', weight=0.05)
+        config = dataclasses.replace(
+            harness.CELL, accounts=accounts.Accounts((account,))
+        )
+        backlogs = []
+
+        async def scenario() -> None:
+            bed = _bed()
+            async with bed.scheduling(config, **changes) as term:
+                for number in (1, 2):
+                    fields = {'queue': harness.BATCH, 'account': 'slow'}
+                    bed.submit(_job(number, 200, bed.now_ms(), **fields))
+                for wait_s in (8.0, 16.0):
+                    await anyio.sleep(wait_s)
+                    backlogs.append(_backlog(term))
+
+        harness.run_virtual(scenario)
+        return backlogs
+
+    def test_account_is_beyond_only_until_its_next_job_is_owed(self) -> None:
+        """Guards against refusing owed jobs as beyond the account's rate."""
+        early, late = self._backlogs()
+        self.assertEqual((zlib.crc32(b'slow'),), early.accounts_beyond)
+        (pool,) = early.pools
+        self.assertEqual({True, False}, {row.is_owed for row in pool.work})
+        self.assertEqual((), late.accounts_beyond)
+        self.assertTrue(late.pools)
+
+    def test_nothing_is_beyond_a_rate_without_that_order(self) -> None:
+        """Guards against a forecast by an order that is not in force."""
+        policies = settings.Policies(owed_first=False)
+        early, _ = self._backlogs(policies=policies)
+        self.assertEqual((), early.accounts_beyond)
+        (pool,) = early.pools
+        self.assertEqual({True}, {row.is_owed for row in pool.work})
+
+
 class UselessStepTest(unittest.TestCase):
     """Jobs that are useless, beside a stream of useful ones."""
 
