Evict no jobs for one that fails on its own

A job whose chain fits, but not with the margin, failed the test of its end whatever left before it: one begun job near its deadline emptied the set of all jobs with earlier deadlines. Such a job is now left out alone, and a job of which all work runs stays in the set, as nothing delays it.

Verified by a new test that fails without the change, the tests of overload/ and the five modules of the scheduler's order.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_served_set.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_served_set.py
@@ -69,8 +69,18 @@
     dropped: set[str] = set()
     waiting_pool_s = ahead_pool_s
     for demand in candidates:
+        own_pool_s = demand.waiting_pool_s
+        # Nothing delays a job of which all work runs.
+        if own_pool_s <= 0.0:
+            continue
+        # No other job's place would help it.
+        if not _ends_in_time(
+            demand, (ahead_pool_s + own_pool_s) / rate, now_ms
+        ):
+            dropped.add(demand.job_id)
+            continue
         members.push(demand)
-        waiting_pool_s += demand.waiting_pool_s
+        waiting_pool_s += own_pool_s
         while demand.job_id not in dropped and not _ends_in_time(
             demand, waiting_pool_s / rate, now_ms
         ):
--- a/tests/walnutpoint_scheduler/overload/test_served_set.py
+++ b/tests/walnutpoint_scheduler/overload/test_served_set.py
@@ -72,6 +72,26 @@
         selection = overload.select(demands, 0.9, 0.0)
         self.assertEqual(5, len(selection.served))
 
+    def test_job_that_fails_alone_evicts_no_other(self) -> None:
+        """Guards against one begun job that empties the set."""
+        jobs = [demand(n, 0.29) for n in range(35)]
+        before = overload.select(jobs, 0.9, 2_000.0)
+        self.assertEqual(12, len(before.served))
+        for running_pool_s in (0.1, 0.15):
+            # It has the latest deadline, and 0.2 s more than its chain.
+            tight = demand(
+                99,
+                0.15,
+                is_begun=True,
+                running_pool_s=running_pool_s,
+                chain_s=7.9,
+            )
+            after = overload.select([*jobs, tight], 0.9, 2_000.0)
+            kept = [n for n in _numbers(after.served) if n != 99]
+            self.assertEqual(_numbers(before.served), kept)
+            is_served = 99 in _numbers(after.served)
+            self.assertEqual(running_pool_s == 0.15, is_served)
+
     def test_late_job_is_no_overload(self) -> None:
         """Guards against another order after a lost worker."""
         demands = [demand(1, 0.5), demand(2, 0.5, accepted_ms=-9_000)]
