Tell an overload by the jobs that can end in time

The wait that jobs permit was the least of all jobs of a group. One job whose learned chain exceeds its objective permits none, so that any waiting work replaced the order of deadlines. The bound is now the wait that nine in ten of the jobs that can still end in time permit.

Verified by a new test that fails without the change, the tests of overload/ and the five modules of the scheduler's order.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_served_set.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_served_set.py
@@ -26,10 +26,12 @@
 # Most of the time that an objective permits a job to wait which that margin
 # may take; otherwise no job with a tight objective could wait at all.
 _SLACK_MARGIN: typing.Final = 0.7
-# A queue that drains within this part of the time that its jobs can wait is
-# no overload: what is late in it is late for other reasons, such as a lost
-# worker.
+# A queue that drains within this part of the time that most of its jobs can
+# wait is no overload: what is late in it is late for other reasons, such as a
+# lost worker.
 _OVERLOAD_SHARE: typing.Final = 0.5
+# Part of the jobs that may be unable to wait that long.
+_TIGHT_SHARE: typing.Final = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -88,7 +90,6 @@
             dropped.add(leaving.job_id)
             waiting_pool_s -= leaving.waiting_pool_s
     all_pool_s = ahead_pool_s + sum(each.waiting_pool_s for each in demands)
-    longest_wait_s = min(map(_slack_s, demands), default=0.0)
     return Selection(
         tuple(each for each in candidates if each.job_id not in dropped),
         tuple(each for each in candidates if each.job_id in dropped),
@@ -97,7 +98,8 @@
         waiting_pool_s / rate,
         all_pool_s / rate,
         bool(dropped or late or useless)
-        and all_pool_s / rate > _OVERLOAD_SHARE * longest_wait_s,
+        and all_pool_s / rate
+        > _OVERLOAD_SHARE * _permitted_wait_s(candidates or demands),
     )
 
 
@@ -137,3 +139,13 @@
     """Return how long a job's objective permits it to wait in total."""
     objective_ms = demand.deadline_ms - demand.accepted_ms
     return max(0.0, objective_ms / _MS_PER_S - demand.chain_s)
+
+
+def _permitted_wait_s(
+    demands: collections.abc.Collection[_demand.JobDemand],
+) -> float:
+    """Return the wait that the objectives of nine in ten jobs permit."""
+    slacks_s = sorted(map(_slack_s, demands))
+    if not slacks_s:
+        return 0.0
+    return slacks_s[int(_TIGHT_SHARE * len(slacks_s))]
--- a/tests/walnutpoint_scheduler/overload/test_served_set.py
+++ b/tests/walnutpoint_scheduler/overload/test_served_set.py
@@ -99,6 +99,15 @@
         self.assertEqual([2], _numbers(selection.late))
         self.assertFalse(selection.is_overloaded)
 
+    def test_job_late_by_its_own_chain_is_no_overload(self) -> None:
+        """Guards against a chain beyond the objective that ends its order."""
+        late = demand(3, 0.0, chain_s=1.1 * OBJECTIVE_MS / 1000)
+        demands = [*(demand(n, 0.009) for n in range(3)), late]
+        selection = overload.select(demands, 0.9, 0.0)
+        self.assertEqual([3], _numbers(selection.late))
+        self.assertAlmostEqual(0.03, selection.drain_s)
+        self.assertFalse(selection.is_overloaded)
+
     def test_useless_jobs_are_set_apart(self) -> None:
         """Guards against work on results that nobody waits for."""
         demands = [demand(1, 9.0), demand(2, 0.5, accepted_ms=-30_000)]
