Rank sizes of jobs by those at least as large

With few distinct sizes, such as four small jobs in five, the small ones counted as large and none as the rest, so that a starved class was never seen. A job's class is now that of the share of jobs at least as large, and each class is compared with all smaller jobs. A cancelled job no longer counts as one that was not served.

Verified by two new tests that fail without the change, the tests of overload/ and the five modules of the scheduler's order.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
@@ -210,6 +210,9 @@
             if job_id in context.open_jobs:
                 continue
             job = context.jobs.get(job_id)
+            if job is not None and job.state is _state.JobState.CANCELLED:
+                self._sizes.forget(job_id)
+                continue
             is_done = job is not None and job.state is _state.JobState.DONE
             self._sizes.record_end(job_id, is_done, now_ms)
         self._sizes.update(now_ms)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_size_classes.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_size_classes.py
@@ -22,7 +22,7 @@
 _RECENT_MIN: typing.Final = 20
 _LARGEST_SHARE: typing.Final = 0.1
 _LARGE_SHARE: typing.Final = 0.3
-# Large jobs are served at least this much as often as the rest.
+# Large jobs are served at least this much as often as smaller ones.
 _SERVED_AT_LEAST: typing.Final = 0.5
 # Part of the time in which a late job is useful after which it counts as not
 # served. With a half, large jobs were helped too late to end usefully; at the
@@ -69,10 +69,11 @@
         if count < _RECENT_MIN:
             return _Size.REST
         ordered = sorted(self.sizes)
-        larger = (count - bisect.bisect_right(ordered, work)) / count
-        if larger < _LARGEST_SHARE:
+        # Equal sizes count, as few distinct ones would all be large.
+        at_least = (count - bisect.bisect_left(ordered, work)) / count
+        if at_least <= _LARGEST_SHARE:
             return _Size.LARGEST
-        return _Size.LARGE if larger < _LARGE_SHARE else _Size.REST
+        return _Size.LARGE if at_least <= _LARGE_SHARE else _Size.REST
 
 
 class SizeClasses:
@@ -87,8 +88,8 @@
     def __init__(self) -> None:
         self._open: dict[str, _Tracked] = {}
         self._queues: dict[str, _QueueSizes] = {}
-        # For classes that are served less than half as often as the rest,
-        # how often that is, relative to the half.
+        # For classes that are served less than half as often as all smaller
+        # jobs, how often that is, relative to the half.
         self._starved: dict[tuple[str, _Size], float] = {}
 
     def add(
@@ -118,10 +119,14 @@
         is_useful = is_done and now_ms <= job.useful_until_ms
         self._queues[job.queue].ends.append((job.size, is_useful))
 
+    def forget(self, job_id: str) -> None:
+        """Forget a job whose end tells nothing, such as a cancelled one."""
+        del self._open[job_id]
+
     def served_share(self, job_id: str) -> float:
         """Return how much of what it is due a job's class is served, up to 1.
 
-        It is due half of the share of the rest.
+        It is due half of the share of all smaller jobs.
         """
         job = self._open.get(job_id)
         if job is None:
@@ -139,11 +144,16 @@
         for job in self._open.values():
             totals[job.queue, job.size] += now_ms > job.unserved_from_ms
         self._starved.clear()
-        for (name, size), total in totals.items():
+        for name in self._queues:
             rest = name, _Size.REST
-            if size is _Size.REST or not total or not totals[rest]:
-                continue
-            due_share = _SERVED_AT_LEAST * useful[rest] / totals[rest]
-            share = useful[name, size] / total
-            if share < due_share:
-                self._starved[name, size] = share / due_share
+            smaller_total, smaller_useful = totals[rest], useful[rest]
+            for size in (_Size.LARGE, _Size.LARGEST):
+                key = name, size
+                if totals[key] and smaller_total:
+                    smaller_share = smaller_useful / smaller_total
+                    due_share = _SERVED_AT_LEAST * smaller_share
+                    share = useful[key] / totals[key]
+                    if share < due_share:
+                        self._starved[key] = share / due_share
+                smaller_total += totals[key]
+                smaller_useful += useful[key]
--- a/tests/walnutpoint_scheduler/overload/test_overload.py
+++ b/tests/walnutpoint_scheduler/overload/test_overload.py
@@ -4,6 +4,7 @@
 
 import typing
 import unittest
+import unittest.mock
 
 import anyio
 
@@ -136,6 +137,26 @@
 
         _run(scenario)
 
+    def test_cancelled_job_is_no_end(self) -> None:
+        """Guards against cancelled large jobs that give others precedence."""
+
+        def scenario(tasks: typing.Any) -> None:
+            pool = _Pool(tasks)
+            for state in (_state.JobState.CANCELLED, _state.JobState.FAILED):
+                pool.add(1, SMALL)
+                pool.context.overload.compute(pool.context)
+                job_id, job = pool.context.open_jobs.popitem()
+                job.state = state
+                pool.context.jobs[job_id] = job
+                with unittest.mock.patch.object(
+                    overload.SizeClasses, 'record_end'
+                ) as record_end:
+                    pool.context.overload.compute(pool.context)
+                is_failed = state is _state.JobState.FAILED
+                self.assertEqual(is_failed, record_end.called)
+
+        _run(scenario)
+
     def test_jobs_beyond_their_rate_follow_all_owed_ones(self) -> None:
         """Guards against small jobs beyond a rate before large owed ones."""
 
--- a/tests/walnutpoint_scheduler/overload/test_shares.py
+++ b/tests/walnutpoint_scheduler/overload/test_shares.py
@@ -88,6 +88,20 @@
         """Guards against large jobs before others without need."""
         self.assertEqual(1.0, self._served(large_end_usefully=True))
 
+    def test_two_sizes_are_told_apart(self) -> None:
+        """Guards against a guard without effect on jobs of few sizes."""
+        sizes = overload.SizeClasses()
+        for number in range(200):
+            is_large = number % 5 == 4
+            work_pool_s = 9.0 if is_large else 2.0
+            job = demand(number, work_pool_s)
+            sizes.add('batch', job, work_pool_s)
+            if number < 198:
+                sizes.record_end(job.job_id, not is_large, 0.0)
+        sizes.update(0.0)
+        self.assertEqual(0.0, sizes.served_share('199'))
+        self.assertEqual(1.0, sizes.served_share('198'))
+
     def test_large_job_of_a_starved_class_goes_first(self) -> None:
         """Guards against a guard without effect on the order."""
         demands = [demand(1, 9.0), demand(2, 5.0), demand(3, 5.0)]
