Bound the weight of an account from below

An account of weight 0 divided by zero, so that the computation of the served sets failed until it had no open job.

Verified by a new test that fails without the change, test_shares and the five modules of the scheduler's order.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_leaving.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_leaving.py
@@ -17,6 +17,8 @@
 # many accounts, each with few jobs, smaller differences are those of single
 # jobs, and would cost other accounts their jobs in time.
 _ABOVE_SHARE: typing.Final = 1.5
+# An account without a rate of its own has weight 0.
+_WEIGHT_MIN: typing.Final = 0.001
 
 _Key: typing.TypeAlias = tuple[bool, float, str]
 _Entry: typing.TypeAlias = tuple[_Key, _demand.JobDemand]
@@ -71,7 +73,7 @@
         return self._pool_s.get(account, 0.0) / self._weight(account)
 
     def _weight(self, account: str) -> float:
-        return self._weights.get(account, 1.0)
+        return max(_WEIGHT_MIN, self._weights.get(account, 1.0))
 
 
 class Leaving:
--- a/tests/walnutpoint_scheduler/overload/test_shares.py
+++ b/tests/walnutpoint_scheduler/overload/test_shares.py
@@ -38,6 +38,13 @@
         )
         self.assertEqual('large', equal.furthest_above(('large', 'small')))
 
+    def test_account_of_weight_0_is_above_its_share(self) -> None:
+        """Guards against a computation that fails at an account."""
+        levels = overload.ShareLevels({'a': 1.0, 'none': 1.0}, {'none': 0.0})
+        self.assertEqual('none', levels.furthest_above(('a', 'none')))
+        alone = overload.ShareLevels({'none': 1.0}, {'none': 0.0})
+        self.assertEqual(1.0, alone.excess('none'))
+
     def test_account_alone_is_within_its_share(self) -> None:
         """Guards against shares kept for accounts that do not use them."""
         levels = overload.ShareLevels({'only': 5.0}, {})
