Compare jobs without a standing with the others

In an overload, jobs with a standing go by work (about 1) outside the set, and jobs without one by deadline (about 1.7e12), so that these followed every dropped or late job. A new job now goes among the served ones until the next computation, 0.1 s later as a rule, and late jobs with occurrences keep their tier but go by the declared work of an occurrence. The excess of an account now also applies to jobs of a starved class, which it skipped.

Verified by two new tests that fail without the change, the tests of overload/ and the five modules of the scheduler's order.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placement_order.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placement_order.py
@@ -41,11 +41,12 @@
 
     Jobs beyond their account's rate follow the others of the same priority.
     They stay ahead of less urgent work, whose reservations would otherwise
-    leave capacity idle. In an overload, a job's standing replaces the tiers.
+    leave capacity idle. In an overload, a job's standing replaces the tiers;
+    a job with occurrences keeps them, and goes by work within the late ones.
     """
     job = step.job
     is_over_rate = owed_first and not job.is_owed
-    if standing is not None:
+    if standing is not None and standing.replaces_tier:
         tier, order, _ = standing
         return queue.priority, is_over_rate, tier, order, step.key
     document = job.document
@@ -62,7 +63,13 @@
         tier = 1
     else:
         tier = 2
-    return queue.priority, is_over_rate, tier, deadline_ms, step.key
+    order = deadline_ms
+    if standing is not None:
+        if standing.place is overload.Place.NEW:
+            tier = 0
+        elif tier:
+            order = standing.order
+    return queue.priority, is_over_rate, tier, order, step.key
 
 
 def promote(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_overload.py
@@ -6,6 +6,7 @@
 import typing
 
 from walnutpoint_core import logs
+from walnutpoint_core import resources
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler.overload import _demand
@@ -39,10 +40,20 @@
 class _Jobs:
     """What the open jobs demand and use, at one time."""
 
-    __slots__ = ('groups', 'share_by_account', 'share_by_priority', 'weights')
+    __slots__ = (
+        'groups',
+        'recurring',
+        'share_by_account',
+        'share_by_priority',
+        'weights',
+    )
 
     def __init__(self) -> None:
         self.groups: dict[_set_log.Group, list[_demand.JobDemand]] = {}
+        # Jobs with occurrences, and the capacity of their pool.
+        self.recurring: list[
+            tuple[_set_log.Group, _state.JobProgress, resources.Resources]
+        ] = []
         # By pool, and by priority or None for lasting work.
         self.share_by_priority: dict[str, dict[int | None, float]] = {}
         # By pool and priority, and by account.
@@ -109,6 +120,7 @@
         """Return a job's standing; None while its pool serves every job."""
         if self._standings and job_id not in self._known:
             self._has_new_job = True
+            return _standing.NEW
         return self._standings.get(job_id)
 
     def is_due(self, now_s: float) -> bool:
@@ -140,10 +152,20 @@
         self._record_ends(context, now_ms)
         before, self._standings = self._standings, {}
         policies = context.settings.policies
+        overloaded = set()
         # Owed jobs first, as they go ahead of the others.
         for group in sorted(jobs.groups, key=lambda each: not each.is_owed):
-            self._select(jobs, group, policies.fair_shares, now_s, now_ms)
+            if self._select(jobs, group, policies.fair_shares, now_s, now_ms):
+                overloaded.add(group)
         _set_log.log_jobs(before, self._standings, self._sizes.served_share)
+        for group, job, capacity in jobs.recurring:
+            if group in overloaded:
+                # Late occurrences go among the dropped jobs, by work.
+                self._standings[job.document.job_id] = _standing.Standing(
+                    0,
+                    _demand.whole_pool_s(job, capacity),
+                    _standing.Place.RECURRING,
+                )
         self._known = frozenset(context.open_jobs)
         self._has_new_job = False
         self._computed_s = now_s
@@ -163,16 +185,18 @@
             sample = samples.get(queue.pool)
             if sample is None:
                 continue
+            is_owed = job.is_owed or not owed_first
+            group = _set_log.Group(queue.pool, queue.priority, is_owed)
             if document.lasting or document.occurrence_count:
                 share = _demand.running_share(job, sample.capacity)
                 priority = None if document.lasting else queue.priority
                 jobs.add_use(queue.pool, priority, share)
+                if not document.lasting:
+                    jobs.recurring.append((group, job, sample.capacity))
                 continue
             demand = _demand.demand_of(
                 job, queue, sample.capacity, context.run_times, now_s
             )
-            is_owed = job.is_owed or not owed_first
-            group = _set_log.Group(queue.pool, queue.priority, is_owed)
             jobs.add_demand(group, demand)
             jobs.add_use(queue.pool, queue.priority, demand.running_share)
             account = context.account_of(job)
@@ -224,8 +248,8 @@
         fair_shares: bool,
         now_s: float,
         now_ms: float,
-    ) -> None:
-        """Select the set of one group."""
+    ) -> bool:
+        """Select the set of one group, and return whether it overloads."""
         use = self._pool_use[group.pool]
         rate = use.rate(group.priority)
         ahead_pool_s = 0.0
@@ -247,6 +271,7 @@
                 )
             )
         self._log.log_set(group, selection, rate, use.utilization, now_s)
+        return selection.is_overloaded
 
     def _levels(
         self, jobs: _Jobs, group: _set_log.Group
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_standing.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_standing.py
@@ -11,6 +11,7 @@
 from walnutpoint_scheduler.overload import _served_set
 
 __all__ = (
+    'NEW',
     'Place',
     'Standing',
     'standings',
@@ -36,6 +37,10 @@
     # Late by its own chain.
     LATE = 'late'
     USELESS = 'useless'
+    # Not computed yet.
+    NEW = 'new'
+    # Has occurrences, each with a tier of its own.
+    RECURRING = 'recurring'
 
 
 _TIER_BY_PLACE: typing.Final = {
@@ -54,6 +59,17 @@
     order: float
     place: Place
 
+    @property
+    def replaces_tier(self) -> bool:
+        """Return whether the tier by deadline does not apply."""
+        return self.place in _TIER_BY_PLACE
+
+
+# A job that the last computation lacks goes among the served ones, by
+# deadline, until the next one: deadlines are not comparable with the remaining
+# work that orders the other tiers.
+NEW: typing.Final = Standing(0, 0.0, Place.NEW)
+
 
 def standings(
     selection: _served_set.Selection,
@@ -89,10 +105,10 @@
     served_share: float,
     levels: _leaving.ShareLevels | None,
 ) -> float:
+    order = demand.work_pool_s
     if served_share < 1.0:
         factor = served_share**_STARVED_EXPONENT
-        return max(factor, _STARVED_FACTOR_MIN) * demand.work_pool_s
+        order *= max(factor, _STARVED_FACTOR_MIN)
     if levels is not None:
-        excess = levels.excess(demand.account)
-        return excess**_EXCESS_EXPONENT * demand.work_pool_s
-    return demand.work_pool_s
+        order *= levels.excess(demand.account) ** _EXCESS_EXPONENT
+    return order
--- a/tests/walnutpoint_scheduler/overload/test_overload.py
+++ b/tests/walnutpoint_scheduler/overload/test_overload.py
@@ -7,6 +7,7 @@
 import unittest.mock
 
 import anyio
+import msgspec
 
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_scheduler import _context
@@ -49,13 +50,25 @@
             worker.answering = True
             self.context.roster.add(worker)
 
-    def add(self, number: int, tasks: int, is_owed: bool = True) -> None:
+    def add(
+        self,
+        number: int,
+        tasks: int,
+        is_owed: bool = True,
+        accepted_ms: int = 0,
+        occurrence_count: int = 0,
+    ) -> None:
         """Add a batch job that has not begun."""
         step = harness.step(tasks, estimate_ms=TASK_MS)
-        accepted_ms = self.context.now_ms() + number
+        accepted_ms += self.context.now_ms() + number
         job = harness.job(
             number, step, queue=harness.BATCH, accepted_ms=accepted_ms
         )
+        job = msgspec.structs.replace(
+            job,
+            occurrence_count=occurrence_count,
+            first_due_ms=accepted_ms if occurrence_count else 0,
+        )
         progress = _state.JobProgress(job, harness.BATCH, 0.0)
         progress.is_owed = is_owed
         self.context.open_jobs[job.job_id] = progress
@@ -157,6 +170,23 @@
 
         _run(scenario)
 
+    def test_job_without_a_standing_is_no_last_one(self) -> None:
+        """Guards against deadlines that are compared with work."""
+
+        def scenario(tasks: typing.Any) -> None:
+            pool = _Pool(tasks)
+            pool.add(1, LARGE)
+            for number in range(2, 6):
+                pool.add(number, SMALL)
+            late_ms = -8_000
+            pool.add(6, SMALL, accepted_ms=late_ms, occurrence_count=1)
+            self.assertEqual([2, 3, 4, 5, 6, 1], pool.order())
+            # Not computed yet.
+            pool.add(7, SMALL, accepted_ms=late_ms)
+            self.assertEqual([7, 2, 3, 4, 5, 6, 1], pool.order())
+
+        _run(scenario)
+
     def test_jobs_beyond_their_rate_follow_all_owed_ones(self) -> None:
         """Guards against small jobs beyond a rate before large owed ones."""
 
--- a/tests/walnutpoint_scheduler/overload/test_shares.py
+++ b/tests/walnutpoint_scheduler/overload/test_shares.py
@@ -117,3 +117,14 @@
             overload.standings(selection, lambda job: float(job != '1'))
         )
         self.assertLess(standings['1'].order, standings['2'].order)
+
+    def test_starved_class_leaves_the_share_of_its_account(self) -> None:
+        """Guards against large jobs of a hot account before all others."""
+        demands = [demand(1, 9.0, account='hot'), demand(2, 9.0), demand(3, 5)]
+        selection = overload.select(demands, 0.5, 0.0)
+        levels = overload.ShareLevels({'hot': 9.0, 'a': 1.0, 'b': 1.0}, {})
+        standings = dict(
+            overload.standings(selection, lambda job: 0.5, levels)
+        )
+        excess = standings['1'].order / standings['2'].order
+        self.assertAlmostEqual(levels.excess('hot') ** 4, excess)
