Test that a fault ends the order of an overload

A fault after an overload must drop the standings and wait before the next attempt. The existing test covers a fault in the first computation only; the code needs no change. Verified by test_overload and the five modules of the scheduler's order.

--- a/tests/walnutpoint_scheduler/overload/test_overload.py
+++ b/tests/walnutpoint_scheduler/overload/test_overload.py
@@ -150,6 +150,25 @@
 
         _run(scenario)
 
+    def test_fault_in_an_overload_ends_its_order(self) -> None:
+        """Guards against standings that outlive the state they came from."""
+
+        def scenario(tasks: typing.Any) -> None:
+            pool = _Pool(tasks)
+            pool.add(1, LARGE)
+            pool.add(2, SMALL)
+            self.assertEqual([2, 1], pool.order())
+            context = pool.context
+            context.run_times = typing.cast(typing.Any, None)
+            context.overload.compute(context)
+            now_s = context.timer.now_s()
+            self.assertFalse(context.overload.is_due(now_s + 9.0))
+            self.assertTrue(context.overload.is_due(now_s + 11.0))
+            self.assertEqual([1, 2], pool.order_of_today())
+            self.assertEqual([1, 2], pool.order())
+
+        _run(scenario)
+
     def test_cancelled_job_is_no_end(self) -> None:
         """Guards against cancelled large jobs that give others precedence."""
 
