--- a/tests/walnutpoint_scheduler/overload/test_shares.py
+++ b/tests/walnutpoint_scheduler/overload/test_shares.py
@@ -38,6 +38,13 @@
         )
         self.assertEqual('large', equal.furthest_above(('large', 'small')))
 
+    def test_account_of_weight_0_is_above_its_share(self) -> None:
+        """Guards against a computation that fails at an account."""
+        levels = overload.ShareLevels({'a': 1.0, 'none': 1.0}, {'none': 0.0})
+        self.assertEqual('none', levels.furthest_above(('a', 'none')))
+        alone = overload.ShareLevels({'none': 1.0}, {'none': 0.0})
+        self.assertEqual(1.0, alone.excess('none'))
+
     def test_account_alone_is_within_its_share(self) -> None:
         """Guards against shares kept for accounts that do not use them."""
         levels = overload.ShareLevels({'only': 5.0}, {})
@@ -88,6 +95,20 @@
         """Guards against large jobs before others without need."""
         self.assertEqual(1.0, self._served(large_end_usefully=True))
 
+    def test_two_sizes_are_told_apart(self) -> None:
+        """Guards against a guard without effect on jobs of few sizes."""
+        sizes = overload.SizeClasses()
+        for number in range(200):
+            is_large = number % 5 == 4
+            work_pool_s = 9.0 if is_large else 2.0
+            job = demand(number, work_pool_s)
+            sizes.add('batch', job, work_pool_s)
+            if number < 198:
+                sizes.record_end(job.job_id, not is_large, 0.0)
+        sizes.update(0.0)
+        self.assertEqual(0.0, sizes.served_share('199'))
+        self.assertEqual(1.0, sizes.served_share('198'))
+
     def test_large_job_of_a_starved_class_goes_first(self) -> None:
         """Guards against a guard without effect on the order."""
         demands = [demand(1, 9.0), demand(2, 5.0), demand(3, 5.0)]
@@ -96,3 +117,14 @@
             overload.standings(selection, lambda job: float(job != '1'))
         )
         self.assertLess(standings['1'].order, standings['2'].order)
+
+    def test_starved_class_leaves_the_share_of_its_account(self) -> None:
+        """Guards against large jobs of a hot account before all others."""
+        demands = [demand(1, 9.0, account='hot'), demand(2, 9.0), demand(3, 5)]
+        selection = overload.select(demands, 0.5, 0.0)
+        levels = overload.ShareLevels({'hot': 9.0, 'a': 1.0, 'b': 1.0}, {})
+        standings = dict(
+            overload.standings(selection, lambda job: 0.5, levels)
+        )
+        excess = standings['1'].order / standings['2'].order
+        self.assertAlmostEqual(levels.excess('hot') ** 4, excess)
