Let copies use slower groups when quick ones are full

A copy is wanted for a task that runs, so that none of its step's tasks waits and the rule that waiting can't pay never opened a slower group: the copy of a task on a silent worker did not start although slow workers were idle. The wait of a step without waiting tasks is now infinite, which permits every group, quick ones first even for work with slack.

CopyTest and test_copy_may_use_any_group fail before.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_choice.py
@@ -9,6 +9,7 @@
 
 import collections.abc
 import dataclasses
+import math
 
 from walnutpoint_scheduler.placement import _groups
 from walnutpoint_scheduler.placement import _outlook
@@ -72,7 +73,10 @@
         or number in in_time
         or outlook.waited_s >= outlook.task_s * (slowdowns[number] - quickest)
     ]
-    is_slow_first = not outlook.is_urgent and len(in_time) > 1
+    # A copy replaces a run that may be lost or is late, so that it goes where
+    # it ends soonest.
+    is_copy = math.isinf(outlook.waited_s)
+    is_slow_first = not outlook.is_urgent and not is_copy and len(in_time) > 1
     if is_slow_first:
         may_use = in_time[::-1] + may_use[len(in_time) :]
     others = [n for n in range(len(slowdowns)) if n not in may_use]
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_outlook.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_outlook.py
@@ -41,7 +41,7 @@
     in_time_s: float
     # Time left for the step until its job's result is useless.
     useful_s: float
-    # How long the step's tasks have waited.
+    # How long the step's tasks have waited; infinite if none waits.
     waited_s: float
 
     def left_s(self, quickest: float) -> float:
@@ -106,12 +106,18 @@
 
 
 def _waited_s(step: _state.StepProgress, now_s: float) -> float:
-    """Return the longest wait of a task that has not been placed."""
-    if step.ready_s is None:
-        return 0.0
+    """Return the longest wait of a task that has not been placed.
+
+    Infinite if all have been: the step then looks for a worker for a copy,
+    which has nothing to wait for.
+    """
     since_s = min(
-        (task.waiting_since_s for task in step.waiting()), default=now_s
+        (task.waiting_since_s for task in step.waiting()), default=None
     )
+    if since_s is None:
+        return math.inf
+    if step.ready_s is None:
+        return 0.0
     return now_s - max(step.ready_s, since_s)
 
 
--- a/tests/walnutpoint_scheduler/placement/test_choice.py
+++ b/tests/walnutpoint_scheduler/placement/test_choice.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import dataclasses
+import math
 import random
 import typing
 import unittest
@@ -50,6 +51,13 @@
         self.assertEqual((0, 1), _choose(waited_s=0.9))
         self.assertEqual((0, 1), _choose(permitted=(1,)))
 
+    def test_copy_may_use_any_group(self) -> None:
+        """Guards against copies that wait for a quick worker for ever."""
+        self.assertEqual((0, 1), _choose(waited_s=math.inf))
+        # Quick first even with slack, as the first run may be lost.
+        fields = {'is_urgent': False, 'in_time_s': 4.0, 'waited_s': math.inf}
+        self.assertEqual((0, 1), _choose(**fields))
+
     def test_late_job_takes_no_quick_worker_from_others(self) -> None:
         """Guards against quick workers held for a job that is late anyway."""
         self.assertEqual((0, 1), _choose(in_time_s=1.0))
--- a/tests/walnutpoint_scheduler/placement/test_mixed_pool.py
+++ b/tests/walnutpoint_scheduler/placement/test_mixed_pool.py
@@ -125,3 +125,37 @@
             harness.job(2, batch, queue=harness.BATCH),
         )
         self.assertEqual([1.9] * 4, started)
+
+
+class CopyTest(unittest.TestCase):
+    """A quick and a slow worker, the quick one of which falls silent."""
+
+    def test_copy_starts_on_a_slow_worker(self) -> None:
+        """Guards against no copy while only slow workers have room.
+
+        The slow worker is not in time, and the copy never waits. Without it
+        the task starts again when the lease expires, 2.8 s later.
+        """
+        pool = mixed_pool.MixedPool(0.0, workers=3)
+        pool.set_slowdown(0, mixed_pool.SLOWDOWN)
+        bed = pool.bed
+        bed.run_time_s = lambda task: 6.0
+        starts: list[str] = []
+        bed.fleet.ledger.on_start = lambda task, worker: starts.append(worker)
+        step = harness.step(
+            2, cpu_millicores=32_000, estimate_ms=6000, speculative=True
+        )
+
+        async def scenario() -> None:
+            config = harness.settings.Policies(observed_run_times=False)
+            async with bed.scheduling(policies=config):
+                bed.submit(harness.job(1, step, accepted_ms=bed.now_ms()))
+                await harness.until(lambda: len(starts) == 2)
+                bed.fleet.workers['worker-1'].is_cut_off = True
+                await harness.until(lambda: len(starts) == 3, 2.0)
+
+        with mock.patch.object(
+            estimates, 'DeclaredRunTimes', lambda: pool.run_times
+        ):
+            harness.run_virtual(scenario)
+        self.assertEqual('worker-0', starts[2])
