Move runs only to workers on which their step may start

Moves counted every worker with free capacity and a ticket. A run was stopped because a worker of a slow group would be sooner, and its task then waited for a quick one, as the step could not use that group; a full limit per worker or of the account had the same effect. The worker is now sought in the groups of the step's choice, in their order, with room under both limits. A stop counts as the beginning of a wait, and returns what the run uses of the account.

The parts of DestinationTest fail if the choice of groups, the limit per worker or the limit of the account is left out.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_moves.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_moves.py
@@ -2,24 +2,30 @@
 
 from __future__ import annotations
 
+import collections.abc
 import dataclasses
-import math
+import enum
 import statistics
 import typing
 
+from walnutpoint_core import resources
 from walnutpoint_scheduler import _advice_requests
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _remaining
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _selectors
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
+from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import estimates
 
 __all__ = (
+    'Action',
     'Move',
     'Moves',
 )
 
+_NO_RESOURCES: typing.Final = resources.Resources()
 # The cost of a move beyond the new run: a stop, and the report of its end.
 _MOVE_COST_S: typing.Final = 0.5
 # Below this the task is taken to be large, and stays: half of the second runs
@@ -32,6 +38,13 @@
 _DROP_SHARE: typing.Final = 0.5
 
 
+class Action(enum.Enum):
+    """How a late run is moved."""
+
+    STOP = 'stop'
+    COPY = 'copy'
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Move:
     """The expected times of a run here, and of a new run elsewhere."""
@@ -65,7 +78,11 @@
         self._advice_requests = advice_requests
 
     def consider(
-        self, run: _run.Run, task: _state.TaskProgress, now_s: float
+        self,
+        run: _run.Run,
+        task: _state.TaskProgress,
+        now_s: float,
+        action: Action,
     ) -> Move | None:
         """Return the move of a run, or None if it can't be judged."""
         whole_s = run.rate.whole_s
@@ -89,7 +106,9 @@
         if size_s + _MOVE_COST_S >= remaining_s:
             # Saves the search for a worker.
             return None
-        best = self._best_elsewhere(task, run.worker_id, now_s)
+        if not self._is_within_limit(run, task.step, action):
+            return None
+        best = self._best_elsewhere(task, run.worker_id, now_s, action)
         if best is None:
             return None
         elsewhere_s = size_s * best + _MOVE_COST_S
@@ -122,35 +141,114 @@
         )
         return probability, max(1.0, 1.0 / statistics.median(paces))
 
+    def _is_within_limit(
+        self, run: _run.Run, step: _state.StepProgress, action: Action
+    ) -> bool:
+        """Return whether the client account may start the second run.
+
+        A stop returns what the first run uses of the account's limit.
+        """
+        context = self._context
+        account = context.account_of(step.job)
+        if account is None:
+            return True
+        used = context.roster.usage.used(account.name)
+        if action is Action.STOP:
+            used -= run.charge
+        remaining = account.remaining(used)
+        charge = step.step.charge
+        if remaining is None or charge == _NO_RESOURCES:
+            return True
+        return remaining.fit_count(charge) > 0
+
     def _best_elsewhere(
-        self, task: _state.TaskProgress, excluded: str, now_s: float
+        self,
+        task: _state.TaskProgress,
+        excluded: str,
+        now_s: float,
+        action: Action,
     ) -> float | None:
-        """Return the least slowdown of a worker that may run a task now."""
+        """Return the slowdown of the worker that would run a task now."""
         context = self._context
         step = task.step
         queue = context.queue_of(step.job)
-        best = math.inf
-        permitted = None
+        ticketed = None
         if queue.advice is not None:
-            permitted = context.advice.with_valid_ticket(step.key)
-            if not permitted:
+            ticketed = context.advice.with_valid_ticket(step.key)
+            if not ticketed:
                 # By the next check there may be a ticket.
                 self._advice_requests.request_ahead(step, queue.advice)
                 return None
-        for worker in context.roster.in_pool(queue.pool):
-            if worker.worker_id == excluded or not worker.accepts_starts:
-                continue
-            if permitted is not None and worker.worker_id not in permitted:
-                continue
-            label = step.step.required_label
-            if not worker.free.covers(step.step.need) or (
-                label and label not in worker.listed.labels
-            ):
-                continue
-            slowdown = context.run_times.slowdown(worker.listed)
-            if slowdown < best and self._may_start(worker, now_s):
-                best = slowdown
-        return best if best < math.inf else None
+        feasible = self._feasible(queue, step)
+        candidates = [
+            worker
+            for worker in feasible
+            if (ticketed is None or worker.worker_id in ticketed)
+            and worker.worker_id != excluded
+            and _has_room(worker, step)
+            and self._may_start(worker, now_s)
+        ]
+        if not candidates:
+            return None
+        rank_of = self._group_ranks(queue, step, feasible, action)
+        ranked = [
+            (rank, context.run_times.slowdown(worker.listed))
+            for worker in candidates
+            if (rank := rank_of(worker)) is not None
+        ]
+        return min(ranked)[1] if ranked else None
+
+    def _feasible(
+        self, queue: cell.Queue, step: _state.StepProgress
+    ) -> list[_worker.WorkerState]:
+        """Return the open workers that can run a step when empty."""
+        label = step.step.required_label
+        return [
+            worker
+            for worker in self._context.roster.in_pool(queue.pool)
+            if worker.accepts_starts
+            and worker.listed.capacity.covers(step.step.need)
+            and (not label or label in worker.listed.labels)
+        ]
+
+    def _group_ranks(
+        self,
+        queue: cell.Queue,
+        step: _state.StepProgress,
+        feasible: list[_worker.WorkerState],
+        action: Action,
+    ) -> collections.abc.Callable[[_worker.WorkerState], int | None]:
+        """Return a function to rank workers by the groups of a step.
+
+        It returns None for a worker that the placer would not use: instead of
+        starting there, the task would wait for a quicker one.
+        """
+        context = self._context
+        speeds = _selectors.pool_speeds(context, queue.pool)
+        if speeds is None:
+            return lambda worker: 0
+        usable = None
+        if queue.advice is not None:
+            # As in a pass, granted workers count before their ticket is
+            # valid, except in the least urgent queues.
+            is_lowest = queue.priority >= context.cell.lowest_priority
+            usable = (
+                context.advice.with_valid_ticket(step.key)
+                if is_lowest
+                else context.advice.granted(step.key)
+            )
+        permitted = {
+            speeds.group_of(worker)
+            for worker in feasible
+            if usable is None or worker.worker_id in usable
+        }
+        choice = speeds.choose(
+            queue, step, permitted, is_restart=action is Action.STOP
+        )
+        if choice is None:
+            return lambda worker: 0
+        ranks = {number: rank for rank, number in enumerate(choice.groups)}
+        return lambda worker: ranks.get(speeds.group_of(worker))
 
     def _may_start(self, worker: _worker.WorkerState, now_s: float) -> bool:
         context = self._context
@@ -160,3 +258,11 @@
             and context.health.may_start(worker.worker_id)
             and not context.health.is_suspect(worker.worker_id)
         )
+
+
+def _has_room(worker: _worker.WorkerState, step: _state.StepProgress) -> bool:
+    """Return whether a worker can take one more task of a step now."""
+    limit = step.step.per_worker_max
+    if limit and worker.step_counts[step.key] >= limit:
+        return False
+    return worker.free.covers(step.step.need)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
@@ -130,16 +130,22 @@
                 continue
             if task.copy is not None or run.phase not in _ACTIVE_PHASES:
                 continue
-            if is_silent or self._is_late(run, task, now_s):
+            if is_silent or self._is_late(
+                run, task, now_s, _moves.Action.COPY
+            ):
                 self._context.copies_wanted[task.name] = task
                 self._context.wake()
 
     def _is_late(
-        self, run: _run.Run, task: _state.TaskProgress, now_s: float
+        self,
+        run: _run.Run,
+        task: _state.TaskProgress,
+        now_s: float,
+        action: _moves.Action,
     ) -> bool:
         """Return whether a run would end sooner on another worker."""
         if self._context.observed is not None:
-            return self._is_worth_moving(run, task, now_s)
+            return self._is_worth_moving(run, task, now_s, action)
         usual_pace = self._context.pace.usual_pace(task.step.key)
         return _is_straggler(run, task, now_s, usual_pace) or (
             self._is_slow(run.worker_id, now_s)
@@ -148,13 +154,17 @@
         )
 
     def _is_worth_moving(
-        self, run: _run.Run, task: _state.TaskProgress, now_s: float
+        self,
+        run: _run.Run,
+        task: _state.TaskProgress,
+        now_s: float,
+        action: _moves.Action,
     ) -> bool:
         """Return whether a late run is expected to end sooner elsewhere."""
         is_slow = self._is_slow(run.worker_id, now_s)
         if not is_slow and not _exceeds_expectation(run, task, now_s):
             return False
-        move = self._moves.consider(run, task, now_s)
+        move = self._moves.consider(run, task, now_s, action)
         if move is None or not move.gains:
             return False
         _LOG.info(
@@ -197,7 +207,11 @@
                 continue
             is_urgent = not self._context.queue_of(task.step.job).priority
             is_first = run.name.attempt == task.failures + 1
-            if is_urgent and is_first and self._is_late(run, task, now_s):
+            if (
+                is_urgent
+                and is_first
+                and self._is_late(run, task, now_s, _moves.Action.STOP)
+            ):
                 self._sender.stop(run, 'worker is slow')
 
     def _is_stalled(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_pool_speeds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_pool_speeds.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import collections.abc
+import dataclasses
+import math
 import typing
 
 from walnutpoint_core import logs
@@ -70,16 +72,22 @@
         queue: cell.Queue,
         step: _state.StepProgress,
         permitted: collections.abc.Collection[int],
+        *,
+        is_restart: bool = False,
     ) -> _choice.GroupChoice | None:
         """Return the groups that a step may use; None for any.
 
         Lasting tasks have no end, and filling tasks use what others leave.
+        is_restart tells that a running task of the step would be stopped and
+        wait from now on.
         """
         if step.job.document.lasting or step.step.fills:
             return None
         outlook = _outlook.outlook_of(
             step, queue, self._run_times, self._now_s, self._now_ms
         )
+        if is_restart and math.isinf(outlook.waited_s):
+            outlook = dataclasses.replace(outlook, waited_s=0.0)
         return _choice.choose(outlook, self.groups, permitted)
 
     def preferred_first(
--- a/tests/walnutpoint_scheduler/estimates/test_moves.py
+++ b/tests/walnutpoint_scheduler/estimates/test_moves.py
@@ -10,13 +10,26 @@
 import dataclasses
 import random
 import unittest
+from unittest import mock
 
 import anyio
 
 from tests.walnutpoint_scheduler import harness
+from tests.walnutpoint_scheduler.placement import mixed_pool
+from walnutpoint_core import resources
+from walnutpoint_scheduler import _advice_requests
+from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _lease
+from walnutpoint_scheduler import _moves
+from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _run_rate
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
+from walnutpoint_scheduler import accounts as client_accounts
+from walnutpoint_scheduler import outlier
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
+from walnutpoint_scheduler import worker_health
 from walnutpoint_scheduler import worker_pace
 
 WORKERS = 30
@@ -80,7 +93,7 @@
         return moved
 
 
-def _run(
+def _run_cell(
     seed: int,
     scenario: collections.abc.Callable[
         [_Cell], collections.abc.Awaitable[None]
@@ -115,7 +128,7 @@
             async def steady(cell: _Cell) -> None:
                 await cell.stream(0, 15.0)
 
-            cell = _run(seed, steady)
+            cell = _run_cell(seed, steady)
             moved += len(cell.moved())
             starts += len(cell.starts)
         self.assertLessEqual(moved, starts * 20 / 5900 + 1)
@@ -133,13 +146,108 @@
         moved = [
             worker
             for seed in range(3)
-            for worker in _run(seed, disturb).moved().values()
+            for worker in _run_cell(seed, disturb).moved().values()
         ]
         from_disturbed = sum(worker in disturbed for worker in moved)
         self.assertGreaterEqual(from_disturbed, 3)
         self.assertGreaterEqual(from_disturbed, 0.75 * len(moved))
 
 
+class DestinationTest(unittest.TestCase):
+    """A task of 2 s on a worker at a fifth of its speed, and two others.
+
+    The second is quick; the third is slow, and ends it after its objective.
+    """
+
+    def _elsewhere(
+        self,
+        action: _moves.Action = _moves.Action.STOP,
+        *,
+        quick_cpu: int = 8000,
+        quick_tasks: int = 0,
+        limit_cpu: int = 8000,
+        gone_s: float = 0.0,
+    ) -> float | None:
+        """Return the slowdown of the worker to move to, if any."""
+        bed = harness.Testbed(0)
+        context = _context.Context(
+            1,
+            settings.SchedulerSettings(),
+            mock.Mock(now_s=lambda: 1.0),
+            lambda: 1000 + int(gone_s * 1000),
+            bed.fleet,
+            mock.Mock(),
+            worker_health.WorkerHealth(outlier.OutlierDetector(3, 1, 8)),
+        )
+        context.observe_run_times()
+        context.run_times = mixed_pool.FakeRunTimes({'worker-2': SLOWDOWN})
+        context.run_times.slowdowns['worker-1'] = 1.0
+        context.observed = mock.Mock(large_share=lambda pool: TAIL_SHARE)
+        limit = resources.Resources(limit_cpu)
+        accounts = client_accounts.Accounts(
+            [client_accounts.Account('limited', limit=limit)]
+        )
+        context.cell = dataclasses.replace(harness.CELL, accounts=accounts)
+        for number, cpu in enumerate((4000, quick_cpu, 8000)):
+            listed = harness.workers.listed_worker(number)
+            lease = _lease.WorkerLease(2.5, 0.0)
+            worker = _worker.WorkerState(listed, lease)
+            worker.answering = True
+            context.roster.add(worker)
+            worker.free = resources.Resources(cpu, 64_000)
+        step = harness.step(
+            1, cpu_millicores=4000, estimate_ms=2000, per_worker_max=1
+        )
+        job = _state.JobProgress(
+            harness.job(1, step, accepted_ms=1000, account='limited'),
+            harness.QUEUE,
+            0.0,
+        )
+        task = job.occurrence(0)[0].tasks[0]
+        task.step.ready_s = 0.0
+        task.state = _state.TaskState.ACTIVE
+        run = _run.Run(
+            ports.RunName(task.name, 1), 'worker-0', step.need, 0.0, task
+        )
+        run.started_s = 0.0
+        context.roster.workers['worker-0'].book(run)
+        quick = context.roster.workers['worker-1']
+        quick.step_counts[task.step.key] += quick_tasks
+        run.rate.begin(0)
+        run.rate.update(1000, 10.0, 1.0)
+        for other in range(3):
+            context.pace.note('worker-0', other, 0.2, 0.9)
+        requests = _advice_requests.AdviceRequests(context)
+        moves = _moves.Moves(context, requests)
+        move = moves.consider(run, task, 1.0, action)
+        return None if move is None else move.slowdown_elsewhere
+
+    def test_only_where_the_step_may_start(self) -> None:
+        """Guards against stops after which the task waits for another."""
+        self.assertEqual(1.0, self._elsewhere())
+        self.assertIsNone(self._elsewhere(quick_cpu=0))
+        # Full for its step only.
+        self.assertIsNone(self._elsewhere(quick_tasks=1))
+        # Late anywhere, so that any worker will do.
+        self.assertEqual(SLOWDOWN, self._elsewhere(quick_cpu=0, gone_s=9.0))
+
+    def test_copy_may_use_a_slow_worker(self) -> None:
+        """Guards against a copy judged as if it had to wait."""
+        copy = _moves.Action.COPY
+        self.assertEqual(1.0, self._elsewhere(copy))
+        self.assertEqual(SLOWDOWN, self._elsewhere(copy, quick_cpu=0))
+
+    def test_limit_of_the_account(self) -> None:
+        """Guards against second runs that the account may not start.
+
+        A stop returns what the first run uses.
+        """
+        copy = _moves.Action.COPY
+        self.assertIsNone(self._elsewhere(copy, limit_cpu=7000))
+        self.assertEqual(1.0, self._elsewhere(limit_cpu=7000))
+        self.assertIsNone(self._elsewhere(limit_cpu=3000))
+
+
 class WorkerPaceTest(unittest.TestCase):
     """When a worker counts as slow, relative to what is expected of it."""
 
