Log a late run once, with what is done about it

A copy that can't be placed logged run.outpaced every 0.2 s for each run, and the line did not tell whether the run would be stopped or copied.

LogTest covers both.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
@@ -46,6 +46,7 @@
         'name',
         'need',
         'ordered_s',
+        'outpaced_action',
         'pace_percent',
         'pace_sample',
         'phase',
@@ -107,6 +108,8 @@
         # an earlier term may have sent one.
         self.is_pace_uncertain = False
         self.stop_reason = ''
+        # The action last logged because it would end sooner elsewhere.
+        self.outpaced_action = ''
         # Whether worker health counts it as a start with no result yet.
         self.is_trial = False
         # The client account that it is charged to, and how much.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
@@ -160,24 +160,17 @@
         now_s: float,
         action: _moves.Action,
     ) -> bool:
-        """Return whether a late run is expected to end sooner elsewhere."""
+        """Return whether a late run is expected to end sooner elsewhere.
+
+        The caller then takes the action, which is logged here.
+        """
         is_slow = self._is_slow(run.worker_id, now_s)
         if not is_slow and not _exceeds_expectation(run, task, now_s):
             return False
         move = self._moves.consider(run, task, now_s, action)
         if move is None or not move.gains:
             return False
-        _LOG.info(
-            'run.outpaced',
-            run=_ends.run_text(run.name),
-            worker=run.worker_id,
-            percent=run.progress_percent,
-            remaining_s=round(move.remaining_s, 2),
-            elsewhere_s=round(move.elsewhere_s, 2),
-            probability=round(move.probability, 2),
-            factor=round(move.factor, 2),
-            slowdown_elsewhere=round(move.slowdown_elsewhere, 2),
-        )
+        _log_outpaced(run, move, action)
         return True
 
     def _is_slow(self, worker_id: str, now_s: float) -> bool:
@@ -306,6 +299,30 @@
                 self._advice_requests.request_ahead(step, terms)
 
 
+def _log_outpaced(
+    run: _run.Run, move: _moves.Move, action: _moves.Action
+) -> None:
+    """Log a move, once per run and action.
+
+    A copy is requested again with each check until it can be placed.
+    """
+    if run.outpaced_action == action.value:
+        return
+    run.outpaced_action = action.value
+    _LOG.info(
+        'run.outpaced',
+        run=_ends.run_text(run.name),
+        worker=run.worker_id,
+        action=action.value,
+        percent=run.progress_percent,
+        remaining_s=round(move.remaining_s, 2),
+        elsewhere_s=round(move.elsewhere_s, 2),
+        probability=round(move.probability, 2),
+        factor=round(move.factor, 2),
+        slowdown_elsewhere=round(move.slowdown_elsewhere, 2),
+    )
+
+
 def _exceeds_expectation(
     run: _run.Run, task: _state.TaskProgress, now_s: float
 ) -> bool:
--- a/tests/walnutpoint_scheduler/estimates/test_moves.py
+++ b/tests/walnutpoint_scheduler/estimates/test_moves.py
@@ -22,6 +22,7 @@
 from walnutpoint_scheduler import _lease
 from walnutpoint_scheduler import _moves
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _run_monitor
 from walnutpoint_scheduler import _run_rate
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
@@ -248,6 +249,30 @@
         self.assertIsNone(self._elsewhere(limit_cpu=3000))
 
 
+class LogTest(unittest.TestCase):
+    """The log line of a late run."""
+
+    def test_one_line_per_run_and_action(self) -> None:
+        """Guards against a line per check while a copy can't be placed."""
+        name = ports.RunName(ports.TaskName('1', 0, 0, 0), 1)
+        run = harness.core_run(name)
+        move = _moves.Move(9.0, 3.0, 0.9, 5.0, 1.0)
+        copy, stop = _moves.Action.COPY, _moves.Action.STOP
+        monitor = _run_monitor.RunMonitor(mock.MagicMock(), mock.Mock())
+        task = mock.MagicMock()
+        with (
+            mock.patch.object(
+                _moves.Moves, 'consider', autospec=True, return_value=move
+            ),
+            mock.patch.object(_run_monitor, '_LOG', spec_set=['info']) as log,
+        ):
+            for action in (copy, copy, stop, stop):
+                is_late = monitor._is_late  # noqa: SLF001
+                self.assertTrue(is_late(run, task, 1.0, action))
+        actions = [call.kwargs['action'] for call in log.info.mock_calls]
+        self.assertEqual(['copy', 'stop'], actions)
+
+
 class WorkerPaceTest(unittest.TestCase):
     """When a worker counts as slow, relative to what is expected of it."""
 
