--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
@@ -130,16 +130,22 @@
                 continue
             if task.copy is not None or run.phase not in _ACTIVE_PHASES:
                 continue
-            if is_silent or self._is_late(run, task, now_s):
+            if is_silent or self._is_late(
+                run, task, now_s, _moves.Action.COPY
+            ):
                 self._context.copies_wanted[task.name] = task
                 self._context.wake()
 
     def _is_late(
-        self, run: _run.Run, task: _state.TaskProgress, now_s: float
+        self,
+        run: _run.Run,
+        task: _state.TaskProgress,
+        now_s: float,
+        action: _moves.Action,
     ) -> bool:
         """Return whether a run would end sooner on another worker."""
         if self._context.observed is not None:
-            return self._is_worth_moving(run, task, now_s)
+            return self._is_worth_moving(run, task, now_s, action)
         usual_pace = self._context.pace.usual_pace(task.step.key)
         return _is_straggler(run, task, now_s, usual_pace) or (
             self._is_slow(run.worker_id, now_s)
@@ -148,26 +154,23 @@
         )
 
     def _is_worth_moving(
-        self, run: _run.Run, task: _state.TaskProgress, now_s: float
+        self,
+        run: _run.Run,
+        task: _state.TaskProgress,
+        now_s: float,
+        action: _moves.Action,
     ) -> bool:
-        """Return whether a late run is expected to end sooner elsewhere."""
+        """Return whether a late run is expected to end sooner elsewhere.
+
+        The caller then takes the action, which is logged here.
+        """
         is_slow = self._is_slow(run.worker_id, now_s)
         if not is_slow and not _exceeds_expectation(run, task, now_s):
             return False
-        move = self._moves.consider(run, task, now_s)
+        move = self._moves.consider(run, task, now_s, action)
         if move is None or not move.gains:
             return False
-        _LOG.info(
-            'run.outpaced',
-            run=_ends.run_text(run.name),
-            worker=run.worker_id,
-            percent=run.progress_percent,
-            remaining_s=round(move.remaining_s, 2),
-            elsewhere_s=round(move.elsewhere_s, 2),
-            probability=round(move.probability, 2),
-            factor=round(move.factor, 2),
-            slowdown_elsewhere=round(move.slowdown_elsewhere, 2),
-        )
+        _log_outpaced(run, move, action)
         return True
 
     def _is_slow(self, worker_id: str, now_s: float) -> bool:
@@ -197,7 +200,11 @@
                 continue
             is_urgent = not self._context.queue_of(task.step.job).priority
             is_first = run.name.attempt == task.failures + 1
-            if is_urgent and is_first and self._is_late(run, task, now_s):
+            if (
+                is_urgent
+                and is_first
+                and self._is_late(run, task, now_s, _moves.Action.STOP)
+            ):
                 self._sender.stop(run, 'worker is slow')
 
     def _is_stalled(
@@ -292,6 +299,30 @@
                 self._advice_requests.request_ahead(step, terms)
 
 
+def _log_outpaced(
+    run: _run.Run, move: _moves.Move, action: _moves.Action
+) -> None:
+    """Log a move, once per run and action.
+
+    A copy is requested again with each check until it can be placed.
+    """
+    if run.outpaced_action == action.value:
+        return
+    run.outpaced_action = action.value
+    _LOG.info(
+        'run.outpaced',
+        run=_ends.run_text(run.name),
+        worker=run.worker_id,
+        action=action.value,
+        percent=run.progress_percent,
+        remaining_s=round(move.remaining_s, 2),
+        elsewhere_s=round(move.elsewhere_s, 2),
+        probability=round(move.probability, 2),
+        factor=round(move.factor, 2),
+        slowdown_elsewhere=round(move.slowdown_elsewhere, 2),
+    )
+
+
 def _exceeds_expectation(
     run: _run.Run, task: _state.TaskProgress, now_s: float
 ) -> bool:
