Leave the expected run time of lasting runs open

A lasting step's run time is infinite, so that each failure of its tasks came early in the run and made the worker suspect. run.expected_s is now set only where it is finite, and the declared time counts otherwise. A started lasting step has an infinite remaining time, as one that waits does.

Verified: test_run_samples fails without the change (suspect after a failure 2 s into the run) and passes with it.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_planning.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from walnutpoint_core import logs
@@ -50,7 +51,10 @@
     if context.observed is not None:
         step = task.step
         task_s = context.run_times.task_s(queue.name, step.key, step.step)
-        run.expected_s = task_s * slowdown
+        # Without an expectation the declared time counts. By an infinite one
+        # each failure of a lasting task would be an early one.
+        if task_s < math.inf:
+            run.expected_s = task_s * slowdown
     task.run = run
     task.state = _state.TaskState.ACTIVE
     worker.book(run)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_remaining.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_remaining.py
@@ -56,7 +56,7 @@
     for task in step.tasks:
         if task.state is _state.TaskState.DONE:
             continue
-        if task.run is None:
+        if task.run is None or step.step.lasting:
             queue = step.job.document.queue
             task_s = run_times.task_s(queue, step.key, step.step)
             remaining_s = max(remaining_s, task_s)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_samples.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_samples.py
@@ -39,7 +39,7 @@
         run = worker.runs.get(reported.run)
         if run is None or run.task is None:
             continue
-        if run.expected_s is None:
+        if run.expected_s is None and not run.task.step.step.lasting:
             run.expected_s = context.expected_s(run.task.step, worker)
         is_fresh = run.rate.started_clock_ms is not None
         if not _progress.depends_on_worker(run) or not (
