Split a pool only where both sides have several workers

One worker at 10 times made the best split isolate it alone. Its side lacked evidence, so that the pool counted as alike although a third of its workers were at 1.9 times. Only cuts with _GROUP_WORKERS_MIN workers on each side are considered now, and a pool without such a cut is not mixed.

Verified: the new test of test_observed fails without the change (not mixed after 10 s) and passes with it.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_speeds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_speeds.py
@@ -334,8 +334,12 @@
         computed for it. If it has less than a third of the capacity, or the
         workers are alike, the median by capacity is usual.
         """
-        found = _statistics.split([speed.level for speed in speeds])
-        if found is not None:
+        found = _statistics.split(
+            [speed.level for speed in speeds], _GROUP_WORKERS_MIN
+        )
+        if found is None:
+            self.is_mixed = False
+        else:
             lower = speeds[: found.lower_count]
             upper = speeds[found.lower_count :]
             bound = _MIXED_UNTIL if self.is_mixed else _MIXED_FROM
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_statistics.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_statistics.py
@@ -80,16 +80,22 @@
     return prior + deviation * count / (count + prior_count)
 
 
-def split(ordered: collections.abc.Sequence[float]) -> Split | None:
-    """Split sorted values where the variance between the groups is largest."""
+def split(
+    ordered: collections.abc.Sequence[float], least: int
+) -> Split | None:
+    """Split sorted values where the variance between the groups is largest.
+
+    Each group has the least number of values or more, so that a few outliers
+    are no group.
+    """
     count = len(ordered)
-    if count < 2:
-        return None
     total = math.fsum(ordered)
     best, best_variance = None, 0.0
     for lower_count, lower_sum in enumerate(
-        itertools.accumulate(ordered[:-1]), start=1
+        itertools.accumulate(ordered[: max(0, count - least)]), start=1
     ):
+        if lower_count < least:
+            continue
         lower = lower_sum / lower_count
         upper = (total - lower_sum) / (count - lower_count)
         variance = lower_count * (count - lower_count) * (upper - lower) ** 2
--- a/tests/walnutpoint_scheduler/estimates/test_observed.py
+++ b/tests/walnutpoint_scheduler/estimates/test_observed.py
@@ -204,6 +204,18 @@
         )
         self.assertLess(wrong, 0.05 * WORKERS)
 
+    def test_one_very_slow_worker_hides_no_group(self) -> None:
+        """Guards against a pool split at its slowest worker only."""
+        load = Load(
+            1,
+            slowdown=lambda n: 10.0 if n == 1 else true_slowdown(n),
+            workers_count=20,
+        )
+        load.run(8.0)
+        for _ in range(60):
+            load.run(1.0)
+            self.assertTrue(load.run_times.is_mixed('pool'), load.now_s)
+
 
 class SizesTest(unittest.TestCase):
     """The error of declared times."""
