Remove the speed records of workers that left or restarted

A restart under the same id and labels kept all 32 runs of the former incarnation, against four by the design.

Restored records that are not listed within 10 s of the first listing are dropped.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_time_store.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_time_store.py
@@ -17,6 +17,11 @@
 _WRITE_PERIOD_S: typing.Final = 5.0
 # A successor needs the estimates within its first second.
 _READ_RETRY_S: typing.Final = 0.3
+# Entries that expired while the store was down return within this time of the
+# first listing. Estimates of workers that are still missing are dropped then.
+_LISTED_WITHIN_S: typing.Final = 10.0
+# The longest value that the store takes.
+_VALUE_MAX_BYTES: typing.Final = 64 * 1024
 
 
 class RunTimeStore:
@@ -25,7 +30,7 @@
     Nothing waits for it: without a snapshot the estimates start afresh.
     """
 
-    __slots__ = ('_context', '_observed', '_store')
+    __slots__ = ('_context', '_listed_s', '_observed', '_store')
 
     def __init__(
         self,
@@ -36,6 +41,8 @@
         self._context = context
         self._observed = observed
         self._store = store
+        # When the first listing was seen.
+        self._listed_s: float | None = None
 
     async def run(self) -> None:
         """Read once the store answers, then write until cancelled."""
@@ -69,10 +76,29 @@
 
     async def _write(self) -> None:
         """Write the estimates if they changed materially."""
-        snapshot = self._observed.changed_snapshot()
+        workers = self._context.roster.workers
+        now_s = self._context.timer.now_s()
+        if workers and self._listed_s is None:
+            self._listed_s = now_s
+        if (
+            self._listed_s is not None
+            and now_s - self._listed_s >= _LISTED_WITHIN_S
+        ):
+            self._observed.retain(workers)
+        snapshot = self._observed.changed_snapshot(workers)
         if snapshot is None:
             return
-        value = estimates.encode_snapshot(snapshot)
+        value, cut = estimates.encode_snapshot_within(
+            snapshot, _VALUE_MAX_BYTES
+        )
+        if cut is not snapshot:
+            _LOG.warning(
+                'estimates.cut',
+                workers=sum(len(p.workers) for p in snapshot.pools.values()),
+                kept=sum(len(p.workers) for p in cut.pools.values()),
+                size_bytes=len(value),
+                token=self._context.token,
+            )
         reply = await self._store.commit(
             core_ports.Batch(
                 (core_ports.Guard(_keys.SCHEDULER, self._context.token),),
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/__init__.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/__init__.py
@@ -14,6 +14,7 @@
     'RunTimes',
     'UnreadableError',
     'encode_snapshot',
+    'encode_snapshot_within',
     'probability_disturbed',
 )
 
@@ -22,4 +23,5 @@
 RunTimes = _run_times.RunTimes
 UnreadableError = _snapshot.UnreadableError
 encode_snapshot = _snapshot.encode
+encode_snapshot_within = _snapshot.encode_within
 probability_disturbed = _disturbance.probability
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_observed.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_observed.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import math
 import typing
 
@@ -92,8 +93,23 @@
         return self._pools[pool].large_share
 
     def forget(self, worker_id: str) -> None:
-        """Read a worker's labels again: its incarnation has changed."""
+        """Remove the record of a worker that left or restarted.
+
+        The next incarnation at its address inherits some of its evidence.
+        """
         self._slowdowns.pop(worker_id, None)
+        for pool in self._pools.values():
+            if pool.forget(worker_id):
+                self._has_changed = True
+
+    def retain(self, listed_ids: collections.abc.Container[str]) -> None:
+        """Remove the records of all workers that are not listed."""
+        known = {*self._slowdowns}.union(
+            *(pool.workers for pool in self._pools.values())
+        )
+        for worker_id in known:
+            if worker_id not in listed_ids:
+                self.forget(worker_id)
 
     def observe(
         self,
@@ -141,11 +157,19 @@
                 self._logged_s[name] = now_s
                 self._log(name, pool)
 
-    def changed_snapshot(self) -> _snapshot.Snapshot | None:
-        """Return the estimates, or None if the store has about the same."""
+    def changed_snapshot(
+        self, listed_ids: collections.abc.Container[str] | None = None
+    ) -> _snapshot.Snapshot | None:
+        """Return the estimates, or None if the store has about the same.
+
+        They are those of the listed workers and their groups; None is all.
+        """
         snapshot = _snapshot.Snapshot(
             _snapshot.FORMAT,
-            {name: pool.snapshot() for name, pool in self._pools.items()},
+            {
+                name: pool.snapshot(listed_ids)
+                for name, pool in self._pools.items()
+            },
             {
                 queue: (name, _snapshot.to_milli(level + usual), weight)
                 for queue, (level, weight) in self._sizes.levels().items()
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_snapshot.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_snapshot.py
@@ -15,6 +15,7 @@
     'decode',
     'differs',
     'encode',
+    'encode_within',
     'from_milli',
     'to_milli',
 )
@@ -24,6 +25,8 @@
 _MILLI: typing.Final = 1000.0
 # A factor of 20 either way: no estimate is further off.
 _LEVEL_MAX: typing.Final = 3000
+# Room for the parts of a cut snapshot that do not shrink with its workers.
+_CUT_MARGIN: typing.Final = 0.9
 # Changes worth a write, in thousandths: of a group by 3%, of a worker or a
 # queue by a tenth.
 _GROUP_CHANGE: typing.Final = 30
@@ -77,6 +80,34 @@
     return msgspec.msgpack.encode(snapshot)
 
 
+def encode_within(
+    snapshot: Snapshot, limit_bytes: int
+) -> tuple[bytes, Snapshot]:
+    """Serialize as much of a snapshot as fits, and return that as well.
+
+    The workers with the fewest runs are left out first: their levels are
+    about those of their groups.
+    """
+    value = encode(snapshot)
+    while len(value) > limit_bytes:
+        share = limit_bytes / len(value) * _CUT_MARGIN
+        snapshot = _cut(snapshot, share)
+        value = encode(snapshot)
+    return value, snapshot
+
+
+def _cut(snapshot: Snapshot, share: float) -> Snapshot:
+    """Return a snapshot with a share of its workers, or else an empty one."""
+    pools = {}
+    for name, pool in snapshot.pools.items():
+        by_runs = sorted(pool.workers.items(), key=lambda item: -item[1].runs)
+        kept = dict(by_runs[: int(len(by_runs) * share)])
+        pools[name] = msgspec.structs.replace(pool, workers=kept)
+    if any(pool.workers for pool in snapshot.pools.values()):
+        return msgspec.structs.replace(snapshot, pools=pools)
+    return Snapshot(FORMAT, {}, {})
+
+
 def decode(value: bytes) -> Snapshot:
     """Decode a snapshot; raise UnreadableError with the reason."""
     try:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_speeds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_speeds.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import collections
+import collections.abc
 import math
 import typing
 
@@ -50,6 +51,9 @@
 _LASTING_S: typing.Final = 10.0
 _GAP_S: typing.Final = 3.0
 _WORKERS_MAX: typing.Final = 4096
+# Addresses whose last incarnation is known, and groups without workers.
+_ADDRESSES_MAX: typing.Final = 4096
+_FORMER_GROUPS_MAX: typing.Final = 256
 # A task is large from this residual on, which one in a hundred others reach.
 _LARGE_FROM: typing.Final = math.log(3.5)
 # The share of large tasks before any were observed, and its weight.
@@ -72,6 +76,7 @@
         '_slow_from_s',
         '_slow_until_s',
         'address',
+        'born_ms',
         'capacity',
         'count',
         'inherited',
@@ -84,6 +89,8 @@
         self.labels = labels
         # Empty for a worker known from a snapshot only.
         self.address = ''
+        # Start of its incarnation; zero if unknown.
+        self.born_ms = 0
         self.capacity = max(1, cpu_millicores)
         # Time of observation and value.
         self._runs: collections.deque[tuple[float, float]] = collections.deque(
@@ -123,6 +130,12 @@
             return 0.0, 0.0
         return (mean * count + self.mean * self.count) / total, total
 
+    def retire(self) -> None:
+        """Keep only what the next incarnation inherits."""
+        self.inherited = self.evidence()
+        self._runs.clear()
+        self.count = 0
+
     def _summarize(self) -> None:
         self.count = len(self._runs)
         if self.count:
@@ -148,7 +161,7 @@
 
     __slots__ = (
         '_by_address',
-        '_restored_groups',
+        '_former_groups',
         'groups',
         'is_mixed',
         'large_runs',
@@ -161,7 +174,8 @@
         self.workers: dict[str, WorkerSpeed] = {}
         self._by_address: dict[str, WorkerSpeed] = {}
         self.groups: dict[Labels, GroupSpeed] = {}
-        self._restored_groups: dict[Labels, tuple[float, float]] = {}
+        # Level and weight of groups, from a snapshot or of workers that left.
+        self._former_groups: dict[Labels, tuple[float, float]] = {}
         self.is_mixed = False
         # The level of a usual worker.
         self.usual = 0.0
@@ -174,26 +188,54 @@
         """Return the record of a worker, created on first use."""
         speed = self.workers.get(listed.worker_id)
         labels = labels_of(listed)
-        if speed is None or speed.labels != labels:
+        if (
+            speed is None
+            or speed.labels != labels
+            or 0 < speed.born_ms < listed.born_ms
+        ):
             speed = self._add(listed, labels)
         if not speed.address:
             speed.address = listed.address
+            speed.born_ms = listed.born_ms
+            self._by_address.pop(listed.address, None)
             self._by_address[listed.address] = speed
+            if len(self._by_address) > _ADDRESSES_MAX:
+                del self._by_address[next(iter(self._by_address))]
         return speed
 
+    def forget(self, worker_id: str) -> bool:
+        """Remove a worker's record, and return whether there was one.
+
+        A later incarnation at its address inherits from it. The estimate of
+        its group outlives its last worker, with the weight of a snapshot:
+        otherwise a restart of all workers would lose it.
+        """
+        speed = self.workers.pop(worker_id, None)
+        if speed is None:
+            return False
+        speed.retire()
+        group = self.groups.get(speed.labels)
+        if group is not None:
+            self._former_groups.pop(speed.labels, None)
+            self._former_groups[speed.labels] = (
+                group.level,
+                min(group.runs, _RESTORED_GROUP_RUNS_MAX),
+            )
+            if len(self._former_groups) > _FORMER_GROUPS_MAX:
+                del self._former_groups[next(iter(self._former_groups))]
+        return True
+
     def _add(self, listed: cell.ListedWorker, labels: Labels) -> WorkerSpeed:
         """Add a worker, with what its predecessor at its address showed."""
+        self.forget(listed.worker_id)
         speed = WorkerSpeed(labels, listed.capacity.cpu_millicores)
         former = self._by_address.get(listed.address)
         if former is not None and former.labels == labels:
             mean, count = former.evidence()
             speed.inherited = mean, min(count, _INHERITED_RUNS_MAX)
-        self.workers.pop(listed.worker_id, None)
         self.workers[listed.worker_id] = speed
         while len(self.workers) > _WORKERS_MAX:
-            oldest = self.workers.pop(next(iter(self.workers)))
-            if self._by_address.get(oldest.address) is oldest:
-                del self._by_address[oldest.address]
+            self.forget(next(iter(self.workers)))
         self._set_level(speed)
         return speed
 
@@ -222,12 +264,23 @@
         speeds = sorted(self.workers.values(), key=lambda s: s.level)
         self._update_usual(speeds)
 
-    def snapshot(self) -> _snapshot.Pool:
-        """Return the estimates relative to the usual level."""
-        labels = tuple(sorted(self.groups))
+    def snapshot(
+        self, listed_ids: collections.abc.Container[str] | None
+    ) -> _snapshot.Pool:
+        """Return the estimates relative to the usual level.
+
+        They are those of the listed workers and their groups; None is all.
+        """
+        speeds = {
+            worker_id: speed
+            for worker_id, speed in self.workers.items()
+            if listed_ids is None or worker_id in listed_ids
+        }
+        present = {speed.labels for speed in speeds.values()}
+        labels = tuple(sorted(self.groups.keys() & present))
         numbers = {group: number for number, group in enumerate(labels)}
         workers = {}
-        for worker_id, speed in self.workers.items():
+        for worker_id, speed in speeds.items():
             mean, count = speed.evidence()
             if count and speed.labels in numbers:
                 workers[worker_id] = _snapshot.Worker(
@@ -262,7 +315,7 @@
         for labels, (level, runs) in zip(
             pool.labels, pool.groups, strict=True
         ):
-            self._restored_groups[labels] = (
+            self._former_groups[labels] = (
                 _snapshot.from_milli(level) + self.usual,
                 min(runs, _RESTORED_GROUP_RUNS_MAX),
             )
@@ -303,13 +356,13 @@
             for speed in speeds
         )
         groups = {}
-        for labels in members.keys() | self._restored_groups.keys():
+        for labels in members.keys() | self._former_groups.keys():
             speeds = members.get(labels, [])
             runs: float = sum(speed.count for speed in speeds)
             mean = _statistics.weighted_median(
                 (speed.mean, speed.count) for speed in speeds
             )
-            level, weight = self._restored_groups.get(labels, (0.0, 0.0))
+            level, weight = self._former_groups.get(labels, (0.0, 0.0))
             weight = max(0.0, weight - runs)
             is_shared = weight > 0.0 or len(speeds) >= _GROUP_WORKERS_MIN
             if runs + weight > 0.0:
@@ -352,9 +405,10 @@
             share = sum(speed.capacity for speed in lower) / capacity
             if self.is_mixed and share >= _USUAL_SHARE_MIN:
                 speeds = lower
-        self.usual = _statistics.weighted_median(
-            (speed.level, speed.capacity) for speed in speeds
-        )
+        if speeds:
+            self.usual = _statistics.weighted_median(
+                (speed.level, speed.capacity) for speed in speeds
+            )
 
     def _has_evidence(self, speeds: list[WorkerSpeed]) -> bool:
         """Return whether several workers with several runs support a group."""
--- a/tests/walnutpoint_scheduler/estimates/test_snapshot.py
+++ b/tests/walnutpoint_scheduler/estimates/test_snapshot.py
@@ -60,6 +60,22 @@
         load.run(20.0)
         self.assertLess(len(_encoded(load)), VALUE_MAX_BYTES)
 
+    def test_snapshot_is_cut_to_its_limit(self) -> None:
+        """Guards against a value that the store refuses for its size."""
+        load = test_observed.Load(1)
+        load.run(3.0)
+        snapshot = load.run_times.changed_snapshot()
+        assert snapshot is not None
+        whole = len(estimates.encode_snapshot(snapshot))
+        for limit_bytes in (whole, whole // 2, 100, 10):
+            value, cut = estimates.encode_snapshot_within(
+                snapshot, limit_bytes
+            )
+            with self.subTest(limit_bytes=limit_bytes):
+                self.assertLessEqual(len(value), limit_bytes)
+                self.assertEqual(limit_bytes == whole, cut is snapshot)
+                estimates.ObservedRunTimes().restore(value)
+
     def test_unusable_values_change_nothing(self) -> None:
         """Guards against a term that fails at a damaged value."""
         load = test_observed.Load(1)
@@ -102,6 +118,9 @@
                 timer=bed.timer,
                 started_s=bed.timer.now_s(),
                 token=bed.claim() + token_offset,
+                roster=types.SimpleNamespace(
+                    workers={w.worker_id: w for w in load.workers}
+                ),
             )
             bed.store.fault = fault
             run_time_store = _run_time_store.RunTimeStore(
