Read a worker's slowdown again once its entry changes

Slowdowns were cached by worker id only. After an entry update with other labels, a restart or a move to another pool the former slowdown was read, and the old pool kept the record. The cache now holds the entry that it was read for: the usual read is a lookup and an identity check. A new entry of the same pool, labels, rack and start is a heartbeat; any other reads the record again.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_observed.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_observed.py
@@ -24,6 +24,20 @@
 _GROUPS_LOGGED_MAX: typing.Final = 6
 
 
+class _Slowdown:
+    """The slowdown of a worker, with the entry that it was read for."""
+
+    __slots__ = ('entry', 'pool', 'value')
+
+    def __init__(
+        self, value: float, pool: str, entry: cell.ListedWorker | None
+    ) -> None:
+        self.value = value
+        self.pool = pool
+        # None if only known from runs or a snapshot.
+        self.entry = entry
+
+
 class ObservedRunTimes:
     """Estimates run times from the declared times and observed runs.
 
@@ -51,7 +65,7 @@
         # The pool in which a queue's runs were observed last.
         self._pool_of_queue: dict[str, str] = {}
         # By worker, as read by every pass.
-        self._slowdowns: dict[str, float] = {}
+        self._slowdowns: dict[str, _Slowdown] = {}
         self._refreshed_s = -math.inf
         self._logged_s: dict[str, float] = {}
         self._has_changed = False
@@ -70,18 +84,45 @@
 
     def slowdown(self, worker: cell.ListedWorker) -> float:
         """Return the run time on a worker over that on a usual worker."""
-        slowdown = self._slowdowns.get(worker.worker_id)
-        if slowdown is None:
-            pool = self._pools[worker.pool]
-            if not pool.workers:
-                return 1.0
-            slowdown = pool.slowdown(pool.worker(worker))
-            self._slowdowns[worker.worker_id] = slowdown
-        return slowdown
+        known = self._slowdowns.get(worker.worker_id)
+        if known is not None and known.entry is worker:
+            return known.value
+        return self._read_slowdown(worker, known)
+
+    def _read_slowdown(
+        self, worker: cell.ListedWorker, known: _Slowdown | None
+    ) -> float:
+        """Return the slowdown of a worker whose entry was replaced.
+
+        Most new entries are heartbeats and change nothing else.
+        """
+        if (
+            known is not None
+            and known.entry is not None
+            and _is_same_kind(known.entry, worker)
+        ):
+            known.entry = worker
+            return known.value
+        self._remove_if_moved(worker)
+        pool = self._pools[worker.pool]
+        if not pool.workers:
+            return 1.0
+        value = pool.slowdown(pool.worker(worker))
+        self._slowdowns[worker.worker_id] = _Slowdown(
+            value, worker.pool, worker
+        )
+        return value
+
+    def _remove_if_moved(self, worker: cell.ListedWorker) -> None:
+        """Remove the record of a worker that was in another pool."""
+        known = self._slowdowns.get(worker.worker_id)
+        if known is not None and known.pool != worker.pool:
+            self.forget(worker.worker_id)
 
     def slowdown_of(self, worker_id: str) -> float:
         """Return the slowdown of a worker that was seen before, or 1."""
-        return self._slowdowns.get(worker_id, 1.0)
+        known = self._slowdowns.get(worker_id)
+        return 1.0 if known is None else known.value
 
     def is_mixed(self, pool: str) -> bool:
         """Return whether the speeds of a pool's workers differ materially."""
@@ -128,6 +169,7 @@
         """
         if declared_s <= 0.0 or run_s <= 0.0:
             return
+        self._remove_if_moved(worker)
         pool = self._pools[worker.pool]
         speed = pool.worker(worker)
         if not speed.admits(now_s, is_slow=is_slow):
@@ -152,7 +194,7 @@
         self._sizes.refresh()
         for name, pool in self._pools.items():
             pool.refresh()
-            self._read_slowdowns(pool)
+            self._read_slowdowns(name, pool)
             if now_s - self._logged_s.get(name, -math.inf) >= _LOG_PERIOD_S:
                 self._logged_s[name] = now_s
                 self._log(name, pool)
@@ -195,7 +237,7 @@
         for name, stored in snapshot.pools.items():
             pool = self._pools[name]
             pool.restore(stored)
-            self._read_slowdowns(pool)
+            self._read_slowdowns(name, pool)
         for queue, (name, level, weight) in snapshot.queues.items():
             self._pool_of_queue.setdefault(queue, name)
             usual = self._pools[name].usual
@@ -205,9 +247,13 @@
         self._stored = snapshot
         return sum(len(pool.workers) for pool in snapshot.pools.values())
 
-    def _read_slowdowns(self, pool: _speeds.PoolSpeeds) -> None:
+    def _read_slowdowns(self, name: str, pool: _speeds.PoolSpeeds) -> None:
         for worker_id, speed in pool.workers.items():
-            self._slowdowns[worker_id] = pool.slowdown(speed)
+            known = self._slowdowns.get(worker_id)
+            if known is None or known.pool != name:
+                known = _Slowdown(1.0, name, None)
+                self._slowdowns[worker_id] = known
+            known.value = pool.slowdown(speed)
 
     def _log(self, name: str, pool: _speeds.PoolSpeeds) -> None:
         groups = sorted(pool.groups.items(), key=lambda item: -item[1].runs)
@@ -228,3 +274,13 @@
                 if self._pool_of_queue.get(queue) == name
             ),
         )
+
+
+def _is_same_kind(entry: cell.ListedWorker, other: cell.ListedWorker) -> bool:
+    """Return whether two entries of a worker share its estimates."""
+    return (
+        entry.pool == other.pool
+        and entry.labels == other.labels
+        and entry.rack == other.rack
+        and entry.born_ms == other.born_ms
+    )
--- a/tests/walnutpoint_scheduler/estimates/test_leaving_workers.py
+++ b/tests/walnutpoint_scheduler/estimates/test_leaving_workers.py
@@ -136,3 +136,28 @@
                     is_forgotten=forgotten, is_listed=listed
                 )
                 self.assertLess(slowdown, 1.15)
+
+
+class ChangedEntriesTest(unittest.TestCase):
+    """A worker's entry changes under the same id."""
+
+    def test_changed_entry_has_its_own_slowdown(self) -> None:
+        """Guards against the slowdown of former labels or another pool."""
+        load = test_observed.Load(1)
+        load.run(8.0)
+        run_times = load.run_times
+        slow = load.workers[0]
+        bound = math.sqrt(test_observed.SLOWDOWN)
+        heartbeat = dataclasses.replace(slow, clock_ms=slow.clock_ms + 1)
+        for changes, is_slow in (
+            ({}, True),
+            ({'labels': ('a', slow.rack)}, False),
+            ({'labels': slow.labels}, True),
+            ({'pool': 'other'}, False),
+        ):
+            with self.subTest(changes=changes):
+                entry = dataclasses.replace(heartbeat, **changes)
+                for _ in range(2):
+                    slowdown = run_times.slowdown(entry)
+                    self.assertEqual(is_slow, slowdown > bound)
+        self.assertNotIn(slow.worker_id, run_times._pools['pool'].workers)
