Take no evidence from a worker's clock that was set

A step of the clock of 60 s made a run look 60 s long, its worker slow, and its runs were moved. Between two reports of a run, the worker's clock and the scheduler's may now differ by 1.0 s at most. Beyond that the rate gets a new anchor, the start by that clock is dropped, and neither the rate, the pace nor the end is evidence. The last report is compared, not the anchor: that may be minutes old, and a clock may be 2% slow.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_orders.py
@@ -173,8 +173,8 @@
                 run.started_s = run.progress_changed_s = now_s
                 resumes = run.task is not None and run.task.checkpoint
                 if reply.clock_ms is not None and not resumes:
-                    run.pace_sample = reply.clock_ms, 0.0
-                    run.rate.begin(reply.clock_ms)
+                    run.pace_sample = reply.clock_ms, 0.0, now_s
+                    run.rate.begin(reply.clock_ms, now_s)
             return
         if outcome is ports.OrderOutcome.FENCED:
             context.on_deposed(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
@@ -7,6 +7,7 @@
 from walnutpoint_core import logs
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _run
+from walnutpoint_scheduler import _run_rate
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import ports
@@ -49,12 +50,14 @@
             continue
         before, run.pace_sample = (
             run.pace_sample,
-            (report.clock_ms, reported.progress_percent),
+            (report.clock_ms, reported.progress_percent, now_s),
         )
         if before is None:
             continue
-        since_ms, percent = before
+        since_ms, percent, since_s = before
         span_s = (report.clock_ms - since_ms) / _MS_PER_S
+        if _run_rate.has_clock_stepped(span_s, now_s - since_s):
+            continue
         if not context.pace.is_long_enough(span_s):
             run.pace_sample = before
             continue
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run.py
@@ -96,7 +96,7 @@
         self.progress_percent = 0.0
         self.progress_changed_s = planned_s
         # Worker clock in ms and progress from which its pace is measured.
-        self.pace_sample: tuple[int, float] | None = None
+        self.pace_sample: tuple[int, float, float] | None = None
         # Expected run time on its worker; None for the declared time.
         self.expected_s: float | None = None
         # How fast it progresses; unknown unless run times are observed.
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_rate.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_rate.py
@@ -4,7 +4,10 @@
 
 import typing
 
-__all__ = ('RunRate',)
+__all__ = (
+    'RunRate',
+    'has_clock_stepped',
+)
 
 _MS_PER_S: typing.Final = 1000.0
 _FULL_PERCENT: typing.Final = 100.0
@@ -19,6 +22,9 @@
 # progress change its predicted time by a tenth at most.
 _PREDICTION_AGE_S: typing.Final = 0.3
 _PREDICTION_PERCENT: typing.Final = 8.0
+# The clocks of a worker and the scheduler disagree by more than this between
+# two reports only if one was set, or a report was late.
+_CLOCK_STEP_S: typing.Final = 1.0
 
 
 class RunRate:
@@ -53,15 +59,22 @@
         # Whether the run's evidence was counted.
         self.is_counted = False
 
-    def begin(self, clock_ms: int) -> None:
+    def begin(self, clock_ms: int, now_s: float) -> None:
         """Record the start of the run by its worker's clock."""
         self.started_clock_ms = self.seen_clock_ms = clock_ms
+        self._seen_s = now_s
         self._anchor = clock_ms, 0.0
 
     def update(self, clock_ms: int, percent: float, now_s: float) -> None:
         """Record the progress in a report."""
+        has_stepped = self.has_clock_stepped(clock_ms, now_s)
         self.seen_clock_ms = clock_ms
         self._percent, self._seen_s = percent, now_s
+        if has_stepped:
+            # Any time from before would be off by the step.
+            self.started_clock_ms = None
+            self._anchor = clock_ms, percent
+            return
         if self._anchor is None:
             self._anchor = clock_ms, percent
             return
@@ -83,6 +96,17 @@
             # One more percent may be about to be reported.
             self.per_s = min(self.per_s, (progress + 1.0) / span_s)
 
+    def has_clock_stepped(self, clock_ms: int, now_s: float) -> bool:
+        """Return whether the worker's clock was set since the last report.
+
+        Not since the anchor: that may be minutes old, and a clock 2% slow
+        would count as set.
+        """
+        if self.seen_clock_ms is None:
+            return False
+        span_s = (clock_ms - self.seen_clock_ms) / _MS_PER_S
+        return has_clock_stepped(span_s, now_s - self._seen_s)
+
     def reset(self) -> None:
         """Forget the rate: progress does not depend on the worker alone."""
         self._anchor = self.per_s = self.best_per_s = None
@@ -113,3 +137,8 @@
         if whole_s is None:
             return None
         return max(0.0, whole_s * self.left_share - (now_s - self._seen_s))
+
+
+def has_clock_stepped(span_s: float, elapsed_s: float) -> bool:
+    """Return whether a worker's clock shows another time than elapsed."""
+    return abs(span_s - elapsed_s) > _CLOCK_STEP_S
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_samples.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_samples.py
@@ -70,6 +70,8 @@
     seen_ms = typing.cast(int, rate.seen_clock_ms)
     if report.clock_ms - seen_ms > _GAP_MAX_MS:
         return
+    if rate.has_clock_stepped(report.clock_ms, context.timer.now_s()):
+        return
     if not _progress.depends_on_worker(run):
         return
     run_s = (report.clock_ms - rate.started_clock_ms) / _MS_PER_S
--- a/tests/walnutpoint_scheduler/estimates/test_moves.py
+++ b/tests/walnutpoint_scheduler/estimates/test_moves.py
@@ -172,7 +172,7 @@
     def test_drop_shows_with_the_next_report(self) -> None:
         """Guards against a drop that shows only after some more percent."""
         rate = _run_rate.RunRate()
-        rate.begin(1000)
+        rate.begin(1000, 0.0)
         rate.update(1500, 20.0, 0.5)
         self.assertEqual(2.0, rate.remaining_s(0.5))
         rate.update(2000, 21.0, 1.0)
