Survive any fault of the stored estimates

Deeply nested msgpack raised a RecursionError that ended each term at its start, and a queue weight of -1 or NaN was accepted and made later divisions fail. Numbers are now checked against their ranges, any fault of decoding makes the value unreadable, and the task that reads it is guarded.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -279,7 +279,8 @@
         pools = _resizing_pools.ResizingPools(context, dependencies.store)
 
         if context.observed is not None:
-            tasks.start_soon(
+            # Guarded: a record that it fails on would end each term.
+            context.spawn(
                 _run_time_store.RunTimeStore(
                     context, context.observed, dependencies.store
                 ).run
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_snapshot.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_snapshot.py
@@ -25,6 +25,8 @@
 _MILLI: typing.Final = 1000.0
 # A factor of 20 either way: no estimate is further off.
 _LEVEL_MAX: typing.Final = 3000
+# Sums of counts stay exact as floats.
+_COUNT_MAX: typing.Final = 2**40
 # Room for the parts of a cut snapshot that do not shrink with its workers.
 _CUT_MARGIN: typing.Final = 0.9
 # Changes worth a write, in thousandths: of a group by 3%, of a worker or a
@@ -33,7 +35,9 @@
 _CHANGE: typing.Final = 100
 
 Level = typing.Annotated[int, msgspec.Meta(ge=-_LEVEL_MAX, le=_LEVEL_MAX)]
-_Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
+# Also refuses NaN, which is in no range.
+_Weight = typing.Annotated[float, msgspec.Meta(ge=0.0, le=_COUNT_MAX)]
 # A level and the number of runs that support it.
 Estimate = tuple[Level, _Count]
 
@@ -65,7 +69,7 @@
     format: int
     pools: dict[str, Pool]
     # The error of declared times, with the pool of the queue.
-    queues: dict[str, tuple[str, Level, float]]
+    queues: dict[str, tuple[str, Level, _Weight]]
 
 
 class UnreadableError(Exception):
@@ -115,7 +119,11 @@
         if isinstance(fields, list) and fields and fields[0] != FORMAT:
             raise UnreadableError(f'format {fields[0]!r}')
         snapshot = _DECODER.decode(value)
-    except msgspec.DecodeError as error:
+    except UnreadableError:
+        raise
+    except Exception as error:
+        # Not all faults are DecodeErrors: deep nesting is a RecursionError.
+        # Any would end each term at its start.
         raise UnreadableError(f'torn: {error}') from error
     for pool in snapshot.pools.values():
         groups = len(pool.labels)
@@ -123,6 +131,8 @@
             worker.group >= groups for worker in pool.workers.values()
         ):
             raise UnreadableError('torn: a group is missing')
+        if pool.large_runs > pool.runs:
+            raise UnreadableError('torn: more large runs than runs')
     return snapshot
 
 
--- a/tests/walnutpoint_scheduler/estimates/test_snapshot.py
+++ b/tests/walnutpoint_scheduler/estimates/test_snapshot.py
@@ -6,8 +6,10 @@
 import types
 import typing
 import unittest
+from unittest import mock
 
 import anyio
+import msgspec
 
 from tests.walnutpoint_scheduler.estimates import test_observed
 from tests.walnutpoint_scheduler import harness
@@ -28,6 +30,11 @@
     return estimates.encode_snapshot(snapshot)
 
 
+def _stored_queue(weight: float) -> bytes:
+    queues = {'queue': ('pool', 0, weight)}
+    return msgspec.msgpack.encode([1, {}, queues])
+
+
 class SnapshotTest(unittest.TestCase):
     """What a snapshot holds, and which ones are refused."""
 
@@ -87,9 +94,24 @@
             value[: len(value) // 2],
             value[:1] + b'\x63' + value[2:],
             b'\x93\x01\x81\xa1p\x90\x80',
+            # Nested more deeply than the decoder recurses.
+            b'\x91' * 100_000,
+            # Numbers by which a later division would fail.
+            *(
+                _stored_queue(weight)
+                for weight in (-1.0, math.nan, math.inf, 1e30)
+            ),
+            msgspec.msgpack.encode(
+                [1, {'p': [True, 2**63, 1, [], [], {}]}, {}]
+            ),
+            msgspec.msgpack.encode([1, {'p': [True, 5, 6, [], [], {}]}, {}]),
         ):
-            with self.assertRaises(estimates.UnreadableError):
+            with (
+                self.subTest(damaged=damaged[:20]),
+                self.assertRaises(estimates.UnreadableError),
+            ):
                 run_times.restore(damaged)
+        run_times.restore(_stored_queue(1.0))
         self.assertFalse(run_times.is_mixed('pool'))
         self.assertEqual(1.0, run_times.slowdown(load.workers[0]))
 
@@ -154,8 +176,8 @@
 
     def test_estimates_start_afresh_without_a_snapshot(self) -> None:
         """Guards against a damaged value that is never replaced."""
-        for stored in (None, b'damaged'):
-            with self.subTest(stored=stored):
+        for stored in (None, b'damaged', b'\x91' * 100_000):
+            with self.subTest(stored=stored and stored[:10]):
                 is_restored, value = self._stored_after(
                     stored, stores.StoreFault.NONE
                 )
@@ -189,3 +211,26 @@
 
         harness.run_virtual(scenario)
         self.assertEqual([True], known)
+
+    def test_term_outlives_a_fault_of_the_estimates(self) -> None:
+        """Guards against a record that ends each term at its start."""
+        reasons = []
+
+        async def scenario() -> None:
+            bed = harness.Testbed(8)
+            bed.store.put(_keys.ESTIMATES, b'\x91' * 100_000)
+            with mock.patch.object(
+                estimates.ObservedRunTimes,
+                'restore',
+                autospec=True,
+                side_effect=ValueError,
+            ):
+                async with bed.scheduling() as term:
+                    bed.submit(harness.job(1))
+                    await harness.until(
+                        lambda: bed.state(harness.job(1).job_id) == 'done'
+                    )
+                    reasons.append(term.reason)
+
+        harness.run_virtual(scenario)
+        self.assertEqual([''], reasons)
