--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_samples.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_samples.py
@@ -39,7 +39,7 @@
         run = worker.runs.get(reported.run)
         if run is None or run.task is None:
             continue
-        if run.expected_s is None:
+        if run.expected_s is None and not run.task.step.step.lasting:
             run.expected_s = context.expected_s(run.task.step, worker)
         is_fresh = run.rate.started_clock_ms is not None
         if not _progress.depends_on_worker(run) or not (
@@ -70,6 +70,8 @@
     seen_ms = typing.cast(int, rate.seen_clock_ms)
     if report.clock_ms - seen_ms > _GAP_MAX_MS:
         return
+    if rate.has_clock_stepped(report.clock_ms, context.timer.now_s()):
+        return
     if not _progress.depends_on_worker(run):
         return
     run_s = (report.clock_ms - rate.started_clock_ms) / _MS_PER_S
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_snapshot.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/estimates/_snapshot.py
@@ -15,6 +15,7 @@
     'decode',
     'differs',
     'encode',
+    'encode_within',
     'from_milli',
     'to_milli',
 )
@@ -24,13 +25,19 @@
 _MILLI: typing.Final = 1000.0
 # A factor of 20 either way: no estimate is further off.
 _LEVEL_MAX: typing.Final = 3000
+# Sums of counts stay exact as floats.
+_COUNT_MAX: typing.Final = 2**40
+# Room for the parts of a cut snapshot that do not shrink with its workers.
+_CUT_MARGIN: typing.Final = 0.9
 # Changes worth a write, in thousandths: of a group by 3%, of a worker or a
 # queue by a tenth.
 _GROUP_CHANGE: typing.Final = 30
 _CHANGE: typing.Final = 100
 
 Level = typing.Annotated[int, msgspec.Meta(ge=-_LEVEL_MAX, le=_LEVEL_MAX)]
-_Count = typing.Annotated[int, msgspec.Meta(ge=0)]
+_Count = typing.Annotated[int, msgspec.Meta(ge=0, le=_COUNT_MAX)]
+# Also refuses NaN, which is in no range.
+_Weight = typing.Annotated[float, msgspec.Meta(ge=0.0, le=_COUNT_MAX)]
 # A level and the number of runs that support it.
 Estimate = tuple[Level, _Count]
 
@@ -62,7 +69,7 @@
     format: int
     pools: dict[str, Pool]
     # The error of declared times, with the pool of the queue.
-    queues: dict[str, tuple[str, Level, float]]
+    queues: dict[str, tuple[str, Level, _Weight]]
 
 
 class UnreadableError(Exception):
@@ -77,6 +84,34 @@
     return msgspec.msgpack.encode(snapshot)
 
 
+def encode_within(
+    snapshot: Snapshot, limit_bytes: int
+) -> tuple[bytes, Snapshot]:
+    """Serialize as much of a snapshot as fits, and return that as well.
+
+    The workers with the fewest runs are left out first: their levels are
+    about those of their groups.
+    """
+    value = encode(snapshot)
+    while len(value) > limit_bytes:
+        share = limit_bytes / len(value) * _CUT_MARGIN
+        snapshot = _cut(snapshot, share)
+        value = encode(snapshot)
+    return value, snapshot
+
+
+def _cut(snapshot: Snapshot, share: float) -> Snapshot:
+    """Return a snapshot with a share of its workers, or else an empty one."""
+    pools = {}
+    for name, pool in snapshot.pools.items():
+        by_runs = sorted(pool.workers.items(), key=lambda item: -item[1].runs)
+        kept = dict(by_runs[: int(len(by_runs) * share)])
+        pools[name] = msgspec.structs.replace(pool, workers=kept)
+    if any(pool.workers for pool in snapshot.pools.values()):
+        return msgspec.structs.replace(snapshot, pools=pools)
+    return Snapshot(FORMAT, {}, {})
+
+
 def decode(value: bytes) -> Snapshot:
     """Decode a snapshot; raise UnreadableError with the reason."""
     try:
@@ -84,7 +119,11 @@
         if isinstance(fields, list) and fields and fields[0] != FORMAT:
             raise UnreadableError(f'format {fields[0]!r}')
         snapshot = _DECODER.decode(value)
-    except msgspec.DecodeError as error:
+    except UnreadableError:
+        raise
+    except Exception as error:
+        # Not all faults are DecodeErrors: deep nesting is a RecursionError.
+        # Any would end each term at its start.
         raise UnreadableError(f'torn: {error}') from error
     for pool in snapshot.pools.values():
         groups = len(pool.labels)
@@ -92,6 +131,8 @@
             worker.group >= groups for worker in pool.workers.values()
         ):
             raise UnreadableError('torn: a group is missing')
+        if pool.large_runs > pool.runs:
+            raise UnreadableError('torn: more large runs than runs')
     return snapshot
 
 
--- a/tests/walnutpoint_scheduler/estimates/test_snapshot.py
+++ b/tests/walnutpoint_scheduler/estimates/test_snapshot.py
@@ -6,8 +6,10 @@
 import types
 import typing
 import unittest
+from unittest import mock
 
 import anyio
+import msgspec
 
 from tests.walnutpoint_scheduler.estimates import test_observed
 from tests.walnutpoint_scheduler import harness
@@ -28,6 +30,11 @@
     return estimates.encode_snapshot(snapshot)
 
 
+def _stored_queue(weight: float) -> bytes:
+    queues = {'queue': ('pool', 0, weight)}
+    return msgspec.msgpack.encode([1, {}, queues])
+
+
 class SnapshotTest(unittest.TestCase):
     """What a snapshot holds, and which ones are refused."""
 
@@ -60,6 +67,22 @@
         load.run(20.0)
         self.assertLess(len(_encoded(load)), VALUE_MAX_BYTES)
 
+    def test_snapshot_is_cut_to_its_limit(self) -> None:
+        """Guards against a value that the store refuses for its size."""
+        load = test_observed.Load(1)
+        load.run(3.0)
+        snapshot = load.run_times.changed_snapshot()
+        assert snapshot is not None
+        whole = len(estimates.encode_snapshot(snapshot))
+        for limit_bytes in (whole, whole // 2, 100, 10):
+            value, cut = estimates.encode_snapshot_within(
+                snapshot, limit_bytes
+            )
+            with self.subTest(limit_bytes=limit_bytes):
+                self.assertLessEqual(len(value), limit_bytes)
+                self.assertEqual(limit_bytes == whole, cut is snapshot)
+                estimates.ObservedRunTimes().restore(value)
+
     def test_unusable_values_change_nothing(self) -> None:
         """Guards against a term that fails at a damaged value."""
         load = test_observed.Load(1)
@@ -71,9 +94,24 @@
             value[: len(value) // 2],
             value[:1] + b'\x63' + value[2:],
             b'\x93\x01\x81\xa1p\x90\x80',
+            # Nested more deeply than the decoder recurses.
+            b'\x91' * 100_000,
+            # Numbers by which a later division would fail.
+            *(
+                _stored_queue(weight)
+                for weight in (-1.0, math.nan, math.inf, 1e30)
+            ),
+            msgspec.msgpack.encode(
+                [1, {'p': [True, 2**63, 1, [], [], {}]}, {}]
+            ),
+            msgspec.msgpack.encode([1, {'p': [True, 5, 6, [], [], {}]}, {}]),
         ):
-            with self.assertRaises(estimates.UnreadableError):
+            with (
+                self.subTest(damaged=damaged[:20]),
+                self.assertRaises(estimates.UnreadableError),
+            ):
                 run_times.restore(damaged)
+        run_times.restore(_stored_queue(1.0))
         self.assertFalse(run_times.is_mixed('pool'))
         self.assertEqual(1.0, run_times.slowdown(load.workers[0]))
 
@@ -102,6 +140,9 @@
                 timer=bed.timer,
                 started_s=bed.timer.now_s(),
                 token=bed.claim() + token_offset,
+                roster=types.SimpleNamespace(
+                    workers={w.worker_id: w for w in load.workers}
+                ),
             )
             bed.store.fault = fault
             run_time_store = _run_time_store.RunTimeStore(
@@ -135,8 +176,8 @@
 
     def test_estimates_start_afresh_without_a_snapshot(self) -> None:
         """Guards against a damaged value that is never replaced."""
-        for stored in (None, b'damaged'):
-            with self.subTest(stored=stored):
+        for stored in (None, b'damaged', b'\x91' * 100_000):
+            with self.subTest(stored=stored and stored[:10]):
                 is_restored, value = self._stored_after(
                     stored, stores.StoreFault.NONE
                 )
@@ -170,3 +211,26 @@
 
         harness.run_virtual(scenario)
         self.assertEqual([True], known)
+
+    def test_term_outlives_a_fault_of_the_estimates(self) -> None:
+        """Guards against a record that ends each term at its start."""
+        reasons = []
+
+        async def scenario() -> None:
+            bed = harness.Testbed(8)
+            bed.store.put(_keys.ESTIMATES, b'\x91' * 100_000)
+            with mock.patch.object(
+                estimates.ObservedRunTimes,
+                'restore',
+                autospec=True,
+                side_effect=ValueError,
+            ):
+                async with bed.scheduling() as term:
+                    bed.submit(harness.job(1))
+                    await harness.until(
+                        lambda: bed.state(harness.job(1).job_id) == 'done'
+                    )
+                    reasons.append(term.reason)
+
+        harness.run_virtual(scenario)
+        self.assertEqual([''], reasons)
