Choose one working set per pool, of steps that can start

Shares of different pools were added up, so that the steps of one pool filled the set and another pool was idle. Steps that were denied everywhere, fit on no worker or were beyond their account's limit filled it in full, and took the places for overdue steps.

Each pool now has its own set, terms and cutoff, and the sets are reduced in proportion if the hosts can't keep all tickets. Demand is capped by what the account's limit still permits, stuck steps have no place, the promoted step of a pool always enters, and withheld steps enter once overdue.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
@@ -237,12 +237,13 @@
     def _may_request_ahead(self, step: _state.StepProgress) -> bool:
         """Return whether a step would be in the working set, if any."""
         context = self._context
-        cutoff = context.advice_cutoff
+        queue = context.queue_of(step.job)
+        cutoff = context.advice_cutoffs.get(queue.pool)
         if cutoff is None:
             return True
         policies = context.settings.policies
         rank = _placement_order.rank(
-            context.queue_of(step.job),
+            queue,
             step,
             context.now_ms(),
             policies.late_tiers,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -40,7 +40,7 @@
 
     __slots__ = (
         'advice',
-        'advice_cutoff',
+        'advice_cutoffs',
         'cell',
         'copies_wanted',
         'entitlement',
@@ -103,8 +103,9 @@
         self.suspects = _suspects.Suspects(self.roster, clock)
         self.cell = cell.Cell(0)
         self.journal: _journal.Journal = typing.cast(typing.Any, None)
-        # Rank of the last step that may request advice; None for no limit.
-        self.advice_cutoff: tuple[typing.Any, ...] | None = None
+        # Rank of the last step that may request advice, by pool; pools
+        # without a limit are left out.
+        self.advice_cutoffs: dict[str, tuple[typing.Any, ...]] = {}
         self.advice: _advice.AdviceCache = typing.cast(typing.Any, None)
         self.on_deposed: collections.abc.Callable[[str], None] = (
             _ignore_deposal
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -91,9 +91,11 @@
         queued_steps = self._ready.queued_steps()
         self._advice_requests.begin(queued_steps)
         self._limits.begin(queued_steps)
-        self._planner.begin(queued_steps, self._may_request)
         self.longest_wait_s = self._ready.longest_wait_s(queued_steps)
         promoted = self._ready.promoted(queued_steps, self._may_start)
+        self._planner.begin(
+            queued_steps, self._limits, self._advice_requests.permits, promoted
+        )
         for queued in promoted:
             self._place_guarded(queued, 1)
         for queued in queued_steps:
@@ -204,12 +206,6 @@
         permitted = self._reservable_workers(queue, step)
         selector.choose_groups(queue, step, permitted)
 
-    def _may_request(self, step: _state.StepProgress) -> bool:
-        """Return whether a step has use for advice now."""
-        return self._limits.permits(step) and self._advice_requests.permits(
-            step.key
-        )
-
     def _may_start(self, queued: _placement_order.QueuedStep) -> bool:
         """Return whether an open worker may run a step."""
         if not self._limits.permits(queued.step):
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_planner.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_planner.py
@@ -4,17 +4,20 @@
 
 import collections
 import collections.abc
+import dataclasses
 import typing
 
 from walnutpoint_core import logs
 from walnutpoint_core import resources
 from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _limits
 from walnutpoint_scheduler import _placement_order
 from walnutpoint_scheduler import _release
 from walnutpoint_scheduler import _state
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import _worker_selector
 from walnutpoint_scheduler.advice import _names
+from walnutpoint_scheduler.advice import _startable
 from walnutpoint_scheduler.advice import _working_set
 from walnutpoint_scheduler import cell
 
@@ -35,21 +38,31 @@
 # An overdue step enters early enough for a request that is lost with its
 # host, and the one after it.
 _OVERDUE_ANSWERS: typing.Final = 4.0
-_NO_SET: typing.Final = _working_set.WorkingSet(
-    frozenset(), frozenset(), False, frozenset(), False
-)
 
 _Selectors = collections.abc.Callable[
     [cell.Queue], _worker_selector.WorkerSelector
 ]
 
 
+@dataclasses.dataclass(slots=True)
+class _Pool:
+    """The waiting steps of a pool, and those of them that may request."""
+
+    # The terms of the queue with most demand.
+    terms: cell.AdviceTerms
+    # Concurrent requests, if it used all hosts.
+    limit: int
+    waits: list[_working_set.WaitingStep]
+    places_max: int
+    chosen: _working_set.WorkingSet
+
+
 class RequestPlanner:
     """Decides which steps request advice while requests are scarce.
 
-    They are while the waiting tasks need more than comes free until an answer
-    arrives. Otherwise every step requests for itself, as AdviceRequests
-    decides.
+    They are in a pool while its waiting tasks need more than comes free until
+    an answer arrives. Otherwise every step requests for itself, as
+    AdviceRequests decides.
     """
 
     __slots__ = (
@@ -57,9 +70,10 @@
         '_chosen_s',
         '_context',
         '_logged_s',
+        '_pools',
         '_releases',
-        '_set',
         '_steps',
+        '_stuck',
         '_waiting',
         'is_active',
     )
@@ -68,10 +82,12 @@
         self._context = context
         self._chosen_s = float('-inf')
         self._logged_s = float('-inf')
-        self._set = _NO_SET
+        self._pools: dict[str, _Pool] = {}
         self._steps: list[_placement_order.QueuedStep] = []
-        # The keys of _steps.
-        self._waiting: frozenset[str] = frozenset()
+        # Keys of the steps that can't start anywhere, as last chosen.
+        self._stuck: frozenset[str] = frozenset()
+        # The pools of the steps that request only as decided here, by key.
+        self._waiting: dict[str, _Pool] = {}
         self._releases = _release.Releases(0.0)
         # What comes free within a ticket's life, by pool and that life.
         self._capacities: dict[tuple[str, float], resources.Resources] = {}
@@ -81,22 +97,31 @@
     @property
     def size(self) -> int:
         """Return how many steps are in the set."""
-        return len(self._set.keys) if self.is_active else 0
+        if not self.is_active:
+            return 0
+        return sum(
+            len(pool.chosen.keys)
+            for pool in self._pools.values()
+            if pool.chosen.is_contested
+        )
 
     def begin(
         self,
         queued_steps: collections.abc.Iterable[_placement_order.QueuedStep],
-        may_start: collections.abc.Callable[[_state.StepProgress], bool],
+        limits: _limits.AccountLimits,
+        permits: collections.abc.Callable[[str], bool],
+        promoted: collections.abc.Iterable[_placement_order.QueuedStep],
     ) -> None:
         """Begin a pass over the waiting steps, in placement order.
 
-        A step that may not start for its account's limit needs no advice.
+        A step that may not start for its account's limit needs no advice; one
+        that may not request on its own enters only once overdue.
         """
         self._set_active(False)
         if not self._context.settings.policies.advice_working_set:
             return
         try:
-            self._begin(queued_steps, may_start)
+            self._begin(queued_steps, limits, permits, promoted)
         except Exception as error:
             # Each step requests for itself, as without this planner.
             self._set_active(False)
@@ -105,47 +130,58 @@
     def _begin(
         self,
         queued_steps: collections.abc.Iterable[_placement_order.QueuedStep],
-        may_start: collections.abc.Callable[[_state.StepProgress], bool],
+        limits: _limits.AccountLimits,
+        permits: collections.abc.Callable[[str], bool],
+        promoted: collections.abc.Iterable[_placement_order.QueuedStep],
     ) -> None:
         context = self._context
         advised = [q for q in queued_steps if q.queue.advice is not None]
         queues = {q.queue.name: q.queue for q in advised}
-        limited = {n for n, queue in queues.items() if self._is_limited(queue)}
-        steps = [q for q in advised if q.queue.name in limited]
+        hosts = {n: self._limit(queue) for n, queue in queues.items()}
+        steps = [q for q in advised if hosts[q.queue.name] is not None]
         if not steps:
             return
-        terms = typing.cast(cell.AdviceTerms, steps[0].queue.advice)
-        limit = context.advice.request_limit(terms) or 0
-        if len(steps) <= limit * _STEPS_PER_HOST:
+        hosts_max = max(hosts[q.queue.name] or 0 for q in steps)
+        if len(steps) <= hosts_max * _STEPS_PER_HOST:
             return
-        self._steps = [q for q in steps if may_start(q.step)]
+        self._steps = [q for q in steps if limits.permits(q.step)]
         now_s = context.timer.now_s()
         if now_s - self._chosen_s >= _PERIOD_S:
             self._chosen_s = now_s
-            self._choose(limit, now_s)
-        if self._set.is_contested:
-            self._set_active(True)
-            self._waiting = frozenset(q.step.key for q in self._steps)
-            members = self._set.keys - self._set.overdue_keys
-            context.advice_cutoff = max(
-                (q.rank for q in self._steps if q.step.key in members),
-                default=None,
+            self._choose(
+                limits, permits, {q.step.key for q in promoted}, now_s
             )
+        # A step that is denied or fits nowhere shows that as its cause.
+        self._steps = [
+            q
+            for q in self._steps
+            if q.queue.pool in self._pools
+            and self._pools[q.queue.pool].chosen.is_contested
+            and (q.step.key not in self._stuck or q.step.step.gang)
+        ]
+        if not self._steps:
+            return
+        self._set_active(True)
+        for queued in self._steps:
+            pool, key = self._pools[queued.queue.pool], queued.step.key
+            self._waiting[key] = pool
+            chosen = pool.chosen
+            if key in chosen.keys and key not in chosen.overdue_keys:
+                # The last one remains, as the steps come in order.
+                context.advice_cutoffs[queued.queue.pool] = queued.rank
 
     def _set_active(self, is_active: bool) -> None:
         context = self._context
         self.is_active = is_active
-        context.advice_cutoff = None
+        self._waiting = {}
+        context.advice_cutoffs = {}
         if context.advice is not None:
             context.advice.is_scarce = is_active
 
-    def _is_limited(self, queue: cell.Queue) -> bool:
-        """Return whether requests of a queue compete for hosts."""
-        terms = queue.advice
-        return (
-            terms is not None
-            and self._context.advice.request_limit(terms) is not None
-        )
+    def _limit(self, queue: cell.Queue) -> int | None:
+        """Return how many requests of a queue fit on the hosts, if limited."""
+        terms = typing.cast(cell.AdviceTerms, queue.advice)
+        return self._context.advice.request_limit(terms)
 
     def decides(self, step: _state.StepProgress) -> bool:
         """Return whether a step requests only as this planner decides.
@@ -160,44 +196,136 @@
         All capacity that comes free soon is reserved for earlier steps, and
         the search for some takes most of a pass.
         """
-        return not self.decides(step) or step.key in self._set.first_keys
+        pool = self._waiting.get(step.key)
+        return pool is None or step.key in pool.chosen.first_keys
 
-    def _choose(self, limit: int, now_s: float) -> None:
-        """Choose the set from the capacity that comes free soon."""
-        context = self._context
+    def _choose(
+        self,
+        limits: _limits.AccountLimits,
+        permits: collections.abc.Callable[[str], bool],
+        promoted: collections.abc.Container[str],
+        now_s: float,
+    ) -> None:
+        """Choose the set of each pool from the capacity that comes free."""
         self._releases = _release.Releases(now_s)
         self._capacities.clear()
-        if not self._steps:
-            self._set = _NO_SET
+        self._stuck = frozenset(self._stuck_steps())
+        by_pool: dict[str, list[_placement_order.QueuedStep]] = {}
+        for queued in self._steps:
+            if queued.step.key not in self._stuck:
+                by_pool.setdefault(queued.queue.pool, []).append(queued)
+        shares = _startable.AccountShares()
+        self._pools = {}
+        for name, steps in by_pool.items():
+            waits = []
+            demands: dict[cell.AdviceTerms, float] = {}
+            for queued in steps:
+                count = self._startable_count(queued.step, limits, shares)
+                wait = self._waiting_step(
+                    queued,
+                    count,
+                    now_s,
+                    is_regular=count > 0 and permits(queued.step.key),
+                    is_promoted=queued.step.key in promoted,
+                )
+                waits.append(wait)
+                terms = typing.cast(cell.AdviceTerms, queued.queue.advice)
+                demands[terms] = demands.get(terms, 0.0) + wait.demand
+            terms = max(demands, key=demands.__getitem__)
+            limit = self._context.advice.request_limit(terms) or 1
+            # First as if there was no bound on the hosts.
+            chosen = self._chosen(waits, terms, max(1, len(waits)))
+            self._pools[name] = _Pool(terms, limit, waits, len(waits), chosen)
+        self._share_hosts()
+        if now_s - self._logged_s >= _LOG_PERIOD_S:
+            for name, pool in self._pools.items():
+                if pool.chosen.is_contested:
+                    self._logged_s = now_s
+                    self._log(name, pool)
+
+    def _share_hosts(self) -> None:
+        """Reduce the sets in proportion if the hosts can't keep up."""
+        wanted = {
+            name: len(pool.chosen.keys - pool.chosen.overdue_keys)
+            for name, pool in self._pools.items()
+        }
+        load = sum(
+            wanted[name] * self._host_share(pool)
+            for name, pool in self._pools.items()
+        )
+        if load <= 1.0:
             return
-        terms = typing.cast(cell.AdviceTerms, self._steps[-1].queue.advice)
+        for name, pool in self._pools.items():
+            pool.places_max = max(1, int(wanted[name] / load))
+            pool.chosen = self._chosen(pool.waits, pool.terms, pool.places_max)
+
+    def _host_share(self, pool: _Pool) -> float:
+        """Return the share of the hosts that keeps tickets for one step."""
+        life_s = max(pool.terms.valid_s - _TICKET_MARGIN_S, _TICKET_MARGIN_S)
+        return self._answer_s(pool.terms) / life_s / pool.limit
+
+    def _chosen(
+        self,
+        waits: list[_working_set.WaitingStep],
+        terms: cell.AdviceTerms,
+        places_max: int,
+    ) -> _working_set.WorkingSet:
         answer_s = self._answer_s(terms)
-        places_max = int(limit * (terms.valid_s - _TICKET_MARGIN_S) / answer_s)
-        waits = [self._waiting_step(queued, now_s) for queued in self._steps]
-        self._set = _working_set.choose(
+        return _working_set.choose(
             waits,
-            context.advice.granted_share(terms),
+            self._context.advice.granted_share(terms),
             places_max,
-            context.settings.patience_s - _OVERDUE_ANSWERS * answer_s,
-            answer_s / terms.valid_s,
+            self._context.settings.patience_s - _OVERDUE_ANSWERS * answer_s,
+            answer_s / max(terms.valid_s, _TICKET_MARGIN_S),
         )
-        is_due = now_s - self._logged_s >= _LOG_PERIOD_S
-        if is_due and self._set.is_contested:
-            self._logged_s = now_s
-            self._log(limit, places_max, terms)
+
+    def _stuck_steps(self) -> collections.abc.Iterator[str]:
+        """Yield the keys of the steps that no open workers can start."""
+        context = self._context
+        workers: dict[str, list[_worker.WorkerState]] = {}
+        for queued in self._steps:
+            pool = queued.queue.pool
+            if pool not in workers:
+                workers[pool] = [
+                    w
+                    for w in context.roster.in_pool(pool)
+                    if w.may_accept_starts
+                ]
+            if _startable.is_stuck(
+                queued.step, workers[pool], context.advice.permits
+            ):
+                yield queued.step.key
+
+    def _startable_count(
+        self,
+        step: _state.StepProgress,
+        limits: _limits.AccountLimits,
+        shares: _startable.AccountShares,
+    ) -> int:
+        """Return how many tasks its account's limit has room for."""
+        account = self._context.account_of(step.job)
+        name = '' if account is None else account.name
+        return shares.take(name, step, limits.startable_tasks(step))
 
     def _waiting_step(
-        self, queued: _placement_order.QueuedStep, now_s: float
+        self,
+        queued: _placement_order.QueuedStep,
+        count: int,
+        now_s: float,
+        *,
+        is_regular: bool,
+        is_promoted: bool,
     ) -> _working_set.WaitingStep:
         step = queued.step
         terms = typing.cast(cell.AdviceTerms, queued.queue.advice)
         capacity = self._capacity(queued.queue.pool, terms.valid_s)
-        need = step.step.need.scaled(len(step.waiting()))
         since_s = step.idle_since_s
         return _working_set.WaitingStep(
             step.key,
-            need.dominant_share(capacity),
+            step.step.need.scaled(count).dominant_share(capacity),
             0.0 if since_s is None else now_s - since_s,
+            is_regular,
+            is_promoted,
         )
 
     def _capacity(self, pool: str, within_s: float) -> resources.Resources:
@@ -211,23 +339,21 @@
             self._capacities[(pool, within_s)] = capacity
         return capacity
 
-    def _log(
-        self, limit: int, places_max: int, terms: cell.AdviceTerms
-    ) -> None:
-        pool = self._steps[-1].queue.pool
-        capacity = self._capacity(pool, terms.valid_s)
+    def _log(self, name: str, pool: _Pool) -> None:
+        capacity = self._capacity(name, pool.terms.valid_s)
+        advice = self._context.advice
         _LOG.info(
             'advice.working_set',
-            pool=pool,
-            steps=len(self._steps),
-            chosen=len(self._set.keys),
-            overdue=len(self._set.overdue_keys),
-            in_flight=self._context.advice.limited_in_flight,
-            hosts=limit,
-            places=places_max,
-            is_limited_by_budget=self._set.is_limited_by_budget,
+            pool=name,
+            steps=len(pool.waits),
+            chosen=len(pool.chosen.keys),
+            overdue=len(pool.chosen.overdue_keys),
+            in_flight=advice.limited_in_flight,
+            hosts=pool.limit,
+            places=pool.places_max,
+            is_limited_by_budget=pool.chosen.is_limited_by_budget,
             cores_soon=capacity.cpu_millicores // 1000,
-            granted_share=round(self._context.advice.granted_share(terms), 2),
+            granted_share=round(advice.granted_share(pool.terms), 2),
         )
 
     def request(self, selector_of: _Selectors) -> None:
@@ -241,9 +367,13 @@
 
     def _request(self, selector_of: _Selectors) -> None:
         advice = self._context.advice
-        members = [q for q in self._steps if q.step.key in self._set.keys]
+        chosen = [pool.chosen for pool in self._pools.values()]
+        keys = frozenset[str]().union(*(c.keys for c in chosen))
+        members = [q for q in self._steps if q.step.key in keys]
         # The last of the set, overdue steps would find all hosts occupied.
-        overdue_keys = self._set.overdue_keys
+        overdue_keys = frozenset[str]().union(
+            *(c.overdue_keys for c in chosen)
+        )
         members.sort(key=lambda q: q.step.key not in overdue_keys)
         rivals: collections.Counter[str] | None = None
         rooms: dict[object, list[tuple[_worker.WorkerState, float]]] = {}
@@ -252,7 +382,7 @@
             step, queue = queued.step, queued.queue
             terms = typing.cast(cell.AdviceTerms, queue.advice)
             if not advice.has_request_slot(terms):
-                return
+                continue
             if now_s < step.advice_not_before_s:
                 continue
             if not advice.may_request(step.key) or not step.waiting():
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_working_set.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_working_set.py
@@ -36,6 +36,10 @@
     demand: float
     # How long none of its tasks has run.
     idle_s: float
+    # Whether it may enter by its order; others enter only once overdue.
+    is_regular: bool = True
+    # Whether it is placed first in its pool, as it has waited longest.
+    is_promoted: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -61,12 +65,13 @@
     overdue_s: float,
     answer_share: float,
 ) -> WorkingSet:
-    """Return the first steps that the expected capacity and budget allow.
+    """Return the first steps of a pool that capacity and budget allow.
 
     A granted share of a third lets each step use a third of the capacity, so
     that three times as many tasks are needed to use all of it. Steps that
     have waited for overdue_s get some places whatever their order, the
-    longest waiting first. An answer takes answer_share of a ticket's life.
+    longest waiting first; a promoted step always enters, as the pass places
+    it first. An answer takes answer_share of a ticket's life.
     """
     share = min(max(granted_share, 0.01), 0.99)
     least = math.ceil(math.log(_UNGRANTED_SHARE_MAX) / math.log(1.0 - share))
@@ -74,19 +79,34 @@
     demand = 0.0
     count = 0
     first_count = 0
-    for step in itertools.islice(steps, places_max):
+    regular = [step for step in steps if step.is_regular]
+    for step in itertools.islice(regular, places_max):
         if count >= least and demand * share >= 1.0:
             break
         first_count += demand < 1.0
         demand += step.demand
         count += 1
-    outside = [step for step in steps[count:] if step.idle_s >= overdue_s]
-    outside.sort(key=lambda step: (-step.idle_s, step.key))
-    overdue = outside[: max(1, count // _PLACES_PER_OVERDUE)]
+    inside = frozenset(step.key for step in regular[:count])
+    outside = [
+        step
+        for step in steps
+        if step.key not in inside
+        and (step.is_promoted or step.idle_s >= overdue_s)
+    ]
+    outside.sort(key=_longest_idle_first)
+    overdue = frozenset(
+        step.key for step in outside[: max(1, count // _PLACES_PER_OVERDUE)]
+    )
+    first = frozenset(step.key for step in regular[:first_count])
     return WorkingSet(
-        frozenset(step.key for step in (*steps[:count], *overdue)),
-        frozenset(step.key for step in (*steps[:first_count], *overdue)),
+        inside | overdue,
+        first | overdue,
         demand >= answer_share,
-        frozenset(step.key for step in overdue),
-        count == places_max < len(steps),
+        overdue,
+        count == places_max < len(regular),
     )
+
+
+def _longest_idle_first(step: WaitingStep) -> tuple[bool, float, str]:
+    """Return a sort key: a promoted step, then the longest idle."""
+    return not step.is_promoted, -step.idle_s, step.key
