Withhold advice only while more useful steps wait than may request

Any useful step of a pool barred the useless ones of it from requesting, even in an idle pool, where such a job could wait for patience_s beside free workers. The limit on requests now decides. The test's service handles one request at a time, with a useful job each 0.5 s in place of 1 s; its checks are unchanged, and fail without the withholding.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice_requests.py
@@ -65,7 +65,9 @@
         self._withheld = frozenset()
         if not context.settings.policies.hopeless_refusal:
             return
-        contention = admission.AdviceContention(queued_steps, context.now_ms())
+        contention = admission.AdviceContention(
+            queued_steps, context.now_ms(), context.advice.request_limit
+        )
         context.is_advice_contended = contention.is_contended
         self._withheld = contention.withheld(
             context.timer.now_s() - context.settings.patience_s
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_usefulness.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_usefulness.py
@@ -35,11 +35,6 @@
 _RequestLimit = collections.abc.Callable[[cell.AdviceTerms], int | None]
 
 
-def _no_requests(_terms: cell.AdviceTerms) -> int:
-    """Return the limit by which any useful step delays useless ones."""
-    return 0
-
-
 def is_useless(
     queue: cell.Queue, step: _state.StepProgress, now_ms: float
 ) -> bool:
@@ -62,8 +57,7 @@
     Requests are limited, so that useless steps would delay those of others.
     Steps compete if they need workers of the same pool on the same terms:
     requests of urgent queues are answered too soon to be limited. Useless
-    steps may request while all useful ones can do so at once; without a
-    request_limit, while there is no useful one.
+    steps may request while all useful ones can do so at once.
     """
 
     __slots__ = ('_contended', '_useless', 'is_contended')
@@ -72,7 +66,7 @@
         self,
         queued_steps: collections.abc.Iterable[_placement_order.QueuedStep],
         now_ms: float,
-        request_limit: _RequestLimit = _no_requests,
+        request_limit: _RequestLimit,
     ) -> None:
         useful: collections.Counter[_Key] = collections.Counter()
         self._useless: list[_placement_order.QueuedStep] = []
