Define the limit of usefulness and the cost of a move once

_USEFUL_FACTOR stood in several modules and _MOVE_COST_S in two. They are now cell.USEFUL_FACTOR and _moves.MOVE_COST_S; overload, admission and the placement order still have their own copy of the first. The doc comments of Outlook.left_s and GroupChoice.extra_s say the rule in plain words.

Values are unchanged.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_moves.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_moves.py
@@ -20,6 +20,7 @@
 from walnutpoint_scheduler import estimates
 
 __all__ = (
+    'MOVE_COST_S',
     'Action',
     'Move',
     'Moves',
@@ -27,7 +28,7 @@
 
 _NO_RESOURCES: typing.Final = resources.Resources()
 # The cost of a move beyond the new run: a stop, and the report of its end.
-_MOVE_COST_S: typing.Final = 0.5
+MOVE_COST_S: typing.Final = 0.5
 # Below this the task is taken to be large, and stays: half of the second runs
 # would gain nothing.
 _PROBABILITY_MIN: typing.Final = 0.5
@@ -91,7 +92,7 @@
         if whole_s is None or worker is None or observed is None:
             return None
         remaining_s = _remaining.run_s(run, task, now_s)
-        if remaining_s <= _MOVE_COST_S:
+        if remaining_s <= MOVE_COST_S:
             return None
         probability, factor = self._disturbance(run, task, observed)
         if probability < _PROBABILITY_MIN:
@@ -103,7 +104,7 @@
         if task.step.step.checkpoints:
             # The stop returns a checkpoint, from which the next run resumes.
             size_s *= run.rate.left_share
-        if size_s + _MOVE_COST_S >= remaining_s:
+        if size_s + MOVE_COST_S >= remaining_s:
             # Saves the search for a worker.
             return None
         if not self._is_within_limit(run, task.step, action):
@@ -111,7 +112,7 @@
         best = self._best_elsewhere(task, run.worker_id, now_s, action)
         if best is None:
             return None
-        elsewhere_s = size_s * best + _MOVE_COST_S
+        elsewhere_s = size_s * best + MOVE_COST_S
         return Move(remaining_s, elsewhere_s, probability, factor, best)
 
     def _disturbance(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_monitor.py
@@ -37,8 +37,6 @@
 _ACTIVE_PHASES: typing.Final = frozenset(
     {_run.RunPhase.ORDERED, _run.RunPhase.RUNNING}
 )
-# The cost of a move beyond the new run: a stop, and the report of its end.
-_MOVE_COST_S: typing.Final = 0.5
 # Tickets for the next step are requested when the rest of the previous step is
 # shorter than their validity by this much.
 _PREFETCH_MARGIN_S: typing.Final = 0.6
@@ -150,7 +148,7 @@
         return _is_straggler(run, task, now_s, usual_pace) or (
             self._is_slow(run.worker_id, now_s)
             and _remaining.run_s(run, task, now_s)
-            > task.step.step.expected_s + _MOVE_COST_S
+            > task.step.step.expected_s + _moves.MOVE_COST_S
         )
 
     def _is_worth_moving(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/cell.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/cell.py
@@ -11,6 +11,7 @@
 from walnutpoint_scheduler import accounts as client_accounts
 
 __all__ = (
+    'USEFUL_FACTOR',
     'AdviceTerms',
     'Cell',
     'ListedWorker',
@@ -18,6 +19,8 @@
     'Queue',
 )
 
+# A job that ends within this many times its objective still has some value.
+USEFUL_FACTOR: typing.Final = 3.0
 _BODY_SIZE_BYTES: typing.Final = 262_144
 
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_choice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_choice.py
@@ -37,7 +37,7 @@
     def extra_s(self, number: int) -> float:
         """Return how much longer a task takes than in the quickest group.
 
-        None longer for work with slack, for which any end in time will do.
+        Zero for work with slack, which ends in time on slower workers too.
         """
         if self.is_slow_first:
             return 0.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_outlook.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/placement/_outlook.py
@@ -20,8 +20,6 @@
 )
 
 _MS_PER_S: typing.Final = 1000.0
-# A job that ends within this many times its objective still has some value.
-_USEFUL_FACTOR: typing.Final = 3.0
 # Standard deviation of the logarithm of the task sizes within a step.
 _SIZE_SPREAD: typing.Final = 0.5
 # Blom's approximation of the expected largest of some normal values.
@@ -47,8 +45,10 @@
     def left_s(self, quickest: float) -> float:
         """Return the time left until the next limit that can be met.
 
-        quickest is the slowdown of the quickest workers. A job that will be
-        late even there takes no quick worker from one that will not be.
+        quickest is the slowdown of the quickest workers. If the objective
+        can't be met even there, the limit is the end of usefulness, so that
+        a job that is late anyway also uses slow workers and leaves quick ones
+        to jobs that can be in time.
         """
         expected_s = self.largest_s * quickest
         if expected_s <= self.in_time_s:
@@ -91,7 +91,7 @@
         task_s[step.number],
         largest_s[step.number],
         objective_s - gone_s,
-        objective_s * _USEFUL_FACTOR - gone_s,
+        objective_s * cell.USEFUL_FACTOR - gone_s,
         _waited_s(step, now_s),
     )
 
