Test that backfill uses observed run times in mixed pools

fits() and the selection of gangs get their run time from the choice of groups, and no test showed that it is the observed one rather than the declared one. RunTimeTest passes with the code as it is.

--- a/tests/walnutpoint_scheduler/placement/test_choice.py
+++ b/tests/walnutpoint_scheduler/placement/test_choice.py
@@ -7,7 +7,13 @@
 import random
 import typing
 import unittest
+from unittest import mock
 
+from tests.walnutpoint_scheduler import harness
+from tests.walnutpoint_scheduler.placement import mixed_pool
+from walnutpoint_scheduler import _lease
+from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import placement
 
 GROUPS = placement.SpeedGroups((1.0, 1.9), (1.4,))
@@ -39,6 +45,34 @@
         self.assertEqual((1.0,), placement.find_groups([]).slowdowns)
 
 
+class RunTimeTest(unittest.TestCase):
+    """The run times by which tasks are backfilled."""
+
+    def test_backfill_uses_observed_run_times(self) -> None:
+        """Guards against backfill by declared times, off by up to 1.9."""
+        run_times = mixed_pool.FakeRunTimes({'worker-1': 1.9})
+        workers = [
+            _worker.WorkerState(
+                harness.workers.listed_worker(number),
+                _lease.WorkerLease(2.5, 0.0),
+            )
+            for number in range(2)
+        ]
+        job = _state.JobProgress(harness.job(1), harness.QUEUE, 0.0)
+        step = job.occurrence(0)[0]
+        speeds = placement.PoolSpeeds(GROUPS, workers, run_times, 1.0, 1000.0)
+        choices = placement.StepChoices(speeds)
+        with mock.patch.object(
+            run_times, 'task_s', autospec=True, return_value=2.0
+        ):
+            choices.choose(harness.QUEUE, step, (0, 1))
+        self.assertEqual(
+            [2.0, 3.8],
+            [choices.run_s(w, step.step, step.key) for w in workers],
+        )
+        self.assertEqual(2.0, choices.run_times_s(step.step, step.key)[0])
+
+
 class ChoiceTest(unittest.TestCase):
     """When a slower worker may be taken, and when it is taken first."""
 
