Take no pace from tasks declared with 0 ms

Their progress times a declared time of 0 is none, so that they were evidence of a disturbed worker. Such steps are skipped.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_progress.py
@@ -45,7 +45,11 @@
         run = worker.runs.get(reported.run)
         if run is None or run.task is None:
             continue
-        if not (depends_on_worker(run) and is_restored(run, now_s)):
+        # Without a declared time any progress would look infinitely slow.
+        is_declared = run.task.step.step.estimate_ms > 0
+        if not (
+            is_declared and depends_on_worker(run) and is_restored(run, now_s)
+        ):
             run.pace_sample = None
             continue
         before, run.pace_sample = (
