--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_time_store.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_run_time_store.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import typing
 
 from walnutpoint_core import logs
@@ -20,6 +21,8 @@
 # Entries that expired while the store was down return within this time of the
 # first listing. Estimates of workers that are still missing are dropped then.
 _LISTED_WITHIN_S: typing.Final = 10.0
+# Each write fails while the store is down.
+_FAILURE_LOG_PERIOD_S: typing.Final = 60.0
 # The longest value that the store takes.
 _VALUE_MAX_BYTES: typing.Final = 64 * 1024
 
@@ -30,7 +33,13 @@
     Nothing waits for it: without a snapshot the estimates start afresh.
     """
 
-    __slots__ = ('_context', '_listed_s', '_observed', '_store')
+    __slots__ = (
+        '_context',
+        '_failure_logged_s',
+        '_listed_s',
+        '_observed',
+        '_store',
+    )
 
     def __init__(
         self,
@@ -43,6 +52,7 @@
         self._store = store
         # When the first listing was seen.
         self._listed_s: float | None = None
+        self._failure_logged_s = -math.inf
 
     async def run(self) -> None:
         """Read once the store answers, then write until cancelled."""
@@ -108,6 +118,21 @@
         # After any failure the next period writes newer estimates.
         if reply.is_ok() and reply.ok.applied:
             self._observed.mark_stored(snapshot)
+        else:
+            reason = 'deposed' if reply.is_ok() else reply.error.kind.value
+            self._log_failed_write(reason, len(value))
+
+    def _log_failed_write(self, reason: str, size_bytes: int) -> None:
+        now_s = self._context.timer.now_s()
+        if now_s - self._failure_logged_s < _FAILURE_LOG_PERIOD_S:
+            return
+        self._failure_logged_s = now_s
+        _LOG.warning(
+            'estimates.write_failed',
+            reason=reason,
+            size_bytes=size_bytes,
+            token=self._context.token,
+        )
 
     def _log_restart(self, reason: str) -> None:
         _LOG.info(
--- a/tests/walnutpoint_scheduler/estimates/test_snapshot.py
+++ b/tests/walnutpoint_scheduler/estimates/test_snapshot.py
@@ -124,10 +124,12 @@
         stored: bytes | None,
         fault: stores.StoreFault,
         token_offset: int = 0,
+        later_fault: stores.StoreFault = stores.StoreFault.NONE,
     ) -> tuple[bool, bytes | None]:
         """Return whether estimates were restored in time, and the value.
 
-        The store has a fault for the first half second.
+        The store has a fault for the first half second, and perhaps another
+        from the first second on.
         """
         results = []
 
@@ -155,6 +157,7 @@
                 await anyio.sleep(READ_WITHIN_S / 2)
                 bed.store.fault = stores.StoreFault.NONE
                 await anyio.sleep(READ_WITHIN_S / 2)
+                bed.store.fault = later_fault
                 is_restored = load.run_times.is_mixed('pool')
                 load.run(8.0)
                 await anyio.sleep(11.0)
@@ -190,6 +193,24 @@
         _, value = self._stored_after(None, stores.StoreFault.NONE, -1)
         self.assertIsNone(value)
 
+    def test_failed_writes_are_logged(self) -> None:
+        """Guards against estimates that are never stored without a trace."""
+        none, refuses = stores.StoreFault.NONE, stores.StoreFault.REFUSES
+        for token_offset, fault in ((-1, none), (0, refuses)):
+            with (
+                self.subTest(fault=fault),
+                mock.patch.object(
+                    _run_time_store, '_LOG', spec=['info', 'warning']
+                ) as log,
+            ):
+                self._stored_after(None, none, token_offset, fault)
+                log.warning.assert_called_once()
+                (event,), fields = log.warning.call_args
+                self.assertEqual('estimates.write_failed', event)
+                expected = 'deposed' if fault is none else 'store_unavailable'
+                self.assertEqual(expected, fields['reason'])
+                self.assertGreater(fields['size_bytes'], 100)
+
 
 class TakeoverTest(unittest.TestCase):
     """The estimates of one term are those of the next."""
