Skip observing slowness for answers of no stated time

Terms of decide_s and per_worker_s of zero divided by zero in a task of the term, which ended it, also with the working set off. Such answers are not observed now.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_advice.py
@@ -269,9 +269,11 @@
         _ADVICE_DURATION.observe(
             'failed' if answer.is_error() else 'done', elapsed_s
         )
-        self._observe_slowness(
-            terms, elapsed_s / stated_s, is_answered=answer.is_ok()
-        )
+        # Terms may state no time, which says nothing about slowness.
+        if stated_s > 0.0:
+            self._observe_slowness(
+                terms, elapsed_s / stated_s, is_answered=answer.is_ok()
+            )
         if answer.is_error():
             step_advice.failures += 1
             step_advice.retry_s = self._now_s() + _RETRY_BACKOFF_S * min(
