Ask about further workers while a step holds few of them

A step of two tasks with two granted workers asked about none of 98 others that came free, until its tickets expired or it was starved. It asks about others until it holds a quarter of the grants expected among the workers with room.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_names.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_names.py
@@ -28,6 +28,9 @@
 # Granted workers over waiting tasks: other steps take most of the capacity.
 _GRANTED_PER_TASK = 2.0
 _FIRST_NAMES_MIN = 24
+# The part of the grants expected among the workers with room that a step needs
+# before it stops asking about others: rivals take the room on a few workers.
+_FAIR_PART = 0.25
 # Concurrent requests for a gang, through as many hosts: all of its tickets
 # must be valid at the same time.
 _GANG_REQUESTS_MAX = 4
@@ -83,7 +86,9 @@
     unknown.sort(key=_scarcest_first)
     lacking.sort(key=_scarcest_first)
     usable_count = held + len(lacking)
-    if unknown and usable_count < step.task_count:
+    room_count = usable_count + len(unknown)
+    wanted = max(step.task_count, _FAIR_PART * granted_share * room_count)
+    if unknown and usable_count < wanted:
         # Too few of the workers named so far are granted and have room.
         chosen = lacking + unknown[: _first_count(step, granted_share)]
     elif len(lacking) < _least_lacking(step, usable_count):
--- a/tests/walnutpoint_scheduler/advice/test_working_set.py
+++ b/tests/walnutpoint_scheduler/advice/test_working_set.py
@@ -91,8 +91,10 @@
     return [_names.Room(name, 0.5, rivals) for name in names]
 
 
-def _chosen(rooms: list[_names.Room], tickets: _Tickets) -> list[str]:
-    step = document.Step(20)
+def _chosen(
+    rooms: list[_names.Room], tickets: _Tickets, tasks: int = 20
+) -> list[str]:
+    step = document.Step(tasks)
     return _names.choose('key', step, SHARE, rooms, tickets, NOW_S, ANSWER_S)
 
 
@@ -122,6 +124,13 @@
         tickets = _Tickets({'a', 'b'}, {'c'}, NOW_S + 1.5)
         self.assertEqual(['d'], _chosen(_rooms('a', 'b', 'c', 'd'), tickets))
 
+    def test_few_held_of_many_rooms(self) -> None:
+        """Guards against a step that waits beside workers not asked about."""
+        tickets = _Tickets({'a', 'b'}, set(), NOW_S + 2.0)
+        rooms = _rooms('a', 'b', *(f'free-{number}' for number in range(98)))
+        self.assertEqual(24, len(_chosen(rooms, tickets, tasks=2)))
+        self.assertEqual([], _chosen(rooms[:4], tickets, tasks=2))
+
     def test_nothing_is_requested_without_room(self) -> None:
         """Guards against requests for steps that nothing comes free for."""
         tickets = _Tickets({'a'}, {'b'}, NOW_S)
