Move permits and the choice of the sets to modules of their own

Behaviour is unchanged.

Verified: advice.test_load 6 passed; the other tests of the part, busy_advice, expired_tickets, wide_steps, account_limits, waiting and test_operators 56 passed.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placer.py
@@ -19,6 +19,7 @@
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _selectors
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _step_permits
 from walnutpoint_scheduler import _wait_cause
 from walnutpoint_scheduler import _worker_selector
 from walnutpoint_scheduler import advice
@@ -40,7 +41,7 @@
         '_advice_requests',
         '_context',
         '_limits',
-        '_lowest_priority',
+        '_permits',
         '_planner',
         '_preemption',
         '_quarantine',
@@ -65,8 +66,13 @@
             context, self._planner
         )
         self._ready = _ready.ReadySteps(context)
-        # The highest number is the least urgent priority.
-        self._lowest_priority = 0
+        self._permits = _step_permits.StepPermits(
+            context,
+            self._selectors,
+            self._limits,
+            self._planner,
+            self._advice_requests,
+        )
         self.passes = 0
         # The longest current wait for worker capacity.
         self.longest_wait_s = 0.0
@@ -87,12 +93,11 @@
         self._preemption.begin()
         self._quarantine.begin()
         self._selectors.clear()
-        self._lowest_priority = self._context.cell.lowest_priority
         queued_steps = self._ready.queued_steps()
         self._advice_requests.begin(queued_steps)
         self._limits.begin(queued_steps)
         self.longest_wait_s = self._ready.longest_wait_s(queued_steps)
-        promoted = self._ready.promoted(queued_steps, self._may_start)
+        promoted = self._ready.promoted(queued_steps, self._permits.may_start)
         self._planner.begin(
             queued_steps, self._limits, self._advice_requests.permits, promoted
         )
@@ -137,7 +142,7 @@
                 self._wait_for_limit(queued)
                 return
             tasks_max = min(allowed, tasks_max or allowed)
-        if self._awaits_advice(queued):
+        if self._permits.awaits_advice(queued):
             # Nothing can be placed, reserved or requested yet: skip the scan
             # of all workers.
             waiting = len(queued.step.waiting())
@@ -173,21 +178,6 @@
             len(step.waiting()),
         )
 
-    def _awaits_advice(self, queued: _placement_order.QueuedStep) -> bool:
-        """Return whether a step can only wait for requested advice."""
-        cache, key = self._context.advice, queued.step.key
-        queue_advice = queued.queue.advice
-        if queue_advice is None:
-            return False
-        if self._planner.decides(queued.step):
-            # It reserves nothing without a ticket.
-            return not cache.has_valid_ticket(key)
-        return not cache.granted(key) and not (
-            self._advice_requests.permits(key)
-            and cache.may_request(key)
-            and cache.has_request_slot(queue_advice)
-        )
-
     def _selector(self, queue: cell.Queue) -> _worker_selector.WorkerSelector:
         """Return this pass's selector for a queue's pool."""
         return self._selectors.of_queue(queue)
@@ -203,21 +193,9 @@
         if is_behind and queue.advice is None and not step.step.gang:
             # Nothing is placed or requested for it in this pass.
             return
-        permitted = self._reservable_workers(queue, step)
+        permitted = self._permits.reservable_workers(queue, step)
         selector.choose_groups(queue, step, permitted)
 
-    def _may_start(self, queued: _placement_order.QueuedStep) -> bool:
-        """Return whether an open worker may run a step."""
-        if not self._limits.permits(queued.step):
-            return False
-        advice = self._context.advice
-        selector = self._selector(queued.queue)
-        return any(
-            queued.queue.advice is None
-            or advice.permits(queued.step.key, worker.worker_id)
-            for worker in selector.feasible(queued.step.step)
-        )
-
     def _place_step(
         self,
         selector: _worker_selector.WorkerSelector,
@@ -273,36 +251,12 @@
             step.step,
             step.key,
             queue.priority,
-            self._permitted_workers(queue, step),
+            self._permits.workers(queue, step),
             excluded=excluded,
             # A starved step has no other worker soon.
             allows_slow=self._advice_requests.is_starved(step),
         )
 
-    def _permitted_share(
-        self,
-        selector: _worker_selector.WorkerSelector,
-        queue: cell.Queue,
-        step: _state.StepProgress,
-    ) -> float:
-        """Return the share of the workers that a step may run on."""
-        share = selector.usable_share(step.key)
-        if queue.advice is None:
-            return share
-        cache = self._context.advice
-        permitted = cache.granted(step.key)
-        if self._planner.decides(step):
-            permitted = cache.with_valid_ticket(step.key)
-        return min(1.0, len(permitted) / max(1, selector.open_count)) * share
-
-    def _permitted_workers(
-        self, queue: cell.Queue, step: _state.StepProgress
-    ) -> frozenset[str] | None:
-        """Return the workers with a valid ticket; None for all."""
-        if queue.advice is None:
-            return None
-        return self._context.advice.with_valid_ticket(step.key)
-
     def _place_copies(self) -> None:
         """Start speculative copies in the remaining capacity."""
         context = self._context
@@ -338,7 +292,7 @@
                 _wait_cause.log(step, suspect.queue, cause, 1)
                 continue
             selector = self._selector(suspect.queue)
-            permitted = self._permitted_workers(suspect.queue, step)
+            permitted = self._permits.workers(suspect.queue, step)
             worker = self._quarantine.pick(selector, suspect, permitted)
             if worker is None:
                 self._advice_requests.request(selector, suspect.queue, step, 1)
@@ -374,7 +328,7 @@
         now_s = self._context.timer.now_s()
         if any(task.backoff.is_waiting(now_s) for task in step.tasks):
             return
-        permitted = self._permitted_workers(queue, step)
+        permitted = self._permits.workers(queue, step)
         picked = _gang.pick(
             selector,
             step,
@@ -402,23 +356,6 @@
             runs.append(run)
         self._sender.launch(step.job, runs)
 
-    def _reservable_workers(
-        self, queue: cell.Queue, step: _state.StepProgress
-    ) -> _worker_selector.PermittedWorkers:
-        """Return the workers to reserve capacity on; None for all.
-
-        Capacity reserved without a ticket is idle until advice arrives, which
-        pays only if less urgent work would take it.
-        """
-        advice = self._context.advice
-        if queue.advice is None:
-            return None
-        if self._planner.decides(step):
-            return advice.with_valid_ticket(step.key)
-        if step.step.gang or queue.priority < self._lowest_priority:
-            return advice.granted(step.key)
-        return advice.with_valid_ticket(step.key)
-
     def _reserve_and_request(
         self,
         selector: _worker_selector.WorkerSelector,
@@ -428,7 +365,7 @@
     ) -> None:
         """Reserve capacity for waiting tasks, with tickets in time for it."""
         advice = self._context.advice
-        selector.blocked_weight += self._permitted_share(selector, queue, step)
+        selector.blocked_weight += self._permits.share(selector, queue, step)
         if not self._planner.may_reserve(step):
             cause = _wait_cause.Cause.RESERVED
             _wait_cause.log(step, queue, cause, missing)
@@ -437,7 +374,7 @@
             step.step,
             step.key,
             missing,
-            self._reservable_workers(queue, step),
+            self._permits.reservable_workers(queue, step),
         )
         self._advice_requests.request(
             selector, queue, step, missing, reserved_workers
--- a/tests/walnutpoint_scheduler/advice/test_planner.py
+++ b/tests/walnutpoint_scheduler/advice/test_planner.py
@@ -129,7 +129,7 @@
         self.assertTrue(self.planner.is_active)
         return {
             key
-            for pool in self.planner._pools.values()  # noqa: SLF001
+            for pool in self.planner._sets.pools.values()  # noqa: SLF001
             for key in pool.chosen.keys
         }
 
