--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placement_order.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_placement_order.py
@@ -16,9 +16,6 @@
 )
 
 _MS_PER_S: typing.Final = 1000.0
-# A job that ends within this many times its objective still has some value; a
-# later one is ranked last within its priority.
-_LATE_FACTOR: typing.Final = 3.0
 
 
 class QueuedStep(typing.NamedTuple):
@@ -59,7 +56,7 @@
     is_on_time = now_ms + remaining_ms <= deadline_ms
     if document.lasting or is_on_time or not late_tiers:
         tier = 0
-    elif now_ms + remaining_ms <= start_ms + _LATE_FACTOR * objective_ms:
+    elif now_ms + remaining_ms <= start_ms + cell.USEFUL_FACTOR * objective_ms:
         tier = 1
     else:
         tier = 2
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_decision.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_decision.py
@@ -19,6 +19,7 @@
 from walnutpoint_core import resources
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler.admission import _size_class
+from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
 
 __all__ = (
@@ -31,8 +32,6 @@
 _MS_PER_S: typing.Final = 1000.0
 # Declared run times are off by up to this factor in either direction.
 _ESTIMATE_ERROR: typing.Final = 1.9
-# A job that ends within this many times its objective still has some value.
-_USEFUL_FACTOR: typing.Final = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -54,7 +53,7 @@
         By the declared chain, as the scheduler ranks it by that.
         """
         objective_s = self.chain_s * self.stretch + self.allowance_s
-        return _USEFUL_FACTOR * objective_s
+        return cell.USEFUL_FACTOR * objective_s
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_usefulness.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/admission/_usefulness.py
@@ -17,8 +17,6 @@
 )
 
 _MS_PER_S: typing.Final = 1000.0
-# A job that ends within this many times its objective still has some value.
-_USEFUL_FACTOR: typing.Final = 3.0
 # Advice about further workers does not help a step that waits for these.
 _STUCK: typing.Final = frozenset(
     cause.value
@@ -48,7 +46,7 @@
         start_ms = float(document.due_ms(step.occurrence))
     objective_ms = job.chain_ms * queue.stretch + queue.allowance_s * _MS_PER_S
     end_ms = now_ms + job.remaining_by_step_ms[step.number]
-    return end_ms > start_ms + _USEFUL_FACTOR * objective_ms
+    return end_ms > start_ms + cell.USEFUL_FACTOR * objective_ms
 
 
 class AdviceContention:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_demand.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/overload/_demand.py
@@ -19,8 +19,6 @@
 )
 
 _MS_PER_S: typing.Final = 1000.0
-# A job that ends within this many times its objective still has some value.
-_USEFUL_FACTOR: typing.Final = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -98,7 +96,7 @@
         job.begun,
         accepted_ms,
         accepted_ms + objective_ms,
-        accepted_ms + _USEFUL_FACTOR * objective_ms,
+        accepted_ms + cell.USEFUL_FACTOR * objective_ms,
         max(ends_s, default=0.0),
         work_pool_s,
         running_pool_s,
