Count an account's limit in placement order, without withheld steps

What the limit permits was taken pool by pool, so that a later step of the first pool used it up, and by steps that may not request.

Verified: test_account_limit_goes_by_placement_order (new) fails without the change; advice.test_load, the other tests of the part, busy_advice, expired_tickets, wide_steps, account_limits, waiting and test_operators: 63 passed.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_pool_sets.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/advice/_pool_sets.py
@@ -84,21 +84,28 @@
         self._capacities.clear()
         self.stuck = frozenset(self._stuck_steps(steps))
         by_pool: dict[str, list[_placement_order.QueuedStep]] = {}
+        counts: dict[str, int] = {}
+        shares = _startable.AccountShares()
         for queued in steps:
-            if queued.step.key not in self.stuck:
+            step = queued.step
+            if step.key not in self.stuck:
                 by_pool.setdefault(queued.queue.pool, []).append(queued)
-        shares = _startable.AccountShares()
+                # Other steps of the account may use what a withheld one can't.
+                if permits(step.key):
+                    counts[step.key] = self._startable_count(
+                        step, limits, shares
+                    )
         self.pools = {}
         for name, members in by_pool.items():
             waits = []
             demands: dict[cell.AdviceTerms, float] = {}
             for queued in members:
-                count = self._startable_count(queued.step, limits, shares)
+                count = counts.get(queued.step.key, 0)
                 wait = self._waiting_step(
                     queued,
                     count,
                     now_s,
-                    is_regular=count > 0 and permits(queued.step.key),
+                    is_regular=count > 0,
                     is_promoted=queued.step.key in promoted,
                 )
                 waits.append(wait)
--- a/tests/walnutpoint_scheduler/advice/test_planner.py
+++ b/tests/walnutpoint_scheduler/advice/test_planner.py
@@ -160,6 +160,20 @@
         self.assertEqual(1, len(members & set(limited)))
         self.assertGreaterEqual(len(members & set(others)), 10)
 
+    def test_account_limit_goes_by_placement_order(self) -> None:
+        """Guards against a limit spent on a later or withheld step."""
+        self.limits['limited'] = 1
+        self.add(1)
+        withheld = self.add(1, QUEUE_B, 'limited')
+        self.withheld.update(withheld)
+        first = self.add(1, QUEUE_B, 'limited')
+        later = self.add(1, account='limited')
+        self.add(60)
+        self.add(60, QUEUE_B)
+        members = self.members()
+        self.assertLessEqual(set(first), members)
+        self.assertFalse(members & {*withheld, *later})
+
     def test_stuck_steps_have_no_place(self) -> None:
         """Guards against a set of steps that no worker can start."""
         denied = self.add(30, idle_s=50.0)
