--- a/bench/placement_pass.py
+++ b/bench/placement_pass.py
@@ -12,6 +12,7 @@
 
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_core import resources
+from walnutpoint_scheduler import _advice
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _lease
@@ -89,6 +90,9 @@
                 worker_health.WorkerHealth(outlier.OutlierDetector(3, 1, 8)),
             )
             context.cell = _cell(account_count)
+            context.advice = _advice.AdviceCache(
+                bed.advice, bed.timer.now_s, tasks, lambda: None
+            )
             context.observe_run_times()
             if run_times is not None:
                 context.run_times = run_times
