Log how the scheduler learns of jobs and cancels

job.seen and job.cancel_seen now name their source (start, notice, watch, resync), job.cancel_unknown tells of a cancel whose job the term doesn't know, notice.dropped of a notice that no term took, and intake.resynced of a full reading with its cause and revisions. Two counters go with them. Nothing else changes.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_intake.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import collections.abc
+import enum
 import typing
 
 import msgspec
 
 from walnutpoint_core import entry_faults
 from walnutpoint_core import logs
+from walnutpoint_core import metrics
 from walnutpoint_core import ports as core_ports
 from walnutpoint_core import resources
 from walnutpoint_scheduler import _context
@@ -25,10 +27,17 @@
 
 __all__ = (
     'Intake',
+    'Source',
     'StoredJobs',
 )
 
 _LOG: typing.Final = logs.get_logger('intake')
+_RESYNCS: typing.Final = metrics.Counter(
+    'intake_resyncs', 'Full reads of jobs and cancellations by cause.'
+)
+_UNKNOWN_CANCELS: typing.Final = metrics.Counter(
+    'unknown_cancels', 'Cancellations of jobs that were not known, by source.'
+)
 _WATCH_WAIT_S: typing.Final = 10.0
 # Delay of the next watch after one without changes. The process that accepted
 # a job notifies the scheduler; the watch covers lost notifications, and sees
@@ -46,6 +55,18 @@
 _UNREADABLE: typing.Final = (msgspec.DecodeError, IndexError, ValueError)
 
 
+class Source(enum.Enum):
+    """How a term learns of a stored entry."""
+
+    # The full read at the start of the term.
+    START = 'start'
+    # A message of the process that stored the entry.
+    NOTICE = 'notice'
+    WATCH = 'watch'
+    # A full read after the watch failed or lost its history.
+    RESYNC = 'resync'
+
+
 class StoredJobs:
     """All stored jobs and records, and the revision to watch from."""
 
@@ -118,7 +139,7 @@
             record = by_key.get(_keys.record_key(job.job_id))
             self._try_restore_job(job, record)
         for item in stored.cancels:
-            self.cancel(_keys.job_id(item.key))
+            self.cancel(_keys.job_id(item.key), Source.START)
 
     async def follow(self, revision: int) -> None:
         """Apply changes until cancelled."""
@@ -129,27 +150,41 @@
             if changes.is_ok() and changes.ok is not None:
                 revision = changes.ok.revision
                 changed = [
-                    self._apply_entry(item) for item in changes.ok.values
+                    self._apply_entry(item, Source.WATCH)
+                    for item in changes.ok.values
                 ]
                 if changed and not any(changed):
                     await self._context.timer.sleep(_WATCH_PAUSE_S)
                 continue
             # The history was compacted or the watch failed: only a full read
             # shows the missed changes.
+            cause = 'compacted'
             if changes.is_error():
+                cause = changes.error.kind.value
                 await self._context.timer.sleep(_RETRY_S)
-            revision = await self.resync() or revision
+            revision = await self._resync(revision, cause) or revision
 
-    async def resync(self) -> int | None:
+    async def _resync(self, revision: int, cause: str) -> int | None:
         """Apply all stored entries; known jobs stay as they are."""
         intake = await self._store.read(_keys.INTAKE)
         if intake.is_error():
             return None
-        for item in intake.ok.values:
-            self._apply_entry(item)
+        changed = [
+            self._apply_entry(item, Source.RESYNC) for item in intake.ok.values
+        ]
+        _RESYNCS.add(cause)
+        _LOG.info(
+            'intake.resynced',
+            cause=cause,
+            token=self._context.token,
+            revision_before=revision,
+            revision=intake.ok.revision,
+            entries=len(changed),
+            changed=sum(changed),
+        )
         return intake.ok.revision
 
-    def add(self, job: document.Job) -> None:
+    def add(self, job: document.Job, source: Source) -> None:
         """Add a stored job to the term, unless it is known."""
         context = self._context
         if job.job_id in context.jobs:
@@ -161,6 +196,7 @@
         _LOG.info(
             'job.seen',
             job=job.job_id,
+            source=source.value,
             queue=job.queue,
             account=job.account or '-',
             owed=progress.is_owed,
@@ -170,29 +206,44 @@
         )
         context.wake()
 
-    def cancel(self, job_id: str) -> None:
+    def cancel(self, job_id: str, source: Source) -> None:
         """Cancel a job whose cancellation is stored."""
         job = self._context.jobs.get(job_id)
-        if job is not None and job.state.final:
+        if job is None:
+            _UNKNOWN_CANCELS.add(source.value)
+            _LOG.info(
+                'job.cancel_unknown',
+                job=job_id,
+                source=source.value,
+                token=self._context.token,
+            )
+        elif job.state.final:
             # Most cancellations read by a new term are of ended jobs.
             job.cancel_requested = True
-        elif job is not None and not job.cancel_requested:
-            _LOG.info('job.cancel_seen', job=job_id, state=job.state.value)
+        elif not job.cancel_requested:
+            _LOG.info(
+                'job.cancel_seen',
+                job=job_id,
+                source=source.value,
+                state=job.state.value,
+            )
             self._ends.cancel(job)
 
-    def _apply_entry(self, item: core_ports.StoredValue) -> bool:
+    def _apply_entry(
+        self, item: core_ports.StoredValue, source: Source
+    ) -> bool:
         """Apply a stored job or cancellation; return whether it was new."""
         job_id = _keys.job_id(item.key)
         known = self._context.jobs.get(job_id)
         if item.key.startswith(_keys.CANCELS):
             is_new = known is not None and not known.cancel_requested
-            self.cancel(job_id)
+            self.cancel(job_id, source)
             return is_new
         if known is not None or document.is_final_marker(item.value):
             return False
         job = self._decode(item)
         if job is not None:
-            self.add(job)
+            self.add(job, source)
         return job is not None
 
     def _decode(self, item: core_ports.StoredValue) -> document.Job | None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_service.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_peer_service.py
@@ -136,16 +136,28 @@
 
     async def _add_job(self, body: bytes) -> object:
         term = self._term()
-        if term is not None:
-            term.add(document.decode_job(body))
+        job = document.decode_job(body)
+        if term is None or not term.add(job):
+            self._log_dropped(_peers.JOB_PATH, job.job_id)
         return None
 
     async def _cancel_job(self, body: bytes) -> object:
         term = self._term()
-        if term is not None:
-            term.cancel(body.decode())
+        job_id = body.decode()
+        if term is None or not term.cancel(job_id):
+            self._log_dropped(_peers.CANCEL_PATH, job_id)
         return None
 
+    def _log_dropped(self, path: str, job_id: str) -> None:
+        """Log a notice that no term takes; the store has its entry."""
+        term = self._term()
+        _LOG.info(
+            'notice.dropped',
+            path=path,
+            job=job_id,
+            token=0 if term is None else term.token,
+        )
+
     async def _count_pending(self, body: bytes) -> object:
         request = _decode(body, _messages.PendingRequest)
         term = self._term()
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -144,15 +144,19 @@
             self._context.cell = newest
             self._wake_event.set()
 
-    def add(self, job: document.Job) -> None:
-        """Add a job that another process has just stored."""
-        if self._intake is not None and self.ready:
-            self._intake.add(job)
+    def add(self, job: document.Job) -> bool:
+        """Add a job that was just stored; return False if not ready."""
+        if self._intake is None or not self.ready:
+            return False
+        self._intake.add(job, _intake.Source.NOTICE)
+        return True
 
-    def cancel(self, job_id: str) -> None:
-        """Apply a cancel that another process has just stored."""
-        if self._intake is not None and self.ready:
-            self._intake.cancel(job_id)
+    def cancel(self, job_id: str) -> bool:
+        """Apply a cancel that was just stored; return False if not ready."""
+        if self._intake is None or not self.ready:
+            return False
+        self._intake.cancel(job_id, _intake.Source.NOTICE)
+        return True
 
     def pending(self, queue: str) -> int | None:
         """Return the number of waiting jobs of a queue, once known."""
@@ -292,6 +296,7 @@
         _LOG.info(
             'term.started',
             token=self.token,
+            revision=revision,
             jobs=len(context.jobs),
             open=len(context.open_jobs),
             workers=len(context.roster.workers),
