Move the intake of jobs and cancels into a folder of its own

One module held the watch of the intake, the decoding of jobs and the restoring of records, 385 lines. They are three modules behind a thin face now; the flat folder has one module less.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_term.py
@@ -16,7 +16,6 @@
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _directory
 from walnutpoint_scheduler import _ends
-from walnutpoint_scheduler import _intake
 from walnutpoint_scheduler import _journal
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _links
@@ -33,6 +32,7 @@
 from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
+from walnutpoint_scheduler import intake
 from walnutpoint_scheduler import outlier
 from walnutpoint_scheduler import ports
 from walnutpoint_scheduler import settings
@@ -127,7 +127,7 @@
         self._wake_event = asyncio.Event()
         self._scope: anyio.CancelScope | None = None
         self._context: _context.Context | None = None
-        self._intake: _intake.Intake | None = None
+        self._intake: intake.Intake | None = None
         self._sender: _orders.OrderSender | None = None
         self._placer: _placer.Placer | None = None
         self._publisher: admission.Publisher | None = None
@@ -148,14 +148,14 @@
         """Add a job that was just stored; return False if not ready."""
         if self._intake is None or not self.ready:
             return False
-        self._intake.add(job, _intake.Source.NOTICE)
+        self._intake.add(job, intake.Source.NOTICE)
         return True
 
     def cancel(self, job_id: str) -> bool:
         """Apply a cancel that was just stored; return False if not ready."""
         if self._intake is None or not self.ready:
             return False
-        self._intake.cancel(job_id, _intake.Source.NOTICE)
+        self._intake.cancel(job_id, intake.Source.NOTICE)
         return True
 
     def pending(self, queue: str) -> int | None:
@@ -276,9 +276,9 @@
         directory = _directory.Directory(
             context, dependencies.directory, ends, links
         )
-        intake = _intake.Intake(context, dependencies.store, ends)
+        job_intake = intake.Intake(context, dependencies.store, ends)
         self._context, self._sender = context, sender
-        self._intake = intake
+        self._intake = job_intake
         self._placer = placer = _placer.Placer(context, sender)
         pools = _resizing_pools.ResizingPools(context, dependencies.store)
 
@@ -289,7 +289,7 @@
                     context, context.observed, dependencies.store
                 ).run
             )
-        revision = await self._restore(intake, directory, pools)
+        revision = await self._restore(job_intake, directory, pools)
         self.ready = True
         restored_s = dependencies.timer.now_s() - context.started_s
         _RESTORED.observe('term', restored_s)
@@ -304,7 +304,7 @@
         )
         tasks.start_soon(context.journal.run)
         tasks.start_soon(directory.follow)
-        tasks.start_soon(intake.follow, revision)
+        tasks.start_soon(job_intake.follow, revision)
         tasks.start_soon(_run_monitor.RunMonitor(context, sender).run)
         tasks.start_soon(pools.run)
         tasks.start_soon(_load_report.LoadReport(context).run)
@@ -318,7 +318,7 @@
 
     async def _restore(
         self,
-        intake: _intake.Intake,
+        job_intake: intake.Intake,
         directory: _directory.Directory,
         pools: _resizing_pools.ResizingPools,
     ) -> int:
@@ -327,12 +327,12 @@
             # Concurrently: with a slow store each read takes 70 times as
             # long, and nothing starts before the last.
             values, workers_read, pools_read = await asyncio.gather(
-                intake.read(), directory.read(), pools.read()
+                job_intake.read(), directory.read(), pools.read()
             )
             if values is not None and workers_read and pools_read:
                 break
             await self._dependencies.timer.sleep(_RETRY_S)
-        intake.restore(values)
+        job_intake.restore(values)
         directory.open_links()
         return values.revision
 
--- a/specs/account_limit.py
+++ b/specs/account_limit.py
@@ -12,7 +12,7 @@
 | DOUBT_COUNTS | walnutpoint_scheduler._orders (_apply_start_reply) |
 | STOPPING_COUNTS | walnutpoint_scheduler._worker (release) |
 | LEASE_WAITED | walnutpoint_scheduler._links (_lose_runs_after_lease) |
-| RECORDS_COUNT | walnutpoint_scheduler._intake (_restore_run) |
+| RECORDS_COUNT | walnutpoint_scheduler.intake (Restorer._restore_run) |
 """
 
 from __future__ import annotations
--- a/specs/term.py
+++ b/specs/term.py
@@ -12,7 +12,7 @@
 | TOKEN_GUARDED | walnutpoint_scheduler._journal (_batch) |
 | WORKER_FENCED | the workers; walnutpoint_scheduler._links (first report) |
 | TOKEN_CAPTURED | walnutpoint_scheduler._context |
-| RECORD_BOOKED | walnutpoint_scheduler._intake (_restore_run) |
+| RECORD_BOOKED | walnutpoint_scheduler.intake (Restorer._restore_run) |
 | LAPSE_WAITED | walnutpoint_scheduler._lease (lapsed) |
 | DEPOSED_HEARD | walnutpoint_scheduler._term (_confirm_token) |
 | ORDER_EXPIRES | walnutpoint_scheduler._lease (extend) |
