Keep a cancel that is read before its job

Cause: a job and its cancel are two entries of the store. When the history of the watch is dropped, the scheduler reads the whole intake in the order of its keys, cancels before jobs. It ignored a cancel whose job it didn't know, added the job, and never looked at the cancel again in that term. Notices of peers are dropped meanwhile, as they go to the scheduler that is stopping.

Change: a cancel of an unknown job is kept until the job is known, whichever source shows either, or until its entry is gone from the store. The job is cancelled before the next placement pass.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
@@ -14,6 +14,7 @@
 from walnutpoint_scheduler import _ends
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import document
+from walnutpoint_scheduler.intake import _early_cancels
 from walnutpoint_scheduler.intake import _job_reader
 from walnutpoint_scheduler.intake import _restore
 
@@ -73,6 +74,7 @@
 
     __slots__ = (
         '_context',
+        '_early_cancels',
         '_ends',
         '_reader',
         '_restorer',
@@ -88,6 +90,7 @@
         self._context = context
         self._store = store
         self._ends = ends
+        self._early_cancels = _early_cancels.EarlyCancels()
         self._reader = _job_reader.JobReader(context)
         self._restorer = _restore.Restorer(context, ends, self._reader)
 
@@ -127,6 +130,11 @@
                     self._apply_entry(item, Source.WATCH)
                     for item in changes.ok.values
                 ]
+                self._early_cancels.drop(
+                    _keys.job_id(key)
+                    for key in changes.ok.removed
+                    if key.startswith(_keys.CANCELS)
+                )
                 if changed and not any(changed):
                     await self._context.timer.sleep(_WATCH_PAUSE_S)
                 continue
@@ -140,9 +148,12 @@
 
     async def _resync(self, revision: int, cause: str) -> int | None:
         """Apply all stored entries; known jobs stay as they are."""
+        early_before = self._early_cancels.all()
         intake = await self._store.read(_keys.INTAKE)
         if intake.is_error():
             return None
+        # The removal of their entries may be part of the missed changes.
+        self._early_cancels.drop(early_before)
         changed = [
             self._apply_entry(item, Source.RESYNC) for item in intake.ok.values
         ]
@@ -155,6 +166,7 @@
             revision=intake.ok.revision,
             entries=len(changed),
             changed=sum(changed),
+            early_cancels=len(self._early_cancels),
         )
         return intake.ok.revision
 
@@ -177,12 +189,15 @@
             tasks=sum(step.task_count for step in job.steps),
             age_ms=context.now_ms() - job.accepted_ms,
         )
+        if self._early_cancels.take(job.job_id):
+            self.cancel(job.job_id, source)
         context.wake()
 
     def cancel(self, job_id: str, source: Source) -> None:
         """Cancel a job whose cancellation is stored."""
         job = self._context.jobs.get(job_id)
         if job is None:
+            self._early_cancels.add(job_id)
             _UNKNOWN_CANCELS.add(source.value)
             _LOG.info(
                 'job.cancel_unknown',
--- /dev/null
+++ b/tests/walnutpoint_scheduler/intake/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of how a term learns of stored jobs and cancellations."""
