Repeat a watch of the intake that reports no change from its revision

Callers would see an accepted job stay queued until the next term: its notice is lost (the peer is stopping), and a watch that hears nothing reports no change with a revision past the job. The reader of the configuration distrusts such answers already; the intake did not.

A watch without changes is repeated from the revision of the last change.

The test waits for 12 s before, and passes after.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
@@ -125,7 +125,10 @@
                 _keys.INTAKE, revision, _WATCH_WAIT_S
             )
             if changes.is_ok() and changes.ok is not None:
-                revision = changes.ok.revision
+                if changes.ok.values or changes.ok.removed:
+                    # A watch may miss changes, report none, and return a
+                    # later revision.
+                    revision = changes.ok.revision
                 changed = [
                     self._apply_entry(item, Source.WATCH)
                     for item in changes.ok.values
