Apply the last change of each key in the answer of a watch

A watch that hears nothing for a while answers with several changes of one key. They were split into writes and removals, writes first: a worker's entry that expired and came back counted as gone until the list was read again (2 s, 18 s at 900 workers), longer than unlisted_s, after which an answering worker gets no work; a process that restarted was no member for the others. A write that was followed by a removal was applied first; events out of order could leave an older entry in place of a newer one.

Only the last event of each key counts now, by its revision; the model's store keeps the same contract.

--- a/packages/walnutpoint-core/src/walnutpoint_core/ports.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/ports.py
@@ -96,7 +96,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Changes:
-    """The writes and removals below a prefix up to a revision."""
+    """The writes and removals below a prefix up to a revision.
+
+    Each changed key is in one of them, as its last change left it.
+    """
 
     revision: int
     values: tuple[StoredValue, ...]
--- a/packages/walnutpoint-model/src/walnutpoint_model/store.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/store.py
@@ -211,10 +211,14 @@
     def _changes(
         self, events: list[tuple[int, str, ports.StoredValue | None]]
     ) -> ports.Changes:
+        newest: dict[str, ports.StoredValue | None] = {}
+        for _, key, item in events:
+            newest.pop(key, None)
+            newest[key] = item
         return ports.Changes(
             self.revision,
-            tuple(item for _, _, item in events if item is not None),
-            tuple(key for _, key, item in events if item is None),
+            tuple(item for item in newest.values() if item is not None),
+            tuple(key for key, item in newest.items() if item is None),
         )
 
     def _notify(self) -> None:
--- a/tests/walnutpoint_platform/test_store.py
+++ b/tests/walnutpoint_platform/test_store.py
@@ -7,6 +7,8 @@
 import typing
 import unittest
 
+import msgspec
+
 from walnutpoint_core import errors
 from walnutpoint_core import ports
 from walnutpoint_core import web
@@ -142,3 +144,48 @@
         return await servers['server'].answer(request)
 
     return answer
+
+
+class WatchTest(unittest.TestCase):
+    """Several changes of one key in the answer of a watch."""
+
+    def _changes(self, *events: dict[str, object]) -> ports.Changes:
+        changes: list[ports.Changes] = []
+
+        async def scenario(store: _store.KeyValueStore) -> None:
+            answer = await store.watch('k', 1, 0.1)
+            changes.append(answer.ok)
+
+        body = msgspec.json.encode({'events': events, 'currentRev': 9})
+        run_scenario(fixed_response(200, body), scenario)
+        return changes[0]
+
+    def test_key_that_is_written_after_its_removal_exists(self) -> None:
+        """Guards against taking a key that is back for a removed one."""
+        changes = self._changes(
+            {'key': 'k1', 'rev': 5, 'deleted': True},
+            {'key': 'k1', 'value': 'Mg==', 'rev': 6},
+        )
+        self.assertEqual((), changes.removed)
+        self.assertEqual((ports.StoredValue('k1', b'2', 6),), changes.values)
+
+    def test_key_that_is_removed_after_a_write_is_gone(self) -> None:
+        """Guards against applying a write whose key is gone."""
+        changes = self._changes(
+            {'key': 'k1', 'value': 'Mg==', 'rev': 5},
+            {'key': 'k1', 'rev': 6, 'deleted': True},
+        )
+        self.assertEqual(('k1',), changes.removed)
+        self.assertEqual((), changes.values)
+
+    def test_events_apply_in_the_order_of_their_revisions(self) -> None:
+        """Guards against an older entry that replaces a newer one."""
+        changes = self._changes(
+            {'key': 'k1', 'value': 'Mw==', 'rev': 7},
+            {'key': 'k2', 'value': 'MQ==', 'rev': 5},
+            {'key': 'k1', 'value': 'Mg==', 'rev': 6},
+        )
+        self.assertEqual(
+            [('k2', b'1'), ('k1', b'3')],
+            [(item.key, item.value) for item in changes.values],
+        )
