Store a cancel only while its job is there and has not ended

A cancel was written without a condition. Written late (no answer, carried out seconds later) or at the moment when its job is removed, it stayed in the store for good, and each later term would read it and keep it as one whose job is still to come.

The write now needs the job's document as it was read; if that has changed it is read again. A job whose end is stored needs no cancel: one call less.

Three tests fail without the guard.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_submissions.py
@@ -1,4 +1,4 @@
-"""Submission and cancellation of jobs by client accounts."""
+"""Submissions of jobs by client accounts."""
 
 from __future__ import annotations
 
@@ -23,11 +23,12 @@
 from walnutpoint_scheduler import _outages
 from walnutpoint_scheduler import _peers
 from walnutpoint_scheduler import _relay
-from walnutpoint_scheduler import _submit_call
 from walnutpoint_scheduler import _term
 from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import document
+from walnutpoint_scheduler.submission import _cancellations
+from walnutpoint_scheduler.submission import _submit_call
 
 __all__ = (
     'Submissions',
@@ -41,8 +42,6 @@
 # How long an in-doubt write is retried before its outcome is reported as
 # unknown: callers wait for some 3 s, and may not retry after that answer.
 _REPEAT_MAX_S: typing.Final = 2.5
-# Reserved before the caller's deadline to send the answer.
-_ANSWER_RESERVE_S: typing.Final = 0.1
 _NO_RESOURCES: typing.Final = resources.Resources()
 _TOO_LARGE: typing.Final = errors.ErrorKind.TOO_LARGE
 _RETRY_S: typing.Final = 0.05
@@ -70,6 +69,7 @@
 
     __slots__ = (
         '_account',
+        '_cancellations',
         '_capacities',
         '_gate',
         '_held',
@@ -102,6 +102,9 @@
         self._term = term
         # Notifies the scheduler, which may be paused, in a separate task.
         self._spawn = spawn
+        self._cancellations = _cancellations.Cancellations(
+            store, clock, self._notify_cancel
+        )
         # Number of calls that wait for the store to recover.
         self._held = 0
         # Every worker capacity ever seen, by pool: no job is refused because
@@ -174,7 +177,9 @@
         refusal = await self._refusal_for_load(call)
         if refusal is not None:
             return self._refuse(call, refusal.failure, **refusal.fields)
-        left_s = deadline_s - _ANSWER_RESERVE_S - self._timer.now_s()
+        left_s = (
+            deadline_s - _submit_call.ANSWER_RESERVE_S - self._timer.now_s()
+        )
         reply: ports.CommitReply | None = None
         with anyio.move_on_after(min(left_s, _REPEAT_MAX_S)):
             reply = await self._store_job(batch)
@@ -221,7 +226,9 @@
         refusal = self._gate.refusal(call.job)
         if refusal is None:
             return None
-        left_s = call.left_s(self._timer.now_s()) - _ANSWER_RESERVE_S
+        left_s = (
+            call.left_s(self._timer.now_s()) - _submit_call.ANSWER_RESERVE_S
+        )
         with anyio.move_on_after(min(_LOOKUP_MAX_S, left_s)):
             stored = await self._store.get(_keys.job_key(call.job.job_id))
             if stored.is_ok() and stored.ok is None:
@@ -270,41 +277,7 @@
 
         An account can't cancel jobs of another.
         """
-        failure = self._outage_failure()
-        left_s = deadline_s - _ANSWER_RESERVE_S - self._timer.now_s()
-        with anyio.move_on_after(left_s):
-            stored = await self._store.get(_keys.job_key(job_id))
-            if stored.is_ok() and stored.ok is None:
-                return expression.Ok(False)
-            if stored.is_ok() and not _may_cancel(stored.ok, caller):
-                other = errors.ErrorKind.OTHER_ACCOUNT
-                _LOG.warning('job.cancel_failed', job=job_id, kind=other.value)
-                return expression.Error(errors.Failure(other))
-            if stored.is_ok():
-                cancelled = await self._store_cancel(job_id)
-                if cancelled.is_ok():
-                    return expression.Ok(True)
-                failure = cancelled.error
-        _LOG.warning('job.cancel_failed', job=job_id, kind=failure.kind.value)
-        return expression.Error(failure)
-
-    async def _store_cancel(
-        self, job_id: str
-    ) -> expression.Result[None, errors.Failure]:
-        """Write a cancellation until it is stored or the store is down."""
-        # The key alone is the request; the value is unused. The write is
-        # idempotent and repeated until it is certain.
-        batch = ports.Batch((), (ports.Put(_keys.cancel_key(job_id), b'1'),))
-        failure = self._outage_failure()
-        while not self._store.is_down:
-            reply = await self._store.commit(batch)
-            if reply.is_ok():
-                _LOG.info('job.cancel_stored', job=job_id)
-                self._notify_cancel(job_id)
-                return expression.Ok(None)
-            failure = reply.error
-            await self._timer.sleep(_RETRY_S)
-        return expression.Error(failure)
+        return await self._cancellations.cancel(job_id, caller, deadline_s)
 
     async def _handle_reply(
         self, call: _submit_call.SubmitCall, reply: ports.CommitReply
@@ -359,15 +332,6 @@
             )
 
 
-def _may_cancel(item: ports.StoredValue, caller: str) -> bool:
-    """Return whether a client account may cancel a stored job."""
-    try:
-        return document.owner(item.value) in ('', caller)
-    except msgspec.DecodeError:
-        # Not a valid job: nothing runs under the identifier.
-        return True
-
-
 def _is_same(item: ports.StoredValue, job: document.Job) -> bool:
     """Return whether a stored document is the submitted job."""
     try:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_submit_call.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_submit_call.py
@@ -2,9 +2,17 @@
 
 from __future__ import annotations
 
+import typing
+
 from walnutpoint_scheduler import document
 
-__all__ = ('SubmitCall',)
+__all__ = (
+    'ANSWER_RESERVE_S',
+    'SubmitCall',
+)
+
+# Reserved before a caller's deadline to send the answer.
+ANSWER_RESERVE_S: typing.Final = 0.1
 
 
 class SubmitCall:
