Don't tell the scheduler of a repeated job that has ended

A repeat of a stored job is passed on to the scheduler, which adds what it doesn't know. Where the record of an ended job is damaged it doesn't know the job, and ran it again: two starts in the test, none after.

The document of an ended job is replaced by a marker, so the process that takes the repeat sees the end and tells nobody.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_submissions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_submissions.py
@@ -298,7 +298,10 @@
                     )
                 )
         _LOG.info('job.known', **fields)
-        self._notify_job(job)
+        if not any(
+            document.is_final_marker(item.value) for item in reply.conflicts
+        ):
+            self._notify_job(job)
         return expression.Ok(SubmitOutcome.KNOWN)
 
     def _notify_job(self, job: document.Job) -> None:
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -13,8 +13,10 @@
 from walnutpoint_core import ports as core_ports
 from walnutpoint_core import resources
 from walnutpoint_core import web
+from walnutpoint_model import cell_model
 from walnutpoint_model import store
 from walnutpoint_model import virtual_time
+from walnutpoint_model import workers
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _leadership
 from walnutpoint_scheduler import _membership
@@ -418,6 +420,37 @@
         return await super().commit(batch)
 
 
+class RepeatTest(unittest.TestCase):
+    """A repeated submission of a job that has ended."""
+
+    def test_repeat_after_the_end_starts_nothing(self) -> None:
+        """Guards against running a job again whose record is damaged.
+
+        The scheduler passes over the record, and so doesn't know the job. A
+        caller's repeat finds what replaced the document.
+        """
+
+        async def scenario() -> None:
+            async with cell_model.running(harness.CELL, 1) as model:
+                submitted = harness.job(1)
+                model.store.put(
+                    _keys.job_key(submitted.job_id),
+                    document.encode_final_marker(''),
+                )
+                model.store.put(_keys.record_key(submitted.job_id), b'?')
+                model.fleet.add(workers.listed_worker(0), lambda _task: 0.6, 0)
+                await harness.until(lambda: model.scheduler() is not None)
+                await anyio.sleep(1.0)
+                host = model.processes[model.scheduler()].process
+                deadline_s = model.timer.now_s() + 3.0
+                answer = await host.submissions.submit(submitted, deadline_s)
+                self.assertIs(submission.SubmitOutcome.KNOWN, answer.ok)
+                await anyio.sleep(1.0)
+                self.assertEqual(0, model.fleet.ledger.starts.total())
+
+        harness.run_virtual(scenario)
+
+
 class CancelTest(unittest.TestCase):
     """A cancellation is stored only beside a job that has not ended."""
 
