Show a job that ends between two reads as ended

A state that the scheduler can't tell is looked up in the store, the record first, the document after. A job whose end was stored between the two was shown as queued: its record was missing, and the marker in place of its document was taken for a job without a record.

The record is read again where the marker is found.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
@@ -88,14 +88,20 @@
         if self._store.is_down:
             return expression.Error(_outages.failure(self._store.silent_s))
         record = await self._store.get(_keys.record_key(job_id))
-        if record.is_ok() and record.ok is not None:
-            return self._state_from_record(record.ok)
-        if record.is_ok():
+        if record.is_ok() and record.ok is None:
             stored = await self._store.get(_keys.job_key(job_id))
-            if stored.is_ok():
-                if stored.ok is None:
-                    return expression.Ok(None)
+            if stored.is_error():
+                return expression.Error(
+                    errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
+                )
+            if stored.ok is None:
+                return expression.Ok(None)
+            if not document.is_final_marker(stored.ok.value):
                 return self._state_from_document(stored.ok)
+            # The job has ended since the first read of its record.
+            record = await self._store.get(_keys.record_key(job_id))
+        if record.is_ok() and record.ok is not None:
+            return self._state_from_record(record.ok)
         return expression.Error(
             errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
         )
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -7,6 +7,7 @@
 import unittest
 
 import anyio
+import msgspec
 
 from tests.walnutpoint_scheduler import harness
 from walnutpoint_core import errors
@@ -22,6 +23,7 @@
 from walnutpoint_scheduler import _membership
 from walnutpoint_scheduler import _messages
 from walnutpoint_scheduler import _peers
+from walnutpoint_scheduler import _record
 from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler import admission
@@ -364,6 +366,20 @@
         harness.run_virtual(scenario)
 
 
+class _EndingStore(store.MemoryStore):
+    """A store in which a job ends once its missing record was read."""
+
+    async def get(self, key: str) -> typing.Any:
+        """Read one key."""
+        item = await super().get(key)
+        if key.startswith(_keys.RECORDS) and item.ok is None:
+            record = _record.JobRecord('done', True, 0, [])
+            marker = document.encode_final_marker('')
+            self.put(key, msgspec.msgpack.encode(record))
+            self.put(_keys.job_key(_keys.job_id(key)), marker)
+        return item
+
+
 class StateTest(unittest.TestCase):
     """Job states and cancellations."""
 
@@ -390,6 +406,20 @@
 
         harness.run_virtual(scenario)
 
+    def test_job_that_ends_between_two_reads_is_final(self) -> None:
+        """Guards against showing an ended job as queued.
+
+        Its record is read before the end is stored, and its document after.
+        """
+
+        async def scenario() -> None:
+            service = Service(_EndingStore())
+            await service.submit(1)
+            state = await service.job_status.state(harness.job(1).job_id, '')
+            self.assertEqual('done', state.ok.state)
+
+        harness.run_virtual(scenario)
+
     def test_state_is_not_guessed_in_an_outage(self) -> None:
         """The caller is asked to retry, not told that its job is unknown."""
 
