Store the weight and limit of its account with a job

A job names its account, and the configuration tells what that may have. Where the job is read before the configuration, at a scheduler that is a version behind, or after the account has left it, at the next takeover, the account had no limit and no rate: 24 of 24 tasks at once under a limit of 8 cores, 40 after a takeover, in the tests.

Older jobs have none and are treated as before.

Two tests failed before.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_context.py
@@ -169,6 +169,7 @@
     def account_of(self, job: _state.JobProgress) -> accounts.Account | None:
         """Return a job's account as configured now, or else as last known.
 
+        At first that is the account as it was when the job was accepted.
         None for a job of a public queue, or without accounts.
         """
         account = self.cell.account(job.document.account)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/accounts/__init__.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/accounts/__init__.py
@@ -6,6 +6,7 @@
 from walnutpoint_scheduler.accounts import _entitlement
 from walnutpoint_scheduler.accounts import _recent_use
 from walnutpoint_scheduler.accounts import _register
+from walnutpoint_scheduler.accounts import _terms
 from walnutpoint_scheduler.accounts import _usage
 
 __all__ = (
@@ -13,6 +14,7 @@
     'Accounts',
     'Entitlement',
     'RecentUse',
+    'Terms',
     'Usage',
     'conflicts',
     'digest',
@@ -22,6 +24,7 @@
 Accounts = _register.Accounts
 Entitlement = _entitlement.Entitlement
 RecentUse = _recent_use.RecentUse
+Terms = _terms.Terms
 Usage = _usage.Usage
 digest = _account.digest
 conflicts = _register.conflicts
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from walnutpoint_core import resources
+from walnutpoint_scheduler import accounts
 from walnutpoint_scheduler import cell
 
 __all__ = (
@@ -90,6 +91,9 @@
     accepted_by: cell.Queue | None = None
     # The client account that submitted it; empty in a public queue.
     account: str = ''
+    # A copy of its terms, for a scheduler whose configuration does not have
+    # the account yet, or no longer.
+    accepted_for: accounts.Terms | None = None
 
     @property
     def lasting(self) -> bool:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_job_reader.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_job_reader.py
@@ -53,6 +53,8 @@
                 job.queue, '', '', UNKNOWN_QUEUE
             )
         progress = _state.JobProgress(job, queue, context.timer.now_s())
+        if job.accepted_for is not None:
+            progress.account = job.accepted_for.account(job.account)
         account = context.account_of(progress)
         if account is not None:
             progress.is_owed = context.entitlement.consume(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_submissions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_submissions.py
@@ -150,6 +150,14 @@
             for step in job.steps
         )
 
+    def _with_terms(self, job: document.Job) -> document.Job:
+        """Return a job with a copy of its account's terms."""
+        account = self._account(job.account)
+        if account is None:
+            return job
+        terms = accounts.Terms.of(account)
+        return msgspec.structs.replace(job, accepted_for=terms)
+
     async def submit(
         self, job: document.Job, deadline_s: float
     ) -> expression.Result[SubmitOutcome, errors.Failure]:
@@ -161,6 +169,7 @@
         answer precedes the caller's deadline even while a store call, which
         may take 2 s over all its routes, is pending.
         """
+        job = self._with_terms(job)
         call = _submit_call.SubmitCall(job, self._timer.now_s(), deadline_s)
         if self._fits_no_worker(job):
             return self._refuse(call, errors.Failure(_TOO_LARGE))
--- a/tests/walnutpoint_scheduler/test_account_limits.py
+++ b/tests/walnutpoint_scheduler/test_account_limits.py
@@ -255,6 +255,50 @@
 
         harness.run_virtual(scenario)
 
+    def test_job_of_an_account_that_is_not_configured_yet(self) -> None:
+        """Guards against an account without a limit until its terms come.
+
+        The process that accepts the job has a newer configuration than the
+        scheduler, which learns of the account while the job runs.
+        """
+
+        async def scenario() -> None:
+            audited = _AuditedCell()
+            audited.cells = [_cell(1, OTHER)]
+            terms = accounts.Terms.of(LIMITED)
+            job_id = audited.submit(1, harness.step(24), accepted_for=terms)
+            async with audited.scheduling() as term:
+                await harness.until(
+                    lambda: audited.running_cores(LIMITED.name) > 0
+                )
+                self.assertEqual(8, audited.running_cores(LIMITED.name))
+                audited.cells.append(_cell(2, OTHER, LIMITED))
+                term.apply_cell(audited.cells[-1])
+                await audited.until_done(job_id)
+            peak = audited.audit.peak_usage[LIMITED.name]
+            self.assertEqual(LIMIT.cpu_millicores, peak.cpu_millicores)
+
+        harness.run_virtual(scenario)
+
+    def test_removed_account_keeps_its_limit_in_the_next_term(self) -> None:
+        """Guards against a takeover that lifts the limit of an account."""
+
+        async def scenario() -> None:
+            audited = _AuditedCell()
+            terms = accounts.Terms.of(LIMITED)
+            job_id = audited.submit(1, harness.step(40), accepted_for=terms)
+            async with audited.scheduling():
+                await harness.until(
+                    lambda: audited.running_cores(LIMITED.name) == 8
+                )
+            audited.cells.append(_cell(2, OTHER))
+            async with audited.scheduling():
+                await audited.until_done(job_id)
+            peak = audited.audit.peak_usage[LIMITED.name]
+            self.assertEqual(LIMIT.cpu_millicores, peak.cpu_millicores)
+
+        harness.run_virtual(scenario)
+
     def test_job_of_a_removed_account_keeps_its_limit(self) -> None:
         """Guards against a lost or unlimited job of a removed account."""
 
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/test_submission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import dataclasses
 import typing
 import unittest
 
@@ -582,6 +583,27 @@
 
         harness.run_virtual(scenario)
 
+    def test_job_is_stored_with_the_terms_of_its_account(self) -> None:
+        """Guards against a scheduler that doesn't know the account."""
+
+        async def scenario() -> None:
+            service = Service()
+            account = accounts.Account(
+                'one',
+                frozenset((b'digest',)),
+                weight=2.5,
+                limit=resources.Resources(8000, 100, 1),
+            )
+            service.accounts = accounts.Accounts((account,))
+            owned = harness.job(1, account='one')
+            await service.submissions.submit(owned, 2000.0)
+            stored = service.store.items[_keys.job_key(owned.job_id)]
+            terms = document.decode_job(stored.value).accepted_for
+            expected = dataclasses.replace(account, key_digests=frozenset())
+            self.assertEqual(expected, terms.account('one'))
+
+        harness.run_virtual(scenario)
+
     def test_gang_above_its_accounts_limit_is_refused(self) -> None:
         """Guards against accepting a job that can never start."""
 
