Let the soak of cells drop history beside cancels and stops

Draw 6 adds both: callers cancel jobs as soon as they are accepted, watches report nothing for up to a second before the history is dropped, alone or while the scheduler's host is stopped and answers others for a second more. Starts and runs after a cancel are judged 3 s after it, and after the last fault.

--- a/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/cell_model.py
@@ -267,10 +267,11 @@
         self.network.close(model.address)
         model.kill()
 
-    async def stop(self, name: str) -> None:
-        """Shut a process down in order."""
+    async def stop(self, name: str, linger_s: float = 0.0) -> None:
+        """Shut a process down in order; it may answer others for longer."""
         model = self.processes.pop(name)
         await model.process.stop()
+        await anyio.sleep(linger_s)
         self.network.close(model.address)
         model.kill()
 
--- a/packages/walnutpoint-model/src/walnutpoint_model/host_faults.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/host_faults.py
@@ -28,6 +28,11 @@
 _STORE_CUT_SHARE: typing.Final = 0.5
 _SEGMENT_LOSS_SHARE: typing.Final = 0.2
 _SLOW_LATENCY_S: typing.Final = 0.28
+# How long watches report nothing before the history is dropped.
+_SILENT_WATCH_MAX_S: typing.Final = 1.0
+_HANDOVER_DELAY_S: typing.Final = 0.1
+# How long a stopped process finishes what it has.
+_STOP_LINGER_S: typing.Final = 1.0
 _STORE_FAULTS: typing.Final = (
     store.StoreFault.REFUSES,
     store.StoreFault.SILENT,
@@ -64,6 +69,10 @@
             self.lose_segments,
         )
 
+    def history_actions(self) -> tuple[Action, ...]:
+        """Return the faults of the store's history."""
+        return (self.drop_history, self.drop_history_at_handover)
+
     def _random_host(self) -> str:
         return self._random.choice(sorted(self._model.processes))
 
@@ -153,6 +162,24 @@
         await anyio.sleep(duration_s)
         self._model.store.latency_s = normal_latency_s
 
+    async def drop_history(self, duration_s: float) -> None:
+        """Let watches report nothing, then drop the history."""
+        self._model.store.is_watch_silent = True
+        await anyio.sleep(min(duration_s, _SILENT_WATCH_MAX_S))
+        self._model.store.is_watch_silent = False
+        self._model.store.drop_history()
+
+    async def drop_history_at_handover(self, duration_s: float) -> None:
+        """Stop the scheduling host while watches report nothing."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.drop_history, duration_s)
+            await anyio.sleep(_HANDOVER_DELAY_S)
+            name = self._model.scheduler()
+            if name is not None:
+                await self._model.stop(name, _STOP_LINGER_S)
+        if name is not None:
+            self._model.start(name)
+
     async def lose_segments(self, duration_s: float) -> None:
         """Lose segments on the links between hosts."""
         self._model.network.loss.share = _SEGMENT_LOSS_SHARE
--- a/packages/walnutpoint-model/src/walnutpoint_model/soak.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak.py
@@ -11,7 +11,9 @@
 not answered; a lasting job must be complete at the end, and each worker accept
 a task. From draw 4 on jobs belong to client accounts, whose limits and keys
 change; each account's usage is checked on the workers. From draw 5 on workers
-differ in speed, for good and for seconds, and a few tasks are large.
+differ in speed, for good and for seconds, and a few tasks are large. From draw
+6 on the store drops its history, also while the scheduler is stopped, and
+callers cancel jobs at once; no task of theirs starts or runs on after that.
 
 A seed and a draw determine a series. Each new kind of fault adds a draw, so
 that earlier failures can be reproduced.
@@ -32,16 +34,17 @@
 from walnutpoint_core import logs
 from walnutpoint_core import resources
 from walnutpoint_model import account_changes
+from walnutpoint_model import cancelled_jobs
 from walnutpoint_model import cell_model
 from walnutpoint_model import host_faults
 from walnutpoint_model import seed_runner
+from walnutpoint_model import soak_jobs
 from walnutpoint_model import uneven_speeds
 from walnutpoint_model import virtual_time
 from walnutpoint_model import worker_faults
 from walnutpoint_model import workers
 from walnutpoint_scheduler import cell
 from walnutpoint_scheduler import document
-from walnutpoint_scheduler import ports
 
 __all__ = (
     'NEWEST_DRAW',
@@ -49,21 +52,19 @@
     'simulate',
 )
 
-NEWEST_DRAW: typing.Final = 5
+NEWEST_DRAW: typing.Final = 6
 _WORKERS: typing.Final = 6
 # Two thirds of these have the capacity for all jobs.
 _WORKERS_WITH_FAULTS: typing.Final = 9
 # The share of worker faults in a series that has them.
 _WORKER_FAULTS_SHARE: typing.Final = 0.5
+# The share of faults of the store's history in a series that has them.
+_HISTORY_FAULTS_SHARE: typing.Final = 0.4
 # One crashing job is submitted with every so many others.
 _JOBS_PER_CRASHING_JOB: typing.Final = 25
-_LASTING_JOB_ID: typing.Final = f'{0xB0000000:016x}'
 _LASTING_TASKS: typing.Final = 6
-# A job with a task on each worker, and its time limit without faults.
-_WIDE_JOB_ID: typing.Final = f'{0xB0000001:016x}'
+# Without faults.
 _WIDE_JOB_TIMEOUT_S: typing.Final = 3.0
-_TASK_RUN_TIME_S: typing.Final = 0.5
-_LARGE_FACTOR: typing.Final = 7.0
 _MILLICORES: typing.Final = 1000
 _MEMORY_MB: typing.Final = 100
 _NEED: typing.Final = resources.Resources(_MILLICORES, _MEMORY_MB)
@@ -72,6 +73,8 @@
 _CALL_TIMEOUT_S: typing.Final = 3.0
 _FAULT_DURATION_S: typing.Final = (0.1, 2.5)
 _FAULT_INTERVAL_S: typing.Final = (0.0, 0.8)
+# Long enough at times for cancels to be due before the next fault.
+_LONG_FAULT_INTERVAL_S: typing.Final = (0.0, 6.0)
 # Every accepted job ends within this time after the last fault: twice a lease,
 # a takeover and two steps.
 _SETTLING_TIME_S: typing.Final = 12.0
@@ -139,17 +142,25 @@
         self._worker_faults: worker_faults.WorkerFaults | None = None
         self._worker_actions: tuple[host_faults.Action, ...] = ()
         if draw > 1:
-            self._worker_faults = faults = worker_faults.WorkerFaults(
+            self._worker_faults = worker_faults.WorkerFaults(
                 model,
                 self._random,
-                _run_time_of(draw),
+                soak_jobs.run_time_of(draw),
                 _NEED,
                 has_restarts=draw > 2,
             )
-            self._worker_actions = faults.actions()
-        self._actions = host_faults.HostFaults(
-            model, self._random, hosts
-        ).actions()
+            self._worker_actions = self._worker_faults.actions()
+        faults = host_faults.HostFaults(model, self._random, hosts)
+        self._actions = faults.actions()
+        self._history_actions: tuple[host_faults.Action, ...] = ()
+        self._fault_interval_s = _FAULT_INTERVAL_S
+        self._cancelled_jobs = None
+        if draw > 5:
+            self._history_actions = faults.history_actions()
+            self._fault_interval_s = _LONG_FAULT_INTERVAL_S
+            self._cancelled_jobs = cancelled_jobs.CancelledJobs(
+                model, random.Random(f'{seed} cancels'), _QUEUE
+            )
 
     async def run(self, duration_s: float) -> None:
         """Inject faults for a time, then check the invariants."""
@@ -162,6 +173,8 @@
                 tasks.start_soon(self._accounts.run, duration_s)
             if self._speeds is not None:
                 tasks.start_soon(self._speeds.run, duration_s)
+            if self._cancelled_jobs is not None:
+                tasks.start_soon(self._cancelled_jobs.run, tasks)
             settle_s = _SETTLING_TIME_S
             if self._worker_faults is not None:
                 tasks.start_soon(self._worker_faults.run)
@@ -182,12 +195,19 @@
             if self._worker_actions:
                 if self._random.random() < _WORKER_FAULTS_SHARE:
                     actions = self._worker_actions
+            if self._history_actions:
+                if self._random.random() < _HISTORY_FAULTS_SHARE:
+                    actions = self._history_actions
             action = self._random.choice(actions)
             fault_s = self._random.uniform(*_FAULT_DURATION_S)
             name = action.__name__.strip('_')
             self.result.actions.append(f'{name} {fault_s:.2f}')
+            if self._cancelled_jobs is not None:
+                self._cancelled_jobs.calm_since_s = math.inf
             await action(fault_s)
-            await anyio.sleep(self._random.uniform(*_FAULT_INTERVAL_S))
+            if self._cancelled_jobs is not None:
+                self._cancelled_jobs.calm_since_s = clock.now_s()
+            await anyio.sleep(self._random.uniform(*self._fault_interval_s))
 
     async def _record_terms(self) -> None:
         while True:
@@ -217,7 +237,7 @@
             estimate_ms=500,
             per_worker_max=1,
         )
-        await self._submit(_WIDE_JOB_ID, step)
+        await self._submit(soak_jobs.WIDE_ID, step)
         await anyio.sleep(_WIDE_JOB_TIMEOUT_S)
 
     async def _submit_lasting_job(self) -> None:
@@ -225,8 +245,8 @@
         step = document.Step(
             _LASTING_TASKS, _MILLICORES, _MEMORY_MB, lasting=True
         )
-        while _LASTING_JOB_ID not in self._accepted:
-            await self._submit(_LASTING_JOB_ID, step)
+        while soak_jobs.LASTING_ID not in self._accepted:
+            await self._submit(soak_jobs.LASTING_ID, step)
             await anyio.sleep(_JOB_INTERVAL_S)
 
     async def _submit(self, job_id: str, *steps: document.Step) -> None:
@@ -276,15 +296,17 @@
             result.violations += self._accounts.violations()
         if self._worker_faults is not None:
             result.violations += self._worker_faults.violations()
+        if self._cancelled_jobs is not None:
+            result.violations += self._cancelled_jobs.violations()
         if self._has_lasting_job:
             running = {
-                t for t in ledger.running if t.job_id == _LASTING_JOB_ID
+                t for t in ledger.running if t.job_id == soak_jobs.LASTING_ID
             }
             if len(running) < _LASTING_TASKS:
                 result.violations.append(
                     f'only {len(running)} lasting tasks run'
                 )
-            if _WIDE_JOB_ID not in self._accepted:
+            if soak_jobs.WIDE_ID not in self._accepted:
                 result.violations.append(
                     'the job on every worker was not accepted'
                 )
@@ -308,31 +330,12 @@
                 state = answer.error.kind.value
             elif answer.ok is not None:
                 state = answer.ok.state
-            is_crashing = worker_faults.is_crashing_job(job_id)
-            expected = 'failed' if is_crashing else 'done'
-            if job_id == _LASTING_JOB_ID:
-                expected = 'running'
-            if state != expected:
+            if state != soak_jobs.expected_state(job_id):
                 result.violations.append(
                     f'{job_id} was accepted and is {state}'
                 )
 
 
-def _run_time_s(task: ports.TaskName) -> float:
-    return math.inf if task.job_id == _LASTING_JOB_ID else _TASK_RUN_TIME_S
-
-
-def _uneven_run_time_s(task: ports.TaskName) -> float:
-    run_time_s = _run_time_s(task)
-    if task.job_id != _WIDE_JOB_ID and uneven_speeds.is_large(task):
-        return run_time_s * _LARGE_FACTOR
-    return run_time_s
-
-
-def _run_time_of(draw: int) -> workers.RunTime:
-    return _uneven_run_time_s if draw > 4 else _run_time_s
-
-
 def simulate(
     seed: int,
     hosts: int = _HOSTS,
@@ -352,7 +355,9 @@
             count = _WORKERS_WITH_FAULTS if draw > 1 else _WORKERS
             for number in range(count):
                 model.fleet.add(
-                    workers.listed_worker(number), _run_time_of(draw), number
+                    workers.listed_worker(number),
+                    soak_jobs.run_time_of(draw),
+                    number,
                 )
             soak = _Soak(seed, hosts, model, draw)
             await soak.run(duration_s)
--- a/packages/walnutpoint-model/src/walnutpoint_model/store.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/store.py
@@ -48,6 +48,7 @@
         'commits',
         'fault',
         'fault_share',
+        'is_watch_silent',
         'items',
         'latency_s',
         'reads',
@@ -63,6 +64,8 @@
         self.fault = StoreFault.NONE
         # The share of commits that a fault affects.
         self.fault_share = 1.0
+        # Whether watches report no changes.
+        self.is_watch_silent = False
         self.commits = 0
         self.reads = 0
         self._history: list[tuple[int, str, ports.StoredValue | None]] = []
@@ -130,7 +133,7 @@
                     if event[0] > after_revision
                     and event[1].startswith(prefix)
                 ]
-                if events:
+                if events and not self.is_watch_silent:
                     return expression.Ok(self._changes(events))
                 await self._changed.wait()
         return expression.Ok(ports.Changes(self.revision, ()))
--- a/tests/walnutpoint_model/test_soak.py
+++ b/tests/walnutpoint_model/test_soak.py
@@ -12,6 +12,7 @@
 from walnutpoint_model import cell_model
 from walnutpoint_model import soak
 from walnutpoint_scheduler import _limits
+from walnutpoint_scheduler.intake import _early_cancels
 from walnutpoint_scheduler import submission
 
 # Together they cover every kind of fault.
@@ -34,6 +35,9 @@
 
 _SPEED_SEEDS = (1, 5)
 _ACCOUNT_SEEDS = (1, 5, 8)
+# Without early cancels kept, each of them shows a forgotten cancel.
+_CANCEL_SEEDS = (5, 8, 9)
+_HISTORY_KINDS = {'drop_history', 'drop_history_at_handover'}
 
 
 def _apply_first(source: typing.Any, items: typing.Any) -> None:
@@ -98,6 +102,28 @@
                 self.assertEqual([], result.violations)
                 self.assertGreater(result.accepted, 50)
 
+    def test_cancelled_jobs_stop_when_history_is_dropped(self) -> None:
+        """No task of a cancelled job starts or runs on after its cancel."""
+        kinds = set()
+        for seed in _CANCEL_SEEDS:
+            with self.subTest(seed=seed):
+                result = soak.simulate(seed, draw=6)
+                self.assertEqual([], result.violations)
+                self.assertGreater(result.accepted, 50)
+                kinds |= {action.split()[0] for action in result.actions}
+        self.assertLessEqual(_HISTORY_KINDS, kinds)
+
+    def test_forgotten_cancel_is_detected(self) -> None:
+        """The scheduler forgets cancels of jobs that it doesn't know yet."""
+        with mock.patch.object(
+            _early_cancels.EarlyCancels,
+            'take',
+            autospec=True,
+            return_value=False,
+        ):
+            result = soak.simulate(_CANCEL_SEEDS[0], draw=6)
+        self.assertIn('after its cancel', result.violations[0])
+
     def test_exceeded_limit_is_detected(self) -> None:
         """The scheduler ignores the limits of accounts."""
         with mock.patch.object(
