--- a/specs/_cases.py
+++ b/specs/_cases.py
@@ -21,6 +21,7 @@
 from specs import doubt
 from specs import gang
 from specs import incarnation
+from specs import intake
 from specs import lease
 from specs import memory
 from specs import proposal
@@ -63,6 +64,7 @@
     Model('term', term.build, term.Guard, term.GOALS),
     Model('acceptance', acceptance.build, acceptance.Guard, acceptance.GOALS),
     Model('cancel', cancel.build, cancel.Guard, cancel.GOALS),
+    Model('intake', intake.build, intake.Guard, intake.GOALS),
     Model('crashes', crashes.build, crashes.Guard, crashes.GOALS),
     Model(
         'incarnation',
