--- a/tests/walnutpoint_platform/test_store.py
+++ b/tests/walnutpoint_platform/test_store.py
@@ -134,6 +134,23 @@
 
         run_scenario(_standin_handler(), scenario)
 
+    def test_revision_of_a_read_is_that_of_its_first_page(self) -> None:
+        """Guards against a watch that misses changes between two pages."""
+        pages = [
+            {'items': [{'key': 'k1'}], 'truncated': True, 'currentRev': 5},
+            {'items': [{'key': 'k2'}], 'truncated': False, 'currentRev': 9},
+        ]
+
+        async def answer(_request: web.Request) -> web.Response:
+            return web.json_response(200, pages.pop(0))
+
+        async def scenario(store: _store.KeyValueStore) -> None:
+            snapshot = await store.read('k')
+            self.assertEqual(5, snapshot.ok.revision)
+            self.assertEqual(2, len(snapshot.ok.values))
+
+        run_scenario(answer, scenario)
+
 
 def _standin_handler() -> web.Handler:
     servers: dict[str, typing.Any] = {}
