--- a/packages/walnutpoint-cli/src/walnutpoint_cli/_timeline.py
+++ b/packages/walnutpoint-cli/src/walnutpoint_cli/_timeline.py
@@ -21,6 +21,7 @@
 _GLOBAL_EVENTS: typing.Final = frozenset(
     {
         'cell.applied',
+        'intake.resynced',
         'journal.failing',
         'journal.regained',
         'process.started',
--- a/tests/walnutpoint_cli/test_explain.py
+++ b/tests/walnutpoint_cli/test_explain.py
@@ -79,6 +79,19 @@
             [line.fields['detail'] for line in timeline.context_lines],
         )
 
+    def test_full_read_of_the_intake_is_context(self) -> None:
+        """Guards against a late cancel without its cause."""
+        resync = _timeline.parse_line(
+            'timestamp=2026-01-01T10:00:00.500000Z level=info '
+            'event=intake.resynced part=intake cause=compacted changed=3',
+            'a',
+        )
+        assert resync is not None
+        timeline = _timeline.build_timeline([*_lines(), resync], 'aa')
+        self.assertIn(
+            'intake.resynced', [line.event for line in timeline.context_lines]
+        )
+
     def test_longest_wait_and_decision(self) -> None:
         timeline = _timeline.build_timeline(_lines(), 'aa')
         self.assertAlmostEqual(3.01, timeline.longest_wait_s, places=3)
