Lay out the tests of submissions like the modules that they test

test_submission held submissions, cancellations and states, 630 lines. They are three modules now, with the shared service beside them.

--- a/tests/walnutpoint_scheduler/admission/test_gate.py
+++ b/tests/walnutpoint_scheduler/admission/test_gate.py
@@ -9,7 +9,7 @@
 import msgspec
 
 from tests.walnutpoint_scheduler import harness
-from tests.walnutpoint_scheduler import test_submission
+from tests.walnutpoint_scheduler.submission import service as services
 from walnutpoint_core import errors
 from walnutpoint_model import store
 from walnutpoint_model import virtual_time
@@ -115,7 +115,7 @@
         harness.run_virtual(scenario)
 
 
-def _nothing(_service: test_submission.Service) -> None:
+def _nothing(_service: services.Service) -> None:
     """Leave the store as it is."""
 
 
@@ -125,13 +125,13 @@
     def _submit(
         self,
         *numbers: int,
-        before: typing.Callable[[test_submission.Service], None] = _nothing,
+        before: typing.Callable[[services.Service], None] = _nothing,
     ) -> list[typing.Any]:
         """Submit jobs, the first one before the backlog is known."""
         answers = []
 
         async def scenario() -> None:
-            service = test_submission.Service()
+            service = services.Service()
             now_s = virtual_time.LoopTimer().now_s
             for index, number in enumerate(numbers):
                 if index == 1:
@@ -158,7 +158,7 @@
     def test_failed_lookup_accepts(self) -> None:
         """Guards against refusing what may be a repeat."""
 
-        def silence(service: test_submission.Service) -> None:
+        def silence(service: services.Service) -> None:
             service.store.fault = store.StoreFault.SILENT
 
         _, answer = self._submit(1, 2, before=silence)
--- /dev/null
+++ b/tests/walnutpoint_scheduler/submission/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of submissions and cancellations by client accounts."""
--- a/tests/walnutpoint_scheduler/test_submission.py
+++ b/tests/walnutpoint_scheduler/submission/test_submissions.py
@@ -4,83 +4,30 @@
 
 import asyncio
 import dataclasses
-import typing
 import unittest
 
 import anyio
-import msgspec
 
 from tests.walnutpoint_scheduler import harness
+from tests.walnutpoint_scheduler.submission import service as services
 from walnutpoint_core import errors
-from walnutpoint_core import ports as core_ports
 from walnutpoint_core import resources
-from walnutpoint_core import web
 from walnutpoint_model import cell_model
 from walnutpoint_model import store
-from walnutpoint_model import virtual_time
 from walnutpoint_model import workers
 from walnutpoint_scheduler import _keys
-from walnutpoint_scheduler import _leadership
-from walnutpoint_scheduler import _membership
 from walnutpoint_scheduler import _messages
-from walnutpoint_scheduler import _peers
-from walnutpoint_scheduler import _record
-from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import accounts
-from walnutpoint_scheduler import admission
 from walnutpoint_scheduler import document
-from walnutpoint_scheduler import job_status
-from walnutpoint_scheduler import settings
 from walnutpoint_scheduler import submission
 
-# Longer than a write may be applied after its answer was lost.
-_LATE_S = 7.0
-
-
-class Service:
-    """The submission service of a process without peers."""
-
-    def __init__(self, memory_store: store.MemoryStore | None = None) -> None:
-        self.store = memory_store or store.MemoryStore()
-        clock = virtual_time.LoopTimer()
-        members = _membership.Membership(
-            _messages.Member('me', '127.0.0.1:1', 'domain-0', 'life')
-        )
-        peers = _peers.Peers(web.Client())
-        self.accounts = accounts.Accounts(())
-        self.gate = admission.AdmissionGate(clock, lambda: True)
-        self.relayed = _relay.RelayedStore(self.store, members, peers, clock)
-        leadership = _leadership.Leadership(
-            self.relayed, members, peers, clock, settings.SchedulerSettings()
-        )
-        self.submissions = submission.Submissions(
-            self.relayed,
-            leadership,
-            peers,
-            clock,
-            lambda: None,
-            lambda *_: None,
-            lambda name: self.accounts.get(name),
-            self.gate,
-        )
-        self.job_status = job_status.JobStatus(
-            self.relayed, leadership, peers, clock, lambda: None
-        )
-
-    async def submit(self, number: int, wait_s: float = 3.0) -> typing.Any:
-        """Submit a job whose caller waits for a time."""
-        now_s = asyncio.get_running_loop().time()
-        return await self.submissions.submit(
-            harness.job(number), now_s + wait_s
-        )
-
 
 class SubmitTest(unittest.TestCase):
     """Accepted jobs are stored, and refused ones never run."""
 
     def test_accepted_job_is_stored_once(self) -> None:
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             first = await service.submit(1)
             again = await service.submit(1)
             self.assertIs(submission.SubmitOutcome.NEW, first.ok)
@@ -92,7 +39,7 @@
 
     def test_another_job_under_a_known_name_is_refused(self) -> None:
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             await service.submit(1)
             other = await service.submissions.submit(
                 harness.job(1, harness.step(7)), 2000.0
@@ -108,7 +55,7 @@
         """
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             service.store.fault = store.StoreFault.REFUSES
             began_s = asyncio.get_running_loop().time()
             answer = await service.submit(1)
@@ -127,7 +74,7 @@
         stored_s: list[float] = []
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             loop = asyncio.get_running_loop()
             await service.submit(1)
             service.store.fault = store.StoreFault.REFUSES
@@ -178,7 +125,7 @@
         """
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             service.store.fault = store.StoreFault.LOSES_ANSWERS
 
             async def repair_store() -> None:
@@ -199,7 +146,7 @@
         """
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             service.store.fault = store.StoreFault.APPLIES_LATE
             answer = await service.submit(1)
             self.assertIs(errors.Outcome.UNKNOWN, answer.error.outcome)
@@ -215,7 +162,7 @@
 
         async def scenario() -> None:
             for wait_s in (0.8, 1.0, 2.0, 3.0):
-                service = Service()
+                service = services.Service()
                 await service.submit(1)
                 service.store.fault = store.StoreFault.APPLIES_LATE
                 began_s = asyncio.get_running_loop().time()
@@ -235,7 +182,7 @@
         """
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             await service.submit(1)
             service.store.fault = store.StoreFault.SILENT
             for _ in range(3):
@@ -257,7 +204,7 @@
         """
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             await service.submit(1)
             service.store.fault = store.StoreFault.SILENT
             await service.relayed.get('any')
@@ -274,7 +221,7 @@
         """
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             await service.submit(1)
             service.store.fault = store.StoreFault.SILENT
             service.relayed.note_suspicion()
@@ -294,7 +241,7 @@
         """
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(service.relayed.watch_outages)
                 await service.submit(1)
@@ -321,7 +268,7 @@
         """Guards against callers that wait forever."""
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             service.submissions.add_capacities(
                 [
                     _messages.PoolCapacities(
@@ -343,7 +290,7 @@
         """No job is refused because a large worker is away for a while."""
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             for millicores in (16000, 8000):
                 service.submissions.add_capacities(
                     [
@@ -360,97 +307,13 @@
 
     def test_nothing_is_refused_while_no_worker_is_known(self) -> None:
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             answer = await service.submit(1)
             self.assertTrue(answer.is_ok())
 
         harness.run_virtual(scenario)
 
 
-class _EndingStore(store.MemoryStore):
-    """A store in which a job ends once its missing record was read."""
-
-    async def get(self, key: str) -> typing.Any:
-        """Read one key."""
-        item = await super().get(key)
-        if key.startswith(_keys.RECORDS) and item.ok is None:
-            record = _record.JobRecord('done', True, 0, [])
-            marker = document.encode_final_marker('')
-            self.put(key, msgspec.msgpack.encode(record))
-            self.put(_keys.job_key(_keys.job_id(key)), marker)
-        return item
-
-
-class StateTest(unittest.TestCase):
-    """Job states and cancellations."""
-
-    def test_unknown_job_has_no_state(self) -> None:
-        async def scenario() -> None:
-            service = Service()
-            state = await service.job_status.state('f' * 16, '')
-            self.assertIsNone(state.ok)
-            cancelled = await service.submissions.cancel('f' * 16, '', 2000.0)
-            self.assertFalse(cancelled.ok)
-
-        harness.run_virtual(scenario)
-
-    def test_stored_job_is_queued_until_its_record_says_more(self) -> None:
-        async def scenario() -> None:
-            service = Service()
-            await service.submit(1)
-            job_id = harness.job(1).job_id
-            state = await service.job_status.state(job_id, '')
-            self.assertEqual('queued', state.ok.state)
-            cancelled = await service.submissions.cancel(job_id, '', 2000.0)
-            self.assertTrue(cancelled.ok)
-            self.assertIn(_keys.cancel_key(job_id), service.store.items)
-
-        harness.run_virtual(scenario)
-
-    def test_job_that_ends_between_two_reads_is_final(self) -> None:
-        """Guards against showing an ended job as queued.
-
-        Its record is read before the end is stored, and its document after.
-        """
-
-        async def scenario() -> None:
-            service = Service(_EndingStore())
-            await service.submit(1)
-            state = await service.job_status.state(harness.job(1).job_id, '')
-            self.assertEqual('done', state.ok.state)
-
-        harness.run_virtual(scenario)
-
-    def test_state_is_not_guessed_in_an_outage(self) -> None:
-        """The caller is asked to retry, not told that its job is unknown."""
-
-        async def scenario() -> None:
-            service = Service()
-            await service.submit(1)
-            service.store.fault = store.StoreFault.REFUSES
-            state = await service.job_status.state(harness.job(1).job_id, '')
-            self.assertTrue(state.is_error())
-
-        harness.run_virtual(scenario)
-
-
-class _ChangingStore(store.MemoryStore):
-    """A store that changes a job just before its cancellation is stored."""
-
-    def __init__(
-        self, change: typing.Callable[[store.MemoryStore, str], None]
-    ) -> None:
-        super().__init__()
-        self._change = change
-
-    async def commit(self, batch: core_ports.Batch) -> typing.Any:
-        """Apply a batch, after the change if it is a cancellation."""
-        job_id = _keys.job_id(batch.puts[0].key)
-        if batch.puts[0].key == _keys.cancel_key(job_id):
-            self._change(self, _keys.job_key(job_id))
-        return await super().commit(batch)
-
-
 class RepeatTest(unittest.TestCase):
     """A repeated submission of a job that has ended."""
 
@@ -482,59 +345,6 @@
         harness.run_virtual(scenario)
 
 
-class CancelTest(unittest.TestCase):
-    """A cancellation is stored only beside a job that has not ended."""
-
-    def _cancel(
-        self, change: typing.Callable[[store.MemoryStore, str], None]
-    ) -> typing.Any:
-        """Cancel a job that changes meanwhile; return the answer."""
-        answers: list[typing.Any] = []
-
-        async def scenario() -> None:
-            service = Service(_ChangingStore(change))
-            await service.submit(1)
-            job_id = harness.job(1).job_id
-            answer = await service.submissions.cancel(job_id, '', 2000.0)
-            self.assertNotIn(_keys.cancel_key(job_id), service.store.items)
-            answers.append(answer)
-
-        harness.run_virtual(scenario)
-        return answers[0]
-
-    def test_job_that_is_removed_meanwhile_leaves_no_cancel(self) -> None:
-        """Guards against an entry that nothing removes."""
-        answer = self._cancel(lambda changed, key: changed.delete(key))
-        self.assertIs(False, answer.ok)
-
-    def test_cancel_that_is_applied_late_needs_its_job(self) -> None:
-        """Guards against a late write after the job was removed."""
-
-        async def scenario() -> None:
-            service = Service()
-            await service.submit(1)
-            job_id = harness.job(1).job_id
-            service.store.fault = store.StoreFault.APPLIES_LATE
-            answer = await service.submissions.cancel(job_id, '', 2000.0)
-            self.assertTrue(answer.is_error())
-            service.store.fault = store.StoreFault.NONE
-            for key in (_keys.job_key(job_id), _keys.cancel_key(job_id)):
-                service.store.delete(key)
-            await anyio.sleep(_LATE_S)
-            self.assertNotIn(_keys.cancel_key(job_id), service.store.items)
-
-        harness.run_virtual(scenario)
-
-    def test_job_that_ends_meanwhile_needs_no_cancel(self) -> None:
-        """Guards against a cancel of a job whose document is gone."""
-        answer = self._cancel(
-            lambda changed, key: changed.put(
-                key, document.encode_final_marker('')
-            )
-        )
-        self.assertIs(True, answer.ok)
-
-
 class OwnerTest(unittest.TestCase):
     """Client accounts have no access to each other's jobs."""
 
@@ -542,7 +352,7 @@
         """Guards against access with another account's key."""
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             owned = harness.job(1, account='one')
             await service.submissions.submit(owned, 2000.0)
             refused = errors.ErrorKind.OTHER_ACCOUNT
@@ -566,7 +376,7 @@
 
         async def scenario() -> None:
             for final in (False, True):
-                service = Service()
+                service = services.Service()
                 owned = harness.job(1, account='one')
                 await service.submissions.submit(owned, 2000.0)
                 if final:
@@ -587,7 +397,7 @@
         """Guards against a scheduler that doesn't know the account."""
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             account = accounts.Account(
                 'one',
                 frozenset((b'digest',)),
@@ -608,7 +418,7 @@
         """Guards against accepting a job that can never start."""
 
         async def scenario() -> None:
-            service = Service()
+            service = services.Service()
             limit = resources.Resources(8000)
             service.accounts = accounts.Accounts(
                 (accounts.Account('one', limit=limit),)
