Check the state of cancelled jobs at the end of the soak of cells

A cancel of an accepted job that is answered as of an unknown one, and a lasting job that was cancelled and doesn't end so, are findings now.

--- a/packages/walnutpoint-model/src/walnutpoint_model/cancelled_jobs.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/cancelled_jobs.py
@@ -95,6 +95,10 @@
             tasks.start_soon(self._submit, f'{_FIRST_ID + number:016x}')
             await anyio.sleep(_JOB_INTERVAL_S)
 
+    def lasting_job_ids(self) -> set[str]:
+        """Return the cancelled jobs that can't end otherwise."""
+        return {job_id for job_id in self._cancelled_s if _is_lasting(job_id)}
+
     def violations(self) -> list[str]:
         """Return the tasks that started or ran on after their cancel."""
         return list(self._violations)
@@ -132,6 +136,10 @@
             )
             if reply is not None and reply.is_ok():
                 self._cancelled_s[job_id] = self._model.timer.now_s()
+                if not reply.ok:
+                    self._violations[f'{job_id} is unknown to its cancel'] = (
+                        None
+                    )
                 return
 
     def _random_host(self) -> cell_model.ModelProcess | None:
--- a/packages/walnutpoint-model/src/walnutpoint_model/soak.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak.py
@@ -63,7 +63,7 @@
 # One crashing job is submitted with every so many others.
 _JOBS_PER_CRASHING_JOB: typing.Final = 25
 _LASTING_TASKS: typing.Final = 6
-# Without faults.
+# Time limit of the job on every worker, without faults.
 _WIDE_JOB_TIMEOUT_S: typing.Final = 3.0
 _MILLICORES: typing.Final = 1000
 _MEMORY_MB: typing.Final = 100
@@ -298,6 +298,7 @@
             result.violations += self._worker_faults.violations()
         if self._cancelled_jobs is not None:
             result.violations += self._cancelled_jobs.violations()
+            self._accepted |= self._cancelled_jobs.lasting_job_ids()
         if self._has_lasting_job:
             running = {
                 t for t in ledger.running if t.job_id == soak_jobs.LASTING_ID
--- a/packages/walnutpoint-model/src/walnutpoint_model/soak_jobs.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak_jobs.py
@@ -29,6 +29,8 @@
     """Return the state that an accepted job must have at the end."""
     if job_id == LASTING_ID:
         return 'running'
+    if cancelled_jobs.is_cancelled_job(job_id):
+        return 'cancelled'
     return 'failed' if worker_faults.is_crashing_job(job_id) else 'done'
 
 
