Log counted failures, and cancels of jobs that are not stored

New: job.cancel_not_found, task.attempt_failed (attempt, failures, attempts_max, gang, token); job.concluded has reason and token. No logic changes.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -290,6 +290,15 @@
         else:
             task.failures += 1
         limit = self._context.queue_of(step.job).attempts_max
+        _LOG.info(
+            'task.attempt_failed',
+            task=_suspects.task_text(task),
+            attempt=run.name.attempt,
+            failures=task.failures,
+            attempts_max=limit,
+            gang=step.step.gang,
+            token=self._context.token,
+        )
         if task.failures >= limit and not step.job.state.final:
             self._conclude(step.job, _state.JobState.FAILED)
 
@@ -333,6 +342,8 @@
             queue=job.document.queue,
             state=state.value,
             after_ms=now_ms - job.document.accepted_ms,
+            reason=job.reason or '-',
+            token=self._context.token,
         )
         for run in job.runs():
             self.stop(run, f'job {state.value}')
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_cancellations.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_cancellations.py
@@ -70,6 +70,7 @@
                 return expression.Error(_outages.failure(self._store.silent_s))
             job = stored.ok
             if job is None:
+                _LOG.info('job.cancel_not_found', job=job_id)
                 return expression.Ok(False)
             if not _may_cancel(job, caller):
                 return expression.Error(
