Show that a cancel which overtakes its job is forgotten

The answer is 410, no such job; nothing is stored; the submission is applied afterwards and the job runs.

--- a/tests/walnutpoint_scheduler/submission/test_cancellations.py
+++ b/tests/walnutpoint_scheduler/submission/test_cancellations.py
@@ -16,6 +16,10 @@
 
 # Longer than a write may be applied after its answer was lost.
 _LATE_S = 7.0
+# Less than the first timeout of a call to the store.
+_UNDER_WAY_S = 0.2
+# Above _LATE_S.
+_KEEP_S = 10.0
 
 
 class _ChangingStore(store.MemoryStore):
@@ -86,3 +90,67 @@
             )
         )
         self.assertIs(True, answer.ok)
+
+
+class OvertakenSubmissionTest(unittest.TestCase):
+    """A job is cancelled while its submission is still under way."""
+
+    def setUp(self) -> None:
+        self.bed = harness.Testbed()
+        self.job_id = harness.job(1).job_id
+
+    async def _cancel(self, service: services.Service) -> None:
+        """Cancel the job, which is not stored yet."""
+        answer = await service.submissions.cancel(self.job_id, '', 2000.0)
+        self.assertIs(False, answer.ok)
+
+    async def _submit_and_cancel(self, service: services.Service) -> None:
+        """Cancel the job while the answer to its submission is lost."""
+        self.bed.store.fault = store.StoreFault.APPLIES_LATE
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(service.submit, 1)
+            await anyio.sleep(_UNDER_WAY_S)
+            self.bed.store.fault = store.StoreFault.NONE
+            await self._cancel(service)
+
+    async def _cancel_and_submit(self, service: services.Service) -> None:
+        """Submit the job after its cancel."""
+        await self._cancel(service)
+        await service.submit(1)
+
+    def _run(
+        self,
+        calls: typing.Callable[[services.Service], typing.Awaitable[None]],
+        then_s: float,
+    ) -> None:
+        """Make the calls beside a term, and wait."""
+
+        async def scenario() -> None:
+            async with self.bed.scheduling(keep_final_s=_KEEP_S) as term:
+                await harness.until(lambda: term.ready)
+                await calls(services.Service(self.bed.store))
+                await anyio.sleep(then_s)
+
+        harness.run_virtual(scenario)
+
+    def _check_never_ran(self) -> None:
+        self.assertEqual(0, self.bed.fleet.ledger.starts.total())
+        self.assertEqual('cancelled', self.bed.state(self.job_id))
+
+    def test_submission_that_is_applied_late_never_runs(self) -> None:
+        """Guards against a job that is stored after its cancel."""
+        self._run(self._submit_and_cancel, _LATE_S)
+        self._check_never_ran()
+
+    def test_submission_that_comes_later_never_runs(self) -> None:
+        """Guards against an attempt of the caller that arrives last."""
+        self._run(self._cancel_and_submit, _LATE_S)
+        self._check_never_ran()
+
+    def test_cancelled_name_is_removed_with_the_others(self) -> None:
+        """Guards against entries of unknown jobs that nothing removes."""
+        self._run(self._cancel, 2 * _KEEP_S)
+        self.assertFalse(
+            {_keys.job_key(self.job_id), _keys.record_key(self.job_id)}
+            & self.bed.store.items.keys()
+        )
