Repeat the watch of the intake each second

Callers saw a task start up to 10 s after the cancel of its job had been acknowledged. The notice of a cancel is sent once; whatever drops it (a scheduler that is being replaced, a timeout of 0.4 s), the watch of the store has to show the cancel. A watch that waits on a connection that has gone silent gets no answer, and it waited 10 s and 0.45 s for it.

The watch now waits 1 s. With the timeout, the pause and the full read that follows, a cancel is applied within the platform's shortest bound of 3 s, whatever was lost. It costs at most one call a second, and only while nothing changes: under load a watch is answered at once.

The members' and workers' watches waited 2 s already.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
@@ -31,7 +31,9 @@
 _UNKNOWN_CANCELS: typing.Final = metrics.Counter(
     'unknown_cancels', 'Cancellations of jobs that were not known, by source.'
 )
-_WATCH_WAIT_S: typing.Final = 10.0
+# A watch whose connection has gone silent gets no answer. If the notice of a
+# cancellation is lost too, tasks start until the watch has timed out.
+_WATCH_WAIT_S: typing.Final = 1.0
 # Delay of the next watch after one without changes. The process that accepted
 # a job notifies the scheduler; the watch covers lost notifications, and sees
 # two changes for each job.
