Keep a cancel that overtakes its job

Callers who gave up on a submission and cancelled it got 410, no such job, and the job ran all the same: nothing was stored for the cancel, and the submission (applied late by the store, repeated by our own process, or by the caller at another host) was accepted after it.

A cancel of an unknown job now stores its name as that of a cancelled job, under the condition that it isn't there. A submission then finds a job that has ended, as a repeat does; a job that has come meanwhile is cancelled as usual. The scheduler's watch shows such names, so that they are removed with the others after the retention period.

Ruled out: telling the other processes (one that is cut off would still store it), and refusing the cancel until the submission is certain (no process knows of the submissions of others).

Two tests failed before (two tasks started in each) and pass; a third shows that the names are removed.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
@@ -232,7 +232,10 @@
             is_new = known is not None and not known.cancel_requested
             self.cancel(job_id, source)
             return is_new
-        if known is not None or document.is_final_marker(item.value):
+        if known is not None:
+            return False
+        if document.is_final_marker(item.value):
+            self._restorer.restore_cancelled(item)
             return False
         job = self._reader.decode(item)
         if job is not None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_restore.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_restore.py
@@ -105,32 +105,47 @@
             context.open_jobs[job.job_id] = progress
             self._ends.conclude_if_finished(progress)
 
+    def restore_cancelled(self, item: core_ports.StoredValue) -> None:
+        """Add a job that was cancelled before it was stored.
+
+        Without this, no term but the next would remove it.
+        """
+        job_id = _keys.job_id(item.key)
+        try:
+            progress = self._ended_job(job_id, document.owner(item.value))
+        except msgspec.DecodeError as error:
+            self._reader.faults.report(item, repr(error))
+            return
+        progress.state = _state.JobState.CANCELLED
+        progress.saved_state = progress.state.value
+        self._context.jobs[job_id] = progress
+
     def _restore_final(
         self, job_id: str, item: core_ports.StoredValue | None
     ) -> None:
         """Restore only the state of a final job."""
         if item is None:
             return
-        context = self._context
         try:
             record = _record.decode_record(item.value)
-            progress = _state.JobProgress(
-                document.Job(
-                    job_id,
-                    _job_reader.UNKNOWN_QUEUE,
-                    '',
-                    (),
-                    account=record.account,
-                ),
-                cell.Queue(_job_reader.UNKNOWN_QUEUE, '', '', ''),
-                context.started_s,
-            )
-            progress.is_document_dropped = True
+            progress = self._ended_job(job_id, record.account)
             _record.apply_record(progress, record, item.revision)
         except _UNREADABLE as error:
             self._reader.faults.report(item, repr(error))
             return
-        context.jobs[job_id] = progress
+        self._context.jobs[job_id] = progress
+
+    def _ended_job(self, job_id: str, account: str) -> _state.JobProgress:
+        """Return a job of which only the end is known."""
+        progress = _state.JobProgress(
+            document.Job(
+                job_id, _job_reader.UNKNOWN_QUEUE, '', (), account=account
+            ),
+            cell.Queue(_job_reader.UNKNOWN_QUEUE, '', '', ''),
+            self._context.started_s,
+        )
+        progress.is_document_dropped = True
+        return progress
 
     def _restore_run(
         self, task: _state.TaskProgress, saved: _record.RunRecord
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_cancellations.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_cancellations.py
@@ -15,6 +15,7 @@
 from walnutpoint_core import timer
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _outages
+from walnutpoint_scheduler import _record
 from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler.submission import _submit_call
@@ -70,8 +71,13 @@
                 return expression.Error(_outages.failure(self._store.silent_s))
             job = stored.ok
             if job is None:
-                _LOG.info('job.cancel_not_found', job=job_id)
-                return expression.Ok(False)
+                reserved = await self._reserve(job_id, caller)
+                if reserved.is_error():
+                    return reserved
+                if reserved.ok:
+                    _LOG.info('job.cancel_not_found', job=job_id)
+                    return expression.Ok(False)
+                continue
             if not _may_cancel(job, caller):
                 return expression.Error(
                     errors.Failure(errors.ErrorKind.OTHER_ACCOUNT)
@@ -87,19 +93,52 @@
                 self._notify(job_id)
                 return expression.Ok(True)
 
+    async def _reserve(
+        self, job_id: str, caller: str
+    ) -> expression.Result[bool, errors.Failure]:
+        """Store an unknown job as cancelled; return False if it has come.
+
+        Its submission may still be under way, and would run after its caller
+        was told that there is no such job.
+        """
+        return await self._commit(
+            ports.Batch(
+                (ports.Guard(_keys.job_key(job_id), 0),),
+                (
+                    ports.Put(
+                        _keys.job_key(job_id),
+                        document.encode_final_marker(caller),
+                    ),
+                    ports.Put(
+                        _keys.record_key(job_id),
+                        _record.encode_cancelled(caller),
+                    ),
+                ),
+            )
+        )
+
     async def _store_cancel(
         self, job_id: str, job_revision: int
     ) -> expression.Result[bool, errors.Failure]:
         """Write a cancellation; return False if the job has changed.
 
         The key alone is the request. It is removed with its job: without the
-        guard, a write that is applied late would stay for good. The write is
-        repeated until it is certain or the store is down.
+        guard, a write that is applied late would stay for good.
         """
-        batch = ports.Batch(
-            (ports.Guard(_keys.job_key(job_id), job_revision),),
-            (ports.Put(_keys.cancel_key(job_id), b'1'),),
+        return await self._commit(
+            ports.Batch(
+                (ports.Guard(_keys.job_key(job_id), job_revision),),
+                (ports.Put(_keys.cancel_key(job_id), b'1'),),
+            )
         )
+
+    async def _commit(
+        self, batch: ports.Batch
+    ) -> expression.Result[bool, errors.Failure]:
+        """Repeat a write until it is certain or the store is down.
+
+        Return False if its guard does not hold.
+        """
         failure = _outages.failure(self._store.silent_s)
         while not self._store.is_down:
             reply = await self._store.commit(batch)
