Store which attempt of a gang was counted as failed

Callers saw a job as failed before its attempts were used up. An attempt of a gang fails once, whichever members end failed; the scheduler kept the newest attempt that it had counted in memory only. After a change of the scheduler the end of another member of the same attempt counted again, so that one attempt used up as many as there were terms.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -50,6 +50,8 @@
     number: int
     done: bool
     tasks: list[TaskRecord]
+    # The newest gang attempt counted as failed.
+    failed_attempt: int = 0
 
 
 class JobRecord(msgspec.Struct, array_like=True):
@@ -125,6 +127,7 @@
             for task in step.tasks:
                 step.finish(task)
             continue
+        step.failed_attempt = step_record.failed_attempt
         for saved in step_record.tasks:
             task = step.tasks[saved.index]
             task.attempt = saved.attempt
@@ -161,4 +164,6 @@
         for task in step.tasks
         if task.attempt
     ]
-    return StepRecord(step.occurrence, step.number, False, tasks)
+    return StepRecord(
+        step.occurrence, step.number, False, tasks, step.failed_attempt
+    )
