--- a/tests/walnutpoint_scheduler/test_crashing_tasks.py
+++ b/tests/walnutpoint_scheduler/test_crashing_tasks.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import collections.abc
 import unittest
 
 import anyio
@@ -16,6 +18,9 @@
 JOB_GAP_S = 0.1
 # After the third crash a task may be started twice more.
 STARTS_MAX = 5
+JUST_STARTED_S = 0.01
+# More than four leases and the pauses between.
+CUT_S = 30.0
 
 
 class CrashingTaskTest(unittest.TestCase):
@@ -207,6 +212,60 @@
     keeps_name = True
 
 
+class UnprovenLossTest(unittest.TestCase):
+    """A job whose task lost workers for other causes is never failed."""
+
+    def setUp(self) -> None:
+        self.bed = harness.Testbed(WORKERS)
+        self.bed.run_time_s = lambda _task: 20.0
+        self.job = harness.job(1000, harness.step(1, estimate_ms=20_000))
+        self.crashes = crashes.Crashes(
+            self.bed.fleet,
+            lambda task: self.bed.run_time_s(task),
+            lambda _task: False,
+        )
+
+    def _lose_workers(
+        self, count: int, lose: collections.abc.Callable[[str], None]
+    ) -> None:
+        """Lose the task's worker just after its start, count times."""
+        bed = self.bed
+
+        async def scenario() -> None:
+            async with bed.scheduling():
+                bed.submit(self.job)
+                for started in range(1, count + 1):
+                    await harness.until(
+                        lambda started=started: (
+                            bed.fleet.ledger.starts.total() == started
+                        )
+                    )
+                    await anyio.sleep(JUST_STARTED_S)
+                    lose(next(iter(bed.fleet.ledger.running.values())))
+                await anyio.sleep(40)
+
+        harness.run_virtual(scenario)
+        self.assertEqual('done', bed.state(self.job.job_id))
+
+    def test_workers_that_are_cut_off(self) -> None:
+        """Guards against a failed job although no worker has crashed.
+
+        None answers again before the last was given up.
+        """
+
+        def cut_off(name: str) -> None:
+            worker = self.bed.fleet.workers[name]
+            worker.is_cut_off = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(CUT_S, setattr, worker, 'is_cut_off', False)
+
+        self._lose_workers(4, cut_off)
+
+    def test_workers_that_crash_by_chance(self) -> None:
+        """Guards against a failed job after two coincidences."""
+        self._lose_workers(2, self.crashes.crash)
+
+
 class RackTest(unittest.TestCase):
     """The loss of a rack during a takeover counts against no task."""
 
