Fail no job on odds: only on proven crashes

Callers saw a job as failed though no task of it had used up its attempts: a sound task whose workers were lost just after its starts, by chance or by cuts, was taken for one that crashes its workers, at odds of 1,000 to 1 after two losses. Odds say how likely a coincidence is for one task; a cell has thousands, and many have no crashing task at all. And a lease that lapses is no crash: behind a cut the worker runs on.

A crash is now proven if its worker was closed to other starts from the task's start on (a trial) and its incarnation is known to have ended; a loss that was counted by its lease is confirmed once another answers. A job is failed after two proven crashes at the same odds as before. A task that is only likely runs on trial, with pauses that grow to 32 s; after a second loss its trial lasts up to 30 s, so that a late crash is seen on trial as well.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
@@ -22,6 +22,7 @@
     'Loss',
     'LostRun',
     'add_loss',
+    'confirm',
     'drop_weight',
     'is_culprit',
     'is_suspect',
@@ -34,9 +35,10 @@
 # At these odds a task is isolated: one of 33 such tasks is a culprit, whose
 # next crash costs as many runs as the others lose by waiting.
 _SUSPECT_ODDS: typing.Final = 0.03
-# A job is given up at these odds, and never for a single loss.
+# A job is given up at these odds, and only with this many proven crashes: in
+# a large cell, coincidences of any odds occur.
 _CULPRIT_ODDS: typing.Final = 1000.0
-_LOSSES_MIN: typing.Final = 2
+_PROOFS_MIN: typing.Final = 2
 # From five losses on even odds suffice: each further start may cost the other
 # runs their worker.
 _LOSSES_MAX: typing.Final = 5
@@ -73,6 +75,15 @@
     age_max_s: float
     # Start time of the lost incarnation; zero where unknown.
     born_ms: int = 0
+    # Whether the worker was closed to other starts since that of the task.
+    is_isolated: bool = False
+    # Whether the incarnation is known to have ended, not only unreachable.
+    is_over: bool = False
+
+    @property
+    def is_proof(self) -> bool:
+        """Return whether a worker crashed as the task was tried on it."""
+        return self.is_isolated and self.is_over
 
     @property
     def incarnation(self) -> _incarnation.Incarnation:
@@ -136,7 +147,7 @@
 
 def is_culprit(losses: collections.abc.Sequence[Loss]) -> bool:
     """Return whether a task must be given up."""
-    if len(losses) < _LOSSES_MIN:
+    if sum(loss.is_proof for loss in losses) < _PROOFS_MIN:
         return False
     has_max_losses = len(losses) >= _LOSSES_MAX
     return odds(losses) >= (
@@ -150,6 +161,19 @@
     return [*kept, loss][-_LOSSES_KEPT_MAX:]
 
 
+def confirm(
+    losses: collections.abc.Iterable[Loss],
+    lost: _incarnation.Incarnation,
+) -> list[Loss]:
+    """Return a task's losses, one of which is known to be over."""
+    return [
+        msgspec.structs.replace(loss, is_over=True)
+        if loss.incarnation == lost
+        else loss
+        for loss in losses
+    ]
+
+
 def drop_weight(
     losses: collections.abc.Iterable[Loss],
     lost: _incarnation.Incarnation,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -245,7 +245,7 @@
                 continue
             if not worker.listed.address and worker.lease.has_expired(now_s):
                 self._ends.mark_gone(
-                    worker, 'not listed, and its lease lapsed'
+                    worker, 'not listed, and its lease lapsed', is_over=False
                 )
             idle = not worker.runs and worker.lease.has_expired(now_s)
             if idle and absent_s > _FORGET_AFTER_S:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -131,10 +131,13 @@
         worker: _worker.WorkerState,
         reason: str,
         survivors: collections.abc.Collection[_run.Run] = (),
+        *,
+        is_over: bool = True,
     ) -> None:
-        """Mark an incarnation as ended, and lose its runs but the survivors.
+        """Give an incarnation up, and lose its runs but the survivors.
 
-        Survivors may continue under the next incarnation.
+        Survivors may continue under the next incarnation. It is over if
+        another one has answered in its place.
         """
         if worker.gone:
             return
@@ -144,12 +147,18 @@
         term_age_s = self._context.timer.now_s() - self._context.started_s
         if worker.last_contact_s is None and term_age_s < _FIRST_CONTACT_S:
             left_s = _FIRST_CONTACT_S - term_age_s
-            self._context.spawn(self._lose_runs_later, worker, reason, left_s)
+            self._context.spawn(
+                self._lose_runs_later, worker, reason, left_s, is_over
+            )
         else:
-            self.lose_runs(worker, reason, survivors)
+            self.lose_runs(worker, reason, survivors, is_over=is_over)
 
     async def _lose_runs_later(
-        self, worker: _worker.WorkerState, reason: str, left_s: float
+        self,
+        worker: _worker.WorkerState,
+        reason: str,
+        left_s: float,
+        is_over: bool,
     ) -> None:
         """Lose the runs of a worker that was lost before this term.
 
@@ -157,13 +166,15 @@
         were contacted; before, the loss would be attributed to its tasks.
         """
         await self._context.timer.sleep(left_s)
-        self.lose_runs(worker, reason)
+        self.lose_runs(worker, reason, is_over=is_over)
 
     def lose_runs(
         self,
         worker: _worker.WorkerState,
         reason: str,
         survivors: collections.abc.Collection[_run.Run] = (),
+        *,
+        is_over: bool = False,
     ) -> None:
         """Withdraw all runs of a worker that can no longer be running."""
         if worker.runs:
@@ -180,7 +191,7 @@
             _WORKERS_LOST.add(
                 'left' if worker.listed.draining else 'unplanned'
             )
-        culprits = self._context.suspects.record_loss(worker)
+        culprits = self._context.suspects.record_loss(worker, is_over=is_over)
         for run in list(worker.runs.values()):
             if run not in survivors:
                 self.lost += 1
@@ -223,9 +234,9 @@
         job = task.step.job
         if job.state.final:
             return
+        crashes = sum(loss.is_over for loss in task.losses)
         job.reason = (
-            f'task {_suspects.task_text(task)} crashed '
-            f'{len(task.losses)} workers'
+            f'task {_suspects.task_text(task)} crashed {crashes} workers'
         )
         _LOG.warning(
             'task.given_up',
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -28,10 +28,12 @@
 _PROBATION_FACTOR: typing.Final = 1.5
 _PROBATION_MIN_S: typing.Final = 0.3
 _PROBATION_MAX_S: typing.Final = 3.0
+# The bound after a second loss: a crash after the probation proves nothing.
+_LONG_PROBATION_MAX_S: typing.Final = 30.0
 # The delay before a suspect's third start, doubled with each further one, so
 # that other tasks get a worker back in between.
 _BACKOFF_S: typing.Final = 0.5
-_BACKOFF_MAX_S: typing.Final = 4.0
+_BACKOFF_MAX_S: typing.Final = 32.0
 # A lasting task that ran this long on a worker did not crash it.
 _CLEARED_AFTER_S: typing.Final = 600.0
 
@@ -65,12 +67,13 @@
         self._probations: dict[str, _run.Run] = {}
 
     def record_loss(
-        self, worker: _worker.WorkerState
+        self, worker: _worker.WorkerState, *, is_over: bool
     ) -> list[_state.TaskProgress]:
         """Weigh the loss of a worker, and return the tasks to give up.
 
         Its runs must still be booked. Draining workers, and runs whose start
-        was never sent, are not counted.
+        was never sent, are not counted. It is over if its incarnation is
+        known to have ended.
         """
         now_s = self._timer.now_s()
         watched = sum(w.answering for w in self._roster.workers.values())
@@ -83,7 +86,7 @@
         )
         if lost_runs:
             self._background.add(unexplained)
-        culprits = []
+        culprits = self._confirm_loss(worker) if is_over else []
         for (run, lost), weight in zip(lost_runs, weights, strict=True):
             task = typing.cast(_state.TaskProgress, run.task)
             loss = _crash_odds.Loss(
@@ -92,12 +95,23 @@
                 lost.age_min_s,
                 lost.age_max_s,
                 worker.incarnation.born_ms,
+                is_isolated=self._probations.get(worker.worker_id) is run,
+                is_over=is_over,
             )
             self._add_loss(task, loss, now_s)
             if _crash_odds.is_culprit(task.losses):
                 culprits.append(task)
         return culprits
 
+    def _confirm_loss(
+        self, worker: _worker.WorkerState
+    ) -> list[_state.TaskProgress]:
+        """Record the end of a lost worker, and return the tasks to give up."""
+        tasks = self._tasks_by_loss.get(worker.incarnation, [])
+        for task in tasks:
+            task.losses = _crash_odds.confirm(task.losses, worker.incarnation)
+        return [t for t in tasks if _crash_odds.is_culprit(t.losses)]
+
     def clear_loss(
         self, worker: _worker.WorkerState
     ) -> list[_state.TaskProgress]:
@@ -190,8 +204,11 @@
         task = typing.cast(_state.TaskProgress, run.task)
         longest_s = max((loss.age_max_s for loss in task.losses), default=0.0)
         needed_s = max(longest_s * _PROBATION_FACTOR, _PROBATION_MIN_S)
+        limit_s = _PROBATION_MAX_S
+        if len(task.losses) > 1:
+            limit_s = _LONG_PROBATION_MAX_S
         healthy_s = worker.last_contact_s - run.started_s
-        return healthy_s >= min(needed_s, _PROBATION_MAX_S)
+        return healthy_s >= min(needed_s, limit_s)
 
     def _lost_runs(
         self, worker: _worker.WorkerState, now_s: float
@@ -264,6 +281,8 @@
             age_min_s=round(loss.age_min_s, 3),
             age_max_s=round(loss.age_max_s, 3),
             losses=len(task.losses),
+            is_isolated=loss.is_isolated,
+            is_over=loss.is_over,
             odds=round(_crash_odds.odds(task.losses), 3),
             background=round(self._background.rate(), 5),
         )
