Model a cancel whose job may still be under way

specs/withdrawal: up to two submissions whose writes are applied at any time, and a cancel at another host. Proved: a job whose cancel was acknowledged is not left to run, and an accepted job stays a job.

--- a/specs/_cases.py
+++ b/specs/_cases.py
@@ -28,6 +28,7 @@
 from specs import quorum
 from specs import succession
 from specs import term
+from specs import withdrawal
 
 
 class Build(typing.Protocol):
@@ -65,6 +66,7 @@
     Model('acceptance', acceptance.build, acceptance.Guard, acceptance.GOALS),
     Model('cancel', cancel.build, cancel.Guard, cancel.GOALS),
     Model('intake', intake.build, intake.Guard, intake.GOALS),
+    Model('withdrawal', withdrawal.build, withdrawal.Guard, withdrawal.GOALS),
     Model('crashes', crashes.build, crashes.Guard, crashes.GOALS),
     Model(
         'incarnation',
