Prove a crash on probation, and confirm it in later terms

- a neighbour placed in the same pass, or by an earlier term, counted as settled.
A proof now needs that all runs of other jobs there are older by 0.1 s, and a suspect waits up to 5 s for such a worker;
- lapsed leases carried the odds, trials of no weight the proofs.
Only workers that are known to be over count towards both now;
- a confirmation was not stored, and no later term could make one, so that a task whose workers restart after their lease crashed six and more (five starts are allowed).
A loss has its address now, any later incarnation there confirms it, also in another term, and so does being forgotten after 30 s;
- a probation of 30 s after a second loss closed small pools to others.
It grows from 3 s with each loss now.
Pauses of up to 32 s are kept for tasks that only lack the proof, and 4 s at most for lasting ones.

The review also showed that a test of the odds no longer guarded the threshold (a mutant with 1 in place of 1,000 passed); its losses are proven again, and the mutant fails.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
@@ -26,6 +26,8 @@
     'drop_weight',
     'is_culprit',
     'is_suspect',
+    'is_unproven',
+    'mark_over',
     'odds',
     'weigh',
 )
@@ -75,15 +77,17 @@
     age_max_s: float
     # Start time of the lost incarnation; zero where unknown.
     born_ms: int = 0
-    # Whether the worker was closed to other starts since that of the task.
-    is_isolated: bool = False
+    # Whether the task was suspected before, and newer than all that ran there.
+    on_probation: bool = False
     # Whether the incarnation is known to have ended, not only unreachable.
     is_over: bool = False
+    # Where the lost incarnation listened; empty where unknown.
+    address: str = ''
 
     @property
     def is_proof(self) -> bool:
-        """Return whether a worker crashed as the task was tried on it."""
-        return self.is_isolated and self.is_over
+        """Return whether it proves a crash, unless another task did it."""
+        return self.on_probation and self.is_over and self.weight > 0.0
 
     @property
     def incarnation(self) -> _incarnation.Incarnation:
@@ -146,9 +150,22 @@
 
 
 def is_culprit(losses: collections.abc.Sequence[Loss]) -> bool:
-    """Return whether a task must be given up."""
-    if sum(loss.is_proof for loss in losses) < _PROOFS_MIN:
-        return False
+    """Return whether a task must be given up.
+
+    Workers that may only be unreachable do not count.
+    """
+    proofs = sum(loss.is_proof for loss in losses)
+    return proofs >= _PROOFS_MIN and _is_likely(
+        [loss for loss in losses if loss.is_over]
+    )
+
+
+def is_unproven(losses: collections.abc.Sequence[Loss]) -> bool:
+    """Return whether only the proof is missing to give a task up."""
+    return _is_likely(losses) and not is_culprit(losses)
+
+
+def _is_likely(losses: collections.abc.Sequence[Loss]) -> bool:
     has_max_losses = len(losses) >= _LOSSES_MAX
     return odds(losses) >= (
         _MAX_LOSSES_ODDS if has_max_losses else _CULPRIT_ODDS
@@ -162,10 +179,24 @@
 
 
 def confirm(
+    losses: collections.abc.Iterable[Loss],
+    successor: _incarnation.Incarnation,
+    address: str,
+) -> list[Loss]:
+    """Return a task's losses, with those over that a successor proves."""
+    return [
+        msgspec.structs.replace(loss, is_over=True)
+        if _has_followed(successor, address, loss)
+        else loss
+        for loss in losses
+    ]
+
+
+def mark_over(
     losses: collections.abc.Iterable[Loss],
     lost: _incarnation.Incarnation,
 ) -> list[Loss]:
-    """Return a task's losses, one of which is known to be over."""
+    """Return a task's losses, with those of one incarnation over."""
     return [
         msgspec.structs.replace(loss, is_over=True)
         if loss.incarnation == lost
@@ -174,6 +205,15 @@
     ]
 
 
+def _has_followed(
+    successor: _incarnation.Incarnation, address: str, loss: Loss
+) -> bool:
+    """Return whether an incarnation that answers took a lost one's place."""
+    if successor.worker_id == loss.worker_id:
+        return _incarnation.differ(successor.born_ms, loss.born_ms)
+    return bool(address) and address == loss.address
+
+
 def drop_weight(
     losses: collections.abc.Iterable[Loss],
     lost: _incarnation.Incarnation,
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -248,8 +248,8 @@
                     worker, 'not listed, and its lease lapsed', is_over=False
                 )
             idle = not worker.runs and worker.lease.has_expired(now_s)
-            if idle and absent_s > _FORGET_AFTER_S:
-                worker.gone = True
+            if idle and absent_s > _FORGET_AFTER_S and not worker.gone:
+                self._ends.forget(worker)
             if worker.gone and not worker.runs:
                 context.roster.remove(worker.worker_id)
                 context.health.forget(worker.worker_id)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -8,6 +8,7 @@
 from walnutpoint_core import logs
 from walnutpoint_core import metrics
 from walnutpoint_scheduler import _context
+from walnutpoint_scheduler import _crash_odds
 from walnutpoint_scheduler import _remaining
 from walnutpoint_scheduler import _run
 from walnutpoint_scheduler import _stall
@@ -174,7 +175,7 @@
         reason: str,
         survivors: collections.abc.Collection[_run.Run] = (),
         *,
-        is_over: bool = False,
+        is_over: bool,
     ) -> None:
         """Withdraw all runs of a worker that can no longer be running."""
         if worker.runs:
@@ -219,6 +220,24 @@
             _LOG.info('worker.doubted', worker=worker_id, reason=reason)
         health.record_failed_start(worker_id, self._context.timer.now_s())
 
+    def confirm_losses(self, successor: _worker.WorkerState) -> None:
+        """Give up tasks that crashed the incarnations before one."""
+        self._judge(self._context.suspects.confirm_losses(successor))
+
+    def forget(self, worker: _worker.WorkerState) -> None:
+        """Mark a silent worker as gone that is not expected back."""
+        worker.gone = True
+        self._judge(self._context.suspects.confirm_forgotten(worker))
+
+    def _judge(
+        self, confirmed: collections.abc.Iterable[_state.TaskProgress]
+    ) -> None:
+        """Store confirmed losses, and give up the tasks that they prove."""
+        for task in confirmed:
+            self._context.journal.note(task.step.job, urgent=False)
+            if _crash_odds.is_culprit(task.losses):
+                self._give_up(task)
+
     def clear_loss(self, worker: _worker.WorkerState) -> None:
         """Clear the loss of a worker that answers after its lease expired."""
         for task in self._context.suspects.clear_loss(worker):
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_links.py
@@ -169,6 +169,7 @@
             worker.answering = True
             self._mark_others_gone(worker)
             self._ends.clear_loss(worker)
+            self._ends.confirm_losses(worker)
             _LOG.info(
                 'worker.answering',
                 worker=worker.worker_id,
@@ -377,7 +378,9 @@
             if left_s > 0.0:
                 await context.timer.sleep(left_s)
                 continue
-            self._ends.lose_runs(worker, 'lease lapsed without an answer')
+            self._ends.lose_runs(
+                worker, 'lease lapsed without an answer', is_over=False
+            )
             context.wake()
             break
         worker.lease_expiring = False
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_quarantine.py
@@ -8,6 +8,7 @@
 from walnutpoint_scheduler import _context
 from walnutpoint_scheduler import _crash_odds
 from walnutpoint_scheduler import _state
+from walnutpoint_scheduler import _suspects
 from walnutpoint_scheduler import _worker
 from walnutpoint_scheduler import _worker_selector
 from walnutpoint_scheduler import cell
@@ -24,6 +25,8 @@
 # How long a suspect that probably caused its losses waits for a worker without
 # sensitive runs.
 _SPARE_WORKER_WAIT_S: typing.Final = 1.0
+# How long any suspect waits for a worker where nothing has just started.
+_SETTLED_WORKER_WAIT_S: typing.Final = 5.0
 _LIKELY_ODDS: typing.Final = 1.0
 
 
@@ -106,6 +109,10 @@
             and waited_s < _SPARE_WORKER_WAIT_S
         ):
             return None
+        if waited_s < _SETTLED_WORKER_WAIT_S and not self._has_settled(
+            worker, task.step
+        ):
+            return None
         return worker
 
     def workers_for_gang(
@@ -157,11 +164,23 @@
         candidates.sort(
             key=lambda candidate: (
                 not selector.is_preferred(candidate[1], step.step),
+                not self._has_settled(candidate[1], step),
                 candidate[0],
             )
         )
         return candidates
 
+    def _has_settled(
+        self, worker: _worker.WorkerState, step: _state.StepProgress
+    ) -> bool:
+        """Return whether no other job has just started there.
+
+        Beside its tasks, a crash would prove nothing.
+        """
+        return _suspects.has_settled(
+            worker, self._context.now_ms(), step.job.document.job_id
+        )
+
     def _loss_cost(self, worker: _worker.WorkerState) -> _LossCost:
         now_s = self._context.timer.now_s()
         sensitive = 0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -16,6 +16,7 @@
 
 __all__ = (
     'Suspects',
+    'has_settled',
     'task_text',
 )
 
@@ -24,16 +25,23 @@
 # connections show within some ms, power failures within a report's wait.
 _TOGETHER_S: typing.Final = 0.25
 # How long a suspect must run before others may start on its worker: 1.5 times
-# the longest that it ever took to lose a worker, within these bounds.
+# the longest that it ever took to lose a worker, within these bounds. The
+# upper one doubles with each further loss: a crash beside newer runs proves
+# nothing, and a closed worker serves nobody else.
 _PROBATION_FACTOR: typing.Final = 1.5
 _PROBATION_MIN_S: typing.Final = 0.3
 _PROBATION_MAX_S: typing.Final = 3.0
-# The bound after a second loss: a crash after the probation proves nothing.
 _LONG_PROBATION_MAX_S: typing.Final = 30.0
+# Runs that are older than a suspect's by this much did not start with it.
+_SETTLED_MS: typing.Final = 100
 # The delay before a suspect's third start, doubled with each further one, so
 # that other tasks get a worker back in between.
 _BACKOFF_S: typing.Final = 0.5
-_BACKOFF_MAX_S: typing.Final = 32.0
+_BACKOFF_MAX_S: typing.Final = 4.0
+# The same where only the proof is missing, which takes a worker's restart. A
+# lasting task, which may be sound, keeps to the shorter bound.
+_UNPROVEN_BACKOFF_S: typing.Final = 2.0
+_UNPROVEN_BACKOFF_MAX_S: typing.Final = 32.0
 # A lasting task that ran this long on a worker did not crash it.
 _CLEARED_AFTER_S: typing.Final = 600.0
 
@@ -86,7 +94,7 @@
         )
         if lost_runs:
             self._background.add(unexplained)
-        culprits = self._confirm_loss(worker) if is_over else []
+        culprits = []
         for (run, lost), weight in zip(lost_runs, weights, strict=True):
             task = typing.cast(_state.TaskProgress, run.task)
             loss = _crash_odds.Loss(
@@ -95,22 +103,54 @@
                 lost.age_min_s,
                 lost.age_max_s,
                 worker.incarnation.born_ms,
-                is_isolated=self._probations.get(worker.worker_id) is run,
+                on_probation=_crash_odds.is_suspect(lost.losses)
+                and has_settled(worker, run.planned_ms, run.name.task.job_id),
                 is_over=is_over,
+                address=worker.listed.address,
             )
             self._add_loss(task, loss, now_s)
             if _crash_odds.is_culprit(task.losses):
                 culprits.append(task)
         return culprits
 
-    def _confirm_loss(
+    def confirm_losses(
+        self, successor: _worker.WorkerState
+    ) -> list[_state.TaskProgress]:
+        """Confirm the losses of the incarnations before one that answers.
+
+        They may have been recorded by an earlier term. Return the tasks.
+        """
+        confirmed = []
+        for lost, tasks in list(self._tasks_by_loss.items()):
+            open_tasks = [t for t in tasks if not t.step.job.state.final]
+            if not open_tasks:
+                del self._tasks_by_loss[lost]
+                continue
+            for task in open_tasks:
+                losses = _crash_odds.confirm(
+                    task.losses,
+                    successor.incarnation,
+                    successor.listed.address,
+                )
+                if losses != task.losses:
+                    task.losses = losses
+                    confirmed.append(task)
+        return confirmed
+
+    def confirm_forgotten(
         self, worker: _worker.WorkerState
     ) -> list[_state.TaskProgress]:
-        """Record the end of a lost worker, and return the tasks to give up."""
-        tasks = self._tasks_by_loss.get(worker.incarnation, [])
+        """Confirm the loss of a worker that is not expected back."""
+        tasks = [
+            task
+            for task in self._tasks_by_loss.get(worker.incarnation, ())
+            if not task.step.job.state.final
+        ]
         for task in tasks:
-            task.losses = _crash_odds.confirm(task.losses, worker.incarnation)
-        return [t for t in tasks if _crash_odds.is_culprit(t.losses)]
+            task.losses = _crash_odds.mark_over(
+                task.losses, worker.incarnation
+            )
+        return tasks
 
     def clear_loss(
         self, worker: _worker.WorkerState
@@ -204,9 +244,10 @@
         task = typing.cast(_state.TaskProgress, run.task)
         longest_s = max((loss.age_max_s for loss in task.losses), default=0.0)
         needed_s = max(longest_s * _PROBATION_FACTOR, _PROBATION_MIN_S)
-        limit_s = _PROBATION_MAX_S
-        if len(task.losses) > 1:
-            limit_s = _LONG_PROBATION_MAX_S
+        limit_s = min(
+            _PROBATION_MAX_S * 2.0 ** (len(task.losses) - 1),
+            _LONG_PROBATION_MAX_S,
+        )
         healthy_s = worker.last_contact_s - run.started_s
         return healthy_s >= min(needed_s, limit_s)
 
@@ -271,9 +312,8 @@
         self._tasks_by_loss[loss.incarnation].append(task)
         if not _crash_odds.is_suspect(task.losses):
             return
-        pause_s = _BACKOFF_S * 2.0 ** (len(task.losses) - 2)
         if len(task.losses) > 1:
-            task.backoff.delay_until(now_s + min(pause_s, _BACKOFF_MAX_S))
+            task.backoff.delay_until(now_s + _pause_s(task))
         _LOG.info(
             'task.suspected',
             task=task_text(task),
@@ -281,13 +321,34 @@
             age_min_s=round(loss.age_min_s, 3),
             age_max_s=round(loss.age_max_s, 3),
             losses=len(task.losses),
-            is_isolated=loss.is_isolated,
+            on_probation=loss.on_probation,
             is_over=loss.is_over,
             odds=round(_crash_odds.odds(task.losses), 3),
             background=round(self._background.rate(), 5),
         )
 
 
+def has_settled(
+    worker: _worker.WorkerState, planned_ms: float, job_id: str
+) -> bool:
+    """Return whether the runs of other jobs are older than one by a margin."""
+    return all(
+        run.planned_ms + _SETTLED_MS <= planned_ms
+        for run in worker.runs.values()
+        if run.name.task.job_id != job_id
+    )
+
+
+def _pause_s(task: _state.TaskProgress) -> float:
+    """Return how long a suspect waits before its next start."""
+    first_s, max_s = _BACKOFF_S, _BACKOFF_MAX_S
+    if _crash_odds.is_unproven(task.losses):
+        first_s = _UNPROVEN_BACKOFF_S
+        if not task.step.step.lasting:
+            max_s = _UNPROVEN_BACKOFF_MAX_S
+    return min(first_s * 2.0 ** (len(task.losses) - 2), max_s)
+
+
 def _ages_s(
     worker: _worker.WorkerState, run: _run.Run, silent_since_s: float
 ) -> tuple[float, float]:
--- a/tests/walnutpoint_scheduler/test_crash_odds.py
+++ b/tests/walnutpoint_scheduler/test_crash_odds.py
@@ -9,6 +9,7 @@
 import msgspec
 
 from walnutpoint_scheduler import _crash_odds
+from walnutpoint_scheduler import _incarnation
 
 STABLE_RATE = 0.001
 UNSTABLE_RATE = 0.05
@@ -30,12 +31,10 @@
     number: int,
     *others: _crash_odds.LostRun,
     is_over: bool = True,
+    on_probation: bool = True,
     **fields,
 ) -> list[_crash_odds.Loss]:
-    """Return a task's losses after one more, 10 ms after its start.
-
-    From the second one on it is isolated.
-    """
+    """Return a task's losses after one more, 10 ms after its start."""
     run = _run(0.01, losses, **fields)
     weight = _crash_odds.weigh([run, *others])[0][0]
     loss = _crash_odds.Loss(
@@ -43,8 +42,9 @@
         weight,
         0.01,
         0.03,
-        is_isolated=bool(losses),
+        on_probation=on_probation,
         is_over=is_over,
+        address=f'address-{number}',
     )
     return _crash_odds.add_loss(losses, loss)
 
@@ -121,7 +121,7 @@
                 weight,
                 3.0,
                 3.02,
-                is_isolated=True,
+                on_probation=True,
                 is_over=True,
             )
             losses = _crash_odds.add_loss(losses, loss)
@@ -136,7 +136,7 @@
                 weight,
                 1.0,
                 1.5,
-                is_isolated=True,
+                on_probation=True,
                 is_over=True,
             )
             for n, weight in enumerate(weights)
@@ -147,9 +147,9 @@
     def test_two_crashes_prove_nothing(self) -> None:
         """Guards against failing a job for two coincidences.
 
-        The first crash was not yet a trial, so that it may be of any run.
+        At the first one the task was not suspected yet.
         """
-        losses = _lose(_lose([], 0), 1)
+        losses = _lose(_lose([], 0, on_probation=False), 1)
         self.assertGreater(_crash_odds.odds(losses), 1000.0)
         self.assertFalse(_crash_odds.is_culprit(losses))
 
@@ -160,13 +160,43 @@
             losses = _lose(losses, number, is_over=False)
         self.assertFalse(_crash_odds.is_culprit(losses))
 
+    def test_unreachable_workers_add_no_odds(self) -> None:
+        """Guards against proofs without weight beside odds without proof."""
+        losses = [
+            _crash_odds.Loss('worker-0', 9.0, 0.0, 0.1),
+            _crash_odds.Loss('worker-1', 9.0, 0.0, 0.1),
+            *(
+                _crash_odds.Loss(
+                    f'worker-{number}',
+                    0.1,
+                    0.0,
+                    0.1,
+                    on_probation=True,
+                    is_over=True,
+                )
+                for number in (2, 3)
+            ),
+        ]
+        self.assertGreater(_crash_odds.odds(losses), 1000.0)
+        self.assertFalse(_crash_odds.is_culprit(losses))
+
     def test_confirmed_crash_counts(self) -> None:
         """A worker that was unreachable turns out to have crashed."""
-        losses = _lose(_lose(_lose([], 0), 1), 2, is_over=False)
+        losses = _lose(_lose([], 0, on_probation=False), 1)
+        losses = _lose(losses, 2, is_over=False)
         self.assertFalse(_crash_odds.is_culprit(losses))
-        losses = _crash_odds.confirm(losses, losses[-1].incarnation)
+        successor = _incarnation.Incarnation('worker-2~1')
+        losses = _crash_odds.confirm(losses, successor, 'elsewhere')
+        self.assertFalse(_crash_odds.is_culprit(losses))
+        losses = _crash_odds.confirm(losses, successor, 'address-2')
         self.assertTrue(_crash_odds.is_culprit(losses))
 
+    def test_worker_that_answers_again_confirms_nothing(self) -> None:
+        """Guards against taking a cut that has healed for a crash."""
+        lost = _crash_odds.Loss('worker-0', 1.0, 0.0, 0.1, 0, address='a')
+        same = _incarnation.Incarnation('worker-0', 7)
+        self.assertEqual([lost], _crash_odds.confirm([lost], same, 'a'))
+
     def test_incarnation_counts_once(self) -> None:
         """The same loss, recorded again by another scheduler, is ignored."""
         losses = _lose([], 0)
