--- a/packages/walnutpoint-core/src/walnutpoint_core/errors.py
+++ b/packages/walnutpoint-core/src/walnutpoint_core/errors.py
@@ -35,6 +35,7 @@
     BACKLOG_TOO_LONG = 'backlog_too_long'
     BAD_REQUEST = 'bad_request'
     BODY_TOO_LARGE = 'body_too_large'
+    CANCELLED = 'cancelled'
     DEADLINE_PASSED = 'deadline_passed'
     DEADLINE_UNREACHABLE = 'deadline_unreachable'
     DOCUMENT_CONFLICT = 'document_conflict'
@@ -118,6 +119,7 @@
         ErrorKind.BODY_TOO_LARGE: _rule(
             _STATUS.REQUEST_ENTITY_TOO_LARGE, _NOT_RUN
         ),
+        ErrorKind.CANCELLED: _rule(_STATUS.GONE, _NOT_RUN),
         ErrorKind.DEADLINE_PASSED: _rule(
             _STATUS.GATEWAY_TIMEOUT, _NOT_RUN, 1.0
         ),
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_record.py
@@ -14,7 +14,6 @@
     'RunRecord',
     'apply_record',
     'decode_record',
-    'encode_cancelled',
     'encode_record',
     'same_but_for_time',
 )
@@ -105,12 +104,6 @@
     )
 
 
-def encode_cancelled(account: str) -> bytes:
-    """Serialize the record of a job that was cancelled before it came."""
-    state = _state.JobState.CANCELLED.value
-    return _ENCODER.encode(JobRecord(state, False, 0, [], account=account))
-
-
 def apply_record(
     job: _state.JobProgress, record: JobRecord, revision: int
 ) -> list[tuple[_state.TaskProgress, RunRecord]]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_state.py
@@ -256,8 +256,9 @@
         self.record_revision = 0
         self.changes = 0
         self.saved_changes = 0
-        # The last stored state, the only one shown to callers.
-        self.saved_state = JobState.QUEUED.value
+        # The last stored state, the only one shown to callers; None for a
+        # job that nobody has submitted.
+        self.saved_state: str | None = JobState.QUEUED.value
         self.notes = ''
 
     def occurrence(self, number: int) -> tuple[StepProgress, ...]:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/document.py
@@ -19,8 +19,10 @@
     'decode_job',
     'encode_final_marker',
     'encode_job',
+    'encode_reserved_marker',
     'find_step_fault',
     'is_final_marker',
+    'is_reserved_marker',
     'owner',
     'remaining_by_step_s',
 )
@@ -143,7 +145,9 @@
     return _ENCODER.encode(job)
 
 
+# No document begins with either byte.
 _FINAL_MARK: typing.Final = b'\x00'
+_RESERVED_MARK: typing.Final = b'\x01'
 
 
 def encode_final_marker(account: str) -> bytes:
@@ -156,15 +160,25 @@
     return value.startswith(_FINAL_MARK)
 
 
+def encode_reserved_marker(account: str) -> bytes:
+    """Return the value of a name that was cancelled before its job came."""
+    return _RESERVED_MARK + account.encode()
+
+
+def is_reserved_marker(value: bytes) -> bool:
+    """Return whether a name was cancelled before its job came."""
+    return value.startswith(_RESERVED_MARK)
+
+
 def owner(value: bytes) -> str:
     """Return the client account of a stored job, final or not.
 
     Raise msgspec.DecodeError if the value is invalid.
     """
-    if not is_final_marker(value):
+    if not value.startswith((_FINAL_MARK, _RESERVED_MARK)):
         return decode_job(value).account
     try:
-        return value[len(_FINAL_MARK) :].decode()
+        return value[1:].decode()
     except UnicodeDecodeError as error:
         raise msgspec.DecodeError(str(error)) from error
 
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_intake.py
@@ -232,10 +232,10 @@
             is_new = known is not None and not known.cancel_requested
             self.cancel(job_id, source)
             return is_new
-        if known is not None:
+        if known is not None or document.is_final_marker(item.value):
             return False
-        if document.is_final_marker(item.value):
-            self._restorer.restore_cancelled(item)
+        if document.is_reserved_marker(item.value):
+            self._restorer.add_reserved(item)
             return False
         job = self._reader.decode(item)
         if job is not None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_restore.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/intake/_restore.py
@@ -56,6 +56,9 @@
         by_key = {item.key: item for item in records}
         jobs = []
         for item in stored_jobs:
+            if document.is_reserved_marker(item.value):
+                self.add_reserved(item)
+                continue
             if document.is_final_marker(item.value):
                 job_id = _keys.job_id(item.key)
                 record = by_key.get(_keys.record_key(job_id))
@@ -105,11 +108,8 @@
             context.open_jobs[job.job_id] = progress
             self._ends.conclude_if_finished(progress)
 
-    def restore_cancelled(self, item: core_ports.StoredValue) -> None:
-        """Add a job that was cancelled before it was stored.
-
-        Without this, no term but the next would remove it.
-        """
+    def add_reserved(self, item: core_ports.StoredValue) -> None:
+        """Add a job that was cancelled before it came, to remove its name."""
         job_id = _keys.job_id(item.key)
         try:
             progress = self._ended_job(job_id, document.owner(item.value))
@@ -117,7 +117,8 @@
             self._reader.faults.report(item, repr(error))
             return
         progress.state = _state.JobState.CANCELLED
-        progress.saved_state = progress.state.value
+        # Nobody has submitted it: callers are told that there is none.
+        progress.saved_state = None
         self._context.jobs[job_id] = progress
 
     def _restore_final(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/job_status.py
@@ -94,7 +94,9 @@
                 return expression.Error(
                     errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE)
                 )
-            if stored.ok is None:
+            if stored.ok is None or document.is_reserved_marker(
+                stored.ok.value
+            ):
                 return expression.Ok(None)
             if not document.is_final_marker(stored.ok.value):
                 return self._state_from_document(stored.ok)
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_cancellations.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_cancellations.py
@@ -15,7 +15,6 @@
 from walnutpoint_core import timer
 from walnutpoint_scheduler import _keys
 from walnutpoint_scheduler import _outages
-from walnutpoint_scheduler import _record
 from walnutpoint_scheduler import _relay
 from walnutpoint_scheduler import document
 from walnutpoint_scheduler.submission import _submit_call
@@ -82,6 +81,8 @@
                 return expression.Error(
                     errors.Failure(errors.ErrorKind.OTHER_ACCOUNT)
                 )
+            if document.is_reserved_marker(job.value):
+                return expression.Ok(False)
             if document.is_final_marker(job.value):
                 _LOG.info('job.cancel_ended', job=job_id)
                 return expression.Ok(True)
@@ -96,25 +97,15 @@
     async def _reserve(
         self, job_id: str, caller: str
     ) -> expression.Result[bool, errors.Failure]:
-        """Store an unknown job as cancelled; return False if it has come.
+        """Reserve the name of an unknown job; return False if it has come.
 
         Its submission may still be under way, and would run after its caller
         was told that there is no such job.
         """
+        key = _keys.job_key(job_id)
+        marker = document.encode_reserved_marker(caller)
         return await self._commit(
-            ports.Batch(
-                (ports.Guard(_keys.job_key(job_id), 0),),
-                (
-                    ports.Put(
-                        _keys.job_key(job_id),
-                        document.encode_final_marker(caller),
-                    ),
-                    ports.Put(
-                        _keys.record_key(job_id),
-                        _record.encode_cancelled(caller),
-                    ),
-                ),
-            )
+            ports.Batch((ports.Guard(key, 0),), (ports.Put(key, marker),))
         )
 
     async def _store_cancel(
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_submissions.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/submission/_submissions.py
@@ -44,6 +44,7 @@
 _REPEAT_MAX_S: typing.Final = 2.5
 _NO_RESOURCES: typing.Final = resources.Resources()
 _TOO_LARGE: typing.Final = errors.ErrorKind.TOO_LARGE
+_CANCELLED: typing.Final = errors.ErrorKind.CANCELLED
 _RETRY_S: typing.Final = 0.05
 # How long to look up whether a hopeless job is a repeat. A call to a slow
 # store takes 0.3 s; the shortest objectives of a few seconds allow twice that.
@@ -299,6 +300,8 @@
             self._notify_job(job)
             return expression.Ok(SubmitOutcome.NEW)
         for item in reply.conflicts:
+            if document.is_reserved_marker(item.value):
+                return self._refuse(call, errors.Failure(_CANCELLED))
             if not _is_same(item, job):
                 return expression.Error(
                     errors.Failure(
--- a/specs/withdrawal.py
+++ b/specs/withdrawal.py
@@ -28,8 +28,8 @@
 class Guard(enum.Enum):
     """Guards of the model, of which each mutant drops one."""
 
-    NAME_STORED = 'a cancel of an unknown job stores its name as cancelled'
-    ONLY_IF_ABSENT = 'the name is stored only if the job has not come'
+    NAME_STORED = 'a cancel of an unknown job reserves its name'
+    ONLY_IF_ABSENT = 'the name is reserved only if the job has not come'
     READ_AGAIN = 'a cancel that finds the job changed reads it again'
     STORED_ONCE = 'a job is stored only if its name is not there'
 
@@ -40,7 +40,7 @@
     ABSENT = 0
     JOB = 1
     CANCELLED_JOB = 2
-    CANCELLED_NAME = 3
+    RESERVED_NAME = 3
 
 
 class Cancel(enum.IntEnum):
@@ -107,7 +107,7 @@
         if self._drops(Guard.NAME_STORED):
             return done
         if world.entry is Entry.ABSENT or self._drops(Guard.ONLY_IF_ABSENT):
-            return done._replace(entry=Entry.CANCELLED_NAME)
+            return done._replace(entry=Entry.RESERVED_NAME)
         if self._drops(Guard.READ_AGAIN):
             return done
         return world._replace(cancel=Cancel.UNSENT)
@@ -121,14 +121,14 @@
 
 def accepted_keeps_its_job(fields: dict[str, typing.Any]) -> bool:
     """Hold while a job that was accepted is stored as a job."""
-    return not (fields['accepted'] and fields['entry'] is Entry.CANCELLED_NAME)
+    return not (fields['accepted'] and fields['entry'] is Entry.RESERVED_NAME)
 
 
 def submission_comes_last(fields: dict[str, typing.Any]) -> bool:
     """Return whether a cancel was over before the job was ever stored."""
     return (
         fields['cancel'] is Cancel.ACKNOWLEDGED
-        and fields['entry'] is Entry.CANCELLED_NAME
+        and fields['entry'] is Entry.RESERVED_NAME
         and not fields['in_flight']
     )
 
