--- a/tests/walnutpoint_scheduler/test_worker_restart.py
+++ b/tests/walnutpoint_scheduler/test_worker_restart.py
@@ -99,6 +99,19 @@
 
         self._run_check(check)
 
+    def test_listed_run_is_not_blamed_for_the_restart(self) -> None:
+        """Guards against a loss that is proven by a run that goes on."""
+
+        def check(context, worker, restart) -> None:
+            run = next(iter(worker.runs.values()))
+            context.suspects.isolate(worker, run)
+            now_s = context.timer.now_s()
+            report = self._report(worker, run)
+            restart.incarnation_of(worker, report, now_s)
+            self.assertEqual([], run.task.losses)
+
+        self._run_check(check)
+
     def test_run_started_after_the_request_is_kept(self) -> None:
         """Guards against losing a start that the new incarnation answered."""
 
