Blame no run that goes on for its worker's restart

A worker that restarts under its name may run what was ordered for its former incarnation: the new one lists the run. That run was still booked on the former one as its loss was weighed, so that the loss counted against its task, and as a proven crash if the worker was closed for it. Two such proofs are enough to fail a job.

Runs that the new incarnation is known to have are now moved before the loss is weighed. Starts without an answer stay counted: they may have begun on the former one.

Before: test_listed_run_is_not_blamed_for_the_restart fails with one loss, isolated and over; now it passes, as do the tests of restarted, lost and crashing workers.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_restart.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_worker_restart.py
@@ -96,12 +96,14 @@
         )
         new_worker = self._new_incarnation(worker, report)
         self._context.roster.add(new_worker)
-        self._ends.mark_gone(worker, 'worker restarted', [*kept, *doubtful])
+        # These were never on the lost one, and did not crash it.
+        for run in kept:
+            self._transfer(run, worker, new_worker)
+        self._ends.mark_gone(worker, 'worker restarted', doubtful)
         for run in doubtful:
             run.reported_from_s = now_s
             if run.phase is _run.RunPhase.ORDERED:
                 run.phase = _run.RunPhase.IN_DOUBT
-        for run in (*kept, *doubtful):
             self._transfer(run, worker, new_worker)
         self._discard_state(worker)
         return new_worker
