Soak cells with cancels at every age and failed attempts

Draw 7 submits jobs whose tasks and gangs end failed, cancels them before they are stored, at once, while they run and between two steps, loses notices and answers to watches, lets workers fail all that they run, and takes the power of all hosts at the end. The judge of promises replaces the check of cancels of draw 6, and judges all jobs that are shown as failed.

--- a/packages/walnutpoint-model/src/walnutpoint_model/fleet.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/fleet.py
@@ -42,6 +42,7 @@
         '_stale_entries',
         '_unlisted',
         'calls',
+        'fails_run',
         'is_frozen',
         'ledger',
         'order_timeout_s',
@@ -64,6 +65,10 @@
         self._is_list_hidden = False
         # Whether the listing can be neither written nor read.
         self.is_frozen = False
+        # Which runs end failed, on any worker.
+        self.fails_run: collections.abc.Callable[[ports.RunName], bool] = (
+            lambda _run: False
+        )
 
     def add(
         self,
@@ -80,6 +85,7 @@
             self._born_ms += 1
             listed = dataclasses.replace(listed, born_ms=self._born_ms)
         worker = workers.Worker(listed, run_time, self.ledger, seed)
+        worker.fails_run = lambda run: self.fails_run(run)
         self.workers[listed.worker_id] = worker
         if listed_after_s:
             self._unlisted.add(listed.worker_id)
--- a/packages/walnutpoint-model/src/walnutpoint_model/ledger.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/ledger.py
@@ -4,10 +4,29 @@
 
 import collections
 import collections.abc
+import typing
 
 from walnutpoint_scheduler import ports
 
-__all__ = ('Ledger',)
+__all__ = (
+    'Ledger',
+    'Observer',
+)
+
+
+class Observer(typing.Protocol):
+    """Is told of each run."""
+
+    def started(self, run: ports.RunName, worker: str) -> None:
+        """Note a start."""
+
+    def ended(self, run: ports.RunName, kind: ports.EndKind) -> None:
+        """Note an end."""
+
+    def crashed(
+        self, worker: str, runs: collections.abc.Iterable[ports.RunName]
+    ) -> None:
+        """Note a crash of a worker under its runs."""
 
 
 class Ledger:
@@ -15,6 +34,7 @@
 
     __slots__ = (
         'done',
+        'observers',
         'on_start',
         'running',
         'starts',
@@ -30,6 +50,7 @@
         self.done: set[ports.TaskName] = set()
         self.running: dict[ports.TaskName, str] = {}
         self.violations: list[str] = []
+        self.observers: list[Observer] = []
         self.on_start: collections.abc.Callable[
             [ports.TaskName, str], None
         ] = lambda _task, _worker: None
--- a/packages/walnutpoint-model/src/walnutpoint_model/network.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/network.py
@@ -25,6 +25,7 @@
         'cut_links',
         'delivered',
         'loss',
+        'lost_paths',
         'unresponsive',
     )
 
@@ -34,6 +35,8 @@
         self.cut_links: set[tuple[str, str]] = set()
         # Addresses that neither answer nor refuse: paused or powered off.
         self.unresponsive: set[str] = set()
+        # Requests to these paths are lost.
+        self.lost_paths: set[str] = set()
         self.delivered = 0
         # Applies to every link.
         self.loss = segment_loss.SegmentLoss(1)
@@ -58,7 +61,9 @@
         timeout_s: float,
     ) -> web.Response | web.NoResponse:
         """Carry a request and its response."""
-        if (source, target) in self.cut_links or target in self.unresponsive:
+        is_cut = (source, target) in self.cut_links
+        is_lost = is_cut or request.path in self.lost_paths
+        if is_lost or target in self.unresponsive:
             await anyio.sleep(timeout_s)
             return web.NoResponse(True, 'no response')
         request_delay_s = _TRANSIT_S + self.loss.delay_s()
--- a/packages/walnutpoint-model/src/walnutpoint_model/soak.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak.py
@@ -14,6 +14,9 @@
 differ in speed, for good and for seconds, and a few tasks are large. From draw
 6 on the store drops its history, also while the scheduler is stopped, and
 callers cancel jobs at once; no task of theirs starts or runs on after that.
+From draw 7 on, in place of these, tasks and gangs end failed, callers cancel
+jobs at every age, notices and answers to watches are lost, and all hosts lose
+power at the end; promises judges the starts and the failed jobs.
 
 A seed and a draw determine a series. Each new kind of fault adds a draw, so
 that earlier failures can be reproduced.
@@ -37,6 +40,8 @@
 from walnutpoint_model import cancelled_jobs
 from walnutpoint_model import cell_model
 from walnutpoint_model import host_faults
+from walnutpoint_model import promise_faults
+from walnutpoint_model import promised_jobs
 from walnutpoint_model import seed_runner
 from walnutpoint_model import soak_jobs
 from walnutpoint_model import uneven_speeds
@@ -52,7 +57,7 @@
     'simulate',
 )
 
-NEWEST_DRAW: typing.Final = 6
+NEWEST_DRAW: typing.Final = 7
 _WORKERS: typing.Final = 6
 # Two thirds of these have the capacity for all jobs.
 _WORKERS_WITH_FAULTS: typing.Final = 9
@@ -158,9 +163,20 @@
         if draw > 5:
             self._history_actions = faults.history_actions()
             self._fault_interval_s = _LONG_FAULT_INTERVAL_S
+        if draw == 6:
             self._cancelled_jobs = cancelled_jobs.CancelledJobs(
                 model, random.Random(f'{seed} cancels'), _QUEUE
             )
+        self._promised_jobs = None
+        self._power_failure = None
+        if draw > 6:
+            self._history_actions += promise_faults.PromiseFaults(
+                model, self._random
+            ).actions()
+            self._power_failure = faults.kill_all
+            self._promised_jobs = promised_jobs.PromisedJobs(
+                model, random.Random(f'{seed} promises'), _QUEUE
+            )
 
     async def run(self, duration_s: float) -> None:
         """Inject faults for a time, then check the invariants."""
@@ -175,6 +191,8 @@
                 tasks.start_soon(self._speeds.run, duration_s)
             if self._cancelled_jobs is not None:
                 tasks.start_soon(self._cancelled_jobs.run, tasks)
+            if self._promised_jobs is not None:
+                tasks.start_soon(self._promised_jobs.run, tasks)
             settle_s = _SETTLING_TIME_S
             if self._worker_faults is not None:
                 tasks.start_soon(self._worker_faults.run)
@@ -202,12 +220,23 @@
             fault_s = self._random.uniform(*_FAULT_DURATION_S)
             name = action.__name__.strip('_')
             self.result.actions.append(f'{name} {fault_s:.2f}')
-            if self._cancelled_jobs is not None:
-                self._cancelled_jobs.calm_since_s = math.inf
-            await action(fault_s)
-            if self._cancelled_jobs is not None:
-                self._cancelled_jobs.calm_since_s = clock.now_s()
+            await self._inject(action, fault_s)
             await anyio.sleep(self._random.uniform(*self._fault_interval_s))
+        if self._power_failure is not None:
+            await self._inject(self._power_failure, _FAULT_DURATION_S[1])
+
+    async def _inject(
+        self, action: host_faults.Action, duration_s: float
+    ) -> None:
+        clock = self._model.timer
+        begun_s = clock.now_s()
+        if self._cancelled_jobs is not None:
+            self._cancelled_jobs.calm_since_s = math.inf
+        await action(duration_s)
+        if self._cancelled_jobs is not None:
+            self._cancelled_jobs.calm_since_s = clock.now_s()
+        if self._promised_jobs is not None:
+            self._promised_jobs.note_disturbance(begun_s)
 
     async def _record_terms(self) -> None:
         while True:
@@ -271,6 +300,8 @@
             job = self._accounts.assign(job)
         host = self._model.processes[names[int(job_id, 16) % len(names)]]
         deadline_s = self._model.timer.now_s() + _CALL_TIMEOUT_S
+        if self._promised_jobs is not None:
+            self._promised_jobs.note_submission(job_id)
         reply = await host.call(
             lambda: host.process.submissions.submit(job, deadline_s)
         )
@@ -331,10 +362,21 @@
                 state = answer.error.kind.value
             elif answer.ok is not None:
                 state = answer.ok.state
+            if self._is_judged(job_id, state):
+                continue
             if state != soak_jobs.expected_state(job_id):
                 result.violations.append(
                     f'{job_id} was accepted and is {state}'
                 )
+        if self._promised_jobs is not None:
+            result.violations += self._promised_jobs.violations()
+
+    def _is_judged(self, job_id: str, state: str | None) -> bool:
+        """Return whether a state is left to the judge of promises."""
+        if self._promised_jobs is None or state is None:
+            return False
+        self._promised_jobs.note_state(job_id, state)
+        return state == 'failed'
 
 
 def simulate(
--- a/packages/walnutpoint-model/src/walnutpoint_model/soak_jobs.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak_jobs.py
@@ -6,6 +6,7 @@
 import typing
 
 from walnutpoint_model import cancelled_jobs
+from walnutpoint_model import promised_jobs
 from walnutpoint_model import uneven_speeds
 from walnutpoint_model import worker_faults
 from walnutpoint_model import workers
@@ -36,6 +37,8 @@
 
 def run_time_of(draw: int) -> workers.RunTime:
     """Return the run times of the tasks of a draw."""
+    if draw > 6:
+        return _promised_run_time_s
     return _uneven_run_time_s if draw > 4 else _run_time_s
 
 
@@ -50,3 +53,9 @@
     if task.job_id != WIDE_ID and uneven_speeds.is_large(task):
         return run_time_s * _LARGE_FACTOR
     return run_time_s
+
+
+def _promised_run_time_s(task: ports.TaskName) -> float:
+    if promised_jobs.is_promised_job(task.job_id):
+        return promised_jobs.run_time_s(task)
+    return _uneven_run_time_s(task)
--- a/packages/walnutpoint-model/src/walnutpoint_model/store.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/store.py
@@ -51,6 +51,7 @@
         'is_watch_silent',
         'items',
         'latency_s',
+        'loses_watch_answers',
         'reads',
         'revision',
         'timeout_s',
@@ -66,6 +67,8 @@
         self.fault_share = 1.0
         # Whether watches report no changes.
         self.is_watch_silent = False
+        # Whether answers to watches are lost with their connections.
+        self.loses_watch_answers = False
         self.commits = 0
         self.reads = 0
         self._history: list[tuple[int, str, ports.StoredValue | None]] = []
@@ -123,10 +126,24 @@
         if failure is not None:
             return expression.Error(failure)
         self.reads += 1
+        begun_s = asyncio.get_running_loop().time()
+        changes = await self._next_changes(prefix, after_revision, wait_s)
+        if self.loses_watch_answers:
+            # The caller waits for the answer until its timeout.
+            passed_s = asyncio.get_running_loop().time() - begun_s
+            await anyio.sleep(max(0.0, wait_s + self.timeout_s - passed_s))
+            return expression.Error(
+                errors.Failure(errors.ErrorKind.STORE_UNAVAILABLE, 'no answer')
+            )
+        return expression.Ok(changes)
+
+    async def _next_changes(
+        self, prefix: str, after_revision: int, wait_s: float
+    ) -> ports.Changes | None:
         with anyio.move_on_after(wait_s):
             while True:
                 if after_revision < self._compacted:
-                    return expression.Ok(None)
+                    return None
                 events = [
                     event
                     for event in self._history
@@ -134,9 +151,9 @@
                     and event[1].startswith(prefix)
                 ]
                 if events and not self.is_watch_silent:
-                    return expression.Ok(self._changes(events))
+                    return self._changes(events)
                 await self._changed.wait()
-        return expression.Ok(ports.Changes(self.revision, ()))
+        return ports.Changes(self.revision, ())
 
     async def commit(
         self, batch: ports.Batch
--- a/packages/walnutpoint-model/src/walnutpoint_model/workers.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/workers.py
@@ -57,6 +57,7 @@
         'clock_rate',
         'ends',
         'fails',
+        'fails_run',
         'hangs',
         'has_crashed',
         'is_cut_off',
@@ -85,6 +86,9 @@
         self.is_cut_off = False
         self.has_crashed = False
         self.fails = False
+        self.fails_run: collections.abc.Callable[[ports.RunName], bool] = (
+            _never
+        )
         self.hangs = False
         # Multiplies the run times.
         self.slowdown_factor = 1.0
@@ -143,7 +147,7 @@
         self._blocked_attempts[run.task] = max(blocked_attempt, run.attempt)
         if run in self.runs:
             asyncio.get_running_loop().call_later(
-                _STOP_DELAY_S, self._end, run, ports.EndKind.STOPPED
+                _STOP_DELAY_S, self.end, run, ports.EndKind.STOPPED
             )
         return ports.OrderReply(ports.OrderOutcome.DONE, self.clock_ms())
 
@@ -175,17 +179,19 @@
         now_s = _now_s()
         if self.clock_ms() > self._lease_until_ms:
             for name in list(self.runs):
-                self._end(name, ports.EndKind.LAPSED)
+                self.end(name, ports.EndKind.LAPSED)
             self._void_ends()
         for run in list(self.runs.values()):
             if not self.hangs and run.ends_s <= now_s:
                 kind = ports.EndKind.DONE
-                if self.fails:
+                if self.fails or self.fails_run(run.name):
                     kind = ports.EndKind.FAILED
-                self._end(run.name, kind)
+                self.end(run.name, kind)
 
     def crash(self) -> None:
         """Lose all runs, and all ends that were not acknowledged."""
+        for observer in self._ledger.observers:
+            observer.crashed(self.listed.worker_id, self.runs)
         for run in list(self.runs.values()):
             self._ledger.end(run.name.task, self.listed.worker_id, False)
         self._void_ends()
@@ -194,6 +200,23 @@
         self.has_crashed = True
         self._changed.set()
 
+    def end(self, name: ports.RunName, kind: ports.EndKind) -> None:
+        """End a run, if it is at work."""
+        run = self.runs.pop(name, None)
+        if run is None:
+            return
+        blocked_attempt = self._blocked_attempts.get(name.task, 0)
+        self._blocked_attempts[name.task] = max(blocked_attempt, name.attempt)
+        self._ledger.end(
+            name.task, self.listed.worker_id, kind is ports.EndKind.DONE
+        )
+        self._last_end_number += 1
+        self.ends.append(ports.End(self._last_end_number, name, kind, ''))
+        self._changed.set()
+        self._changed = asyncio.Event()
+        for observer in self._ledger.observers:
+            observer.ended(name, kind)
+
     def _void_ends(self) -> None:
         for end in self.ends:
             if end.kind is ports.EndKind.DONE:
@@ -217,6 +240,8 @@
         run_time_s = self._run_time(order.run.task) * self.slowdown_factor
         self.runs[order.run] = _Run(order.run, _now_s(), run_time_s)
         self._advance_at(self.runs[order.run].ends_s)
+        for observer in self._ledger.observers:
+            observer.started(order.run, self.listed.worker_id)
 
     def _extend_lease(self, until_ms: int | None) -> None:
         if until_ms is not None:
@@ -229,20 +254,6 @@
                 remaining_s / self.clock_rate + _TIMER_MARGIN_S, self.advance
             )
 
-    def _end(self, name: ports.RunName, kind: ports.EndKind) -> None:
-        run = self.runs.pop(name, None)
-        if run is None:
-            return
-        blocked_attempt = self._blocked_attempts.get(name.task, 0)
-        self._blocked_attempts[name.task] = max(blocked_attempt, name.attempt)
-        self._ledger.end(
-            name.task, self.listed.worker_id, kind is ports.EndKind.DONE
-        )
-        self._last_end_number += 1
-        self.ends.append(ports.End(self._last_end_number, name, kind, ''))
-        self._changed.set()
-        self._changed = asyncio.Event()
-
     def _running_task(self, run: _Run) -> ports.RunningTask:
         elapsed_s = 0.0 if self.hangs else _now_s() - run.started_s
         run_time_s = run.run_time_s
@@ -277,6 +288,10 @@
     )
 
 
+def _never(_run: ports.RunName) -> bool:
+    return False
+
+
 def _started_s() -> float:
     """Return the time, or zero if no loop is running."""
     try:
--- a/tests/walnutpoint_model/test_soak.py
+++ b/tests/walnutpoint_model/test_soak.py
@@ -37,6 +37,7 @@
 _ACCOUNT_SEEDS = (1, 5, 8)
 # Without early cancels kept, each of them shows a forgotten cancel.
 _CANCEL_SEEDS = (5, 8, 9)
+_PROMISE_SEEDS = (1, 2)
 _HISTORY_KINDS = {'drop_history', 'drop_history_at_handover'}
 
 
@@ -124,6 +125,14 @@
             result = soak.simulate(_CANCEL_SEEDS[0], draw=6)
         self.assertIn('after its cancel', result.violations[0])
 
+    def test_promises_are_kept(self) -> None:
+        """Guards against starts after cancels and failures without cause."""
+        for seed in _PROMISE_SEEDS:
+            with self.subTest(seed=seed):
+                result = soak.simulate(seed, draw=7)
+                self.assertEqual([], result.violations)
+                self.assertGreater(result.accepted, 50)
+
     def test_exceeded_limit_is_detected(self) -> None:
         """The scheduler ignores the limits of accounts."""
         with mock.patch.object(
