--- a/packages/walnutpoint-model/src/walnutpoint_model/soak.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak.py
@@ -85,6 +85,11 @@
 _SETTLING_TIME_S: typing.Final = 12.0
 # Allows for five crashes of a task, each with a lease and a pause.
 _SETTLING_TIME_WITH_CRASHES_S: typing.Final = 30.0
+# In a series that submits while it settles: a suspect waits until a worker is
+# empty, and each trial after the second loss may last as long as its pause.
+_SETTLING_TIME_WITH_TRIALS_S: typing.Final = 60.0
+# For how long such a series submits after the last fault.
+_CALM_SUBMISSIONS_S: typing.Final = 12.0
 # Far below the length of a term.
 _TERM_POLL_INTERVAL_S: typing.Final = 0.01
 _HOSTS: typing.Final = 9
@@ -199,6 +204,10 @@
                 settle_s = _SETTLING_TIME_WITH_CRASHES_S
             await self._inject_faults(duration_s)
             self._faults_ended = True
+            if self._promised_jobs is not None:
+                settle_s = _SETTLING_TIME_WITH_TRIALS_S
+                await anyio.sleep(_CALM_SUBMISSIONS_S)
+                self._promised_jobs.is_stopped = True
             await anyio.sleep(settle_s)
             if self._has_lasting_job:
                 await self._submit_wide_job()
