--- a/tests/walnutpoint_model/test_soak.py
+++ b/tests/walnutpoint_model/test_soak.py
@@ -14,6 +14,7 @@
 from walnutpoint_scheduler import _limits
 from walnutpoint_scheduler.intake import _early_cancels
 from walnutpoint_scheduler import submission
+from walnutpoint_scheduler.submission import _cancellations
 
 # Together they cover every kind of fault.
 _SEEDS = (3, 12, 17, 25)
@@ -38,6 +39,8 @@
 # Without early cancels kept, each of them shows a forgotten cancel.
 _CANCEL_SEEDS = (5, 8, 9)
 _PROMISE_SEEDS = (1, 2)
+# On three hosts, a cancel that is not stored is found in a second.
+_UNSTORED_CANCEL_SEED = 4
 _HISTORY_KINDS = {'drop_history', 'drop_history_at_handover'}
 
 
@@ -133,6 +136,20 @@
                 self.assertEqual([], result.violations)
                 self.assertGreater(result.accepted, 50)
 
+    def test_unstored_cancel_is_detected(self) -> None:
+        """Cancels that overtake their jobs are answered, but not stored."""
+
+        async def find_no_job(*_arguments: object) -> typing.Any:
+            return expression.Ok(True)
+
+        with mock.patch.object(
+            _cancellations.Cancellations, '_reserve', find_no_job
+        ):
+            result = soak.simulate(
+                _UNSTORED_CANCEL_SEED, hosts=3, duration_s=1.0, draw=7
+            )
+        self.assertIn('started after its cancel', result.violations[0])
+
     def test_exceeded_limit_is_detected(self) -> None:
         """The scheduler ignores the limits of accounts."""
         with mock.patch.object(
