--- a/packages/walnutpoint-model/src/walnutpoint_model/soak.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/soak.py
@@ -85,8 +85,8 @@
 _SETTLING_TIME_S: typing.Final = 12.0
 # Allows for five crashes of a task, each with a lease and a pause.
 _SETTLING_TIME_WITH_CRASHES_S: typing.Final = 30.0
-# In a series that submits while it settles: a suspect waits until a worker is
-# empty, and each trial after the second loss may last as long as its pause.
+# In a series that submits while it settles: a suspect waits for its turn, and
+# its probations and pauses grow with its losses.
 _SETTLING_TIME_WITH_TRIALS_S: typing.Final = 60.0
 # For how long such a series submits after the last fault.
 _CALM_SUBMISSIONS_S: typing.Final = 12.0
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
@@ -86,7 +86,7 @@
 
     @property
     def is_proof(self) -> bool:
-        """Return whether it proves a crash, unless another task did it."""
+        """Return whether the worker crashed with the task on probation."""
         return self.on_probation and self.is_over and self.weight > 0.0
 
     @property
--- a/tests/walnutpoint_scheduler/test_chance_losses.py
+++ b/tests/walnutpoint_scheduler/test_chance_losses.py
@@ -77,7 +77,7 @@
         """Guards against failing a job at even odds after five losses.
 
         Each term learns anew how often workers crash: it takes losses by
-        chance for rare, and a crash during a trial for a proof.
+        chance for rare, and a crash on probation for a proof.
         """
         failed = {seed: self._failed_jobs(seed) for seed in _SEEDS}
         self.assertEqual({seed: [] for seed in _SEEDS}, failed)
