Give a crashing task up after five known crashes

A task that crashes its workers was started a sixth time, which breaks the bound on such tasks (five starts).

Cause: since a job is failed only with two proven crashes, at any number of losses.

Now five workers that are known to have crashed need no proof, at even odds as before. Workers that are only unreachable still count for nothing.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
@@ -41,8 +41,8 @@
 # a large cell, coincidences of any odds occur.
 _CULPRIT_ODDS: typing.Final = 1000.0
 _PROOFS_MIN: typing.Final = 2
-# From five losses on even odds suffice: each further start may cost the other
-# runs their worker.
+# From five losses on even odds suffice, and no proof is needed if all of them
+# are known to be over: a task that crashes its workers must not start again.
 _LOSSES_MAX: typing.Final = 5
 _MAX_LOSSES_ODDS: typing.Final = 1.0
 # The age at which a task crashes a worker is unknown: assumed log-uniform
@@ -154,10 +154,10 @@
 
     Workers that may only be unreachable do not count.
     """
-    proofs = sum(loss.is_proof for loss in losses)
-    return proofs >= _PROOFS_MIN and _is_likely(
-        [loss for loss in losses if loss.is_over]
-    )
+    over = [loss for loss in losses if loss.is_over]
+    proofs = sum(loss.is_proof for loss in over)
+    has_proof = proofs >= _PROOFS_MIN or len(over) >= _LOSSES_MAX
+    return has_proof and _is_likely(over)
 
 
 def is_unproven(losses: collections.abc.Sequence[Loss]) -> bool:
--- a/tests/walnutpoint_scheduler/test_crash_odds.py
+++ b/tests/walnutpoint_scheduler/test_crash_odds.py
@@ -153,6 +153,17 @@
         self.assertGreater(_crash_odds.odds(losses), 1000.0)
         self.assertFalse(_crash_odds.is_culprit(losses))
 
+    def test_five_crashes_need_no_proof(self) -> None:
+        """Guards against a sixth start where proofs come late."""
+        losses: list[_crash_odds.Loss] = []
+        for number in range(4):
+            losses = _lose(losses, number, on_probation=False)
+        self.assertFalse(_crash_odds.is_culprit(losses))
+        reachable = _lose(losses, 4, is_over=False)
+        self.assertFalse(_crash_odds.is_culprit(reachable))
+        losses = _lose(losses, 4)
+        self.assertTrue(_crash_odds.is_culprit(losses))
+
     def test_unreachable_workers_prove_nothing(self) -> None:
         """Guards against failing a job although no worker crashed."""
         losses: list[_crash_odds.Loss] = []
--- a/tests/walnutpoint_scheduler/test_crashing_tasks.py
+++ b/tests/walnutpoint_scheduler/test_crashing_tasks.py
@@ -148,20 +148,15 @@
         harness.run_virtual(scenario)
         self._check(crashing)
 
-    def test_crash_during_a_takeover_counts(self) -> None:
-        """Guards against ignoring crashes that end the scheduler as well.
-
-        Each scheduler dies with the crashed worker and two others. The next
-        one never contacted those incarnations and does not know the ages of
-        their runs; it must not take the three losses for a rack failure.
-        """
+    def _lose_schedulers(self, terms: int, others: int) -> None:
+        """Lose each scheduler with the crashed worker and some others."""
         crashing = harness.job(1, harness.step(1))
         task = ports.TaskName(crashing.job_id, 0, 0, 0)
 
         async def scenario() -> None:
             async with anyio.create_task_group() as tasks:
                 tasks.start_soon(self._submit_all, crashing)
-                for seen in range(1, 8):
+                for seen in range(1, terms + 1):
                     async with self.bed.scheduling():
                         with anyio.move_on_after(8):
                             await harness.until(
@@ -169,7 +164,7 @@
                                     self.crashes.crashed_by[task] >= seen
                                 )
                             )
-                        for name in sorted(self.bed.fleet.workers)[:2]:
+                        for name in sorted(self.bed.fleet.workers)[:others]:
                             self.crashes.crash(name)
                     await anyio.sleep(0.3)
             async with self.bed.scheduling():
@@ -178,6 +173,23 @@
         harness.run_virtual(scenario)
         self._check(crashing)
 
+    def test_crash_during_a_takeover_counts(self) -> None:
+        """Guards against ignoring crashes that end the scheduler as well.
+
+        The next one never contacted those incarnations and does not know the
+        ages of their runs; it must not take the three losses for a rack
+        failure.
+        """
+        self._lose_schedulers(terms=7, others=2)
+
+    def test_crashes_without_proof_are_bounded(self) -> None:
+        """Guards against a sixth start of a task that crashes its workers.
+
+        The first losses look like rack failures during takeovers, so that the
+        task is on probation only from the fourth or fifth start on.
+        """
+        self._lose_schedulers(terms=4, others=4)
+
     def test_cut_that_heals_clears_its_tasks(self) -> None:
         """Workers that answer again after a cut count against no task.
 
