Let time pass in a cell without workers

A stack dump after 150 s shows virtual time at 1081.0 s for 90 s of real time, in write_heartbeats: its loop waits after each worker's entry only, and after the power loss no worker was left. It waits for an interval now.

--- a/packages/walnutpoint-model/src/walnutpoint_model/capacity_changes.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/capacity_changes.py
@@ -64,6 +64,8 @@
             for worker_id in names:
                 self._write_entry(worker_id)
                 await anyio.sleep(_HEARTBEAT_INTERVAL_S / len(names))
+            if not names:
+                await anyio.sleep(_HEARTBEAT_INTERVAL_S)
 
     def _write_entry(self, worker_id: str) -> None:
         worker = self._fleet.workers.get(worker_id)
