--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
@@ -18,6 +18,7 @@
 from walnutpoint_scheduler import _incarnation
 
 __all__ = (
+    'LOSSES_MAX',
     'BackgroundRate',
     'Loss',
     'LostRun',
@@ -43,7 +44,7 @@
 _PROOFS_MIN: typing.Final = 2
 # From five losses on even odds suffice, and no proof is needed if all of them
 # are known to be over: a task that crashes its workers must not start again.
-_LOSSES_MAX: typing.Final = 5
+LOSSES_MAX: typing.Final = 5
 _MAX_LOSSES_ODDS: typing.Final = 1.0
 # The age at which a task crashes a worker is unknown: assumed log-uniform
 # between these times.
@@ -156,7 +157,7 @@
     """
     over = [loss for loss in losses if loss.is_over]
     proofs = sum(loss.is_proof for loss in over)
-    has_proof = proofs >= _PROOFS_MIN or len(over) >= _LOSSES_MAX
+    has_proof = proofs >= _PROOFS_MIN or len(over) >= LOSSES_MAX
     return has_proof and _is_likely(over)
 
 
@@ -166,7 +167,7 @@
 
 
 def _is_likely(losses: collections.abc.Sequence[Loss]) -> bool:
-    has_max_losses = len(losses) >= _LOSSES_MAX
+    has_max_losses = len(losses) >= LOSSES_MAX
     return odds(losses) >= (
         _MAX_LOSSES_ODDS if has_max_losses else _CULPRIT_ODDS
     )
--- a/tests/walnutpoint_scheduler/test_crashing_tasks.py
+++ b/tests/walnutpoint_scheduler/test_crashing_tasks.py
@@ -148,7 +148,13 @@
         harness.run_virtual(scenario)
         self._check(crashing)
 
-    def _lose_schedulers(self, terms: int, others: int) -> None:
+    def _lose_schedulers(
+        self,
+        terms: int,
+        others: int,
+        gap_s: float = 0.3,
+        settle_s: float = 40.0,
+    ) -> None:
         """Lose each scheduler with the crashed worker and some others."""
         crashing = harness.job(1, harness.step(1))
         task = ports.TaskName(crashing.job_id, 0, 0, 0)
@@ -166,9 +172,9 @@
                             )
                         for name in sorted(self.bed.fleet.workers)[:others]:
                             self.crashes.crash(name)
-                    await anyio.sleep(0.3)
+                    await anyio.sleep(gap_s)
             async with self.bed.scheduling():
-                await anyio.sleep(40)
+                await anyio.sleep(settle_s)
 
         harness.run_virtual(scenario)
         self._check(crashing)
@@ -190,6 +196,14 @@
         """
         self._lose_schedulers(terms=4, others=4)
 
+    def test_crashes_of_forgotten_workers_are_bounded(self) -> None:
+        """Guards against losses that no term confirms.
+
+        Each takeover comes after the worker's entry has expired, so that the
+        term does not know the address at which another one answers.
+        """
+        self._lose_schedulers(terms=7, others=2, gap_s=6.0, settle_s=60.0)
+
     def test_cut_that_heals_clears_its_tasks(self) -> None:
         """Workers that answer again after a cut count against no task.
 
