--- a/packages/walnutpoint-model/src/walnutpoint_model/fleet.py
+++ b/packages/walnutpoint-model/src/walnutpoint_model/fleet.py
@@ -100,6 +100,14 @@
         self._unlisted.discard(worker_id)
         self._revision += 1
 
+    def expire_entry(self, worker_id: str, absent_s: float) -> None:
+        """Drop a worker's entry for a time, as without its heartbeats."""
+        self._unlisted.add(worker_id)
+        self._revision += 1
+        asyncio.get_running_loop().call_later(
+            absent_s, self._write_entry, worker_id
+        )
+
     def step_clock(self, by_ms: int) -> None:
         """Shift the wall clock that stamps the starts of later workers."""
         self._born_ms += by_ms
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
@@ -38,12 +38,12 @@
 # At these odds a task is isolated: one of 33 such tasks is a culprit, whose
 # next crash costs as many runs as the others lose by waiting.
 _SUSPECT_ODDS: typing.Final = 0.03
-# A job is given up at these odds, and only with this many proven crashes: in
-# a large cell, coincidences of any odds occur.
+# A job is given up at these odds with this many proven crashes: in a large
+# cell, coincidences of any odds occur.
 _CULPRIT_ODDS: typing.Final = 1000.0
 _PROOFS_MIN: typing.Final = 2
-# From five losses on even odds suffice, and no proof is needed if all of them
-# are known to be over: a task that crashes its workers must not start again.
+# From five losses on even odds suffice, and five that are known to be over
+# need no proof: a task that crashes its workers must not start a sixth time.
 LOSSES_MAX: typing.Final = 5
 _MAX_LOSSES_ODDS: typing.Final = 1.0
 # The age at which a task crashes a worker is unknown: assumed log-uniform
--- a/tests/walnutpoint_scheduler/test_crashing_tasks.py
+++ b/tests/walnutpoint_scheduler/test_crashing_tasks.py
@@ -21,6 +21,9 @@
 JUST_STARTED_S = 0.01
 # More than four leases and the pauses between.
 CUT_S = 30.0
+# From the last heartbeat to the end of an entry.
+ENTRY_LIFE_S = 4.5
+LONG_CUT_S = 60.0
 
 
 class CrashingTaskTest(unittest.TestCase):
@@ -196,6 +199,10 @@
         """
         self._lose_schedulers(terms=4, others=4)
 
+    def test_crashes_at_less_than_even_odds(self) -> None:
+        """Guards against a sixth start where five losses weigh little."""
+        self._lose_schedulers(terms=7, others=4)
+
     def test_crashes_of_forgotten_workers_are_bounded(self) -> None:
         """Guards against losses that no term confirms.
 
@@ -252,7 +259,10 @@
         )
 
     def _lose_workers(
-        self, count: int, lose: collections.abc.Callable[[str], None]
+        self,
+        count: int,
+        lose: collections.abc.Callable[[str], None],
+        settle_s: float = 40.0,
     ) -> None:
         """Lose the task's worker just after its start, count times."""
         bed = self.bed
@@ -268,7 +278,7 @@
                     )
                     await anyio.sleep(JUST_STARTED_S)
                     lose(next(iter(bed.fleet.ledger.running.values())))
-                await anyio.sleep(40)
+                await anyio.sleep(settle_s)
 
         harness.run_virtual(scenario)
         self.assertEqual('done', bed.state(self.job.job_id))
@@ -287,6 +297,27 @@
 
         self._lose_workers(4, cut_off)
 
+    def test_workers_without_entries_for_a_minute(self) -> None:
+        """Guards against taking an expired entry for a crash.
+
+        Each worker is cut off from the scheduler and from the store, and
+        answers again after it would have been forgotten.
+        """
+
+        def cut_off(name: str) -> None:
+            worker = self.bed.fleet.workers[name]
+            worker.is_cut_off = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(
+                ENTRY_LIFE_S,
+                self.bed.fleet.expire_entry,
+                name,
+                LONG_CUT_S - ENTRY_LIFE_S,
+            )
+            loop.call_later(LONG_CUT_S, setattr, worker, 'is_cut_off', False)
+
+        self._lose_workers(5, cut_off, settle_s=120.0)
+
     def test_workers_that_crash_by_chance(self) -> None:
         """Guards against a failed job after two coincidences."""
         self._lose_workers(2, self.crashes.crash)
