Revert "Confirm crashes of workers that a term does not know"

- a worker that leaves in a planned way during a takeover counted as a proven crash 30 s later, as the next term does not know that it drained: after five of these a sound job was failed, done before;
- 30 s of a list that can't be read counted as the end of every worker that it misses: a sound job was failed in a term whose store was down;
- a suspect with two or more losses did not start for 180 s and more under terms shorter than its pause, as that began anew with each term.

--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_crash_odds.py
@@ -18,7 +18,6 @@
 from walnutpoint_scheduler import _incarnation
 
 __all__ = (
-    'LOSSES_MAX',
     'BackgroundRate',
     'Loss',
     'LostRun',
@@ -44,7 +43,7 @@
 _PROOFS_MIN: typing.Final = 2
 # From five losses on even odds suffice, and five that are known to be over
 # need no proof: a task that crashes its workers must not start a sixth time.
-LOSSES_MAX: typing.Final = 5
+_LOSSES_MAX: typing.Final = 5
 _MAX_LOSSES_ODDS: typing.Final = 1.0
 # The age at which a task crashes a worker is unknown: assumed log-uniform
 # between these times.
@@ -157,7 +156,7 @@
     """
     over = [loss for loss in losses if loss.is_over]
     proofs = sum(loss.is_proof for loss in over)
-    has_proof = proofs >= _PROOFS_MIN or len(over) >= LOSSES_MAX
+    has_proof = proofs >= _PROOFS_MIN or len(over) >= _LOSSES_MAX
     return has_proof and _is_likely(over)
 
 
@@ -167,7 +166,7 @@
 
 
 def _is_likely(losses: collections.abc.Sequence[Loss]) -> bool:
-    has_max_losses = len(losses) >= LOSSES_MAX
+    has_max_losses = len(losses) >= _LOSSES_MAX
     return odds(losses) >= (
         _MAX_LOSSES_ODDS if has_max_losses else _CULPRIT_ODDS
     )
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_directory.py
@@ -235,7 +235,6 @@
         context = self._context
         now_s = context.timer.now_s()
         context.roster.prune(now_s - _FORGET_AFTER_S)
-        self._ends.confirm_absent(_FORGET_AFTER_S)
         for worker in list(context.roster.workers.values()):
             if worker.unlisted_since_s is None:
                 continue
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_ends.py
@@ -229,10 +229,6 @@
         worker.gone = True
         self._judge(self._context.suspects.confirm_forgotten(worker))
 
-    def confirm_absent(self, absent_s: float) -> None:
-        """Give up tasks whose lost workers have been unknown for so long."""
-        self._judge(self._context.suspects.confirm_absent(absent_s))
-
     def _judge(
         self, confirmed: collections.abc.Iterable[_state.TaskProgress]
     ) -> None:
--- a/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
+++ b/packages/walnutpoint-scheduler/src/walnutpoint_scheduler/_suspects.py
@@ -42,9 +42,6 @@
 # lasting task, which may be sound, keeps to the shorter bound.
 _UNPROVEN_BACKOFF_S: typing.Final = 2.0
 _UNPROVEN_BACKOFF_MAX_S: typing.Final = 32.0
-# The same where all losses suffice once they are confirmed: longer than a lost
-# worker takes to be forgotten.
-_CONFIRMATION_WAIT_S: typing.Final = 40.0
 # A lasting task that ran this long on a worker did not crash it.
 _CLEARED_AFTER_S: typing.Final = 600.0
 
@@ -59,7 +56,6 @@
     """Attributes lost workers to the tasks that ran there."""
 
     __slots__ = (
-        '_absent_since_s',
         '_background',
         '_probations',
         '_roster',
@@ -75,8 +71,6 @@
         self._tasks_by_loss: collections.defaultdict[
             _incarnation.Incarnation, list[_state.TaskProgress]
         ] = collections.defaultdict(list)
-        # Since when the worker of a loss is not known in this term.
-        self._absent_since_s: dict[_incarnation.Incarnation, float] = {}
         # The isolated suspect run of each worker.
         self._probations: dict[str, _run.Run] = {}
 
@@ -158,28 +152,6 @@
             )
         return tasks
 
-    def confirm_absent(self, absent_s: float) -> list[_state.TaskProgress]:
-        """Confirm the losses of incarnations that are unknown for so long.
-
-        A term may know a lost incarnation from a task's record only, without
-        an address at which a successor could confirm the loss.
-        """
-        now_s = self._timer.now_s()
-        confirmed = []
-        for lost, tasks in self._tasks_by_loss.items():
-            if self._roster.get(lost.worker_id) is not None:
-                self._absent_since_s.pop(lost, None)
-                continue
-            since_s = self._absent_since_s.setdefault(lost, now_s)
-            if now_s - since_s <= absent_s:
-                continue
-            for task in tasks:
-                losses = _crash_odds.mark_over(task.losses, lost)
-                if losses != task.losses and not task.step.job.state.final:
-                    task.losses = losses
-                    confirmed.append(task)
-        return confirmed
-
     def clear_loss(
         self, worker: _worker.WorkerState
     ) -> list[_state.TaskProgress]:
@@ -228,15 +200,9 @@
         return cleared
 
     def restore(self, task: _state.TaskProgress) -> None:
-        """Restore the losses that an earlier term recorded for a task.
-
-        Its pause begins anew, so that terms shorter than the pause don't
-        start a suspect more often.
-        """
+        """Restore the losses that an earlier term recorded for a task."""
         for loss in task.losses:
             self._tasks_by_loss[loss.incarnation].append(task)
-        if len(task.losses) > 1 and task.is_suspect:
-            task.backoff.delay_until(self._timer.now_s() + _pause_s(task))
 
     def count_lost_with(self, worker: _worker.WorkerState) -> int:
         """Return how many other workers were lost together with this one."""
@@ -379,8 +345,6 @@
     if _crash_odds.is_unproven(task.losses):
         first_s = _UNPROVEN_BACKOFF_S
         if not task.step.step.lasting:
-            if len(task.losses) >= _crash_odds.LOSSES_MAX:
-                return _CONFIRMATION_WAIT_S
             max_s = _UNPROVEN_BACKOFF_MAX_S
     return min(first_s * 2.0 ** (len(task.losses) - 2), max_s)
 
