--- a/review/harness-2/standin.py
+++ b/review/harness-2/standin.py
@@ -25,6 +25,7 @@
 HEARTBEAT_S = 1.5
 HOLD_MAX_MS = 10_000
 STOP_S = 0.1
+VALUE_BYTES = 1_048_576
 START_UP_S = 0.3
 # Ports to try, from another start in each process.
 _PORTS = itertools.cycle(
@@ -277,6 +278,10 @@
 
     def commit(self, body):
         """Execute a transaction and return the answer."""
+        for put in body.get('puts', []):
+            if len(put['value']) * 3 // 4 > VALUE_BYTES:
+                self.record.note(f'store refuses {put["key"]}: too large')
+                return 400, None
         rows = body.get('precondition', [])
         for row in rows:
             item = self.items.get(row['key'])
@@ -316,6 +321,8 @@
         self.stop_s = options.get('stop_s', STOP_S)
         # Called with a task and an attempt; returns duration and how it ends.
         self.work = options.get('work', lambda _task, _attempt: (0.5, 'done'))
+        # Called with a task and a percentage; returns its checkpoint.
+        self.saved = lambda _task, _percent: ''
         # Called after each start.
         self.on_start = None
         # Called with path and body before an order is carried out; may wait,
@@ -519,13 +526,16 @@
         return 200, {
             'clockMs': self.clock_ms(),
             'running': [
-                [task, attempt, '', self._percent(row), 0]
+                self._running_row(task, attempt, self._percent(row))
                 for (task, attempt), row in self.runs.items()
             ],
             'finished': self.ends[:500],
             'capacity': {'cpu': self.cpu, 'memMb': self.mem_mb, 'gpu': 0},
         }
 
+    def _running_row(self, task, attempt, percent):
+        return [task, attempt, self.saved(task, percent), percent, 0]
+
     def _take_note(self, number):
         self.ends = [e for e in self.ends if e[0] > number]
         now_s = time.monotonic()
