--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,102 +1,49 @@
-"""A lasting job on a worker that goes down and up by turns, for 7 s."""
+"""A gang whose tasks take only the processor time that others leave."""
 
 import asyncio
 import sys
-import time
 
 import standin
 
-JOB = '00000000000000c7'
-TASKS = 8
-# The dose of the grown deployments: srv_flap, share = 0.1, gap_s = 1.4,
-# for_s = 7.1 at the most. One of sixteen workers is a share of 0.0625.
-DOWNS = 3
-GAP_S = 1.4
-# The rule LOST: calm for 4 s, and then 3 s without a run, for tasks whose
-# last run ended 6 s before. The 4 s are the stableWindowMs of the settings
-# and one more second.
-CALM_S = 4.0
+GANG_JOB = '00000000000000c7'
+OTHER_JOB = '00000000000000a7'
+# The bounds of the small deployments.
+FINISH_S = 14.0
 IDLE_S = 3.0
-SINCE_LAST_RUN_S = 6.0
-WATCHED_S = 40.0
-LASTS_S = 1e9
-STEP = {
-    'count': TASKS,
-    'cpu': 1000,
-    'memMb': 256,
-    'estimateMs': 320,
-    'longRunning': True,
-    'requiredLabel': 'b',
-}
-
-
-def idle_spans(workers, calm_s, end_s):
-    """Return how long each task had nothing running while all was calm."""
-    spans = {}
-    for index in range(TASKS):
-        task = f'{JOB}.0.0.{index}'
-        starts_s = [
-            started_s
-            for worker in workers
-            for started_s, name, _ in worker.starts
-            if name == task
-        ]
-        crashes_s = [
-            crash_s
-            for worker in workers
-            for crash_s, tasks in worker.crashes
-            if task in tasks
-        ]
-        before_s = [s for s in starts_s if s <= calm_s]
-        if not crashes_s or max(before_s) > max(crashes_s):
-            # At work when the calm began.
-            spans[task] = 0.0
-            continue
-        from_s = max(calm_s + CALM_S, max(crashes_s) + SINCE_LAST_RUN_S)
-        until_s = min((s for s in starts_s if s > calm_s), default=end_s)
-        spans[task] = max(0.0, until_s - from_s)
-    return spans
+RUN_S = 1.0
+STEP = {'count': 3, 'cpu': 500, 'estimateMs': 1000, 'fills': True}
 
 
 async def case(record, trouble):
-    """Run lasting tasks, and measure how long they are idle afterwards."""
+    """Hand in the gang, and the same job without `gang`, in an empty cell."""
     cluster = standin.Cluster(record, 3)
     try:
-        for number in range(16):
+        for number in range(8):
             await cluster.add_worker(
-                labels=['b' if number == 15 else 'a', f'r1-{number // 8}'],
-                work=lambda _task, _attempt: (LASTS_S, 'done'),
+                labels=['a', f'r1-{number // 4}'],
+                work=lambda _task, _attempt: (RUN_S, 'done'),
             )
-        worker = cluster.workers[15]
         await cluster.start()
-        status, _ = await cluster.request(
-            0, 'POST', JOB, {'spec': 'watch', 'steps': [STEP]}
-        )
-        if status != 200:
-            raise RuntimeError('the job was not accepted')
-        await asyncio.sleep(3.0)
-        for number in range(DOWNS):
-            if number:
-                await asyncio.sleep(GAP_S)
-            if trouble:
-                worker.crash()
-            await asyncio.sleep(GAP_S)
-            if trouble:
-                await worker.start()
-        calm_s = time.monotonic()
-        record.note('calm from here on')
-        for _ in range(int(WATCHED_S)):
-            await asyncio.sleep(1.0)
-            record.note(f'{len(worker.runs)} of {TASKS} tasks are at work')
-        end_s = time.monotonic()
-        spans = idle_spans(cluster.workers, calm_s, end_s)
-        for task, span_s in sorted(spans.items()):
-            record.note(f'{task} had nothing running for {span_s:.1f} s')
-        late = [span_s for span_s in spans.values() if span_s > IDLE_S]
-        if not late:
+        gang = STEP | {'gang': True}
+        if not trouble:
+            gang |= {'memMb': 1}
+        for job, step in ((GANG_JOB, gang), (OTHER_JOB, STEP)):
+            status, _ = await cluster.request(
+                0, 'POST', job, {'spec': 'fill', 'steps': [step]}
+            )
+            if status != 200:
+                raise RuntimeError(f'{job} was not accepted')
+        await asyncio.sleep(FINISH_S + IDLE_S)
+        for job in (GANG_JOB, OTHER_JOB):
+            await cluster.request(1, 'GET', job)
+        starts = [
+            task for worker in cluster.workers for _, task, _ in worker.starts
+        ]
+        gang_starts = sum(task.startswith(GANG_JOB) for task in starts)
+        record.note(f'{gang_starts} starts of the gang')
+        if gang_starts:
             return []
-        text = f'{len(late)} of {TASKS} tasks that last had nothing running'
-        return [f'LOST: {text} for up to {max(late):.1f} s in a calm cell']
+        return ['LOST: an accepted job never began in an empty cell']
     finally:
         await cluster.close()
 
--- a/review/harness-2/standin.py
+++ b/review/harness-2/standin.py
@@ -319,6 +319,8 @@
         self.mem_mb = options.get('mem_mb', 64_000)
         self.labels = options.get('labels', ['a', 'r1-1'])
         self.stop_s = options.get('stop_s', STOP_S)
+        # Whether a new life has the id of the former, and says when it began.
+        self.keeps_id = options.get('keeps_id', False)
         # Called with a task and an attempt; returns duration and how it ends.
         self.work = options.get('work', lambda _task, _attempt: (0.5, 'done'))
         # Called with a task and a percentage; returns its checkpoint.
@@ -342,7 +344,9 @@
         self._reset()
 
     def _reset(self):
-        self.id = f'i-{next(self._lives):04x}{os.getpid() & 0xFFFF:04x}'
+        if not (self.keeps_id and self.id):
+            self.id = f'i-{next(self._lives):04x}{os.getpid() & 0xFFFF:04x}'
+        self._born = {'born': int(time.time() * 1000)} if self.keeps_id else {}
         self.fence = 0
         self.runs = {}
         self.ends = []
@@ -375,11 +379,14 @@
         self._server.close()
         self.runs.clear()
         self.ends.clear()
-        old = self.id
         asyncio.get_running_loop().call_later(
-            3 * HEARTBEAT_S, self.store.remove, f'servers/{old}'
+            3 * HEARTBEAT_S, self._expire, self.id
         )
 
+    def _expire(self, worker_id):
+        if not (self.is_up and self.id == worker_id):
+            self.store.remove(f'servers/{worker_id}')
+
     def clock_ms(self):
         """Return the worker's own steady clock."""
         return int((time.monotonic() - self._born_s) * 1000)
@@ -405,7 +412,8 @@
                     'labels': self.labels,
                     'clockMs': self.clock_ms(),
                     'seq': self._seq,
-                },
+                }
+                | self._born,
             )
             await asyncio.sleep(HEARTBEAT_S)
 
@@ -531,7 +539,7 @@
             ],
             'finished': self.ends[:500],
             'capacity': {'cpu': self.cpu, 'memMb': self.mem_mb, 'gpu': 0},
-        }
+        } | self._born
 
     def _running_row(self, task, attempt, percent):
         return [task, attempt, self.saved(task, percent), percent, 0]
